--- /dev/null
+++ b/internal/state/invariant/invariant.go
@@ -0,0 +1,139 @@
+// Package invariant counts, for one host, how often each named invariant was
+// checked and how often it was violated.
+//
+// Checks run in the program itself, in production as in tests: a violation
+// is logged with its details and shown in the metrics, and the demo and the
+// tests fail on it.
+package invariant
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Names of the invariants.
+const (
+	UrgentNotShed    = "urgent-not-shed"
+	NoStarvation     = "no-starvation"
+	KeyOwner         = "key-owner"
+	KeyNotForwarded  = "key-not-forwarded"
+	WithdrawnKey     = "withdrawn-key"
+	SingleCommander  = "single-commander"
+	SingleReport     = "single-report"
+	WholeAnswer      = "whole-answer"
+	TrueRefusal      = "true-refusal"
+	AtMostOnce       = "at-most-once"
+	LeavingUpstream  = "leaving-upstream"
+	GracefulStop     = "graceful-stop"
+	ConfigForward    = "config-forward"
+	LegalTransition  = "legal-transition"
+	unknownInvariant = "unknown-invariant"
+)
+
+// Names returns all invariant names in the order of the design document.
+func Names() []string {
+	return []string{
+		UrgentNotShed, NoStarvation, KeyOwner, KeyNotForwarded, WithdrawnKey,
+		SingleCommander, SingleReport, WholeAnswer, TrueRefusal, AtMostOnce,
+		LeavingUpstream, GracefulStop, ConfigForward, LegalTransition,
+	}
+}
+
+// Count holds the figures of one invariant.
+type Count struct {
+	Name     string `json:"name"`
+	Checked  int64  `json:"checked"`
+	Violated int64  `json:"violated"`
+}
+
+type counter struct {
+	checked  atomic.Int64
+	violated atomic.Int64
+}
+
+// Registry counts checks; it implements quetzalhook.Invariants. It is safe
+// for concurrent use.
+type Registry struct {
+	log      logrus.FieldLogger
+	counters map[string]*counter
+
+	mu    sync.Mutex
+	first []string // details of the first violations, for reports
+}
+
+// maxDetails bounds the violations kept with their details.
+const maxDetails = 20
+
+// New returns a registry with all names at zero. Violations go to log as one
+// line each; a nil log drops them.
+func New(log logrus.FieldLogger) *Registry {
+	r := &Registry{log: log, counters: make(map[string]*counter)}
+	for _, name := range append(Names(), unknownInvariant) {
+		r.counters[name] = &counter{}
+	}
+	return r
+}
+
+// Check counts one check and, if ok is false, one violation. Details are
+// alternating keys and values. An unknown name counts as a violation.
+func (r *Registry) Check(name string, ok bool, details ...any) {
+	c, known := r.counters[name]
+	if !known {
+		c, ok = r.counters[unknownInvariant], false
+		details = append(details, "name", name)
+	}
+	c.checked.Add(1)
+	if ok {
+		return
+	}
+	c.violated.Add(1)
+	r.record(name, details)
+}
+
+func (r *Registry) record(name string, details []any) {
+	fields := logrus.Fields{"invariant": name}
+	for i := 0; i+1 < len(details); i += 2 {
+		fields[fmt.Sprint(details[i])] = details[i+1]
+	}
+	r.mu.Lock()
+	if len(r.first) < maxDetails {
+		r.first = append(r.first, fmt.Sprint(name, " ", details))
+	}
+	r.mu.Unlock()
+	if r.log != nil {
+		r.log.WithFields(fields).Error("invariant violated")
+	}
+}
+
+// Counts returns the figures of all invariants, sorted by name.
+func (r *Registry) Counts() []Count {
+	counts := make([]Count, 0, len(r.counters))
+	for name, c := range r.counters {
+		if name == unknownInvariant && c.checked.Load() == 0 {
+			continue
+		}
+		counts = append(counts, Count{Name: name, Checked: c.checked.Load(), Violated: c.violated.Load()})
+	}
+	sort.Slice(counts, func(i, j int) bool { return counts[i].Name < counts[j].Name })
+	return counts
+}
+
+// Violations returns the total number of violations.
+func (r *Registry) Violations() int64 {
+	var n int64
+	for _, c := range r.counters {
+		n += c.violated.Load()
+	}
+	return n
+}
+
+// Details returns the details of the first violations.
+func (r *Registry) Details() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.first...)
+}
--- /dev/null
+++ b/platform.go
@@ -0,0 +1,160 @@
+package quetzalhook
+
+import (
+	"context"
+	"time"
+)
+
+// Version is a position in the store's single sequence of changes. Version 0
+// stands for an object that does not exist.
+type Version int64
+
+// MaxValueSize is the largest value of an object in bytes.
+const MaxValueSize = 1 << 20
+
+// Object is one versioned object of the platform's store.
+type Object struct {
+	Key     string
+	Value   []byte
+	Version Version
+	Deleted bool // set in watch events only
+}
+
+// StoreErrorKind classifies the failures of a Store.
+type StoreErrorKind string
+
+const (
+	// StoreConflict reports that the base version is not the current one.
+	StoreConflict StoreErrorKind = "conflict"
+	// StoreNotFound reports that the object does not exist.
+	StoreNotFound StoreErrorKind = "not-found"
+	// StoreTooLarge reports a value over MaxValueSize.
+	StoreTooLarge StoreErrorKind = "too-large"
+	// StoreRateLimited reports too many calls; the call had no effect.
+	StoreRateLimited StoreErrorKind = "rate-limited"
+	// StoreUnavailable reports that the store did not take the call; it had no
+	// effect.
+	StoreUnavailable StoreErrorKind = "unavailable"
+	// StoreUnknown reports a lost answer: the change may have taken effect.
+	StoreUnknown StoreErrorKind = "unknown"
+)
+
+// StoreError is the error of every Store method.
+type StoreError struct {
+	Op   string
+	Key  string
+	Kind StoreErrorKind
+	Err  error
+}
+
+// Error implements error.
+func (e *StoreError) Error() string {
+	s := "store " + e.Op + " " + e.Key + ": " + string(e.Kind)
+	if e.Err != nil {
+		s += ": " + e.Err.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *StoreError) Unwrap() error { return e.Err }
+
+// Store is the platform's versioned object API. Every call counts against
+// the platform's rates, a waiting watch as one.
+type Store interface {
+	// Get returns an object, or StoreNotFound.
+	Get(ctx context.Context, key string) (Object, error)
+	// List returns all objects whose key starts with prefix, in key order.
+	List(ctx context.Context, prefix string) ([]Object, error)
+	// Put writes value if the current version is base; base 0 creates only.
+	Put(ctx context.Context, key string, value []byte, base Version) (Version, error)
+	// Delete removes the object if its current version is base.
+	Delete(ctx context.Context, key string, base Version) error
+	// Watch delivers changes under prefix with a version above after. It may
+	// go silent without an error.
+	Watch(ctx context.Context, prefix string, after Version) (Watch, error)
+}
+
+// Watch is a stream of changes.
+type Watch interface {
+	// Events is closed when the watch ends.
+	Events() <-chan Object
+	// Close ends the watch and waits for it.
+	Close() error
+}
+
+// UpstreamOrder asks the platform for a number of upstreams in a zone.
+type UpstreamOrder struct {
+	ID      string // nonce of the order, chosen by the sender
+	Zone    Zone
+	Cheap   bool
+	Count   int // wanted total of this kind in the zone
+	Fencing uint64
+}
+
+// Provisioner orders upstreams by availability zone.
+type Provisioner interface {
+	Order(ctx context.Context, o UpstreamOrder) error
+	// Upstreams returns the platform's list; it may lag.
+	Upstreams(ctx context.Context) ([]Upstream, error)
+	// Orders returns the identifiers of orders that took effect.
+	Orders(ctx context.Context) ([]string, error)
+}
+
+// UsageSink takes usage reports by billing window. Reports of a window are
+// identical bytes on every retry.
+type UsageSink interface {
+	Report(ctx context.Context, window string, fencing uint64, body []byte) error
+}
+
+// HostStatus is one entry of the platform's lagging list of hosts.
+type HostStatus struct {
+	Host        HostID
+	Incarnation Incarnation
+	Zone        Zone
+	Leaving     bool
+}
+
+// HostLister returns the platform's lagging list of live and leaving hosts.
+type HostLister interface {
+	Hosts(ctx context.Context) ([]HostStatus, error)
+}
+
+// Member is one entry host as seen by another.
+type Member struct {
+	Host        HostID
+	Incarnation Incarnation
+	Zone        Zone
+	Region      Region
+	Address     string // for callers, host:port
+	PeerAddress string // for other hosts, host:port
+	Draining    bool
+	Silent      time.Duration // time since the last heartbeat
+	// FreeCapacity is the fraction of unused slots, from 0 to 1.
+	FreeCapacity float64
+	// ConfigVersion is the configuration in force on the host.
+	ConfigVersion int64
+	// StoreAge is the time since the host last reached the store.
+	StoreAge time.Duration
+	Demand   Demand
+}
+
+// PeerHandler answers a call of another host.
+type PeerHandler func(ctx context.Context, from HostID, body []byte) ([]byte, error)
+
+// Peers carries calls between hosts.
+type Peers interface {
+	// Members returns the other hosts that are alive or not heard from.
+	Members() []Member
+	// Call sends body to a host and waits for its answer.
+	Call(ctx context.Context, host HostID, kind string, body []byte) ([]byte, error)
+	// Handle registers the handler of a kind; call it before the first Call.
+	Handle(kind string, h PeerHandler)
+}
+
+// Invariants counts the checks and violations of named invariants.
+type Invariants interface {
+	// Check counts one check of the invariant and, if ok is false, one
+	// violation with the key=value details for the log.
+	Check(name string, ok bool, details ...any)
+}
--- /dev/null
+++ b/policy.go
@@ -0,0 +1,152 @@
+package quetzalhook
+
+import "time"
+
+// Request is what a Policy knows of one request.
+type Request struct {
+	ID       RequestID
+	Customer CustomerID
+	Class    Class
+	Model    Model
+	// PromptTokens is the estimated prompt length in tokens.
+	PromptTokens int
+	// MaxTokens is the caller's bound on the output; 0 means none.
+	MaxTokens int
+	// Prefixes holds hashes of growing prompt prefixes, shortest first.
+	Prefixes []uint64
+	// PrefixTokens is the number of tokens covered by each entry of Prefixes.
+	PrefixTokens int
+	// Region is where the caller is.
+	Region Region
+	// Repeatable reports whether the request may be sent more than once.
+	Repeatable bool
+}
+
+// ActionKind selects what the host does for an Action.
+type ActionKind uint8
+
+const (
+	// ActionStart sends the request to Upstream, continuing after Offset tokens.
+	ActionStart ActionKind = iota + 1
+	// ActionCancel stops the request's stream. For CausePreempted and
+	// CauseMoved the policy has queued the request again.
+	ActionCancel
+	// ActionRefuse ends the request with an error to the caller.
+	ActionRefuse
+)
+
+// CancelCause tells why a stream is stopped.
+type CancelCause string
+
+const (
+	// CausePreempted frees the slot for a more urgent request.
+	CausePreempted CancelCause = "preempted"
+	// CauseMoved leaves an upstream that is unfit or leaving.
+	CauseMoved CancelCause = "moved"
+	// CauseDoomed stops work whose answer has no value any more.
+	CauseDoomed CancelCause = "doomed"
+)
+
+// RefuseKind is the machine-readable reason of a refusal.
+type RefuseKind string
+
+const (
+	// RefuseOverload reports that the queue cannot serve the class in time.
+	RefuseOverload RefuseKind = "overload"
+	// RefuseLimit reports that the customer is over a limit.
+	RefuseLimit RefuseKind = "limit"
+	// RefuseNoUpstream reports that no upstream serves the model.
+	RefuseNoUpstream RefuseKind = "no-upstream"
+	// RefuseLate reports that the target is out of reach for a class whose
+	// late answers have no value.
+	RefuseLate RefuseKind = "late"
+	// RefuseRetryBudget reports that the retry budget is used up.
+	RefuseRetryBudget RefuseKind = "retry-budget"
+)
+
+// Action is one decision of a Policy.
+type Action struct {
+	Kind       ActionKind
+	Request    RequestID
+	Upstream   UpstreamID
+	Offset     int // tokens already received, for ActionStart
+	Cause      CancelCause
+	Refusal    RefuseKind
+	Outcome    Outcome
+	RetryAfter time.Duration
+}
+
+// End tells a Policy how a request's attempt on an upstream ended.
+type End uint8
+
+const (
+	// EndFinished reports a complete answer.
+	EndFinished End = iota + 1
+	// EndNotSent reports that nothing of the request left the host.
+	EndNotSent
+	// EndBroken reports a failure after the send began.
+	EndBroken
+	// EndCallerGone reports that the caller went away.
+	EndCallerGone
+	// EndCancelled confirms an ActionCancel for CausePreempted or CauseMoved:
+	// the stream is closed and no more tokens of it count.
+	EndCancelled
+)
+
+// Demand is what one host tells the others about its load.
+type Demand struct {
+	// Waiting and Running count predicted work in tokens, by tier.
+	Waiting [TierCount]float64
+	Running [TierCount]float64
+	// InFlight counts this host's requests on each upstream.
+	InFlight map[UpstreamID]int
+	// Used holds each customer's work in tokens since the host started.
+	Used map[CustomerID]float64
+}
+
+// PeerDemand is the Demand of another host, received Age ago.
+type PeerDemand struct {
+	Host   HostID
+	Age    time.Duration
+	Demand Demand
+}
+
+// CustomerLimit bounds a customer over all hosts.
+type CustomerLimit struct {
+	// Weight is the customer's share relative to others of its class.
+	Weight float64
+	// WorkRate is the sustained work in tokens/s; 0 means unlimited.
+	WorkRate float64
+	// WorkBurst is the work in tokens that may be used at once.
+	WorkBurst float64
+	// Concurrency is the number of requests running at once; 0 means unlimited.
+	Concurrency int
+}
+
+// Policy decides which request runs where and when. Implementations do no
+// I/O, start no goroutine and read no clock; callers serialise the calls and
+// pass a time that never goes back.
+//
+// After EndFinished, EndCallerGone, ActionRefuse or a cancel for CauseDoomed
+// a request is forgotten. After EndNotSent and EndBroken the policy either
+// starts it again or refuses it.
+type Policy interface {
+	// SetUpstreams replaces the upstreams that the host may use.
+	SetUpstreams(now time.Time, upstreams []Upstream) []Action
+	// SetLimits replaces the limits of all customers.
+	SetLimits(now time.Time, limits map[CustomerID]CustomerLimit) []Action
+	// Submit adds a request.
+	Submit(now time.Time, r Request) []Action
+	// Progress reports that a running request received tokens, n in total.
+	Progress(now time.Time, id RequestID, n int) []Action
+	// End reports the end of a request's attempt.
+	End(now time.Time, id RequestID, end End) []Action
+	// ObserveLoad takes a load report.
+	ObserveLoad(now time.Time, l Load) []Action
+	// ObservePeers takes the latest demand of every other host.
+	ObservePeers(now time.Time, peers []PeerDemand) []Action
+	// Tick runs periodic work; hosts call it every 10 ms or less often.
+	Tick(now time.Time) []Action
+	// Demand returns what to tell the other hosts.
+	Demand(now time.Time) Demand
+}
--- /dev/null
+++ b/upstream.go
@@ -0,0 +1,68 @@
+package quetzalhook
+
+import "time"
+
+// UpstreamKind separates model engines from plain services.
+type UpstreamKind uint8
+
+const (
+	// KindEngine is a model engine with continuous batching.
+	KindEngine UpstreamKind = iota
+	// KindService is a plain HTTP service.
+	KindService
+)
+
+// UpstreamState is the life-cycle state of an upstream.
+type UpstreamState uint8
+
+const (
+	// UpstreamReady accepts new work.
+	UpstreamReady UpstreamState = iota
+	// UpstreamLeaving finishes or gives up its work and accepts no new work.
+	UpstreamLeaving
+	// UpstreamGone does not answer any more.
+	UpstreamGone
+)
+
+// Upstream describes one back end from configuration and the platform's list.
+type Upstream struct {
+	ID      UpstreamID
+	Kind    UpstreamKind
+	Service string // name of the service, for KindService
+	Address string // host:port
+	Zone    Zone
+	Region  Region
+	Models  []Model
+	State   UpstreamState
+	// Slots is the number of requests that run at once without queueing.
+	Slots int
+	// TokenRate is the nominal tokens/s of one stream.
+	TokenRate float64
+	// PrefillRate is the nominal prompt tokens/s.
+	PrefillRate float64
+	// Price is the cost of one hour, in the operator's currency.
+	Price float64
+	// Cheap marks capacity that the platform may reclaim at short notice.
+	Cheap bool
+	// ChecksFencing reports whether the upstream refuses old fencing numbers.
+	ChecksFencing bool
+	// Distance is the one-way network delay from this host.
+	Distance time.Duration
+}
+
+// Load is one load report of an upstream, taken at the upstream Age before
+// it was received.
+type Load struct {
+	Upstream  UpstreamID
+	Running   int
+	Waiting   int
+	TokenRate float64 // tokens/s over all running streams
+	Age       time.Duration
+	Leaving   bool
+	// Prefixes holds hashes of cached prompt prefixes that were added since the
+	// last report; Evicted those that were dropped.
+	Prefixes []uint64
+	Evicted  []uint64
+	// PrefixGap reports that cache events were lost before this report.
+	PrefixGap bool
+}
