--- /dev/null
+++ b/internal/record/configuration/validate.go
@@ -0,0 +1,228 @@
+package configuration
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"quetzalhook"
+)
+
+// Validate checks a document for mistakes that its form allows: missing or
+// duplicate names, references to nothing, values out of range. Its error is
+// an *Error that lists every mistake.
+func (d *Document) Validate() error {
+	if list := d.mistakes(); len(list) > 0 {
+		return &Error{Op: "validate", Kind: ErrorInvalid, Mistakes: list[:min(len(list), maxMistakes)]}
+	}
+	return nil
+}
+
+// validator collects mistakes and the names that may be referred to.
+type validator struct {
+	list                                       []Mistake
+	regions, zones, classes, models, upstreams map[string]bool
+	services, customers, paths                 map[string]bool
+}
+
+func (d *Document) mistakes() []Mistake {
+	v := &validator{
+		regions: set(), zones: set(), classes: set(), models: set(),
+		upstreams: set(), services: set(), customers: set(), paths: set(),
+	}
+	v.checkZones(d)
+	v.checkClasses(d)
+	v.checkModels(d)
+	v.checkUpstreams(d)
+	v.checkCustomers(d)
+	v.checkRoutes(d)
+	v.checkCapacity(d)
+	v.checkDurations("keys.", map[string]time.Duration{
+		"currency-limit": d.Keys.CurrencyLimit, "unknown-retention": d.Keys.UnknownRetention,
+	})
+	v.checkDurations("retention.", map[string]time.Duration{
+		"journal": d.Retention.Journal, "usage": d.Retention.Usage, "plans": d.Retention.Plans,
+	})
+	return v.list
+}
+
+func set() map[string]bool { return make(map[string]bool) }
+
+func (v *validator) fail(path, format string, args ...any) {
+	v.list = append(v.list, Mistake{Path: path, Message: fmt.Sprintf(format, args...)})
+}
+
+func (v *validator) check(ok bool, path, format string, args ...any) {
+	if !ok {
+		v.fail(path, format, args...)
+	}
+}
+
+// define adds a name that must be given and unique.
+func (v *validator) define(names map[string]bool, path, name string) {
+	switch {
+	case name == "":
+		v.fail(path, "must not be empty")
+	case names[name]:
+		v.fail(path, "%q is given twice", name)
+	case strings.ContainsAny(name, " \t\r\n") || len(name) > maxNameLength:
+		v.fail(path, "%q must have no white space and at most %d bytes", name, maxNameLength)
+	}
+	names[name] = true
+}
+
+// maxNameLength keeps names, which travel in every heartbeat, short.
+const maxNameLength = 100
+
+func (v *validator) refer(names map[string]bool, path, name, what string) {
+	v.check(names[name], path, "%s %q does not exist", what, name)
+}
+
+func (v *validator) checkZones(d *Document) {
+	v.check(len(d.Zones) > 0, "zones", "at least one zone is needed")
+	for i, z := range d.Zones {
+		path := at("zones", i)
+		v.define(v.zones, path+".name", z.Name)
+		v.check(z.Region != "", path+".region", "must not be empty")
+		v.regions[z.Region] = true
+	}
+	pairs := set()
+	for i, s := range d.Distances {
+		path := at("distances", i)
+		v.refer(v.regions, path+".from", s.From, "region")
+		v.refer(v.regions, path+".to", s.To, "region")
+		v.check(s.Delay >= 0, path+".delay", "must not be negative")
+		v.check(s.PricePerGB >= 0, path+".price-per-gb", "must not be negative")
+		v.check(!pairs[pairKey(s.From, s.To)], path, "distance between %q and %q is given twice", s.From, s.To)
+		pairs[pairKey(s.From, s.To)] = true
+	}
+}
+
+func (v *validator) checkClasses(d *Document) {
+	v.check(len(d.Classes) > 0, "classes", "at least one class is needed")
+	sum := 0.0
+	for i, c := range d.Classes {
+		path := at("classes", i)
+		v.define(v.classes, path+".name", c.Name)
+		v.check(c.Tier >= 0 && c.Tier < quetzalhook.TierCount, path+".tier", "must be from 0 to %d", quetzalhook.TierCount-1)
+		v.check(c.TTFTTarget >= 0, path+".ttft-target", "must not be negative")
+		v.check(c.GapTarget >= 0, path+".gap-target", "must not be negative")
+		v.check(c.FloorShare >= 0 && c.FloorShare <= 1, path+".floor-share", "must be from 0 to 1")
+		v.check(!c.MustFinish || !c.LateWorthless, path, "must-finish and late-worthless exclude each other")
+		v.check(!c.LateWorthless || c.TTFTTarget > 0, path, "late-worthless needs a ttft-target")
+		sum += c.FloorShare
+	}
+	v.check(sum <= 1, "classes", "floor shares add up to %g, more than 1", sum)
+}
+
+func (v *validator) checkModels(d *Document) {
+	for i, m := range d.Models {
+		path := at("models", i)
+		v.define(v.models, path+".name", m.Name)
+		v.check(m.ContextTokens >= 0, path+".context-tokens", "must not be negative")
+	}
+}
+
+func (v *validator) checkUpstreams(d *Document) {
+	for i, u := range d.Upstreams {
+		path := at("upstreams", i)
+		v.define(v.upstreams, path+".name", u.Name)
+		v.refer(v.zones, path+".zone", u.Zone, "zone")
+		v.checkAddress(path+".address", u.Address)
+		v.check(u.Slots > 0, path+".slots", "must be above 0")
+		v.check(u.TokenRate >= 0, path+".token-rate", "must not be negative")
+		v.check(u.PrefillRate >= 0, path+".prefill-rate", "must not be negative")
+		v.check(u.Price >= 0, path+".price", "must not be negative")
+		for j, m := range u.Models {
+			v.refer(v.models, at(path+".models", j), m, "model")
+		}
+		v.checkUpstreamKind(path, u)
+	}
+}
+
+func (v *validator) checkUpstreamKind(path string, u Upstream) {
+	switch u.Kind {
+	case KindEngine:
+		v.check(u.Service == "", path+".service", "must not be given for an engine")
+		v.check(len(u.Models) > 0, path+".models", "an engine needs at least one model")
+		v.check(u.TokenRate > 0, path+".token-rate", "must be above 0 for an engine")
+		v.check(u.PrefillRate > 0, path+".prefill-rate", "must be above 0 for an engine")
+	case KindService:
+		v.check(u.Service != "", path+".service", "must be given for a service")
+		v.check(len(u.Models) == 0, path+".models", "must not be given for a service")
+		v.services[u.Service] = true
+	default:
+		v.fail(path+".kind", "must be %q or %q, not %q", KindEngine, KindService, u.Kind)
+	}
+}
+
+func (v *validator) checkAddress(path, address string) {
+	host, port, err := net.SplitHostPort(address)
+	n, convErr := strconv.Atoi(port)
+	ok := err == nil && convErr == nil && net.ParseIP(host) != nil && n > 0 && n < 1<<16
+	v.check(ok, path, "%q is not an IP address with a port", address)
+}
+
+func (v *validator) checkCustomers(d *Document) {
+	for i, c := range d.Customers {
+		path := at("customers", i)
+		v.define(v.customers, path+".name", c.Name)
+		v.check(c.Weight > 0, path+".weight", "must be above 0")
+		v.check(c.WorkRate >= 0, path+".work-rate", "must not be negative")
+		v.check(c.WorkBurst >= 0, path+".work-burst", "must not be negative")
+		v.check(c.WorkRate == 0 || c.WorkBurst > 0, path+".work-burst", "must be above 0 with a work-rate")
+		v.check(c.Concurrency >= 0, path+".concurrency", "must not be negative")
+		v.check(len(c.Classes) > 0, path+".classes", "at least one class is needed")
+		allowed := set()
+		for j, name := range c.Classes {
+			v.refer(v.classes, at(path+".classes", j), name, "class")
+			allowed[name] = true
+		}
+		if c.DefaultClass != "" {
+			v.check(allowed[c.DefaultClass], path+".default-class", "%q is not among the customer's classes", c.DefaultClass)
+		}
+	}
+}
+
+func (v *validator) checkRoutes(d *Document) {
+	for i, r := range d.Routes {
+		path := at("routes", i)
+		v.define(v.paths, path+".path", r.Path)
+		v.check(strings.HasPrefix(r.Path, "/"), path+".path", "must start with /")
+		if r.Class != "" {
+			v.refer(v.classes, path+".class", r.Class, "class")
+		}
+		switch r.Kind {
+		case KindChat:
+			v.check(r.Service == "", path+".service", "must not be given for a chat route")
+		case KindService:
+			v.refer(v.services, path+".service", r.Service, "upstream of service")
+			v.check(r.Class != "", path+".class", "must be given for a service route")
+		default:
+			v.fail(path+".kind", "must be %q or %q, not %q", KindChat, KindService, r.Kind)
+		}
+	}
+}
+
+func (v *validator) checkCapacity(d *Document) {
+	seen := set()
+	for i, b := range d.Capacity {
+		path := at("capacity", i)
+		v.refer(v.zones, path+".zone", b.Zone, "zone")
+		v.check(!seen[b.Zone], path+".zone", "%q is given twice", b.Zone)
+		seen[b.Zone] = true
+		v.check(b.Min >= 0 && b.Min <= b.Max, path+".min", "must be from 0 to max")
+		v.check(b.CheapMax >= 0, path+".cheap-max", "must not be negative")
+		v.check(b.MaxPrice >= 0, path+".max-price", "must not be negative")
+	}
+}
+
+func (v *validator) checkDurations(prefix string, durations map[string]time.Duration) {
+	for name, d := range durations {
+		v.check(d >= 0, prefix+name, "must not be negative")
+	}
+}
+
+func at(list string, i int) string { return list + "[" + strconv.Itoa(i) + "]" }
