--- /dev/null
+++ b/keyring.go
@@ -0,0 +1,81 @@
+package quetzalhook
+
+import "context"
+
+// KeyID names a customer's key without revealing it.
+type KeyID string
+
+// Identity is the owner of a key.
+type Identity struct {
+	Key      KeyID
+	Customer CustomerID
+}
+
+// KeyErrorKind classifies why a key is refused.
+type KeyErrorKind string
+
+const (
+	// KeyUnknown reports a key that was never issued, as far as the host knows.
+	KeyUnknown KeyErrorKind = "unknown-key"
+	// KeyWithdrawn reports a withdrawn key.
+	KeyWithdrawn KeyErrorKind = "withdrawn-key"
+	// KeyNotCurrent reports that the host cannot show that it knows of the
+	// latest withdrawals.
+	KeyNotCurrent KeyErrorKind = "keys-not-current"
+)
+
+// KeyError is the error of KeyRing.Lookup.
+type KeyError struct {
+	Kind KeyErrorKind
+	Key  KeyID
+}
+
+// Error implements error.
+func (e *KeyError) Error() string { return "key refused: " + string(e.Kind) }
+
+// KeyRing knows the keys of all customers.
+type KeyRing interface {
+	// Lookup returns the owner of a caller's key, or a *KeyError.
+	Lookup(ctx context.Context, secret string) (Identity, error)
+	// Withdrawn returns a channel that is closed when the key is withdrawn.
+	Withdrawn(id KeyID) <-chan struct{}
+}
+
+// CallJournal runs calls that may not be repeated at most once.
+type CallJournal interface {
+	// Claim decides whether the call may be sent.
+	Claim(ctx context.Context, c JournalCall) (JournalClaim, error)
+	// Finish stores the response for later repeats.
+	Finish(ctx context.Context, c JournalClaim, response []byte) error
+	// Abandon gives a claim up whose call provably was not sent.
+	Abandon(ctx context.Context, c JournalClaim) error
+}
+
+// JournalCall identifies a call that may not be repeated.
+type JournalCall struct {
+	Customer    CustomerID
+	Route       string
+	Key         string // the caller's Idempotency-Key
+	Fingerprint []byte // hash of method, path and body
+}
+
+// JournalState is the result of a claim.
+type JournalState uint8
+
+const (
+	// JournalClaimed lets this host send the call, once.
+	JournalClaimed JournalState = iota + 1
+	// JournalReplay returns the stored response of the first call.
+	JournalReplay
+	// JournalUnknown reports that an earlier call has no known outcome.
+	JournalUnknown
+	// JournalMismatch reports the same key with another request.
+	JournalMismatch
+)
+
+// JournalClaim is the result of CallJournal.Claim.
+type JournalClaim struct {
+	State    JournalState
+	ID       string
+	Response []byte // for JournalReplay
+}
