--- /dev/null
+++ b/internal/standin/engine/chat.go
@@ -0,0 +1,239 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// chatRequest is the body of POST /v1/chat/completions.
+type chatRequest struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	Stream    bool      `json:"stream"`
+	Priority  int       `json:"priority"` // lower is more urgent
+	MaxTokens int       `json:"max_tokens"`
+	Continue  bool      `json:"continue_final_message"`
+	Metadata  struct {
+		OutputTokens int `json:"output_tokens"`
+	} `json:"metadata"`
+}
+
+type chatUsage struct {
+	PromptTokens     int          `json:"prompt_tokens"`
+	CompletionTokens int          `json:"completion_tokens"`
+	TotalTokens      int          `json:"total_tokens"`
+	Details          usageDetails `json:"prompt_tokens_details"`
+}
+
+type usageDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+type chatChoice struct {
+	Index   int      `json:"index"`
+	Delta   *Message `json:"delta,omitempty"`
+	Message *Message `json:"message,omitempty"`
+	Finish  *string  `json:"finish_reason"`
+}
+
+type chatResponse struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Created int64        `json:"created"`
+	Model   string       `json:"model"`
+	Choices []chatChoice `json:"choices"`
+	Usage   *chatUsage   `json:"usage,omitempty"`
+}
+
+// answer is a chat request in progress.
+type answer struct {
+	request chatRequest
+	stream  *stream
+	hash    uint64
+	finish  string
+	created time.Time
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	var req chatRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		writeError(w, http.StatusBadRequest, "invalid JSON: "+err.Error())
+		return
+	}
+	if len(req.Messages) == 0 {
+		writeError(w, http.StatusBadRequest, "messages is empty")
+		return
+	}
+	if len(e.models) > 0 && !slices.Contains(e.models, req.Model) {
+		writeError(w, http.StatusNotFound, fmt.Sprintf("model %q is not loaded", req.Model))
+		return
+	}
+	if !e.begin(r) {
+		return
+	}
+	a := newAnswer(req)
+	e.submit(a.stream)
+	defer e.withdraw(a.stream)
+	if req.Stream {
+		e.streamAnswer(w, r, a)
+		return
+	}
+	e.wholeAnswer(w, r, a)
+}
+
+// begin notes an arrival and applies the delay of a slow engine.
+func (e *Engine) begin(r *http.Request) bool {
+	e.mu.Lock()
+	if e.faults.Leaving {
+		e.late = append(e.late, time.Now())
+	}
+	delay := milliseconds(e.faults.SlowMS)
+	e.mu.Unlock()
+	if delay <= 0 {
+		return true
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-r.Context().Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// newAnswer plans the answer to a request: which tokens it consists of and
+// where it ends.
+func newAnswer(req chatRequest) *answer {
+	messages, first, resumed := req.Messages, 0, 0
+	last := messages[len(messages)-1]
+	if req.Continue && last.Role == "assistant" {
+		messages = messages[:len(messages)-1]
+		first, resumed = len(strings.Fields(last.Content)), len(last.Content)
+	}
+	prompt := PromptText(messages)
+	total, finish := OutputTokens(prompt), "stop"
+	if n := req.Metadata.OutputTokens; n > 0 {
+		total = n
+	}
+	if req.MaxTokens > 0 && first+req.MaxTokens < total {
+		total, finish = first+req.MaxTokens, "length"
+	}
+	return &answer{
+		request: req, hash: xxhash.Sum64String(prompt), finish: finish, created: time.Now(),
+		stream: &stream{
+			priority: req.Priority, prompt: tokens(len(prompt) + resumed),
+			hashes: Prefixes(prompt), first: first, total: max(total, first),
+		},
+	}
+}
+
+// next waits for tokens after index i and returns the index after the last
+// one, or false if the client is gone.
+func (e *Engine) next(r *http.Request, s *stream, i int) (int, bool) {
+	for {
+		e.mu.Lock()
+		n := s.produced
+		e.mu.Unlock()
+		if n > i || n >= s.total {
+			return n, true
+		}
+		select {
+		case <-r.Context().Done():
+			return i, false
+		case <-s.signal:
+		}
+	}
+}
+
+func (e *Engine) streamAnswer(w http.ResponseWriter, r *http.Request, a *answer) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-cache")
+	echo(w, r)
+	rc := http.NewResponseController(w)
+	for i := a.stream.first; i < a.stream.total; {
+		n, ok := e.next(r, a.stream, i)
+		if !ok {
+			return
+		}
+		for ; i < n; i++ {
+			if !writeChunk(w, a.chunk(&Message{Role: "assistant", Content: token(a.hash, i)}, nil)) {
+				return
+			}
+		}
+		if rc.Flush() != nil {
+			return
+		}
+	}
+	last := a.chunk(&Message{}, &a.finish)
+	last.Usage = e.usage(a)
+	if writeChunk(w, last) {
+		_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+	}
+}
+
+func (e *Engine) wholeAnswer(w http.ResponseWriter, r *http.Request, a *answer) {
+	var b strings.Builder
+	for i := a.stream.first; i < a.stream.total; {
+		n, ok := e.next(r, a.stream, i)
+		if !ok {
+			return
+		}
+		for ; i < n; i++ {
+			b.WriteString(token(a.hash, i))
+		}
+	}
+	res := a.response("chat.completion")
+	res.Choices[0].Message = &Message{Role: "assistant", Content: b.String()}
+	res.Choices[0].Finish = &a.finish
+	res.Usage = e.usage(a)
+	echo(w, r)
+	writeJSON(w, http.StatusOK, res)
+}
+
+func (a *answer) response(object string) chatResponse {
+	return chatResponse{
+		ID: fmt.Sprintf("chatcmpl-%x", a.hash), Object: object, Created: a.created.Unix(),
+		Model: a.request.Model, Choices: make([]chatChoice, 1),
+	}
+}
+
+func (a *answer) chunk(delta *Message, finish *string) chatResponse {
+	res := a.response("chat.completion.chunk")
+	res.Choices[0] = chatChoice{Delta: delta, Finish: finish}
+	return res
+}
+
+// usage counts a resumed answer from its resume point.
+func (e *Engine) usage(a *answer) *chatUsage {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := a.stream.total - a.stream.first
+	return &chatUsage{
+		PromptTokens: a.stream.prompt, CompletionTokens: n, TotalTokens: a.stream.prompt + n,
+		Details: usageDetails{CachedTokens: min(a.stream.cached, a.stream.prompt)},
+	}
+}
+
+func writeChunk(w http.ResponseWriter, c chatResponse) bool {
+	b, err := json.Marshal(c)
+	if err != nil {
+		return false
+	}
+	b = append(append([]byte("data: "), b...), "\n\n"...)
+	_, err = w.Write(b)
+	return err == nil
+}
+
+// echo returns the request's id, as the protocol has it.
+func echo(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get("X-Request-Id"); id != "" {
+		w.Header().Set("X-Request-Id", id)
+	}
+}
