Add a first decision core with tiers, floors and placement

Limits, output prediction, moves off unfit upstreams, doomed work, the bounded queue and the invariant checks are not in yet. Before: no Policy but the baseline.

--- /dev/null
+++ b/internal/traffic/queue/item.go
@@ -0,0 +1,137 @@
+package queue
+
+import (
+	"math/bits"
+	"time"
+
+	"quetzalhook"
+)
+
+// Item is one request in a Queue, waiting for a slot or holding one. The
+// exported fields belong to the caller; Work may not change while the item
+// waits.
+type Item struct {
+	Request quetzalhook.Request
+	// Work is the predicted work in tokens: prompt and output.
+	Work float64
+	// Tokens is the output received so far, over all attempts.
+	Tokens int
+	// Arrived is when the request was submitted.
+	Arrived time.Time
+	// Deadline is the latest useful time of the first token; zero means none.
+	Deadline time.Time
+	// Preemptions counts how often the item lost its slot.
+	Preemptions int
+	// Payload is the caller's own state.
+	Payload any
+
+	class   *class
+	flow    *flow
+	charged float64 // work charged to the flow so far
+	resumed bool    // held a slot before
+	running bool
+	weight  int // victim bucket while running and preemptible, else -1
+
+	list       *list
+	prev, next *Item
+}
+
+// loss estimates the tokens to compute again if the item loses its slot: the
+// prompt and the output so far are prefilled again. Without output only a
+// part of the prompt is lost.
+func (it *Item) loss() int {
+	if it.Tokens == 0 {
+		return 0
+	}
+	return it.Request.PromptTokens + it.Tokens
+}
+
+// list is an intrusive doubly linked list of items.
+type list struct {
+	head, tail *Item
+	n          int
+}
+
+func (l *list) pushBack(it *Item) {
+	it.list, it.prev, it.next = l, l.tail, nil
+	if l.tail != nil {
+		l.tail.next = it
+	} else {
+		l.head = it
+	}
+	l.tail = it
+	l.n++
+}
+
+func (l *list) pushFront(it *Item) {
+	it.list, it.prev, it.next = l, nil, l.head
+	if l.head != nil {
+		l.head.prev = it
+	} else {
+		l.tail = it
+	}
+	l.head = it
+	l.n++
+}
+
+func (l *list) remove(it *Item) {
+	if it.prev != nil {
+		it.prev.next = it.next
+	} else {
+		l.head = it.next
+	}
+	if it.next != nil {
+		it.next.prev = it.prev
+	} else {
+		l.tail = it.prev
+	}
+	it.list, it.prev, it.next = nil, nil, nil
+	l.n--
+}
+
+// victimBuckets is the number of powers of two of tokens that victims are
+// sorted by.
+const victimBuckets = 32
+
+// victims holds the running items of a class that may be preempted, sorted
+// by the power of two of their loss, so that the cheapest is found in
+// constant time.
+type victims struct {
+	buckets [victimBuckets]list
+	used    uint32 // bit i is set while bucket i has items
+}
+
+func (v *victims) add(it *Item) {
+	it.weight = min(bits.Len(uint(it.loss())), victimBuckets-1)
+	v.buckets[it.weight].pushBack(it)
+	v.used |= 1 << it.weight
+}
+
+func (v *victims) remove(it *Item) {
+	if it.weight < 0 {
+		return
+	}
+	v.buckets[it.weight].remove(it)
+	if v.buckets[it.weight].n == 0 {
+		v.used &^= 1 << it.weight
+	}
+	it.weight = -1
+}
+
+// update moves the item after its loss changed.
+func (v *victims) update(it *Item) {
+	if it.weight < 0 || it.weight == min(bits.Len(uint(it.loss())), victimBuckets-1) {
+		return
+	}
+	v.remove(it)
+	v.add(it)
+}
+
+// least returns an item of the lowest bucket, the latest started first, or
+// nil.
+func (v *victims) least() *Item {
+	if v.used == 0 {
+		return nil
+	}
+	return v.buckets[bits.TrailingZeros32(v.used)].tail
+}
