--- /dev/null
+++ b/internal/fleet/rendezvous/rendezvous.go
@@ -0,0 +1,64 @@
+// Package rendezvous ranks hosts for a key by rendezvous hash.
+//
+// Every host that sees the same members computes the same ranking, and a
+// member that comes or goes moves only the keys that it ranks first for.
+package rendezvous
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quetzalhook"
+)
+
+// Rank returns the hosts ordered by their weight for key, largest first. It
+// does not change hosts.
+func Rank(key string, hosts []quetzalhook.HostID) []quetzalhook.HostID {
+	type weighted struct {
+		host   quetzalhook.HostID
+		weight uint64
+	}
+	list := make([]weighted, len(hosts))
+	for i, h := range hosts {
+		list[i] = weighted{h, weight(key, h)}
+	}
+	slices.SortFunc(list, func(a, b weighted) int {
+		if before(a.weight, a.host, b.weight, b.host) {
+			return -1
+		}
+		return 1
+	})
+	ranked := make([]quetzalhook.HostID, len(list))
+	for i, w := range list {
+		ranked[i] = w.host
+	}
+	return ranked
+}
+
+// First returns the host that Rank puts first, or "" without hosts. It does
+// not allocate.
+func First(key string, hosts []quetzalhook.HostID) quetzalhook.HostID {
+	var best quetzalhook.HostID
+	var bestWeight uint64
+	for i, h := range hosts {
+		w := weight(key, h)
+		if i == 0 || before(w, h, bestWeight, best) {
+			best, bestWeight = h, w
+		}
+	}
+	return best
+}
+
+func before(w uint64, h quetzalhook.HostID, otherWeight uint64, other quetzalhook.HostID) bool {
+	return w > otherWeight || w == otherWeight && h < other
+}
+
+func weight(key string, h quetzalhook.HostID) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(string(h))
+	return d.Sum64()
+}
