Add settings, load probe, platform stand-in command and relay tests

The relay tests stream from stand-in engines that crash or go silent after 20 tokens and compare the resumed answer with the expected text; a service that swaps two answers must still answer each caller with its own.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -18,7 +18,7 @@
 	cmd := &cli.Command{
 		Name:     "standin",
 		Usage:    "run a stand-in with switchable faults (POST /faults)",
-		Commands: []*cli.Command{engineCommand(), serviceCommand()},
+		Commands: []*cli.Command{platformCommand(), engineCommand(), serviceCommand()},
 	}
 	if err := cmd.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
--- a/internal/entry/relay/chat.go
+++ b/internal/entry/relay/chat.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"hash"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,9 +15,9 @@
 	bytesPerToken = 4
 	// prefixTokens is the length of the prompt pieces whose hashes identify
 	// cached prefixes.
-	prefixTokens = 128
+	prefixTokens = 64
 	// maxPrefixes bounds the prefix hashes of one prompt.
-	maxPrefixes = 64
+	maxPrefixes = 256
 )
 
 // message is one entry of a chat's messages; only text content is read.
@@ -128,23 +127,34 @@
 		if err := json.Unmarshal(raw, &m); err != nil || m.Role == "" {
 			return errors.Errorf("messages[%d] is not a message with a role", i)
 		}
-		c.hashPrefixes(digest, raw)
+		c.hashPrefixes(digest, m.text())
 	}
+	c.prompt = max(c.prompt/bytesPerToken, 1)
 	return nil
 }
 
-func (c *ChatRequest) hashPrefixes(digest hash.Hash64, raw []byte) {
+// text returns the message as engines lay it out for their prefix cache.
+// Content that is not one string counts as it is written.
+func (m message) text() string {
+	var content string
+	if json.Unmarshal(m.Content, &content) != nil {
+		content = string(m.Content)
+	}
+	return m.Role + "\n" + content + "\n"
+}
+
+// hashPrefixes adds text to the digest and takes a hash after every full
+// piece; c.prompt counts the bytes so far.
+func (c *ChatRequest) hashPrefixes(digest *xxhash.Digest, text string) {
 	const piece = prefixTokens * bytesPerToken
-	filled := c.prompt * bytesPerToken % piece
-	c.prompt += max(len(raw)/bytesPerToken, 1)
-	for len(raw) > 0 {
-		n := min(piece-filled, len(raw))
-		_, _ = digest.Write(raw[:n])
-		raw, filled = raw[n:], filled+n
-		if filled == piece && len(c.prefixes) < maxPrefixes {
+	for len(text) > 0 {
+		n := min(piece-c.prompt%piece, len(text))
+		_, _ = digest.WriteString(text[:n])
+		text = text[n:]
+		c.prompt += n
+		if c.prompt%piece == 0 && len(c.prefixes) < maxPrefixes {
 			c.prefixes = append(c.prefixes, digest.Sum64())
 		}
-		filled %= piece
 	}
 }
 
--- /dev/null
+++ b/internal/entry/relay/relay_test.go
@@ -0,0 +1,299 @@
+package relay_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quetzalhook"
+	"quetzalhook/internal/entry/broker"
+	"quetzalhook/internal/entry/relay"
+	"quetzalhook/internal/standin/engine"
+	"quetzalhook/internal/state/invariant"
+	"quetzalhook/internal/traffic/baseline"
+)
+
+const (
+	testModel  = "m"
+	testSecret = "qk-0123456789abcdef"
+	testPrompt = "which permit do I need for the fair"
+)
+
+// harness is a relay over some engines or services.
+type harness struct {
+	t      *testing.T
+	broker *broker.Broker
+	relay  *relay.Relay
+	inv    *invariant.Registry
+	sent   atomic.Bool
+}
+
+func newHarness(t *testing.T, upstreams []quetzalhook.Upstream, opts ...relay.Option) *harness {
+	t.Helper()
+	h := &harness{t: t, inv: invariant.New(nil)}
+	h.broker = broker.New(baseline.New(1), quetzalhook.ClockFunc(time.Now))
+	pool := relay.NewPool()
+	pool.Set(upstreams)
+	h.relay = relay.New(h.broker, pool, h.inv, opts...)
+	h.broker.SetUpstreams(upstreams)
+	t.Cleanup(func() {
+		_ = h.broker.Close()
+		_ = pool.Close()
+	})
+	return h
+}
+
+func engineUpstream(t *testing.T, e *engine.Engine, name string) quetzalhook.Upstream {
+	t.Helper()
+	address, err := e.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = e.Close() })
+	return quetzalhook.Upstream{
+		ID: quetzalhook.UpstreamID(name), Address: address, Models: []quetzalhook.Model{testModel}, Slots: 4,
+	}
+}
+
+func (h *harness) chat(body string, w http.ResponseWriter) error {
+	h.t.Helper()
+	chat, err := relay.ParseChat([]byte(body))
+	if err != nil {
+		return err
+	}
+	call := relay.Call{
+		Request: quetzalhook.Request{ID: "r1", Customer: "c", Model: chat.Model(), PromptTokens: chat.PromptTokens(), Repeatable: true},
+		Chat:    chat,
+		Answer:  relay.NewAnswer(w, "r1", chat.Stream(), time.Now),
+		Guard:   relay.Guard{Secret: testSecret, Sent: &h.sent},
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	ticket, err := h.broker.Submit(ctx, call.Request)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return h.relay.Chat(ticket, call)
+}
+
+func chatBody(stream bool, tokens int) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%v,"messages":[{"role":"user","content":%q}],"metadata":{"output_tokens":%d}}`,
+		testModel, stream, testPrompt, tokens)
+}
+
+func wantAnswer(tokens int) string {
+	return engine.Answer(engine.PromptText([]engine.Message{{Role: "user", Content: testPrompt}}), tokens)
+}
+
+func content(t *testing.T, body []byte) string {
+	t.Helper()
+	var c struct {
+		Choices []struct {
+			Message struct{ Content string }
+		}
+	}
+	if err := json.Unmarshal(body, &c); err != nil || len(c.Choices) != 1 {
+		t.Fatalf("answer %q: %v", body, err)
+	}
+	return c.Choices[0].Message.Content
+}
+
+// onToken calls a function after a number of streamed events.
+type onToken struct {
+	*httptest.ResponseRecorder
+	after int
+	call  func()
+}
+
+func (o *onToken) Write(p []byte) (int, error) {
+	if o.after--; o.after == 0 {
+		o.call()
+	}
+	return o.ResponseRecorder.Write(p)
+}
+
+func (o *onToken) SetWriteDeadline(time.Time) error { return nil }
+
+func streamText(body *bytes.Buffer) (text string, done bool) {
+	var b strings.Builder
+	for line := range strings.Lines(body.String()) {
+		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return b.String(), true
+		}
+		var c struct {
+			Choices []struct {
+				Delta struct{ Content string }
+			}
+		}
+		if json.Unmarshal([]byte(data), &c) == nil && len(c.Choices) > 0 {
+			b.WriteString(c.Choices[0].Delta.Content)
+		}
+	}
+	return b.String(), false
+}
+
+// Guards against an answer that is cut, or has tokens twice, when its engine
+// crashes or goes silent in the middle of a stream.
+func TestChatResumesMidStream(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults engine.Faults
+	}{
+		{name: "crash", faults: engine.Faults{Crash: true}},
+		{name: "silent connection", faults: engine.Faults{Silent: true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			first, second := engine.New(engine.WithTokenRate(400)), engine.New(engine.WithTokenRate(400))
+			h := newHarness(t, []quetzalhook.Upstream{engineUpstream(t, first, "a"), engineUpstream(t, second, "b")},
+				relay.WithStallTimeouts(300*time.Millisecond, 300*time.Millisecond))
+			w := &onToken{ResponseRecorder: httptest.NewRecorder(), after: 20}
+			w.call = func() {
+				for _, e := range []*engine.Engine{first, second} {
+					if e.Stats().GeneratedTokens > 0 {
+						_ = e.SetFaults(tt.faults)
+					}
+				}
+			}
+			if err := h.chat(chatBody(true, 60), w); err != nil {
+				t.Fatal(err)
+			}
+			text, done := streamText(w.Body)
+			if got, want := text, wantAnswer(60); got != want || !done {
+				t.Errorf("answer: got %q (done %v), want %q", got, done, want)
+			}
+			if first.Stats().Requests == 0 || second.Stats().Requests == 0 {
+				t.Errorf("requests: got %d and %d, want both engines used", first.Stats().Requests, second.Stats().Requests)
+			}
+			if got, want := h.inv.Violations(), int64(0); got != want {
+				t.Errorf("violations: got %d, want %d: %v", got, want, h.inv.Details())
+			}
+		})
+	}
+}
+
+// Guards against an answer assembled wrongly for callers that do not stream.
+func TestChatWhole(t *testing.T) {
+	h := newHarness(t, []quetzalhook.Upstream{engineUpstream(t, engine.New(engine.WithTokenRate(2000)), "a")})
+	w := httptest.NewRecorder()
+	if err := h.chat(chatBody(false, 30), &onToken{ResponseRecorder: w}); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := content(t, w.Body.Bytes()), wantAnswer(30); got != want {
+		t.Errorf("answer: got %q, want %q", got, want)
+	}
+}
+
+// Guards against a key that reaches an upstream, also when escape sequences
+// hide it, and against a refusal that wrongly says that the request may have
+// run.
+func TestChatKeepsSecret(t *testing.T) {
+	e := engine.New()
+	h := newHarness(t, []quetzalhook.Upstream{engineUpstream(t, e, "a")})
+	escaped := strings.Replace(testSecret, "q", `\u0071`, 1)
+	body := fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":"%s"}]}`, escaped)
+	err := h.chat(body, httptest.NewRecorder())
+	var e2 *relay.Error
+	if !errors.As(err, &e2) || e2.Kind != relay.KindSecret {
+		t.Fatalf("error: got %v, want kind %s", err, relay.KindSecret)
+	}
+	if got, want := e.Stats().Requests, int64(0); got != want {
+		t.Errorf("requests at the engine: got %d, want %d", got, want)
+	}
+	if h.sent.Load() {
+		t.Error("sent: got true, want false")
+	}
+}
+
+func (h *harness) service(id string, repeatable bool) (relay.ServiceResponse, error) {
+	call := relay.ServiceCall{
+		Request: quetzalhook.Request{ID: quetzalhook.RequestID(id), Model: testModel, Repeatable: repeatable},
+		Method:  http.MethodPost, Path: "/bookings", Body: []byte("body of " + id), Guard: relay.Guard{Secret: testSecret, Sent: &h.sent},
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	ticket, err := h.broker.Submit(ctx, call.Request)
+	if err != nil {
+		return relay.ServiceResponse{}, err
+	}
+	return h.relay.Service(ticket, call)
+}
+
+func serviceUpstream(t *testing.T, h http.HandlerFunc) quetzalhook.Upstream {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return quetzalhook.Upstream{
+		ID: "s", Address: strings.TrimPrefix(s.URL, "http://"), Models: []quetzalhook.Model{testModel}, Slots: 8,
+	}
+}
+
+// Guards against a call that may not be repeated being sent again by the
+// relay or by net/http after its connection broke.
+func TestServiceSentOnce(t *testing.T) {
+	var runs atomic.Int64
+	h := newHarness(t, []quetzalhook.Upstream{serviceUpstream(t, func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	})})
+	_, err := h.service("r1", false)
+	var e *relay.Error
+	if !errors.As(err, &e) || e.Outcome != quetzalhook.OutcomeUnknown {
+		t.Errorf("error: got %v, want outcome unknown", err)
+	}
+	if got, want := runs.Load(), int64(1); got != want {
+		t.Errorf("runs: got %d, want %d", got, want)
+	}
+}
+
+// Guards against answers that are delivered to the wrong request when a
+// service crosses them.
+func TestServiceAnswersCrossed(t *testing.T) {
+	type arrival struct {
+		id   string
+		swap chan string
+	}
+	arrivals := make(chan arrival, 2)
+	h := newHarness(t, []quetzalhook.Upstream{serviceUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		a := arrival{id: r.Header.Get(relay.HeaderRequestID), swap: make(chan string, 1)}
+		arrivals <- a
+		other := <-a.swap
+		w.Header().Set(relay.HeaderRequestID, other)
+		_, _ = fmt.Fprint(w, "answer to "+other)
+	})})
+	go func() {
+		a, b := <-arrivals, <-arrivals
+		a.swap <- b.id
+		b.swap <- a.id
+	}()
+	type result struct{ got, want string }
+	results := make(chan result, 2)
+	for _, id := range []string{"r1", "r2"} {
+		go func() {
+			resp, err := h.service(id, false)
+			got := string(resp.Body)
+			if err != nil {
+				got = err.Error()
+			}
+			results <- result{got: got, want: "answer to " + id}
+		}()
+	}
+	for range 2 {
+		if r := <-results; r.got != r.want {
+			t.Errorf("answer: got %q, want %q", r.got, r.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/setting/flag.go
@@ -0,0 +1,75 @@
+package setting
+
+import (
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"quetzalhook"
+)
+
+const (
+	environmentPrefix    = "QUETZALHOOK_"
+	defaultHostsLifetime = 5 * time.Second
+	defaultHosts         = 6
+)
+
+func environment(flag string) cli.ValueSourceChain {
+	return cli.EnvVars(environmentPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_")))
+}
+
+func text(name, value, usage string) cli.Flag {
+	return &cli.StringFlag{Name: name, Value: value, Usage: usage, Sources: environment(name)}
+}
+
+// Flags returns the flags of `quetzalhook serve`. Each can also be set by an
+// environment variable: QUETZALHOOK_ and the flag's name in upper case.
+func Flags() []cli.Flag {
+	return []cli.Flag{
+		text("host", "", "unique `NAME` of this host"),
+		text("zone", "", "availability `ZONE` of this host"),
+		text("listen", "127.0.0.1:8080", "`ADDRESS` for callers and operators"),
+		text("advertise", "", "`ADDRESS` that callers are told, if not --listen"),
+		text("peer-listen", "127.0.0.1:8090", "UDP `ADDRESS` for other hosts; QUIC uses the next port"),
+		text("peer-advertise", "", "`ADDRESS` that other hosts use, if not --peer-listen"),
+		&cli.StringSliceFlag{Name: "seed", Usage: "peer `ADDRESS` of another host, repeatable", Sources: environment("seed")},
+		&cli.IntFlag{Name: "hosts", Value: defaultHosts, Usage: "expected `NUMBER` of hosts", Sources: environment("hosts")},
+		text("platform", "", "`ADDRESS` of the platform's service"),
+		text("peer-secret", "", "`SECRET` shared by all hosts, at least 16 bytes; better set by environment"),
+		text("operator-key", "", "`KEY` of operators, at least 16 bytes; better set by environment"),
+		text("policy", PolicyOwn, "`POLICY` of dispatch: own or baseline"),
+		text("certificate", "", "PEM `FILE` for TLS towards callers"),
+		text("private-key", "", "PEM `FILE` for TLS towards callers"),
+		&cli.DurationFlag{
+			Name: "hosts-lifetime", Value: defaultHostsLifetime, Usage: "how long callers may keep the list of hosts",
+			Sources: environment("hosts-lifetime"),
+		},
+		&cli.DurationFlag{
+			Name: "stop-timeout", Usage: "limit of a graceful shutdown; 0 waits for every request", Sources: environment("stop-timeout"),
+		},
+		text("log-level", "info", "`LEVEL`: debug, info, warn or error"),
+	}
+}
+
+// FromCommand reads the settings of a command with Flags.
+func FromCommand(cmd *cli.Command) Settings {
+	return Settings{
+		Host:          quetzalhook.HostID(cmd.String("host")),
+		Zone:          quetzalhook.Zone(cmd.String("zone")),
+		Listen:        cmd.String("listen"),
+		Advertise:     cmd.String("advertise"),
+		PeerListen:    cmd.String("peer-listen"),
+		PeerAdvertise: cmd.String("peer-advertise"),
+		Seeds:         cmd.StringSlice("seed"),
+		Hosts:         cmd.Int("hosts"),
+		Platform:      cmd.String("platform"),
+		PeerSecret:    cmd.String("peer-secret"),
+		OperatorKey:   cmd.String("operator-key"),
+		Policy:        cmd.String("policy"),
+		Certificate:   cmd.String("certificate"),
+		PrivateKey:    cmd.String("private-key"),
+		HostsLifetime: cmd.Duration("hosts-lifetime"),
+		StopTimeout:   cmd.Duration("stop-timeout"),
+	}
+}
--- a/internal/traffic/baseline/baseline.go
+++ b/internal/traffic/baseline/baseline.go
@@ -163,7 +163,7 @@
 		u := p.upstreams[p.next%len(p.upstreams)]
 		p.next++
 		slots := max(u.Slots/p.hosts, 1)
-		if u.State == quetzalhook.UpstreamReady && u.Kind == quetzalhook.KindEngine &&
+		if u.State == quetzalhook.UpstreamReady &&
 			serves(u, m) && p.inFlight[u.ID] < slots {
 			return u.ID, true
 		}
