Add a first planner with slot shares and upstream health

Demand gains Requests, the number of waiting and running requests by tier: tokens alone do not tell how many slots a host needs, as a long request holds one slot and not many.

Before: no implementation of Placer. After: placement.New with slot shares, power of two choices and least-loaded by report, a bounded prefix index, ejection with a cap and a retry budget.

--- /dev/null
+++ b/internal/traffic/placement/planner.go
@@ -0,0 +1,339 @@
+// Package placement chooses the upstream of each request.
+//
+// The cost of an upstream is the predicted time to the first token (queue on
+// the engine, prefill of the prompt tokens that its cache does not hold,
+// network distance), plus the price of cross-region bytes, plus the risk of
+// capacity that the platform may reclaim. Only a bounded sample of upstreams
+// is costed, so a decision does not grow with the fleet.
+//
+// Many hosts use the same engines with knowledge that lags. Three strategies
+// bound what a host may send; see Strategy.
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"quetzalhook"
+	"quetzalhook/internal/state/invariant"
+	"quetzalhook/internal/traffic/health"
+	"quetzalhook/internal/traffic/share"
+)
+
+// Strategy selects how a host decides which upstreams have a slot for it.
+type Strategy uint8
+
+const (
+	// SlotShares gives every host its own slots on each upstream, computed from
+	// gossiped demand.
+	SlotShares Strategy = iota
+	// PowerOfTwo takes the less loaded of two random upstreams by report.
+	PowerOfTwo
+	// LeastLoaded takes the least loaded upstream by report.
+	LeastLoaded
+)
+
+const (
+	// refreshInterval is the least time between two recomputations of shares
+	// and health for all upstreams.
+	refreshInterval = 50 * time.Millisecond
+	// peerTimeout is the age after which a silent peer's demand is dropped: it
+	// is dead or cut off, and its slots return to the others.
+	peerTimeout = 3 * time.Second
+	// defaultWork is the output of a request in tokens where demand counts only
+	// tokens.
+	defaultWork = 400
+)
+
+// Planner implements quetzalhook.Placer.
+type Planner struct {
+	host     quetzalhook.HostID
+	region   quetzalhook.Region
+	hosts    int
+	seed     uint64
+	strategy Strategy
+	checks   quetzalhook.Invariants
+	weights  Weights
+
+	monitor   *health.Monitor
+	healthOpt []health.Option
+	upstreams []*upstream
+	byID      map[quetzalhook.UpstreamID]*upstream
+	gone      []*upstream // removed while requests ran on them
+	pools     map[quetzalhook.Model]*pool
+	prefixes  *prefixIndex
+	streams   map[quetzalhook.RequestID]*stream
+
+	own       quetzalhook.Demand
+	peers     []quetzalhook.PeerDemand
+	table     share.Table
+	stale     bool // demand changed since the last refresh
+	refreshed time.Time
+	sampled   time.Time
+}
+
+// Option sets a property of a Planner.
+type Option func(*Planner)
+
+// WithHost sets this host's identifier.
+func WithHost(id quetzalhook.HostID) Option { return func(p *Planner) { p.host = id } }
+
+// WithRegion sets this host's region.
+func WithRegion(r quetzalhook.Region) Option { return func(p *Planner) { p.region = r } }
+
+// WithHosts sets the number of hosts, used until peers are heard from.
+func WithHosts(n int) Option { return func(p *Planner) { p.hosts = max(n, 1) } }
+
+// WithSeed sets the seed of the sampled choice.
+func WithSeed(seed uint64) Option { return func(p *Planner) { p.seed = seed } }
+
+// WithStrategy sets the strategy; the default is SlotShares.
+func WithStrategy(s Strategy) Option { return func(p *Planner) { p.strategy = s } }
+
+// WithWeights sets the weights of the cost.
+func WithWeights(w Weights) Option { return func(p *Planner) { p.weights = w } }
+
+// WithInvariants sets where invariant checks are counted.
+func WithInvariants(i quetzalhook.Invariants) Option { return func(p *Planner) { p.checks = i } }
+
+// WithHealth passes options to the health monitor.
+func WithHealth(opts ...health.Option) Option { return func(p *Planner) { p.healthOpt = opts } }
+
+// stream is one running request.
+type stream struct {
+	upstream *upstream
+	health   *health.Stream
+}
+
+// New returns a planner without upstreams.
+func New(opts ...Option) *Planner {
+	p := &Planner{
+		host:     "host",
+		hosts:    1,
+		weights:  DefaultWeights(),
+		checks:   invariant.New(nil),
+		byID:     make(map[quetzalhook.UpstreamID]*upstream),
+		pools:    make(map[quetzalhook.Model]*pool),
+		prefixes: newPrefixIndex(maxPrefixes),
+		streams:  make(map[quetzalhook.RequestID]*stream),
+	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	p.monitor = health.New(p.healthOpt...)
+	p.table = share.Equal(p.host, p.hosts)
+	return p
+}
+
+var _ quetzalhook.Placer = (*Planner)(nil)
+
+// SetUpstreams implements quetzalhook.Placer.
+func (p *Planner) SetUpstreams(now time.Time, upstreams []quetzalhook.Upstream) {
+	p.monitor.SetUpstreams(upstreams)
+	old := p.byID
+	p.byID = make(map[quetzalhook.UpstreamID]*upstream, len(upstreams))
+	p.upstreams = p.upstreams[:0]
+	p.pools = make(map[quetzalhook.Model]*pool)
+	for _, d := range sortedUpstreams(upstreams) {
+		u := old[d.ID]
+		if u == nil {
+			u = &upstream{}
+		}
+		u.Upstream, u.index = d, len(p.upstreams)
+		u.target = p.monitor.Target(d.ID)
+		u.memberships = u.memberships[:0]
+		p.byID[d.ID] = u
+		p.upstreams = append(p.upstreams, u)
+		for _, m := range servedModels(d) {
+			pl := p.pools[m]
+			if pl == nil {
+				pl = &pool{}
+				p.pools[m] = pl
+			}
+			u.memberships = append(u.memberships, newMembership(pl, d.Region == p.region))
+		}
+	}
+	for id, u := range old {
+		if p.byID[id] == nil {
+			u.State = quetzalhook.UpstreamGone
+			p.gone = append(p.gone, u)
+		}
+	}
+	p.prefixes.reset(p.upstreams)
+	p.stale = true
+	p.refresh(now, true)
+}
+
+// ObserveLoad implements quetzalhook.Placer.
+func (p *Planner) ObserveLoad(now time.Time, l quetzalhook.Load) {
+	u := p.byID[l.Upstream]
+	if u == nil {
+		return
+	}
+	u.observe(now, l)
+	if l.PrefixGap {
+		u.generation++
+	}
+	for _, h := range l.Evicted {
+		p.prefixes.remove(h, u)
+	}
+	for _, h := range l.Prefixes {
+		p.prefixes.add(h, u)
+	}
+	p.update(now, u)
+}
+
+// ObservePeers implements quetzalhook.Placer.
+func (p *Planner) ObservePeers(now time.Time, peers []quetzalhook.PeerDemand) {
+	p.peers = p.peers[:0]
+	for _, d := range peers {
+		if d.Age <= peerTimeout && d.Host != p.host {
+			p.peers = append(p.peers, d)
+		}
+	}
+	for _, u := range p.upstreams {
+		u.peers = 0
+	}
+	for _, d := range p.peers {
+		for id, n := range d.Demand.InFlight {
+			if u := p.byID[id]; u != nil {
+				u.peers += n
+			}
+		}
+	}
+	p.stale = true
+	p.refresh(now, true)
+}
+
+// ObserveDemand implements quetzalhook.Placer.
+func (p *Planner) ObserveDemand(now time.Time, d quetzalhook.Demand) {
+	p.own = d
+	p.stale = true
+	p.refresh(now, false)
+}
+
+// Started implements quetzalhook.Placer.
+func (p *Planner) Started(now time.Time, r quetzalhook.Request, id quetzalhook.UpstreamID) {
+	u := p.byID[id]
+	if u == nil {
+		return
+	}
+	p.checks.Check(invariant.LeavingUpstream, !u.isLeaving(), "request", r.ID, "upstream", id)
+	if old := p.streams[r.ID]; old != nil {
+		p.finish(now, r.ID, old, quetzalhook.EndCancelled)
+	}
+	s := &stream{upstream: u}
+	if u.target != nil {
+		s.health = p.monitor.Started(now, u.target, p.FirstToken(now, r, id))
+	}
+	u.own++
+	p.streams[r.ID] = s
+	for _, h := range r.Prefixes {
+		p.prefixes.add(h, u)
+	}
+	p.update(now, u)
+}
+
+// Progress implements quetzalhook.Placer.
+func (p *Planner) Progress(now time.Time, id quetzalhook.RequestID, n int) {
+	if s := p.streams[id]; s != nil && s.health != nil {
+		p.monitor.Progress(now, s.health, n)
+	}
+}
+
+// Ended implements quetzalhook.Placer.
+func (p *Planner) Ended(now time.Time, id quetzalhook.RequestID, end quetzalhook.End) {
+	if s := p.streams[id]; s != nil {
+		p.finish(now, id, s, end)
+	}
+}
+
+func (p *Planner) finish(now time.Time, id quetzalhook.RequestID, s *stream, end quetzalhook.End) {
+	delete(p.streams, id)
+	s.upstream.own--
+	if s.health != nil {
+		p.monitor.Ended(now, s.health, end)
+	}
+	p.update(now, s.upstream)
+}
+
+// Slots implements quetzalhook.Placer.
+func (p *Planner) Slots(now time.Time, m quetzalhook.Model) (total, free int) {
+	p.refresh(now, false)
+	if pl := p.pools[m]; pl != nil {
+		return pl.slots, pl.unused
+	}
+	return 0, 0
+}
+
+// Unfit implements quetzalhook.Placer.
+func (p *Planner) Unfit(now time.Time) []quetzalhook.UpstreamID {
+	p.refresh(now, false)
+	var unfit []quetzalhook.UpstreamID
+	for _, u := range p.upstreams {
+		if u.isLeaving() || u.target == nil || u.target.State() == health.Ejected {
+			unfit = append(unfit, u.ID)
+		}
+	}
+	p.gone = slices.DeleteFunc(p.gone, func(u *upstream) bool { return u.own == 0 })
+	for _, u := range p.gone {
+		unfit = append(unfit, u.ID)
+	}
+	return unfit
+}
+
+// refresh judges the health of all upstreams and divides their slots again.
+// Unless forced it does nothing when the last call is recent.
+func (p *Planner) refresh(now time.Time, force bool) {
+	if !force && now.Sub(p.refreshed) < refreshInterval {
+		return
+	}
+	p.refreshed = now
+	p.monitor.Check(now)
+	p.record(now)
+	if p.stale {
+		p.divide()
+		p.stale = false
+	}
+	for _, u := range p.upstreams {
+		p.update(now, u)
+	}
+}
+
+// divide computes the table of shares from the demand of all hosts.
+func (p *Planner) divide() {
+	if len(p.peers) == 0 {
+		p.table = share.Equal(p.host, p.hosts)
+		return
+	}
+	capacity := 0
+	for _, u := range p.upstreams {
+		if u.isUsable() {
+			capacity += u.Slots
+		}
+	}
+	needs := make([]share.Need, 0, len(p.peers)+1)
+	needs = append(needs, need(p.host, p.own))
+	for _, d := range p.peers {
+		needs = append(needs, need(d.Host, d.Demand))
+	}
+	p.table = share.Divide(float64(capacity), needs)
+}
+
+// need converts a host's demand to slots by tier: one for each request. A
+// host that reports only tokens is taken to need one slot for defaultWork.
+func need(h quetzalhook.HostID, d quetzalhook.Demand) share.Need {
+	n := share.Need{Host: h}
+	counted := false
+	for tier, requests := range d.Requests {
+		n.Slots[tier] = float64(requests)
+		counted = counted || requests > 0
+	}
+	if counted {
+		return n
+	}
+	for tier := range n.Slots {
+		n.Slots[tier] = (d.Waiting[tier] + d.Running[tier]) / defaultWork
+	}
+	return n
+}
--- a/policy.go
+++ b/policy.go
@@ -98,6 +98,8 @@
 	// Waiting and Running count predicted work in tokens, by tier.
 	Waiting [TierCount]float64
 	Running [TierCount]float64
+	// Requests counts waiting and running requests, by tier.
+	Requests [TierCount]int
 	// InFlight counts this host's requests on each upstream.
 	InFlight map[UpstreamID]int
 	// Used holds each customer's work in tokens since the host started.
