--- /dev/null
+++ b/internal/traffic/limit/limit_test.go
@@ -0,0 +1,215 @@
+package limit
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"quetzalhook"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed; -rapid.seed and -rapid.checks run others and more.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const (
+	tick   = 50 * time.Millisecond
+	gossip = 250 * time.Millisecond
+)
+
+var testLimit = quetzalhook.CustomerLimit{WorkRate: 1000, WorkBurst: 5000, Concurrency: 20}
+
+// group is several hosts with gossip between them and greedy callers.
+type group struct {
+	hosts    []*Limiter
+	used     [][]map[quetzalhook.CustomerID]float64 // by receiver and sender
+	age      [][]time.Duration
+	side     []int
+	now      time.Time
+	admitted float64
+	level    float64 // work over WorkRate x time since the worst start
+	worst    float64
+}
+
+func newGroup(n int) *group {
+	g := &group{now: epoch, side: make([]int, n)}
+	for range n {
+		h := New(n)
+		h.SetLimits(epoch, map[quetzalhook.CustomerID]quetzalhook.CustomerLimit{"c": testLimit})
+		g.hosts = append(g.hosts, h)
+		g.used = append(g.used, make([]map[quetzalhook.CustomerID]float64, n))
+		g.age = append(g.age, make([]time.Duration, n))
+	}
+	return g
+}
+
+// gossip delivers demands within each side of a cut.
+func (g *group) gossip() {
+	for i, h := range g.hosts {
+		var demands []quetzalhook.PeerDemand
+		for j, from := range g.hosts {
+			if i == j {
+				continue
+			}
+			if g.side[i] == g.side[j] {
+				g.used[i][j], g.age[i][j] = from.Used(), 0
+			} else {
+				g.age[i][j] += gossip
+			}
+			demands = append(demands, quetzalhook.PeerDemand{
+				Host: quetzalhook.HostID(fmt.Sprint(j)), Age: g.age[i][j], Demand: quetzalhook.Demand{Used: g.used[i][j]},
+			})
+		}
+		h.ObservePeers(g.now, demands)
+	}
+}
+
+// step advances by one tick; each host h admits as much work as it can in
+// pieces of work[h].
+func (g *group) step(work []float64) {
+	g.now = g.now.Add(tick)
+	if g.now.Sub(epoch)%gossip == 0 {
+		g.gossip()
+	}
+	g.level = max(g.level-testLimit.WorkRate*tick.Seconds(), 0)
+	for i, h := range g.hosts {
+		h.Tick(g.now)
+		for work[i] > 0 {
+			if ok, _ := h.Admit(g.now, "c", work[i]); !ok {
+				break
+			}
+			g.admitted += work[i]
+			g.level += work[i]
+		}
+	}
+	g.worst = max(g.worst, g.level-testLimit.WorkBurst)
+}
+
+// excess returns the excess of one random run with cuts, and its bound.
+func excess(t *rapid.T) (got, want float64) {
+	n := rapid.IntRange(2, 6).Draw(t, "hosts")
+	g := newGroup(n)
+	for range rapid.IntRange(1, 8).Draw(t, "phases") {
+		for i := range g.side {
+			g.side[i] = rapid.IntRange(0, 2).Draw(t, "side")
+		}
+		work := rapid.SliceOfN(rapid.SampledFrom([]float64{0, 1, 300, 6000}), n, n).Draw(t, "work")
+		for range rapid.IntRange(1, 600).Draw(t, "ticks") {
+			g.step(work)
+		}
+	}
+	return g.worst, MaxExcess(testLimit, n, SilentAfter+2*gossip, 6000)
+}
+
+// TestExcess guards against hosts that together admit more than the stated
+// bound, whichever way they are cut off from each other.
+func TestExcess(t *testing.T) {
+	most := 0.0
+	rapid.Check(t, func(t *rapid.T) {
+		got, want := excess(t)
+		most = max(most, got/want)
+		if got > want {
+			t.Fatalf("got excess %.0f, want at most %.0f", got, want)
+		}
+	})
+	t.Logf("largest excess: %.2f of the bound", most)
+}
+
+// TestExcessWithoutFallback shows that TestExcess finds hosts that keep the
+// whole rate while they are cut off.
+func TestExcessWithoutFallback(t *testing.T) {
+	g := newGroup(4)
+	for _, h := range g.hosts {
+		h.silent = time.Hour
+	}
+	g.gossip()
+	for i := range g.side {
+		g.side[i] = i
+	}
+	for range 1200 {
+		g.step([]float64{300, 300, 300, 300})
+	}
+	if want := MaxExcess(testLimit, 4, SilentAfter+2*gossip, 300); g.worst <= want {
+		t.Fatalf("got excess %.0f, want over %.0f: the check is blind", g.worst, want)
+	}
+}
+
+// TestUse guards against a limit that holds back work that the customer may
+// use: on one host, on all, and with one host dead.
+func TestUse(t *testing.T) {
+	for name, tc := range map[string]struct {
+		work []float64
+		dead bool
+		want float64 // part of the rate
+	}{
+		"one host":            {[]float64{50, 0, 0, 0}, false, 0.95},
+		"all hosts":           {[]float64{50, 50, 50, 50}, false, 0.95},
+		"one host, one dead":  {[]float64{50, 0, 0, 0}, true, 0.7},
+		"all hosts, one dead": {[]float64{50, 50, 50, 0}, true, 0.7},
+	} {
+		g := newGroup(4)
+		for i := range 2400 {
+			if i == 200 && tc.dead {
+				g.side[3] = 1
+			}
+			g.step(tc.work)
+		}
+		if got := g.admitted / (testLimit.WorkRate * 120); got < tc.want {
+			t.Errorf("%s: got %.2f of the rate, want %.2f", name, got, tc.want)
+		}
+	}
+}
+
+// TestConcurrency guards against hosts that together run more than the stated
+// bound, and against an unused part of the limit when one host has all use.
+func TestConcurrency(t *testing.T) {
+	for name, tc := range map[string]struct {
+		work []float64
+		cut  bool
+		want int // at least
+	}{
+		"one host":  {[]float64{20, 0, 0, 0}, false, 17},
+		"all hosts": {[]float64{20, 20, 20, 20}, false, 16},
+		"cut":       {[]float64{20, 20, 20, 20}, true, 20},
+	} {
+		g := newGroup(4)
+		for i := range 400 {
+			if i == 200 && tc.cut {
+				copy(g.side, []int{0, 1, 2, 3})
+			}
+			g.step(tc.work)
+		}
+		got := 0
+		for i, h := range g.hosts {
+			for tc.work[i] > 0 && h.Acquire(g.now, "c") {
+				got++
+			}
+		}
+		if most := testLimit.Concurrency + MaxConcurrencyExcess(testLimit, 4, true); got < tc.want || got > most {
+			t.Errorf("%s: got %d running, want %d to %d", name, got, tc.want, most)
+		}
+	}
+}
+
+// TestForget guards against state that grows with every customer ever seen.
+func TestForget(t *testing.T) {
+	l := New(1)
+	for i := range 1000 {
+		l.Admit(epoch, quetzalhook.CustomerID(fmt.Sprint(i)), 10)
+	}
+	for i := range 40 {
+		l.Tick(epoch.Add(2 * forgetAfter).Add(time.Duration(i) * tick))
+	}
+	if got := l.Len(); got != 0 {
+		t.Errorf("got %d customers, want 0", got)
+	}
+}
