Add the virtual-time comparison of policies

The baseline serves plain services too, so that one service call at the head of its queue does not block all model requests.

Before: no comparison.

--- /dev/null
+++ b/internal/bench/trial/table.go
@@ -0,0 +1,39 @@
+package trial
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// WriteTable prints results, one line each, grouped by workload and row.
+func WriteTable(w io.Writer, results []Result) error {
+	var b strings.Builder
+	workload := ""
+	for _, r := range results {
+		if r.Workload != workload {
+			workload = r.Workload
+			fmt.Fprintf(&b, "\n%s\n%-16s %-13s", workload, "row", "policy")
+			for _, c := range r.Classes {
+				fmt.Fprintf(&b, " %11.11s", c.Class)
+			}
+			fmt.Fprintf(&b, " %9s %7s %7s %7s %7s %7s %6s %6s %5s %5s\n",
+				"worst-gap", "good/s", "busy/s", "wasted", "spend", "cheap", "over", "peak", "unfin", "viol")
+		}
+		mark := ""
+		if r.Fits {
+			mark = "*"
+		}
+		fmt.Fprintf(&b, "%-16s %-13s", r.Row+mark, r.Policy)
+		for _, c := range r.Classes {
+			fmt.Fprintf(&b, " %10.2f%%", 100*c.Attainment)
+		}
+		fmt.Fprintf(&b, " %9.1f %7.0f %7.0f %6.2f%% %7.2f %6.1f%% %5.1f%% %6.2f %5d %5d\n",
+			r.WorstGap, r.Goodput, r.BusyGoodput, 100*r.Wasted, r.Spending, 100*r.CheapShare,
+			100*r.Overbooked, r.PeakOverload, r.Unfinished, r.Violations)
+	}
+	b.WriteString("\n* urgent work alone fits the remaining capacity; worst-gap in points, spend in currency units,\n" +
+		"over: engine time with a queue, peak: most requests on one engine over its slots\n")
+	_, err := io.WriteString(w, b.String())
+	return err
+}
--- a/internal/traffic/baseline/baseline.go
+++ b/internal/traffic/baseline/baseline.go
@@ -163,15 +163,19 @@
 		u := p.upstreams[p.next%len(p.upstreams)]
 		p.next++
 		slots := max(u.Slots/p.hosts, 1)
-		if u.State == quetzalhook.UpstreamReady && u.Kind == quetzalhook.KindEngine &&
-			serves(u, m) && p.inFlight[u.ID] < slots {
+		if u.State == quetzalhook.UpstreamReady && serves(u, m) && p.inFlight[u.ID] < slots {
 			return u.ID, true
 		}
 	}
 	return "", false
 }
 
+// serves reports whether u runs the model; a service is reached under its own
+// name.
 func serves(u quetzalhook.Upstream, m quetzalhook.Model) bool {
+	if u.Kind == quetzalhook.KindService {
+		return u.Service == string(m)
+	}
 	for _, have := range u.Models {
 		if have == m {
 			return true
