Keep slots that are held when shares move

Cause: in a burst of 0.8 of capacity up to 12 requests ran on engines of 8 slots. When demand moves, one host's share grows before another host has released its requests, and a host counted its own growth before its peers knew of it.

After: a host's allocation on an upstream is never below what it holds, the excess comes from the hosts with the most unused slots, and own growth counts after one gossip round. Demand now carries the number of requests by tier.

--- a/internal/bench/trial/host.go
+++ b/internal/bench/trial/host.go
@@ -32,10 +32,10 @@
 	done     bool
 	refused  quetzalhook.RefuseKind
 	attempts int
-	current  *job // the attempt in progress
+	started  time.Duration // last start
+	current  *job          // the attempt in progress
 	stopping bool
 	reached  map[quetzalhook.UpstreamID]bool // upstreams that got any part of it
-	runs     int                             // service calls that ran
 }
 
 // host runs one Policy.
@@ -43,7 +43,6 @@
 	w      *world
 	id     quetzalhook.HostID
 	region quetzalhook.Region
-	zone   quetzalhook.Zone
 	policy quetzalhook.Policy
 	peers  map[quetzalhook.HostID]peerState
 	live   map[quetzalhook.RequestID]*request
@@ -175,6 +174,7 @@
 	w.check(invariant.WholeAnswer, a.Offset == r.received, "request", r.ID, "offset", a.Offset, "received", r.received)
 	w.check(invariant.AtMostOnce, r.Repeatable || len(r.reached) == 0, "request", r.ID)
 	r.attempts++
+	r.started = w.now
 	j := &job{
 		id: r.ID, attempt: r.attempts, host: h, tier: r.Class.Tier(), prefixes: r.Prefixes, step: r.PrefixTokens,
 		prompt: r.PromptTokens + r.received, want: r.output - r.received, busy: r.busy,
--- a/internal/bench/trial/run.go
+++ b/internal/bench/trial/run.go
@@ -22,9 +22,12 @@
 
 // Run runs one policy under one condition.
 func Run(cfg Config, row Row, policy string, build Constructor) Result {
-	w := newWorld(cfg, row, build)
+	return runWorld(newWorld(cfg, row, build), policy)
+}
+
+func runWorld(w *world, policy string) Result {
 	for _, h := range w.hosts {
-		h.policy.SetLimits(w.clock(), cfg.Limits)
+		h.policy.SetLimits(w.clock(), w.cfg.Limits)
 		h.setUpstreams(w.listed)
 	}
 	for _, r := range w.requests {
@@ -40,8 +43,8 @@
 			w.every(time.Duration(i)*reportPeriod/time.Duration(len(w.engines)), reportPeriod, func() { w.publish(e) })
 		}
 	}
-	if row.fault != nil {
-		row.fault(w)
+	if w.row.fault != nil {
+		w.row.fault(w)
 	}
 	w.loop()
 	w.checkEnd()
--- a/internal/traffic/dispatch/core.go
+++ b/internal/traffic/dispatch/core.go
@@ -186,6 +186,7 @@
 func (c *Core) Demand(time.Time) quetzalhook.Demand {
 	d := quetzalhook.Demand{InFlight: make(map[quetzalhook.UpstreamID]int)}
 	for _, e := range c.entries {
+		d.Requests[e.Request.Class.Tier()]++
 		if e.state == stateWaiting {
 			d.Waiting[e.Request.Class.Tier()] += e.Work
 		} else {
--- /dev/null
+++ b/internal/traffic/placement/division.go
@@ -0,0 +1,97 @@
+package placement
+
+import (
+	"sort"
+	"time"
+
+	"quetzalhook"
+	"quetzalhook/internal/traffic/share"
+)
+
+const (
+	// settleTime is how long peers may not know this host's demand: one gossip
+	// period and the delay. Growth of the own demand counts after this time,
+	// so that a host does not take slots that peers still use.
+	settleTime = 300 * time.Millisecond
+	// defaultWork is the output of a request in tokens where demand counts only
+	// tokens.
+	defaultWork = 400
+)
+
+// divide computes this host's slots on every upstream from the demand of all
+// hosts.
+func (p *Planner) divide(now time.Time) {
+	own := p.ownNeed(now)
+	if len(p.peers) == 0 {
+		p.table = share.Equal(p.host, p.hosts)
+	} else {
+		needs := append(make([]share.Need, 0, len(p.peers)+1), own)
+		for _, d := range p.peers {
+			needs = append(needs, need(d.Host, d.Demand))
+		}
+		p.table = share.Divide(p.capacity(), needs)
+	}
+	p.allocate()
+}
+
+func (p *Planner) capacity() float64 {
+	capacity := 0
+	for _, u := range p.upstreams {
+		if u.isUsable() {
+			capacity += u.Slots
+		}
+	}
+	return float64(capacity)
+}
+
+// allocate turns the fractions of the table into slots of each upstream.
+func (p *Planner) allocate() {
+	hosts := p.table.Hosts()
+	self := sort.Search(len(hosts), func(i int) bool { return hosts[i] >= p.host })
+	held, got := make([]int, len(hosts)), make([]int, len(hosts))
+	byHost := make([]map[quetzalhook.UpstreamID]int, len(hosts))
+	for _, d := range p.peers {
+		if i := sort.Search(len(hosts), func(i int) bool { return hosts[i] >= d.Host }); i < len(hosts) {
+			byHost[i] = d.Demand.InFlight
+		}
+	}
+	for _, u := range p.upstreams {
+		for i := range hosts {
+			held[i] = byHost[i][u.ID]
+		}
+		held[self] = u.own
+		p.table.Allocate(u.Slots, u.index, held, got)
+		u.share = got[self]
+	}
+}
+
+// ownNeed returns this host's need as its peers know it: growth counts after
+// settleTime, a decrease at once.
+func (p *Planner) ownNeed(now time.Time) share.Need {
+	current := need(p.host, p.own)
+	if now.Sub(p.rotated) >= settleTime {
+		p.settled, p.pending, p.rotated = p.pending, current, now
+	}
+	for tier := range current.Slots {
+		current.Slots[tier] = min(current.Slots[tier], max(p.settled.Slots[tier], 0))
+	}
+	return current
+}
+
+// need converts a host's demand to slots by tier: one for each request. A
+// host that reports only tokens is taken to need one slot for defaultWork.
+func need(h quetzalhook.HostID, d quetzalhook.Demand) share.Need {
+	n := share.Need{Host: h}
+	counted := false
+	for tier, requests := range d.Requests {
+		n.Slots[tier] = float64(requests)
+		counted = counted || requests > 0
+	}
+	if counted {
+		return n
+	}
+	for tier := range n.Slots {
+		n.Slots[tier] = (d.Waiting[tier] + d.Running[tier]) / defaultWork
+	}
+	return n
+}
--- a/internal/traffic/placement/planner.go
+++ b/internal/traffic/placement/planner.go
@@ -40,9 +40,6 @@
 	// peerTimeout is the age after which a silent peer's demand is dropped: it
 	// is dead or cut off, and its slots return to the others.
 	peerTimeout = 3 * time.Second
-	// defaultWork is the output of a request in tokens where demand counts only
-	// tokens.
-	defaultWork = 400
 )
 
 // Planner implements quetzalhook.Placer.
@@ -65,9 +62,11 @@
 	streams   map[quetzalhook.RequestID]*stream
 
 	own       quetzalhook.Demand
+	settled   share.Need // own need that the peers know
+	pending   share.Need
+	rotated   time.Time
 	peers     []quetzalhook.PeerDemand
 	table     share.Table
-	stale     bool // demand changed since the last refresh
 	refreshed time.Time
 	sampled   time.Time
 }
@@ -160,7 +159,6 @@
 		}
 	}
 	p.prefixes.reset(p.upstreams)
-	p.stale = true
 	p.refresh(now, true)
 }
 
@@ -201,14 +199,12 @@
 			}
 		}
 	}
-	p.stale = true
 	p.refresh(now, true)
 }
 
 // ObserveDemand implements quetzalhook.Placer.
 func (p *Planner) ObserveDemand(now time.Time, d quetzalhook.Demand) {
 	p.own = d
-	p.stale = true
 	p.refresh(now, false)
 }
 
@@ -291,49 +287,8 @@
 	p.refreshed = now
 	p.monitor.Check(now)
 	p.record(now)
-	if p.stale {
-		p.divide()
-		p.stale = false
-	}
+	p.divide(now)
 	for _, u := range p.upstreams {
 		p.update(now, u)
 	}
 }
-
-// divide computes the table of shares from the demand of all hosts.
-func (p *Planner) divide() {
-	if len(p.peers) == 0 {
-		p.table = share.Equal(p.host, p.hosts)
-		return
-	}
-	capacity := 0
-	for _, u := range p.upstreams {
-		if u.isUsable() {
-			capacity += u.Slots
-		}
-	}
-	needs := make([]share.Need, 0, len(p.peers)+1)
-	needs = append(needs, need(p.host, p.own))
-	for _, d := range p.peers {
-		needs = append(needs, need(d.Host, d.Demand))
-	}
-	p.table = share.Divide(float64(capacity), needs)
-}
-
-// need converts a host's demand to slots by tier: one for each request. A
-// host that reports only tokens is taken to need one slot for defaultWork.
-func need(h quetzalhook.HostID, d quetzalhook.Demand) share.Need {
-	n := share.Need{Host: h}
-	counted := false
-	for tier, requests := range d.Requests {
-		n.Slots[tier] = float64(requests)
-		counted = counted || requests > 0
-	}
-	if counted {
-		return n
-	}
-	for tier := range n.Slots {
-		n.Slots[tier] = (d.Waiting[tier] + d.Running[tier]) / defaultWork
-	}
-	return n
-}
--- a/internal/traffic/placement/upstream.go
+++ b/internal/traffic/placement/upstream.go
@@ -158,9 +158,8 @@
 	return min(n, u.target.Limit())
 }
 
-// update brings the share of u and its place in the pools up to date.
+// update brings the place of u in the pools up to date.
 func (p *Planner) update(_ time.Time, u *upstream) {
-	u.share = p.table.Slots(p.host, u.Slots, u.index)
 	slots := p.slots(u)
 	unused := max(slots-u.own, 0)
 	for i := range u.memberships {
--- a/internal/traffic/share/share.go
+++ b/internal/traffic/share/share.go
@@ -117,16 +117,46 @@
 	return t.bounds[i], t.bounds[i+1]
 }
 
+// Hosts returns the hosts in the order of the slices that Allocate takes.
+func (t Table) Hosts() []quetzalhook.HostID { return t.hosts }
+
 // goldenRatio spreads the rounding of successive upstreams evenly.
 const goldenRatio = 0.6180339887498949
 
-// Slots returns the host's whole slots on the upstream at position index of
-// a list that all hosts order alike. It is the host's fraction rounded up or
-// down; over all hosts the result sums to slots. The rounding differs from
-// index to index so that a host's total stays near its fraction.
-func (t Table) Slots(h quetzalhook.HostID, slots, index int) int {
-	lo, hi := t.span(h)
+// Allocate stores in got the whole slots of each host on the upstream at
+// position index of a list that all hosts order alike. A host gets its
+// fraction rounded up or down, and never less than it holds. Slots that are
+// held beyond a host's fraction are taken from the hosts with the most unused
+// slots, so that the sum is at most slots unless more are held. The rounding
+// differs between indexes so that a host's total stays near its fraction.
+func (t Table) Allocate(slots, index int, held, got []int) {
 	_, phase := math.Modf(float64(index+1) * goldenRatio)
 	s := float64(slots)
-	return int(math.Floor(hi*s+phase) - math.Floor(lo*s+phase))
+	sum := 0
+	for i := range t.hosts {
+		whole := int(math.Floor(t.bounds[i+1]*s+phase) - math.Floor(t.bounds[i]*s+phase))
+		got[i] = max(whole, held[i])
+		sum += got[i]
+	}
+	for sum > slots {
+		i := mostUnused(held, got, index)
+		if i < 0 {
+			return
+		}
+		got[i]--
+		sum--
+	}
+}
+
+// mostUnused returns the position with the most slots beyond those held, or
+// -1. Ties go to different positions for different indexes.
+func mostUnused(held, got []int, index int) int {
+	best, most := -1, 0
+	for k := range got {
+		i := (index + k) % len(got)
+		if n := got[i] - held[i]; n > most {
+			best, most = i, n
+		}
+	}
+	return best
 }
