--- a/internal/bench/measure/table.go
+++ b/internal/bench/measure/table.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+
+	"quetzalhook/internal/state/invariant"
 )
 
 // WriteTable prints the measures as tables.
@@ -51,3 +53,20 @@
 
 // WriteJSON prints the measures as one JSON object on one line.
 func (r Report) WriteJSON(w io.Writer) error { return json.NewEncoder(w).Encode(r) }
+
+// AddCounts adds the figures of one registry of invariants.
+func (r Report) AddCounts(counts []invariant.Count) {
+	for _, c := range counts {
+		r.Checks[c.Name] += c.Checked
+		r.Violations[c.Name] += c.Violated
+	}
+}
+
+// TotalViolations returns the violations of all invariants.
+func (r Report) TotalViolations() int64 {
+	var n int64
+	for _, v := range r.Violations {
+		n += v
+	}
+	return n
+}
