Keep the caller's bound when a stream breaks at its end

Cause: a stream that broke between the last token and the end of the answer was resumed with max_tokens 1, since the bound is at least 1, so the caller got a token too many.

Before: TestChatBoundKeptAfterBreak fails with 13 tokens for a bound of 12 (the engine stand-in's new fault cut/cut-at closes the connection there). After: an answer that has its finish reason or as many tokens as the bound is ended by the host; the test passes. Answers with several choices or tools are left as they were, since their first choice says nothing about the others.

--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -192,6 +192,9 @@
 		err = r.copyWhole(resp, call)
 	} else {
 		err = r.copyEvents(t, attempt, resp, call, stall)
+		if err != nil && call.hasAllTokens() {
+			err = callerGone(call.finish())
+		}
 	}
 	return r.classify(ctx, attempt, err)
 }
@@ -384,6 +387,27 @@
 	return errIncomplete
 }
 
+// hasAllTokens reports whether the answer cannot grow, since the upstream
+// gave the reason of its end or the caller's bound is reached. A resume would
+// then add a token that is not part of the answer.
+func (c Call) hasAllTokens() bool {
+	if c.Chat.opaque || c.Answer.tokens == 0 {
+		return false
+	}
+	return c.Answer.finish != nil || c.Chat.maxTokens > 0 && c.Answer.tokens >= c.Chat.maxTokens
+}
+
+// finish ends an answer that has all tokens in place of its upstream.
+func (c Call) finish() error {
+	if c.Answer.finish == nil {
+		reason := "length"
+		if err := c.Answer.take(chunk{Choices: []choice{{FinishReason: &reason}}}); err != nil {
+			return err
+		}
+	}
+	return c.Answer.finished(c.Request.PromptTokens)
+}
+
 // report tells the policy of the first token and then of every few.
 func (r *Relay) report(t *broker.Ticket, answer *Answer, before int) {
 	if n := answer.tokens - before; n == 1 || n%progressTokens == 0 {
--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -188,6 +188,9 @@
 		if rc.Flush() != nil {
 			return
 		}
+		if e.cuts(i) {
+			panic(http.ErrAbortHandler)
+		}
 	}
 	last := a.chunk(&Message{}, &a.finish)
 	last.Usage = e.usage(a)
--- a/internal/standin/engine/fault.go
+++ b/internal/standin/engine/fault.go
@@ -20,6 +20,10 @@
 	ReportLagMS int64 `json:"report-lag-ms"`
 	// EventLagMS is the delay of cache events, in milliseconds.
 	EventLagMS int64 `json:"event-lag-ms"`
+	// Cut is the number of further streams whose connection is closed once the
+	// answer has CutAt tokens, before its end is announced.
+	Cut   int `json:"cut"`
+	CutAt int `json:"cut-at"`
 	// EventGap loses every n-th cache event; 0 loses none.
 	EventGap int `json:"event-gap"`
 }
@@ -51,4 +55,15 @@
 	return e.faults
 }
 
+// cuts reports whether a stream that has n tokens is to be cut, and counts it.
+func (e *Engine) cuts(n int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Cut <= 0 || n != e.faults.CutAt {
+		return false
+	}
+	e.faults.Cut--
+	return true
+}
+
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
