--- a/internal/entry/front/chat.go
+++ b/internal/entry/front/chat.go
@@ -47,7 +47,7 @@
 	return quetzalhook.Request{
 		ID: x.id, Customer: x.owner.Customer, Class: x.class, Model: c.Model(), PromptTokens: c.PromptTokens(),
 		MaxTokens: c.MaxTokens(), Prefixes: c.Prefixes(), PrefixTokens: c.PrefixTokens(),
-		Region: x.front.deps.Region, Repeatable: true,
+		Region: x.front.deps.Region(), Repeatable: true,
 	}
 }
 
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -68,8 +68,8 @@
 	Clock      quetzalhook.Clock
 	Log        logrus.FieldLogger
 	Operator   http.Handler
-	// Region is where the host is.
-	Region quetzalhook.Region
+	// Region returns where the host is.
+	Region func() quetzalhook.Region
 	// HostsLifetime is how long callers may keep the answer of GET /v1/hosts.
 	HostsLifetime time.Duration
 }
--- a/internal/entry/front/hosts.go
+++ b/internal/entry/front/hosts.go
@@ -20,7 +20,7 @@
 func (f *Front) hosts(w http.ResponseWriter, r *http.Request) {
 	region := quetzalhook.Region(r.URL.Query().Get("region"))
 	if region == "" {
-		region = f.deps.Region
+		region = f.deps.Region()
 	}
 	writeJSON(w, HostsBody{Hosts: f.deps.Hosts(region), LifetimeMS: f.deps.HostsLifetime.Milliseconds()})
 }
--- a/internal/entry/front/service.go
+++ b/internal/entry/front/service.go
@@ -138,7 +138,7 @@
 	call := relay.ServiceCall{
 		Request: quetzalhook.Request{
 			ID: x.id, Customer: x.owner.Customer, Class: x.class, Model: ServiceModel(x.route.Service),
-			PromptTokens: serviceTokens, MaxTokens: 1, Region: x.front.deps.Region, Repeatable: repeatable,
+			PromptTokens: serviceTokens, MaxTokens: 1, Region: x.front.deps.Region(), Repeatable: repeatable,
 		},
 		Method: x.r.Method, Path: servicePath(x.r, x.route), Header: x.r.Header, Body: body, Guard: x.guard(), OperationID: operation,
 	}
--- a/internal/entry/relay/answer.go
+++ b/internal/entry/relay/answer.go
@@ -68,7 +68,7 @@
 
 // NewAnswer returns an answer to the request id.
 func NewAnswer(w http.ResponseWriter, id string, stream bool, now func() time.Time) *Answer {
-	return &Answer{w: w, control: http.NewResponseController(w), id: id, stream: stream, now: now, created: now().Unix()}
+	return &Answer{w: w, control: http.NewResponseController(w), id: id, stream: stream, now: now, created: time.Now().Unix()}
 }
 
 // Tokens returns the number of tokens received.
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -30,20 +30,32 @@
 
 // harness is a relay over some engines or services.
 type harness struct {
-	t      *testing.T
-	broker *broker.Broker
-	relay  *relay.Relay
-	inv    *invariant.Registry
-	sent   atomic.Bool
+	t       *testing.T
+	policy  quetzalhook.Policy
+	options []relay.Option
+	broker  *broker.Broker
+	relay   *relay.Relay
+	inv     *invariant.Registry
+	sent    atomic.Bool
 }
 
-func newHarness(t *testing.T, upstreams []quetzalhook.Upstream, opts ...relay.Option) *harness {
+// harnessOption changes how a harness is built.
+type harnessOption func(*harness)
+
+func withPolicy(p quetzalhook.Policy) harnessOption { return func(h *harness) { h.policy = p } }
+
+func withRelay(opts ...relay.Option) harnessOption { return func(h *harness) { h.options = opts } }
+
+func newHarness(t *testing.T, upstreams []quetzalhook.Upstream, opts ...harnessOption) *harness {
 	t.Helper()
-	h := &harness{t: t, inv: invariant.New(nil)}
-	h.broker = broker.New(baseline.New(1), quetzalhook.ClockFunc(time.Now))
+	h := &harness{t: t, inv: invariant.New(nil), policy: baseline.New(1)}
+	for _, opt := range opts {
+		opt(h)
+	}
+	h.broker = broker.New(h.policy, quetzalhook.ClockFunc(time.Now))
 	pool := relay.NewPool()
 	pool.Set(upstreams)
-	h.relay = relay.New(h.broker, pool, h.inv, opts...)
+	h.relay = relay.New(h.broker, pool, h.inv, h.options...)
 	h.broker.SetUpstreams(upstreams)
 	t.Cleanup(func() {
 		_ = h.broker.Close()
@@ -159,7 +171,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			first, second := engine.New(engine.WithTokenRate(400)), engine.New(engine.WithTokenRate(400))
 			h := newHarness(t, []quetzalhook.Upstream{engineUpstream(t, first, "a"), engineUpstream(t, second, "b")},
-				relay.WithStallTimeouts(300*time.Millisecond, 300*time.Millisecond))
+				withRelay(relay.WithStallTimeouts(300*time.Millisecond, 300*time.Millisecond)))
 			w := &onToken{ResponseRecorder: httptest.NewRecorder(), after: 20}
 			w.call = func() {
 				for _, e := range []*engine.Engine{first, second} {
@@ -241,20 +253,37 @@
 	}
 }
 
-// Guards against a call that may not be repeated being sent again by the
-// relay or by net/http after its connection broke.
+// eager is a policy that starts a broken request again even if it may not be
+// repeated.
+type eager struct{ quetzalhook.Policy }
+
+func (e eager) End(now time.Time, id quetzalhook.RequestID, end quetzalhook.End) []quetzalhook.Action {
+	if end == quetzalhook.EndBroken {
+		return []quetzalhook.Action{{Kind: quetzalhook.ActionStart, Request: id, Upstream: "s"}}
+	}
+	return e.Policy.End(now, id, end)
+}
+
+// Guards against a call that may not be repeated being sent again after its
+// connection broke: by the policy, by the relay, or by net/http, which
+// repeats some requests that fail on a reused connection.
 func TestServiceSentOnce(t *testing.T) {
 	var runs atomic.Int64
-	h := newHarness(t, []quetzalhook.Upstream{serviceUpstream(t, func(http.ResponseWriter, *http.Request) {
-		runs.Add(1)
-		panic(http.ErrAbortHandler)
-	})})
-	_, err := h.service("r1", false)
+	upstream := serviceUpstream(t, func(http.ResponseWriter, *http.Request) {
+		if runs.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	h := newHarness(t, []quetzalhook.Upstream{upstream}, withPolicy(eager{baseline.New(1)}))
+	if _, err := h.service("r1", false); err != nil {
+		t.Fatal(err)
+	}
+	_, err := h.service("r2", false)
 	var e *relay.Error
 	if !errors.As(err, &e) || e.Outcome != quetzalhook.OutcomeUnknown {
 		t.Errorf("error: got %v, want outcome unknown", err)
 	}
-	if got, want := runs.Load(), int64(1); got != want {
+	if got, want := runs.Load(), int64(2); got != want {
 		t.Errorf("runs: got %d, want %d", got, want)
 	}
 }
