Deepen the decision core: limits, prediction, moves, doomed work, checks

The core now charges customers by predicted work, keeps their limits, claims slots for urgent requests while a victim's cancel is open, moves streams off leaving and ejected upstreams, refuses late work that is worthless, bounds the queue and retries within a budget. The queue serves requests that can still meet their target before late ones of the same customer, and lets a class far below its floor take slots from classes above theirs.

Invariants are checked in the core. TestFaults breaks one rule at a time and shows that urgent-not-shed, true-refusal, leaving-upstream, legal-transition and no-starvation see it; the last one at first did not see doomed work that must finish, because refusals in the queue were not checked.

--- a/internal/traffic/dispatch/core.go
+++ b/internal/traffic/dispatch/core.go
@@ -1,80 +1,70 @@
 // Package dispatch is the product's Policy: it joins admission, order,
 // preemption and limits with a Placer into one decision core. It is pure: no
 // I/O, no goroutine, no clock.
+//
+// A request waits in the queue of its model, runs on an upstream, and ends.
+// It may be claimed in between: a slot is being freed for it. A running
+// request whose stream is cancelled keeps its slot until the host confirms
+// the cancel with End; only then it goes back to its queue.
 package dispatch
 
 import (
 	"time"
 
 	"quetzalhook"
+	"quetzalhook/internal/traffic/estimate"
+	"quetzalhook/internal/traffic/limit"
 	"quetzalhook/internal/traffic/queue"
 )
 
-// state is the life-cycle state of a request.
-type state uint8
-
-const (
-	stateWaiting state = iota
-	stateRunning
-	// stateStopping waits for the host to confirm a cancel.
-	stateStopping
-)
-
-// entry is one request of the core.
-type entry struct {
-	queue.Item
-	pool     *pool
-	state    state
-	upstream quetzalhook.UpstreamID
-	base     int  // tokens received before the present attempt
-	sent     bool // a part may have reached an upstream
-	cause    quetzalhook.CancelCause
-}
-
-// pool is the requests of one model.
-type pool struct {
-	model quetzalhook.Model
-	queue *queue.Queue
-	// freeing counts slots that are being freed for urgent requests.
-	freeing int
-}
-
 // Core implements quetzalhook.Policy.
 type Core struct {
 	placer     quetzalhook.Placer
 	invariants quetzalhook.Invariants
+	budget     RetryBudget
+	estimator  *estimate.Estimator
+	limiter    *limit.Limiter
 	hosts      int
-	entries    map[quetzalhook.RequestID]*entry
-	pools      map[quetzalhook.Model]*pool
-	order      []*pool // in order of creation
-	models     map[quetzalhook.Model]bool
-	limits     map[quetzalhook.CustomerID]quetzalhook.CustomerLimit
-	actions    []quetzalhook.Action
+	queueOpts  []queue.Option
+	maxWaiting int
+	noPreempt  bool
+	faults     faults
+
+	entries   map[quetzalhook.RequestID]*entry
+	pools     map[quetzalhook.Model]*pool
+	order     []*pool // in order of creation
+	limits    map[quetzalhook.CustomerID]quetzalhook.CustomerLimit
+	parked    map[quetzalhook.CustomerID][]*entry // one of each parked flow
+	upstreams map[quetzalhook.UpstreamID]*upstream
+	leaving   []*upstream // those that leave or left, with requests to move
+	shared    bool        // some upstream serves several models
+	late      timers
+	delayed   timers
+	load      load
+	stats     Stats
+	lastSlow  time.Time
+	actions   []quetzalhook.Action
 }
 
-// Option configures a Core.
-type Option func(*Core)
-
-// WithInvariants counts the checks of the core's rules.
-func WithInvariants(inv quetzalhook.Invariants) Option {
-	return func(c *Core) { c.invariants = inv }
-}
-
-// WithHosts sets the number of hosts that share the customers' limits.
-func WithHosts(n int) Option { return func(c *Core) { c.hosts = max(n, 1) } }
-
 // New returns a core that places requests with placer.
 func New(placer quetzalhook.Placer, opts ...Option) *Core {
 	c := &Core{
-		placer:  placer,
-		hosts:   1,
-		entries: make(map[quetzalhook.RequestID]*entry),
-		pools:   make(map[quetzalhook.Model]*pool),
-		models:  make(map[quetzalhook.Model]bool),
+		placer:     placer,
+		budget:     &shareBudget{tokens: maxRetryTokens},
+		hosts:      1,
+		maxWaiting: DefaultMaxWaiting,
+		entries:    make(map[quetzalhook.RequestID]*entry),
+		pools:      make(map[quetzalhook.Model]*pool),
+		parked:     make(map[quetzalhook.CustomerID][]*entry),
+		upstreams:  make(map[quetzalhook.UpstreamID]*upstream),
 	}
 	for _, opt := range opts {
 		opt(c)
 	}
+	if c.estimator == nil {
+		c.estimator = estimate.New()
+	}
+	c.limiter = limit.New(c.hosts)
 	return c
 }
 
@@ -83,16 +73,9 @@
 // SetUpstreams implements quetzalhook.Policy.
 func (c *Core) SetUpstreams(now time.Time, upstreams []quetzalhook.Upstream) []quetzalhook.Action {
 	c.begin()
-	clear(c.models)
-	for _, u := range upstreams {
-		for _, m := range u.Models {
-			c.models[m] = true
-		}
-		if u.Service != "" {
-			c.models[quetzalhook.Model(u.Service)] = true
-		}
-	}
 	c.placer.SetUpstreams(now, upstreams)
+	c.setUpstreams(now, upstreams)
+	c.move(now)
 	return c.drainAll(now)
 }
 
@@ -100,33 +83,56 @@
 func (c *Core) SetLimits(now time.Time, limits map[quetzalhook.CustomerID]quetzalhook.CustomerLimit) []quetzalhook.Action {
 	c.begin()
 	c.limits = limits
+	c.limiter.SetLimits(now, limits)
+	c.unparkAll()
 	return c.drainAll(now)
 }
 
 // Submit implements quetzalhook.Policy.
 func (c *Core) Submit(now time.Time, r quetzalhook.Request) []quetzalhook.Action {
 	c.begin()
-	if !c.models[r.Model] {
-		return append(c.actions, refusal(r.ID, quetzalhook.RefuseNoUpstream, quetzalhook.OutcomeNotRun))
+	if !c.checkNew(r) {
+		return nil
+	}
+	e := c.newEntry(now, r)
+	if e.pool == nil {
+		return c.reject(e, quetzalhook.RefuseNoUpstream, retryDelay)
+	}
+	if ok, wait := c.limiter.Admit(now, r.Customer, e.Work); !ok {
+		return c.reject(e, quetzalhook.RefuseLimit, max(wait, minRetryDelay))
 	}
-	p := c.pool(r.Model)
-	e := &entry{pool: p}
-	e.Request, e.Arrived, e.Payload = r, now, e
-	e.Work = float64(r.PromptTokens + 256)
+	if !c.makeRoom(now, e) {
+		c.limiter.Correct(now, r.Customer, -e.Work)
+		return c.reject(e, quetzalhook.RefuseOverload, retryDelay)
+	}
+	c.budget.Request(now)
+	e.charged = e.Work
 	c.entries[r.ID] = e
-	p.queue.Push(&e.Item, c.weight(r.Customer))
-	c.drain(now, p)
+	if e.worthlessAfter(c.faults) {
+		c.late.add(e, e.Deadline)
+	}
+	e.pool.queue.Advance(now)
+	c.push(e)
+	c.drainFrom(now, e.pool)
 	return c.actions
 }
 
 // Progress implements quetzalhook.Policy.
 func (c *Core) Progress(now time.Time, id quetzalhook.RequestID, n int) []quetzalhook.Action {
-	c.begin()
-	if e := c.entries[id]; e != nil && e.state == stateRunning && n > e.Tokens {
-		e.pool.queue.Progress(&e.Item, n, e.Work)
-		c.placer.Progress(now, id, n-e.base)
+	e := c.entries[id]
+	if e == nil || n <= e.Tokens || e.state != stateRunning && e.state != stateStopping {
+		return nil
 	}
-	return c.actions
+	if e.state == stateStopping {
+		e.Tokens = n
+	} else {
+		e.pool.queue.Progress(&e.Item, n)
+	}
+	c.placer.Progress(now, id, n-e.base)
+	if work := float64(e.Request.PromptTokens + n); work > e.Work {
+		c.correct(now, e, c.predict(e.Request, n))
+	}
+	return nil
 }
 
 // End implements quetzalhook.Policy.
@@ -134,30 +140,17 @@
 	c.begin()
 	e := c.entries[id]
 	if e == nil {
-		return c.actions
+		return nil // cancelled as doomed or refused before
 	}
-	if e.state == stateWaiting {
-		if end == quetzalhook.EndCallerGone {
-			e.pool.queue.Remove(&e.Item)
-			delete(c.entries, id)
-		}
-		return c.actions
+	e.pool.queue.Advance(now)
+	if e.state != stateRunning && e.state != stateStopping {
+		c.check(legalTransition, end == quetzalhook.EndCallerGone, "request", id, "end", end)
+		c.withdraw(e)
+		c.forget(now, e)
+	} else {
+		c.endAttempt(now, e, end)
 	}
-	c.release(now, e, end)
-	switch end {
-	case quetzalhook.EndFinished, quetzalhook.EndCallerGone:
-		delete(c.entries, id)
-	case quetzalhook.EndBroken:
-		if !e.Request.Repeatable {
-			delete(c.entries, id)
-			c.actions = append(c.actions, refusal(id, quetzalhook.RefuseRetryBudget, quetzalhook.OutcomeUnknown))
-			break
-		}
-		e.pool.queue.Return(&e.Item)
-	default:
-		e.pool.queue.Return(&e.Item)
-	}
-	c.drain(now, e.pool)
+	c.drainFrom(now, e.pool)
 	return c.actions
 }
 
@@ -165,132 +158,64 @@
 func (c *Core) ObserveLoad(now time.Time, l quetzalhook.Load) []quetzalhook.Action {
 	c.begin()
 	c.placer.ObserveLoad(now, l)
-	return c.actions
+	if u := c.upstreams[l.Upstream]; u != nil {
+		c.setLeaving(now, u, l.Leaving || u.listedLeaving)
+	}
+	c.move(now)
+	return c.drainAll(now)
 }
 
 // ObservePeers implements quetzalhook.Policy.
 func (c *Core) ObservePeers(now time.Time, peers []quetzalhook.PeerDemand) []quetzalhook.Action {
 	c.begin()
 	c.placer.ObservePeers(now, peers)
+	c.limiter.ObservePeers(now, peers)
 	return c.actions
 }
 
+// slowInterval is the time between runs of the periodic work whose cost grows
+// with the number of upstreams or customers.
+const slowInterval = 250 * time.Millisecond
+
 // Tick implements quetzalhook.Policy.
 func (c *Core) Tick(now time.Time) []quetzalhook.Action {
 	c.begin()
-	c.placer.ObserveDemand(now, c.Demand(now))
-	return c.drainAll(now)
-}
-
-// Demand implements quetzalhook.Policy.
-func (c *Core) Demand(time.Time) quetzalhook.Demand {
-	d := quetzalhook.Demand{InFlight: make(map[quetzalhook.UpstreamID]int)}
-	for _, e := range c.entries {
-		if e.state == stateWaiting {
-			d.Waiting[e.Request.Class.Tier()] += e.Work
-		} else {
-			d.Running[e.Request.Class.Tier()] += e.Work
-			d.InFlight[e.upstream]++
+	if now.Sub(c.lastSlow) >= slowInterval {
+		c.lastSlow = now
+		c.placer.ObserveDemand(now, c.Demand(now))
+		c.limiter.Tick(now)
+		c.unparkAll()
+		for _, p := range c.order {
+			p.queue.Sweep()
 		}
+		c.checkSlots()
 	}
-	return d
-}
-
-func (c *Core) begin() { c.actions = nil }
-
-func (c *Core) pool(m quetzalhook.Model) *pool {
-	p := c.pools[m]
-	if p == nil {
-		p = &pool{model: m, queue: queue.New()}
-		c.pools[m] = p
-		c.order = append(c.order, p)
-	}
-	return p
-}
-
-func (c *Core) weight(id quetzalhook.CustomerID) float64 {
-	if l, ok := c.limits[id]; ok && l.Weight > 0 {
-		return l.Weight
-	}
-	return 1
-}
-
-func (c *Core) drainAll(now time.Time) []quetzalhook.Action {
 	for _, p := range c.order {
-		c.drain(now, p)
+		p.queue.Advance(now)
 	}
-	return c.actions
-}
-
-// drain starts waiting requests of a pool while there are slots, then frees
-// slots for urgent ones.
-func (c *Core) drain(now time.Time, p *pool) {
-	total, _ := c.placer.Slots(now, p.model)
-	p.queue.Advance(now, total)
-	for {
-		it := p.queue.Next()
-		if it == nil || !c.start(now, it) {
-			break
-		}
-	}
-	c.preempt(now, p)
-}
-
-// start places one item; it returns false if there is no slot.
-func (c *Core) start(now time.Time, it *queue.Item) bool {
-	u, ok := c.placer.Place(now, it.Request)
-	if !ok {
-		return false
-	}
-	e := it.Payload.(*entry)
-	e.pool.queue.Start(it)
-	e.state, e.upstream, e.base, e.sent = stateRunning, u, it.Tokens, true
-	c.placer.Started(now, it.Request, u)
-	c.actions = append(c.actions, quetzalhook.Action{
-		Kind: quetzalhook.ActionStart, Request: it.Request.ID, Upstream: u, Offset: it.Tokens,
-	})
-	return true
+	c.move(now)
+	c.dropLate(now)
+	c.resumeDelayed(now)
+	return c.drainAll(now)
 }
 
-// preempt frees a slot for every urgent request that waits.
-func (c *Core) preempt(now time.Time, p *pool) {
-	for p.queue.WaitingIn(quetzalhook.TierUrgent) > p.freeing {
-		it := p.queue.Victim(quetzalhook.TierUrgent)
-		if it == nil {
-			return
+// Demand implements quetzalhook.Policy.
+func (c *Core) Demand(time.Time) quetzalhook.Demand {
+	d := quetzalhook.Demand{
+		Waiting:  c.load.waiting(),
+		Running:  c.load.running(),
+		InFlight: make(map[quetzalhook.UpstreamID]int),
+		Used:     c.limiter.Used(),
+	}
+	for id, u := range c.upstreams {
+		if len(u.running) > 0 {
+			d.InFlight[id] = len(u.running)
 		}
-		it.Preemptions++
-		p.freeing++
-		c.cancel(it.Payload.(*entry), quetzalhook.CausePreempted)
-	}
-}
-
-// cancel asks the host to stop the stream; the request waits for the
-// confirmation before it returns to its queue.
-func (c *Core) cancel(e *entry, cause quetzalhook.CancelCause) {
-	e.pool.queue.Stop(&e.Item)
-	e.state, e.cause = stateStopping, cause
-	c.actions = append(c.actions, quetzalhook.Action{
-		Kind: quetzalhook.ActionCancel, Request: e.Request.ID, Upstream: e.upstream, Cause: cause,
-	})
-}
-
-// release takes an entry off its upstream.
-func (c *Core) release(now time.Time, e *entry, end quetzalhook.End) {
-	if e.state == stateRunning {
-		e.pool.queue.Stop(&e.Item)
-	} else if e.cause == quetzalhook.CausePreempted {
-		e.pool.freeing--
 	}
-	e.state = stateWaiting
-	c.placer.Ended(now, e.Request.ID, end)
+	return d
 }
 
-// retryDelay is what refused callers are told to wait.
-const retryDelay = time.Second
+// Stats returns the counts since the core was created.
+func (c *Core) Stats() Stats { return c.stats }
 
-func refusal(id quetzalhook.RequestID, kind quetzalhook.RefuseKind, outcome quetzalhook.Outcome) quetzalhook.Action {
-	return quetzalhook.Action{
-		Kind: quetzalhook.ActionRefuse, Request: id, Refusal: kind, Outcome: outcome, RetryAfter: retryDelay,
-	}
-}
+func (c *Core) begin() { c.actions = nil }
--- /dev/null
+++ b/internal/traffic/dispatch/start.go
@@ -0,0 +1,243 @@
+package dispatch
+
+import (
+	"time"
+
+	"quetzalhook"
+	"quetzalhook/internal/traffic/queue"
+)
+
+// result is what became of an attempt to start a request.
+type result uint8
+
+const (
+	resultStarted result = iota
+	// resultNoSlot left the request where it was.
+	resultNoSlot
+	// resultGone refused or parked the request; the next one may be tried.
+	resultGone
+)
+
+// drainFrom starts what fits after a change to a pool.
+func (c *Core) drainFrom(now time.Time, p *pool) {
+	if c.shared {
+		c.drainAll(now)
+		return
+	}
+	c.drain(now, p)
+}
+
+// drainAll starts what fits in all pools, those with the most urgent work
+// first, because pools may share upstreams.
+func (c *Core) drainAll(now time.Time) []quetzalhook.Action {
+	for tier := range quetzalhook.Tier(quetzalhook.TierCount) {
+		for _, p := range c.order {
+			if it := p.queue.NextStrict(now); it != nil && it.Request.Class.Tier() == tier {
+				c.drain(now, p)
+			} else if tier == 0 && len(p.claimed) > 0 {
+				c.drain(now, p)
+			}
+		}
+	}
+	return c.actions
+}
+
+// drain starts waiting requests of a pool while there are slots, then frees
+// slots for those that may take one.
+func (c *Core) drain(now time.Time, p *pool) {
+	if p.queue.Waiting() == 0 && len(p.claimed) == 0 {
+		return
+	}
+	total, free := c.placer.Slots(now, p.model)
+	p.slots = total
+	p.queue.SetSlots(total)
+	if total == 0 {
+		return
+	}
+	if free > 0 && !c.drainClaimed(now, p) {
+		return
+	}
+	for free > 0 && c.startNext(now, p) {
+	}
+	if !c.noPreempt {
+		c.free(now, p)
+	}
+}
+
+// drainClaimed starts the claimed requests; it returns false if one found no
+// slot.
+func (c *Core) drainClaimed(now time.Time, p *pool) bool {
+	for len(p.claimed) > 0 {
+		e := p.claimed[0]
+		switch c.start(now, e) {
+		case resultNoSlot:
+			return false
+		case resultStarted:
+			p.claimed = p.claimed[1:]
+		}
+	}
+	return true
+}
+
+// startNext starts one waiting request; it returns false if none fits.
+func (c *Core) startNext(now time.Time, p *pool) bool {
+	if it := p.queue.NextFloor(now); it != nil && c.try(now, it) != resultNoSlot {
+		return true
+	}
+	it := p.queue.NextStrict(now)
+	return it != nil && c.try(now, it) != resultNoSlot
+}
+
+// try starts a waiting request if its customer may run one more.
+func (c *Core) try(now time.Time, it *queue.Item) result {
+	e := it.Payload.(*entry)
+	held := e.acquired
+	if !c.acquire(now, e) {
+		return resultGone
+	}
+	r := c.start(now, e)
+	if r == resultNoSlot && !held {
+		c.unacquire(now, e)
+	}
+	return r
+}
+
+// acquire takes one of the customer's running requests for e, or parks the
+// customer's requests of the class. A request keeps it until it ends, also
+// while it waits to be resumed.
+func (c *Core) acquire(now time.Time, e *entry) bool {
+	if e.acquired {
+		return true
+	}
+	if c.limiter.Acquire(now, e.Request.Customer) {
+		e.acquired = true
+		return true
+	}
+	e.pool.queue.Park(&e.Item)
+	c.parked[e.Request.Customer] = append(c.parked[e.Request.Customer], e)
+	return false
+}
+
+// unacquire reverses acquire.
+func (c *Core) unacquire(now time.Time, e *entry) {
+	e.acquired = false
+	c.limiter.Release(now, e.Request.Customer)
+}
+
+// unpark lets the customer's requests be tried again.
+func (c *Core) unpark(id quetzalhook.CustomerID) {
+	if len(c.parked) == 0 {
+		return
+	}
+	for _, e := range c.parked[id] {
+		e.pool.queue.Unpark(&e.Item)
+	}
+	delete(c.parked, id)
+}
+
+// unparkAll lets all customers' requests be tried again, because their limits
+// may have grown.
+func (c *Core) unparkAll() {
+	for _, parked := range c.parked {
+		for _, e := range parked {
+			e.pool.queue.Unpark(&e.Item)
+		}
+	}
+	clear(c.parked)
+}
+
+// start sends a waiting or claimed request to an upstream.
+func (c *Core) start(now time.Time, e *entry) result {
+	id, ok := c.placer.Place(now, e.Request)
+	if !ok {
+		return resultNoSlot
+	}
+	u := c.upstreams[id]
+	if u == nil || u.leavingFor(now) > leavingGrace && !c.faults.useLeaving {
+		return resultNoSlot
+	}
+	if c.outOfReach(now, e, id) {
+		c.withdraw(e)
+		c.refuse(now, e, quetzalhook.RefuseLate)
+		return resultGone
+	}
+	c.checkStart(now, e, u)
+	if e.state == stateWaiting {
+		e.pool.queue.Take(&e.Item)
+	}
+	c.run(now, e, u)
+	return resultStarted
+}
+
+func (c *Core) run(now time.Time, e *entry, u *upstream) {
+	e.pool.queue.Run(&e.Item)
+	c.setState(e, stateRunning)
+	e.upstream, e.place, e.base = u, len(u.running), e.Tokens
+	u.running = append(u.running, e)
+	c.placer.Started(now, e.Request, u.id)
+	c.actions = append(c.actions, quetzalhook.Action{
+		Kind: quetzalhook.ActionStart, Request: e.Request.ID, Upstream: u.id, Offset: e.Tokens,
+	})
+}
+
+// free cancels lower-tier streams for urgent requests without a slot, then
+// streams of classes above their floor for classes far below theirs.
+func (c *Core) free(now time.Time, p *pool) {
+	for c.claim(now, p, p.queue.NextUrgent(now)) {
+	}
+	for c.claim(now, p, p.queue.NextOverdue(now)) {
+	}
+}
+
+// claim frees a slot for a waiting request; it returns false if there is none
+// to free.
+func (c *Core) claim(now time.Time, p *pool, it *queue.Item) bool {
+	if it == nil {
+		return false
+	}
+	e := it.Payload.(*entry)
+	held := e.acquired
+	if !c.acquire(now, e) {
+		return true // the next customer's request may be tried
+	}
+	if len(p.claimed) >= p.freeing && !c.preempt(p, it) {
+		if !held {
+			c.unacquire(now, e)
+		}
+		return false
+	}
+	p.queue.Take(it)
+	c.setState(e, stateClaimed)
+	p.claimed = append(p.claimed, e)
+	return true
+}
+
+// preempt cancels the stream that gives up its slot for it.
+func (c *Core) preempt(p *pool, it *queue.Item) bool {
+	v := p.queue.Victim(it)
+	if v == nil {
+		return false
+	}
+	e := v.Payload.(*entry)
+	c.checkPreempt(it, e)
+	e.Preemptions++
+	e.freeing = true
+	p.freeing++
+	c.stats.Preempted++
+	c.cancel(e, quetzalhook.CausePreempted)
+	return true
+}
+
+// cancel asks the host to stop the stream. The request keeps its slot until
+// the host confirms.
+func (c *Core) cancel(e *entry, cause quetzalhook.CancelCause) {
+	c.stats.WastedTokens += e.Loss()
+	e.pool.queue.Stop(&e.Item)
+	c.setState(e, stateStopping)
+	c.actions = append(c.actions, quetzalhook.Action{
+		Kind: quetzalhook.ActionCancel, Request: e.Request.ID, Upstream: e.upstream.id, Cause: cause,
+	})
+	if c.faults.runTwice {
+		c.run(time.Time{}, e, e.upstream)
+	}
+}
--- a/internal/traffic/queue/flow.go
+++ b/internal/traffic/queue/flow.go
@@ -1,6 +1,15 @@
 package queue
 
-import "quetzalhook"
+import (
+	"math/bits"
+	"time"
+
+	"quetzalhook"
+)
+
+// lateTurn is how often a customer's late requests are served while it has
+// requests that can still meet their target: every fourth start.
+const lateTurn = 4
 
 // flow is the waiting work of one customer in one class.
 type flow struct {
@@ -8,10 +17,93 @@
 	class    *class
 	weight   float64
 	virtual  float64 // work served per weight; the smallest is served next
-	waiting  list
-	running  int
+	fresh    list    // in order of arrival, which is the order of deadlines
+	late     list    // missed their target
+	starts   int
+	items    int // requests of the flow that did not end
 	position int // in the class's heap, -1 outside
 	parked   bool
+	idle     bool // in the class's list of idle flows
+
+	length     int // bucket in the class's lengths, -1 outside
+	prev, next *flow
+}
+
+func (f *flow) waiting() int { return f.fresh.n + f.late.n }
+
+// head returns the flow's next item, or nil. Requests that can still meet
+// their target go before those that missed it, because serving late ones
+// first makes the others late as well.
+func (f *flow) head(now time.Time) *Item {
+	for it := f.fresh.head; it != nil && !it.Deadline.IsZero() && now.After(it.Deadline); it = f.fresh.head {
+		f.fresh.remove(it)
+		f.late.pushBack(it)
+	}
+	if f.late.n > 0 && (f.fresh.n == 0 || f.starts%lateTurn == lateTurn-1) {
+		return f.late.head
+	}
+	return f.fresh.head
+}
+
+// newest returns the flow's latest arrival.
+func (f *flow) newest() *Item {
+	if f.fresh.n > 0 {
+		return f.fresh.tail
+	}
+	return f.late.tail
+}
+
+// lengthBuckets is the number of powers of two that flows are sorted by.
+const lengthBuckets = 32
+
+// lengths sorts flows by the power of two of their waiting items, so that one
+// of the longest is found in constant time.
+type lengths struct {
+	buckets [lengthBuckets]*flow
+	used    uint32
+}
+
+// update moves the flow after its number of waiting items changed.
+func (l *lengths) update(f *flow) {
+	b := -1
+	if n := f.waiting(); n > 0 {
+		b = min(bits.Len(uint(n)), lengthBuckets-1)
+	}
+	if b == f.length {
+		return
+	}
+	l.remove(f)
+	if f.length = b; b < 0 {
+		return
+	}
+	if f.next = l.buckets[b]; f.next != nil {
+		f.next.prev = f
+	}
+	l.buckets[b] = f
+	l.used |= 1 << b
+}
+
+func (l *lengths) remove(f *flow) {
+	if f.length < 0 {
+		return
+	}
+	if f.prev != nil {
+		f.prev.next = f.next
+	} else if l.buckets[f.length] = f.next; f.next == nil {
+		l.used &^= 1 << f.length
+	}
+	if f.next != nil {
+		f.next.prev = f.prev
+	}
+	f.prev, f.next = nil, nil
+}
+
+// longest returns a flow of the highest bucket, or nil.
+func (l *lengths) longest() *flow {
+	if l.used == 0 {
+		return nil
+	}
+	return l.buckets[bits.Len32(l.used)-1]
 }
 
 // flowHeap orders flows by virtual time, ties by customer.
--- a/internal/traffic/queue/item.go
+++ b/internal/traffic/queue/item.go
@@ -29,17 +29,16 @@
 	flow    *flow
 	charged float64 // work charged to the flow so far
 	resumed bool    // held a slot before
-	running bool
-	weight  int // victim bucket while running and preemptible, else -1
+	bucket  int     // in the class's victims while preemptible, else -1
 
 	list       *list
 	prev, next *Item
 }
 
-// loss estimates the tokens to compute again if the item loses its slot: the
-// prompt and the output so far are prefilled again. Without output only a
-// part of the prompt is lost.
-func (it *Item) loss() int {
+// Loss estimates the tokens to compute again if the item loses its slot: the
+// prompt and the output so far are prefilled again. An item without output
+// counts as free, because at most a part of its prefill is done.
+func (it *Item) Loss() int {
 	if it.Tokens == 0 {
 		return 0
 	}
@@ -102,25 +101,25 @@
 }
 
 func (v *victims) add(it *Item) {
-	it.weight = min(bits.Len(uint(it.loss())), victimBuckets-1)
-	v.buckets[it.weight].pushBack(it)
-	v.used |= 1 << it.weight
+	it.bucket = min(bits.Len(uint(it.Loss())), victimBuckets-1)
+	v.buckets[it.bucket].pushBack(it)
+	v.used |= 1 << it.bucket
 }
 
 func (v *victims) remove(it *Item) {
-	if it.weight < 0 {
+	if it.bucket < 0 {
 		return
 	}
-	v.buckets[it.weight].remove(it)
-	if v.buckets[it.weight].n == 0 {
-		v.used &^= 1 << it.weight
+	v.buckets[it.bucket].remove(it)
+	if v.buckets[it.bucket].n == 0 {
+		v.used &^= 1 << it.bucket
 	}
-	it.weight = -1
+	it.bucket = -1
 }
 
 // update moves the item after its loss changed.
 func (v *victims) update(it *Item) {
-	if it.weight < 0 || it.weight == min(bits.Len(uint(it.loss())), victimBuckets-1) {
+	if it.bucket < 0 || it.bucket == min(bits.Len(uint(it.Loss())), victimBuckets-1) {
 		return
 	}
 	v.remove(it)
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -6,6 +6,9 @@
 // by predicted work and weight (start-time fair queueing). A request that
 // lost its slot waits at the head of its class. Every operation costs
 // O(classes + log customers).
+//
+// An item moves from Push to Take to Run to Stop, and back with Return if it
+// lost its slot. Remove takes out an item that waits; Settle ends it.
 package queue
 
 import (
@@ -24,19 +27,25 @@
 // comparisons.
 func WithRequestCount() Option { return func(q *Queue) { q.byCount = true } }
 
+// WithArrivalOrder serves each customer's requests in order of arrival even
+// if they missed their target, for comparisons.
+func WithArrivalOrder() Option { return func(q *Queue) { q.arrivalOrder = true } }
+
 // Queue holds the waiting and running requests of one model.
 type Queue struct {
-	noFloors bool
-	byCount  bool
-	classes  []*class // by tier, then by name
-	index    map[quetzalhook.Class]*class
-	waiting  int
-	running  int
-	total    int // slots
-	last     time.Time
+	noFloors     bool
+	byCount      bool
+	arrivalOrder bool
+	classes      []*class // by tier, then by name
+	index        map[quetzalhook.Class]*class
+	virtual      [quetzalhook.TierCount]float64 // served work of the latest start
+	waiting      int
+	running      int
+	slots        int
+	last         time.Time
 }
 
-// MaxPreemptions is how often one request may lose its slot.
+// MaxPreemptions is how often one request may lose its slot to another.
 const MaxPreemptions = 2
 
 // maxFloorSum leaves slots for urgent work if the configured floors add up to
@@ -58,19 +67,40 @@
 // Running returns the number of items that hold a slot.
 func (q *Queue) Running() int { return q.running }
 
-// Advance accounts for the time since the last call; total is the number of
-// slots from now on.
-func (q *Queue) Advance(now time.Time, total int) {
-	if !q.last.IsZero() {
-		if d := now.Sub(q.last).Seconds(); d > 0 {
-			for _, c := range q.classes {
-				c.advance(d)
-			}
+// Advance accounts for the time since the last call. Call it before changes.
+func (q *Queue) Advance(now time.Time) {
+	if d := now.Sub(q.last).Seconds(); d > 0 && !q.last.IsZero() {
+		for _, c := range q.classes {
+			c.advance(d)
 		}
 	}
 	q.last = now
-	if total != q.total {
-		q.total = total
+}
+
+// SetSlots sets the number of slots that floors are shares of.
+func (q *Queue) SetSlots(n int) {
+	if n != q.slots {
+		q.slots = n
+		q.setFloors()
+	}
+}
+
+// Sweep forgets some of the customers without work, and classes that were not
+// used for a window: a changed class definition counts as a new class.
+func (q *Queue) Sweep() {
+	const count = 32 // bounds the cost of one call
+	kept := q.classes[:0]
+	for _, c := range q.classes {
+		c.sweep(count)
+		if len(c.flows) == 0 && c.resumed.n == 0 && q.last.Sub(c.used) > Window {
+			delete(q.index, c.def)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	if len(kept) < len(q.classes) {
+		clear(q.classes[len(kept):])
+		q.classes = kept
 		q.setFloors()
 	}
 }
@@ -89,7 +119,7 @@
 	}
 	for _, c := range q.classes {
 		if !c.def.IsUrgent() {
-			c.floor = c.def.FloorShare() * scale * float64(q.total)
+			c.floor = c.def.FloorShare() * scale * float64(q.slots)
 		}
 	}
 }
@@ -120,115 +150,106 @@
 }
 
 // Push adds a new item to the end of its customer's queue. Weight is the
-// customer's share relative to others of the class.
+// customer's share relative to others of the class. A customer or class that
+// was idle gets no credit for the time without work.
 func (q *Queue) Push(it *Item, weight float64) {
 	c := q.class(it.Request.Class)
-	f := c.flow(it.Request.Customer, weight)
-	if f.waiting.n == 0 {
+	f := c.flow(it.Request.Customer)
+	f.weight = weight
+	if f.waiting() == 0 {
 		f.virtual = max(f.virtual, c.virtual)
 	}
-	it.class, it.flow, it.weight = c, f, -1
-	f.waiting.pushBack(it)
-	c.waiting++
-	q.waiting++
-	c.enlist(f)
+	if q.arrivalOrder {
+		it.Deadline = time.Time{}
+	}
+	it.class, it.flow, it.bucket = c, f, -1
+	q.wait(c)
+	f.items++
+	f.fresh.pushBack(it)
+	c.changed(f)
 }
 
 // Return puts an item that lost its slot at the head of its class.
 func (q *Queue) Return(it *Item) {
+	q.wait(it.class)
 	it.resumed = true
 	it.class.resumed.pushFront(it)
-	it.class.waiting++
+}
+
+func (q *Queue) wait(c *class) {
+	if !c.eligible() {
+		c.served = max(c.served, q.virtual[c.def.Tier()])
+	}
+	c.used = q.last
+	c.waiting++
 	q.waiting++
 }
 
 // Remove takes a waiting item out.
 func (q *Queue) Remove(it *Item) {
-	c, f := it.class, it.flow
 	it.list.remove(it)
-	c.waiting--
+	it.class.waiting--
 	q.waiting--
-	if f.waiting.n == 0 && f.position >= 0 {
-		c.ready.remove(f)
-	}
-	if it.charged > 0 || f.running > 0 || f.waiting.n > 0 {
-		return
-	}
-	q.forget(f)
+	it.class.changed(it.flow)
 }
 
-// forget drops an idle flow that has no advantage over a new one.
-func (q *Queue) forget(f *flow) {
-	if f.running == 0 && f.waiting.n == 0 && f.virtual <= f.class.virtual {
-		delete(f.class.flows, f.customer)
+// Backlog returns the number of waiting items of the same class and customer.
+func (q *Queue) Backlog(r quetzalhook.Request) int {
+	if c := q.index[r.Class]; c != nil {
+		if f := c.flows[r.Customer]; f != nil {
+			return f.waiting()
+		}
 	}
+	return 0
 }
 
-// Next returns the item to start next, or nil: the class with the largest
-// relative deficit, else the first tier with work.
-func (q *Queue) Next() *Item {
-	if it := q.NextFloor(); it != nil {
-		return it
-	}
-	return q.NextStrict()
+// Park keeps the new items of the item's customer and class from starting
+// until Unpark.
+func (q *Queue) Park(it *Item) {
+	it.flow.parked = true
+	it.class.changed(it.flow)
 }
 
-// NextFloor returns the next item of the class that is furthest below its
-// floor, or nil.
-func (q *Queue) NextFloor() *Item {
-	if q.noFloors {
-		return nil
-	}
-	if c := q.neediest(); c != nil && c.deficit > 0 {
-		return c.head()
-	}
-	return nil
+// Unpark reverses Park.
+func (q *Queue) Unpark(it *Item) {
+	it.flow.parked = false
+	it.class.changed(it.flow)
 }
 
-func (q *Queue) neediest() *class {
-	var best *class
-	for _, c := range q.classes {
-		if c.floor > 0 && c.eligible() &&
-			(best == nil || c.deficit/c.floor > best.deficit/best.floor) {
-			best = c
-		}
+// Take removes a waiting item that is about to get a slot, and charges its
+// work to its customer.
+func (q *Queue) Take(it *Item) {
+	c, f := it.class, it.flow
+	q.virtual[c.def.Tier()] = c.served
+	if !it.resumed {
+		c.virtual = max(c.virtual, f.virtual)
+		f.starts++
+		q.charge(it, it.Work)
 	}
-	return best
+	q.Remove(it)
 }
 
-// NextStrict returns the next item by tier only. Classes of one tier share by
-// work.
-func (q *Queue) NextStrict() *Item {
-	var best *class
-	for _, c := range q.classes {
-		if best != nil && c.def.Tier() != best.def.Tier() {
-			break
-		}
-		if c.eligible() && (best == nil || c.served < best.served) {
-			best = c
+// charge adds work to the customer's virtual time. A resumed item was charged
+// before.
+func (q *Queue) charge(it *Item, work float64) {
+	cost := work
+	if q.byCount {
+		cost = 0
+		if it.charged == 0 {
+			cost = 1
 		}
 	}
-	if best == nil {
-		return nil
+	it.charged += work
+	it.class.served += cost
+	it.flow.virtual += cost / it.flow.weight
+	if it.flow.position >= 0 {
+		it.class.ready.fix(it.flow.position)
 	}
-	return best.head()
 }
 
-// Start moves a waiting item to a slot and charges its work to its customer.
-func (q *Queue) Start(it *Item) {
-	c, f := it.class, it.flow
-	it.list.remove(it)
-	c.waiting--
-	q.waiting--
-	if !it.resumed {
-		c.virtual = max(c.virtual, f.virtual)
-		q.charge(it, it.Work)
-		if f.waiting.n == 0 && f.position >= 0 {
-			c.ready.remove(f)
-		}
-	}
-	it.running = true
-	f.running++
+// Run counts a taken item as running.
+func (q *Queue) Run(it *Item) {
+	c := it.class
 	c.running++
 	q.running++
 	if it.Request.Repeatable && it.Preemptions < MaxPreemptions && !c.def.IsUrgent() {
@@ -236,67 +257,32 @@
 	}
 }
 
-// charge adds work to the customer's virtual time.
-func (q *Queue) charge(it *Item, work float64) {
-	f := it.flow
-	it.charged += work
-	it.class.served += work
-	if q.byCount {
-		work = 0
-		if it.charged == work || !it.running {
-			work = 1
-		}
-	}
-	f.virtual += work / f.weight
-	if f.position >= 0 {
-		it.class.ready.fix(f.position)
-	}
-}
-
-// Progress records the output so far and the corrected prediction of all work.
-func (q *Queue) Progress(it *Item, tokens int, work float64) {
+// Progress records the output of a running item so far.
+func (q *Queue) Progress(it *Item, tokens int) {
 	it.Tokens = tokens
 	it.class.victims.update(it)
-	if work != it.Work {
-		it.Work = work
-		q.charge(it, work-it.charged)
-	}
 }
 
-// Stop takes a running item off its slot's accounts; the caller forgets it
+// Correct replaces the predicted work of a taken item.
+func (q *Queue) Correct(it *Item, work float64) {
+	it.Work = work
+	q.charge(it, work-it.charged)
+}
+
+// Stop takes a running item off the accounts of its slot. The caller settles
 // or returns it.
 func (q *Queue) Stop(it *Item) {
 	it.class.victims.remove(it)
-	it.running = false
-	it.flow.running--
 	it.class.running--
 	q.running--
-	q.forget(it.flow)
 }
 
-// Victim returns the running item that gives up its slot for an item of the
-// given tier, or nil: the lowest tier first, then the least loss. Classes at
-// their floor lose none.
-func (q *Queue) Victim(tier quetzalhook.Tier) *Item {
-	for i := len(q.classes) - 1; i >= 0; i-- {
-		c := q.classes[i]
-		if c.def.Tier() <= tier {
-			return nil
-		}
-		if it := c.victims.least(); it != nil && (q.noFloors || c.mayLose()) {
-			return it
-		}
-	}
-	return nil
-}
-
-// WaitingIn returns the number of waiting items of a tier.
-func (q *Queue) WaitingIn(tier quetzalhook.Tier) int {
-	n := 0
-	for _, c := range q.classes {
-		if c.def.Tier() == tier {
-			n += c.waiting
-		}
+// Settle forgets an item that is neither waiting nor running, and corrects
+// its charge to the work that it caused.
+func (q *Queue) Settle(it *Item, work float64) {
+	if it.charged > 0 {
+		q.Correct(it, work)
 	}
-	return n
+	it.flow.items--
+	it.class.changed(it.flow)
 }
