--- /dev/null
+++ b/internal/fleet/lease/error.go
@@ -0,0 +1,69 @@
+package lease
+
+import (
+	"github.com/pkg/errors"
+
+	"quetzalhook"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+const (
+	// KindNotHolder reports that another host holds the role, or nobody.
+	KindNotHolder Kind = "not-holder"
+	// KindBlocked reports an open intent that forbids a new order to the
+	// target. Nothing was sent.
+	KindBlocked Kind = "blocked"
+	// KindStore reports that the store failed before the send. Nothing was sent.
+	KindStore Kind = "store"
+	// KindSend reports that the receiver failed or that its answer was lost.
+	KindSend Kind = "send"
+	// KindClosed reports a call after Close.
+	KindClosed Kind = "closed"
+	// KindUnknownIntent reports an identifier that no open intent has.
+	KindUnknownIntent Kind = "unknown-intent"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Role string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	s := "lease " + e.Op + " " + e.Role + ": " + string(e.Kind)
+	if e.Err != nil {
+		s += ": " + e.Err.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// IsKind reports whether err is an *Error of the given kind.
+func IsKind(err error, kind Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == kind
+}
+
+func (l *Lease) fail(op string, kind Kind, err error) error {
+	return &Error{Op: op, Role: l.role, Kind: kind, Err: err}
+}
+
+// storeKind returns the kind of a store error. Errors without a kind count as
+// a lost answer, the case that assumes least.
+func storeKind(err error) quetzalhook.StoreErrorKind {
+	if err == nil {
+		return ""
+	}
+	var e *quetzalhook.StoreError
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return quetzalhook.StoreUnknown
+}
--- a/internal/platform/memory/fault.go
+++ b/internal/platform/memory/fault.go
@@ -18,8 +18,13 @@
 	// LoseAnswers is the number of further changes whose answer is lost after
 	// the effect.
 	LoseAnswers int
-	// LosePrefix restricts LoseAnswers to keys with this prefix.
+	// LosePrefix restricts LoseAnswers and LateChanges to keys with this prefix.
 	LosePrefix string
+	// LateChanges is the number of further changes whose answer is lost at
+	// once and that are tried only LateBy later.
+	LateChanges int
+	// LateBy is the delay of LateChanges.
+	LateBy time.Duration
 	// StaleReads makes reads return the state from when it was switched on.
 	StaleReads bool
 	// SilentWatches makes open and new watches deliver nothing.
@@ -76,3 +81,20 @@
 	s.faults.LoseAnswers--
 	return storeError(op, key, quetzalhook.StoreUnknown)
 }
+
+// postpone takes a change that is to be tried later and reports whether it
+// did. A postponed change keeps its base version and may fail unseen.
+func (s *Store) postpone(o quetzalhook.Object, base quetzalhook.Version) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LateChanges <= 0 || !strings.HasPrefix(o.Key, s.faults.LosePrefix) {
+		return false
+	}
+	s.faults.LateChanges--
+	time.AfterFunc(s.faults.LateBy, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		_, _ = s.apply(o, base) // nobody waits for the answer
+	})
+	return true
+}
--- a/internal/platform/memory/memory.go
+++ b/internal/platform/memory/memory.go
@@ -99,15 +99,24 @@
 	if err := s.before(ctx, op, o.Key, true); err != nil {
 		return 0, err
 	}
+	if s.postpone(o, base) {
+		return 0, storeError(op, o.Key, quetzalhook.StoreUnknown)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	version, err := s.apply(o, base)
+	return version, s.answer(op, o.Key, err)
+}
+
+// apply makes a conditional change. The caller holds s.mu.
+func (s *Store) apply(o quetzalhook.Object, base quetzalhook.Version) (quetzalhook.Version, error) {
 	s.counts.Writes++
 	current, ok := s.objects[o.Key]
 	switch {
-	case op == "delete" && !ok:
-		return 0, storeError(op, o.Key, quetzalhook.StoreNotFound)
+	case o.Deleted && !ok:
+		return 0, storeError("delete", o.Key, quetzalhook.StoreNotFound)
 	case current.Version != base:
-		return 0, s.answer(op, o.Key, storeError(op, o.Key, quetzalhook.StoreConflict))
+		return 0, storeError("change", o.Key, quetzalhook.StoreConflict)
 	}
 	s.version++
 	o.Version = s.version
@@ -118,7 +127,7 @@
 	}
 	s.history = append(s.history, o)
 	s.notify(o)
-	return o.Version, s.answer(op, o.Key, nil)
+	return o.Version, nil
 }
 
 // readable returns the objects that reads see.
