Measure the latency that a host adds; list the platform's upstreams

load compare sends the same question to an engine directly and through a host in turns. load run is the former load command. The client counts broken requests by host for graceful-stop. cloud.Upstreams is a new accessor. The unchecked Close of a watch in cloud failed errcheck.

--- /dev/null
+++ b/cmd/load/compare.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/urfave/cli/v3"
+
+	"quetzalhook/internal/bench/client"
+)
+
+func compareCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "compare",
+		Usage: "measure the latency that a host adds, against going to an engine directly",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "engine", Required: true, Usage: "`ADDRESS` of an engine", Sources: cli.EnvVars("LOAD_ENGINE")},
+			&cli.StringFlag{Name: "host", Required: true, Usage: "`ADDRESS` of an entry host", Sources: cli.EnvVars("LOAD_HOST")},
+			&cli.StringFlag{Name: "key", Required: true, Usage: "`KEY` of a customer", Sources: cli.EnvVars("LOAD_KEY")},
+			&cli.StringFlag{Name: "model", Value: "rules-7b", Usage: "`MODEL` to ask", Sources: cli.EnvVars("LOAD_MODEL")},
+			&cli.StringFlag{Name: "class", Value: "permit-question", Usage: "request `CLASS`", Sources: cli.EnvVars("LOAD_CLASS")},
+			&cli.IntFlag{Name: "requests", Value: 500, Usage: "`NUMBER` of pairs of requests", Sources: cli.EnvVars("LOAD_REQUESTS")},
+			&cli.IntFlag{Name: "tokens", Value: 20, Usage: "`NUMBER` of tokens of each answer", Sources: cli.EnvVars("LOAD_TOKENS")},
+		},
+		Action: compare,
+	}
+}
+
+func compare(ctx context.Context, cmd *cli.Command) error {
+	direct, routed, err := client.Comparison{
+		Engine: cmd.String("engine"), Host: cmd.String("host"), Key: cmd.String("key"), Model: cmd.String("model"),
+		Class: cmd.String("class"), Requests: cmd.Int("requests"), Tokens: cmd.Int("tokens"),
+	}.Run(ctx)
+	if err != nil {
+		return err
+	}
+	w := cmd.Root().Writer
+	row := func(name string, a, b *hdrhistogram.Histogram) {
+		for _, q := range []float64{50, 99} {
+			d, r := a.ValueAtQuantile(q), b.ValueAtQuantile(q)
+			fmt.Fprintf(w, "%s p%.0f: direct %d µs, through the host %d µs, added %d µs\n", name, q, d, r, r-d)
+		}
+	}
+	row("first token", direct.FirstToken, routed.FirstToken)
+	row("whole answer", direct.Total, routed.Total)
+	return nil
+}
--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -1,5 +1,6 @@
 // Command load sends the reference workloads to entry hosts, open loop, and
-// prints the measures by class and customer.
+// prints the measures by class and customer. It also measures the latency
+// that a host adds.
 package main
 
 import (
@@ -36,7 +37,15 @@
 
 func command() *cli.Command {
 	return &cli.Command{
-		Name:  "load",
+		Name:     "load",
+		Usage:    "send load to entry hosts and measure",
+		Commands: []*cli.Command{runCommand(), compareCommand()},
+	}
+}
+
+func runCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "run",
 		Usage: "send the reference workloads and print the measures",
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{
--- a/internal/bench/client/client.go
+++ b/internal/bench/client/client.go
@@ -65,6 +65,7 @@
 	orders   []order
 	refusals []string // request ids refused as not run
 	errors   map[string]int
+	broken   map[string]int // by host
 }
 
 // order is what the caller knows of one call that may not be repeated.
@@ -83,6 +84,7 @@
 	}
 	return &Client{
 		settings: s, http: c, directory: newDirectory(c, s.Hosts), errors: make(map[string]int),
+		broken: make(map[string]int),
 	}
 }
 
@@ -155,6 +157,25 @@
 	return counts
 }
 
+// Broken returns the number of requests that got no answer or a part of one
+// from each host address.
+func (c *Client) Broken() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := make(map[string]int, len(c.broken))
+	for k, n := range c.broken {
+		counts[k] = n
+	}
+	return counts
+}
+
+func (c *Client) countBroken(host string) {
+	c.directory.fail(host)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broken[host]++
+}
+
 func (c *Client) countError(kind string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/bench/client/request.go
+++ b/internal/bench/client/request.go
@@ -83,12 +83,12 @@
 		case endUnknown, endBroken:
 			r.broken = r.broken || end == endBroken
 			breaks++
+			if end == endBroken && ctx.Err() == nil {
+				c.countBroken(host)
+			}
 			if end == endUnknown && !r.arrival.Class.IsRepeatable() || breaks >= maxAttempts || ctx.Err() != nil {
 				return measure.Unknown
 			}
-			if end == endBroken {
-				c.directory.fail(host)
-			}
 		}
 	}
 }
--- a/internal/standin/cloud/cloud.go
+++ b/internal/standin/cloud/cloud.go
@@ -115,6 +115,13 @@
 	return false
 }
 
+// Upstreams returns the platform's list of upstreams.
+func (c *Cloud) Upstreams() []quetzalhook.Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]quetzalhook.Upstream(nil), c.upstreams...)
+}
+
 // SetHosts replaces the list of hosts.
 func (c *Cloud) SetHosts(hosts []object.HostItem) {
 	c.mu.Lock()
--- a/internal/standin/cloud/handlers.go
+++ b/internal/standin/cloud/handlers.go
@@ -91,7 +91,7 @@
 		writeError(w, err)
 		return
 	}
-	defer watch.Close()
+	defer func() { _ = watch.Close() }()
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	w.WriteHeader(http.StatusOK)
 	flusher := http.NewResponseController(w)
