--- /dev/null
+++ b/cmd/quetzalhook/serve.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"quetzalhook/internal/entry/node"
+	"quetzalhook/internal/entry/setting"
+)
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run an entry host until it is told to stop; every request in progress is finished first",
+		Flags: setting.Flags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return serve(ctx, setting.FromCommand(cmd), cmd.String("log-level"))
+		},
+	}
+}
+
+func serve(ctx context.Context, settings setting.Settings, level string) error {
+	log := logrus.New()
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return errors.Errorf("--log-level %q is not debug, info, warn or error", level)
+	}
+	log.SetLevel(parsed)
+	n, err := node.New(settings, log)
+	if err != nil {
+		return err
+	}
+	if err := n.Start(ctx); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	stopping := context.WithoutCancel(ctx)
+	if settings.StopTimeout > 0 {
+		var cancel context.CancelFunc
+		stopping, cancel = context.WithTimeout(stopping, settings.StopTimeout)
+		defer cancel()
+	}
+	return n.Stop(stopping)
+}
--- /dev/null
+++ b/internal/entry/operator/operator.go
@@ -0,0 +1,226 @@
+// Package operator serves operators over HTTP: plans and confirmations of
+// configurations, keys, and the state of the whole system.
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"quetzalhook"
+	"quetzalhook/internal/record/configuration"
+)
+
+// maxDocument bounds a configuration document in bytes.
+const maxDocument = 64 << 20
+
+// Planner makes and confirms plans of configurations.
+type Planner interface {
+	Plan(ctx context.Context, d *configuration.Document) (configuration.Plan, error)
+	Confirm(ctx context.Context, id string) (int64, error)
+}
+
+// Keys issues and withdraws keys.
+type Keys interface {
+	// Issue returns a new key of the customer. The secret is not kept.
+	Issue(ctx context.Context, customer quetzalhook.CustomerID) (id quetzalhook.KeyID, secret string, err error)
+	// Withdraw withdraws a key; it returns when other hosts know of it or the
+	// store has it.
+	Withdraw(ctx context.Context, id quetzalhook.KeyID) error
+}
+
+// Deps are what a Server needs.
+type Deps struct {
+	Key      string // the operator's key
+	Planner  Planner
+	Keys     Keys
+	Document func() *configuration.Document
+	Status   func(ctx context.Context) Status
+	// Settle records that the process that wrote an open intent sends nothing
+	// more.
+	Settle func(ctx context.Context, role, intent string) error
+	Vars   http.Handler
+}
+
+// Server is the operators' HTTP interface.
+type Server struct {
+	deps Deps
+	mux  *http.ServeMux
+}
+
+// New returns a server.
+func New(deps Deps) *Server {
+	s := &Server{deps: deps, mux: http.NewServeMux()}
+	s.mux.HandleFunc("POST /operator/plans", s.plan)
+	s.mux.HandleFunc("POST /operator/plans/{id}/confirm", s.confirm)
+	s.mux.HandleFunc("POST /operator/keys", s.issue)
+	s.mux.HandleFunc("POST /operator/keys/{id}/withdraw", s.withdraw)
+	s.mux.HandleFunc("POST /operator/roles/{role}/intents/{id}/settle", s.settle)
+	s.mux.HandleFunc("GET /operator/status", s.status)
+	s.mux.Handle("GET /debug/vars", deps.Vars)
+	return s
+}
+
+// ServeHTTP implements http.Handler. Every path needs the operator's key.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if subtle.ConstantTimeCompare([]byte(key), []byte(s.deps.Key)) != 1 {
+		writeError(w, http.StatusUnauthorized, "operator-key", errors.New("the operator key is missing or wrong"))
+		return
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// PlanBody is the answer to a plan.
+type PlanBody struct {
+	ID         string   `json:"id"`
+	Base       int64    `json:"base"`
+	Difference []string `json:"difference"`
+}
+
+// ConfirmBody is the answer to a confirmation.
+type ConfirmBody struct {
+	Version int64 `json:"version"`
+}
+
+// KeyRequest asks for a key.
+type KeyRequest struct {
+	Customer quetzalhook.CustomerID `json:"customer"`
+}
+
+// KeyBody is the answer to the issue of a key.
+type KeyBody struct {
+	ID       quetzalhook.KeyID      `json:"id"`
+	Customer quetzalhook.CustomerID `json:"customer"`
+	Secret   string                 `json:"secret"`
+}
+
+// ErrorBody is the JSON body of a failure.
+type ErrorBody struct {
+	Kind     string   `json:"kind"`
+	Message  string   `json:"message"`
+	Mistakes []string `json:"mistakes,omitempty"`
+}
+
+func (s *Server) plan(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDocument))
+	if err != nil {
+		writeError(w, http.StatusRequestEntityTooLarge, "document-too-large", err)
+		return
+	}
+	doc, err := configuration.Parse(data)
+	if err != nil {
+		writeError(w, http.StatusUnprocessableEntity, "document-invalid", err)
+		return
+	}
+	plan, err := s.deps.Planner.Plan(r.Context(), doc)
+	if err != nil {
+		writeError(w, statusOf(err), kindOf(err), err)
+		return
+	}
+	writeJSON(w, http.StatusCreated, PlanBody{ID: plan.ID, Base: plan.Base, Difference: plan.Difference})
+}
+
+func (s *Server) confirm(w http.ResponseWriter, r *http.Request) {
+	version, err := s.deps.Planner.Confirm(r.Context(), r.PathValue("id"))
+	if err != nil {
+		writeError(w, statusOf(err), kindOf(err), err)
+		return
+	}
+	writeJSON(w, http.StatusOK, ConfirmBody{Version: version})
+}
+
+func (s *Server) issue(w http.ResponseWriter, r *http.Request) {
+	var req KeyRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxDocument)).Decode(&req); err != nil {
+		writeError(w, http.StatusBadRequest, "bad-request", err)
+		return
+	}
+	if doc := s.deps.Document(); doc != nil {
+		if _, ok := doc.Customer(req.Customer); !ok {
+			writeError(w, http.StatusNotFound, "unknown-customer", errors.Errorf("customer %q is not in the configuration in force", req.Customer))
+			return
+		}
+	}
+	id, secret, err := s.deps.Keys.Issue(r.Context(), req.Customer)
+	if err != nil {
+		writeError(w, statusOf(err), kindOf(err), err)
+		return
+	}
+	writeJSON(w, http.StatusCreated, KeyBody{ID: id, Customer: req.Customer, Secret: secret})
+}
+
+func (s *Server) withdraw(w http.ResponseWriter, r *http.Request) {
+	if err := s.deps.Keys.Withdraw(r.Context(), quetzalhook.KeyID(r.PathValue("id"))); err != nil {
+		writeError(w, statusOf(err), kindOf(err), err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) settle(w http.ResponseWriter, r *http.Request) {
+	if err := s.deps.Settle(r.Context(), r.PathValue("role"), r.PathValue("id")); err != nil {
+		writeError(w, statusOf(err), kindOf(err), err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, s.deps.Status(r.Context()))
+}
+
+// storeKind returns the store's reason for a failure, if it has one.
+func storeKind(err error) quetzalhook.StoreErrorKind {
+	var e *quetzalhook.StoreError
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
+
+func kindOf(err error) string {
+	var e *configuration.Error
+	if errors.As(err, &e) {
+		return string(e.Kind)
+	}
+	if kind := storeKind(err); kind != "" {
+		return string(kind)
+	}
+	return "internal"
+}
+
+var statusByKind = map[string]int{
+	string(configuration.ErrorConflict):  http.StatusConflict,
+	string(configuration.ErrorInvalid):   http.StatusUnprocessableEntity,
+	string(quetzalhook.StoreNotFound):    http.StatusNotFound,
+	string(quetzalhook.StoreUnavailable): http.StatusServiceUnavailable,
+	string(quetzalhook.StoreRateLimited): http.StatusServiceUnavailable,
+}
+
+func statusOf(err error) int {
+	if status, ok := statusByKind[kindOf(err)]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+func writeError(w http.ResponseWriter, status int, kind string, err error) {
+	body := ErrorBody{Kind: kind, Message: err.Error()}
+	var mistakes interface{ Mistakes() []string }
+	if errors.As(err, &mistakes) {
+		body.Mistakes = mistakes.Mistakes()
+	}
+	writeJSON(w, status, body)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/fleet/lease/state.go
@@ -0,0 +1,27 @@
+package lease
+
+import (
+	"context"
+
+	"quetzalhook"
+)
+
+// State is what the store shows of a role.
+type State struct {
+	Holder  quetzalhook.HostID // empty if nobody holds the role
+	Fencing uint64
+	Open    []Intent
+}
+
+// Read returns the state of a role without competing for it.
+func Read(ctx context.Context, store quetzalhook.Store, role string) (State, error) {
+	o, err := store.Get(ctx, "lease/"+role)
+	if err != nil {
+		return State{}, &Error{Op: "read", Role: role, Kind: KindStore, Err: err}
+	}
+	d, err := decode(o.Value)
+	if err != nil {
+		return State{}, &Error{Op: "read", Role: role, Kind: KindStore, Err: err}
+	}
+	return State{Holder: d.Holder, Fencing: d.Fencing, Open: d.Intents}, nil
+}
