--- a/internal/bench/trial/workload.go
+++ b/internal/bench/trial/workload.go
@@ -38,7 +38,10 @@
 	kinds []kind
 }
 
-const model = quetzalhook.Model("general")
+const (
+	model        = quetzalhook.Model("general")
+	urgentTarget = 500 * time.Millisecond
+)
 
 // Association returns the workload of the balloon sellers' association.
 func Association() Workload {
@@ -46,7 +49,7 @@
 		Name: "association", Regions: []quetzalhook.Region{"ljubljana", "maribor", "koper"}, Cheap: 2,
 		kinds: []kind{
 			{
-				class: quetzalhook.NewClass("permit-question", 0, quetzalhook.WithTTFTTarget(500*time.Millisecond),
+				class: quetzalhook.NewClass("permit-question", 0, quetzalhook.WithTTFTTarget(urgentTarget), quetzalhook.WithLateWorthless(),
 					quetzalhook.WithGapTarget(60*time.Millisecond)),
 				repeatable: true, share: 0.20, promptMin: 200, promptMax: 600, shared: 256, topics: 4, step: 128,
 				output: 80, spread: 0.4, maxOutput: 300,
@@ -77,7 +80,7 @@
 		Name: "foundry", Regions: []quetzalhook.Region{"addis", "mekelle", "hawassa"}, Cheap: 3,
 		kinds: []kind{
 			{
-				class: quetzalhook.NewClass("defect-question", 0, quetzalhook.WithTTFTTarget(800*time.Millisecond),
+				class: quetzalhook.NewClass("defect-question", 0, quetzalhook.WithTTFTTarget(urgentTarget), quetzalhook.WithLateWorthless(),
 					quetzalhook.WithGapTarget(60*time.Millisecond)),
 				repeatable: true, share: 0.12, promptMin: 300, promptMax: 900, shared: 256, topics: 6, step: 128,
 				output: 110, spread: 0.4, maxOutput: 400,
