--- a/internal/traffic/placement/cost.go
+++ b/internal/traffic/placement/cost.go
@@ -122,7 +122,7 @@
 	speed := max(p.speed(now, u), 0.02)
 	t := 2*u.Distance.Seconds() + p.queue(now, u)/speed
 	if u.PrefillRate > 0 {
-		t += max(float64(r.PromptTokens)-found.on(u), 1) / (u.PrefillRate * speed)
+		t += (u.prefilling + max(float64(r.PromptTokens)-found.on(u), 1)) / (u.PrefillRate * speed)
 	}
 	if u.TokenRate > 0 {
 		t += 1 / (u.TokenRate * speed)
--- a/internal/traffic/placement/planner.go
+++ b/internal/traffic/placement/planner.go
@@ -102,6 +102,13 @@
 type stream struct {
 	upstream *upstream
 	health   *health.Stream
+	fresh    float64 // prompt tokens to compute before the first token
+}
+
+// prefilled records that the prompt is computed, or not needed any more.
+func (s *stream) prefilled() {
+	s.upstream.prefilling -= s.fresh
+	s.fresh = 0
 }
 
 // New returns a planner without upstreams.
@@ -218,11 +225,14 @@
 	if old := p.streams[r.ID]; old != nil {
 		p.finish(now, r.ID, old, quetzalhook.EndCancelled)
 	}
-	s := &stream{upstream: u}
+	found := p.prefixes.lookup(r.Prefixes, r.PrefixTokens)
+	s := &stream{upstream: u, fresh: max(float64(r.PromptTokens)-found.on(u), 0)}
 	if u.target != nil {
-		s.health = p.monitor.Started(now, u.target, p.FirstToken(now, r, id))
+		expect := p.firstToken(now, r, u, &found)
+		s.health = p.monitor.Started(now, u.target, time.Duration(expect*float64(time.Second)))
 	}
 	u.own++
+	u.prefilling += s.fresh
 	p.streams[r.ID] = s
 	for _, h := range r.Prefixes {
 		p.prefixes.add(h, u)
@@ -232,7 +242,12 @@
 
 // Progress implements quetzalhook.Placer.
 func (p *Planner) Progress(now time.Time, id quetzalhook.RequestID, n int) {
-	if s := p.streams[id]; s != nil && s.health != nil {
+	s := p.streams[id]
+	if s == nil || n <= 0 {
+		return
+	}
+	s.prefilled()
+	if s.health != nil {
 		p.monitor.Progress(now, s.health, n)
 	}
 }
@@ -246,6 +261,7 @@
 
 func (p *Planner) finish(now time.Time, id quetzalhook.RequestID, s *stream, end quetzalhook.End) {
 	delete(p.streams, id)
+	s.prefilled()
 	s.upstream.own--
 	if s.health != nil {
 		p.monitor.Ended(now, s.health, end)
--- a/internal/traffic/placement/upstream.go
+++ b/internal/traffic/placement/upstream.go
@@ -26,6 +26,9 @@
 	own   int // this host's requests in flight
 	peers int // requests in flight by gossip
 	share int // this host's slots
+	// prefilling counts the prompt tokens of this host's requests that have no
+	// token yet; an engine computes prompts one after the other.
+	prefilling float64
 
 	leaving    bool // by load report
 	reported   int  // running and waiting by the last report
