Test health with scripts and random faults

A probe that finishes returns the upstream; the comparison with the median in the same place was dead code, as Check judges every 50 ms, and is gone.

--- a/internal/traffic/health/health.go
+++ b/internal/traffic/health/health.go
@@ -290,27 +290,20 @@
 	delete(t.streams, s)
 	switch end {
 	case quetzalhook.EndFinished:
-		m.succeed(now, s)
+		m.succeed(t)
 	case quetzalhook.EndBroken, quetzalhook.EndNotSent:
 		m.fail(now, t)
 	}
 }
 
-func (m *Monitor) succeed(now time.Time, s *Stream) {
-	t := s.target
+func (m *Monitor) succeed(t *Target) {
 	t.failures = 0
-	slow := m.isSlow(now, t)
-	if t.state == Suspect && !slow {
+	switch t.state {
+	case Suspect:
 		t.state = Healthy
+	case Probing:
+		m.restore(t)
 	}
-	if t.state != Probing {
-		return
-	}
-	if slow {
-		m.eject(now, t)
-		return
-	}
-	m.restore(t)
 }
 
 func (m *Monitor) restore(t *Target) {
--- /dev/null
+++ b/internal/traffic/health/health_test.go
@@ -0,0 +1,184 @@
+package health
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"quetzalhook"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TestMain fixes the seed; -rapid.seed and -rapid.checks run others and more.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+// bench drives a monitor over engines in one zone.
+type bench struct {
+	m       *Monitor
+	now     time.Time
+	streams map[string]*Stream
+	tokens  map[string]float64
+}
+
+func newBench(n int) *bench {
+	b := &bench{m: New(), now: epoch, streams: map[string]*Stream{}, tokens: map[string]float64{}}
+	var list []quetzalhook.Upstream
+	for i := range n {
+		list = append(list, quetzalhook.Upstream{
+			ID: quetzalhook.UpstreamID(fmt.Sprintf("e%d", i)), Zone: "z", Models: []quetzalhook.Model{"m"}, TokenRate: 50,
+		})
+	}
+	b.m.SetUpstreams(list)
+	return b
+}
+
+// run advances the time by 50 ms steps; rate gives tokens/s of the streams on
+// each engine.
+func (b *bench) run(d time.Duration, rate func(engine string) float64) {
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now = b.now.Add(50 * time.Millisecond)
+		for name, s := range b.streams {
+			b.tokens[name] += 0.05 * rate(string(s.target.id))
+			b.m.Progress(b.now, s, int(b.tokens[name]))
+		}
+		b.m.Check(b.now)
+	}
+}
+
+func (b *bench) start(name, engine string) {
+	b.streams[name] = b.m.Started(b.now, b.m.Target(quetzalhook.UpstreamID(engine)), 100*time.Millisecond)
+	b.tokens[name] = 0
+}
+
+func (b *bench) end(name string, end quetzalhook.End) {
+	b.m.Ended(b.now, b.streams[name], end)
+	delete(b.streams, name)
+}
+
+func (b *bench) states() string {
+	names := map[State]string{Healthy: "healthy", Suspect: "suspect", Ejected: "ejected", Probing: "probing"}
+	var out strings.Builder
+	for _, t := range b.m.order {
+		fmt.Fprintf(&out, "%s %s limit=%d\n", t.id, names[t.State()], min(t.Limit(), 99))
+	}
+	return out.String()
+}
+
+// TestScripts guards ejection and return; the scripts name the case.
+func TestScripts(t *testing.T) {
+	ends := map[string]quetzalhook.End{
+		"finished": quetzalhook.EndFinished, "broken": quetzalhook.EndBroken, "not-sent": quetzalhook.EndNotSent,
+		"cancelled": quetzalhook.EndCancelled,
+	}
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		var b *bench
+		slow := map[string]float64{}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "engines":
+				var n int
+				d.ScanArgs(t, "n", &n)
+				b = newBench(n)
+			case "start", "end":
+				var name, on, how string
+				d.ScanArgs(t, "stream", &name)
+				if d.Cmd == "start" {
+					d.ScanArgs(t, "on", &on)
+					b.start(name, on)
+				} else {
+					d.ScanArgs(t, "how", &how)
+					b.end(name, ends[how])
+				}
+			case "rate":
+				var on string
+				var tokens int
+				d.ScanArgs(t, "on", &on)
+				d.ScanArgs(t, "tokens", &tokens)
+				slow[on] = float64(tokens)
+			case "run":
+				var ms int
+				d.ScanArgs(t, "ms", &ms)
+				b.run(time.Duration(ms)*time.Millisecond, func(e string) float64 {
+					if r, ok := slow[e]; ok {
+						return r
+					}
+					return 50
+				})
+				return b.states()
+			default:
+				t.Fatalf("command %q does not exist", d.Cmd)
+			}
+			return ""
+		})
+	})
+}
+
+// TestEjectedUnderCap guards against a monitor that ejects more than the cap
+// allows, whatever happens to the upstreams, and against probes of more than
+// one request.
+func TestEjectedUnderCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(t, "engines")
+		b := newBench(n)
+		rates := map[string]float64{}
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			e := fmt.Sprintf("e%d", rapid.IntRange(0, n-1).Draw(t, "engine"))
+			target := b.m.Target(quetzalhook.UpstreamID(e))
+			if target.Running() < target.Limit() {
+				b.start(fmt.Sprint("s", step), e)
+			}
+			if name := fmt.Sprint("s", rapid.IntRange(0, step).Draw(t, "ends")); b.streams[name] != nil {
+				b.end(name, quetzalhook.End(rapid.IntRange(1, 5).Draw(t, "end")))
+			}
+			rates[e] = rapid.SampledFrom([]float64{0, 5, 50}).Draw(t, "rate")
+			b.run(time.Duration(rapid.IntRange(50, 4000).Draw(t, "ms"))*time.Millisecond, func(e string) float64 { return rates[e] })
+			out := 0
+			for _, o := range b.m.order {
+				if o.State() == Ejected || o.State() == Probing {
+					out++
+				}
+			}
+			if _, limit := b.m.Out("e0"); out > limit || limit > max(n/2, 1) {
+				t.Fatalf("ejected: got %d of %d, want at most %d", out, n, limit)
+			}
+		}
+	})
+}
+
+// TestBudget guards against retries that multiply the load of a failing
+// fleet.
+func TestBudget(t *testing.T) {
+	b := NewBudget(0.1, 2)
+	for i := range 100 {
+		b.Record(epoch.Add(time.Duration(i) * 50 * time.Millisecond))
+	}
+	now := epoch.Add(5 * time.Second)
+	got := 0
+	for range 100 {
+		if b.Allow(now) {
+			got++
+		}
+	}
+	if got != 12 {
+		t.Errorf("retries for 100 requests: got %d, want 12", got)
+	}
+	got = 0
+	for range 10 {
+		if b.Allow(now.Add(20 * time.Second)) {
+			got++
+		}
+	}
+	if got != 2 {
+		t.Errorf("retries after a quiet time: got %d, want the minimum of 2", got)
+	}
+}
