--- a/internal/bench/trial/host.go
+++ b/internal/bench/trial/host.go
@@ -8,14 +8,15 @@
 )
 
 const (
-	tickPeriod   = 10 * time.Millisecond
-	gossipPeriod = 250 * time.Millisecond
-	gossipDelay  = 15 * time.Millisecond
-	reportPeriod = 100 * time.Millisecond
-	reportLag    = 50 * time.Millisecond
-	listLag      = time.Second
-	leavingGrace = 3 * time.Second  // invariant leaving-upstream: "after a few seconds"
-	cancelDelay  = time.Millisecond // until the stream of a cancelled attempt is closed
+	tickPeriod     = 10 * time.Millisecond
+	gossipPeriod   = 250 * time.Millisecond
+	gossipDelay    = 15 * time.Millisecond
+	reportPeriod   = 100 * time.Millisecond
+	reportLag      = 50 * time.Millisecond
+	listLag        = time.Second
+	leavingGrace   = 3 * time.Second  // invariant leaving-upstream: "after a few seconds"
+	maxPreemptions = 2                // of one request, by design
+	cancelDelay    = time.Millisecond // until the stream of a cancelled attempt is closed
 )
 
 // request is one caller's request and what became of it.
@@ -26,16 +27,17 @@
 	output  int           // tokens of the whole answer
 	busy    time.Duration // time of a service call
 
-	received int // tokens relayed to the caller
-	first    time.Duration
-	last     time.Duration
-	done     bool
-	refused  quetzalhook.RefuseKind
-	attempts int
-	started  time.Duration // last start
-	current  *job          // the attempt in progress
-	stopping bool
-	reached  map[quetzalhook.UpstreamID]bool // upstreams that got any part of it
+	received  int // tokens relayed to the caller
+	first     time.Duration
+	last      time.Duration
+	done      bool
+	refused   quetzalhook.RefuseKind
+	attempts  int
+	started   time.Duration // last start
+	current   *job          // the attempt in progress
+	stopping  bool
+	preempted int                             // how often it lost its slot to more urgent work
+	reached   map[quetzalhook.UpstreamID]bool // upstreams that got any part of it
 }
 
 // host runs one Policy.
@@ -200,6 +202,10 @@
 	w.check(invariant.UrgentNotShed, a.Cause != quetzalhook.CausePreempted || !r.Class.IsUrgent(), "request", r.ID)
 	w.check(invariant.NoStarvation, a.Cause != quetzalhook.CauseDoomed || !r.Class.MustFinish(), "request", r.ID)
 	w.cancelled++
+	if a.Cause == quetzalhook.CausePreempted {
+		r.preempted++
+		w.check(invariant.LegalTransition, r.preempted <= maxPreemptions, "request", r.ID, "preempted", r.preempted)
+	}
 	if j := r.current; j != nil {
 		e := w.byID[a.Upstream]
 		w.send(e, h, func() { e.cancel(j.id, j.attempt) })
@@ -227,11 +233,29 @@
 	h.close(r)
 }
 
-// runsLower reports whether the host runs lower-tier engine work that could
-// be stopped. Requests that were preempted twice may not be.
+// runsLower reports whether the host runs lower-tier work that could be
+// stopped for an urgent request: a class with more than its floor and a
+// request that was not stopped twice before. One slot for each class allows
+// for rounding of the floor.
 func (h *host) runsLower() bool {
+	running, free := map[quetzalhook.Class]int{}, map[quetzalhook.Class]int{}
+	total := 0
 	for _, r := range h.live {
-		if r.current != nil && !r.stopping && !r.Class.IsUrgent() && r.Repeatable && r.attempts <= 1 {
+		if r.current == nil || r.Model != model {
+			continue
+		}
+		total++
+		if r.stopping {
+			return false // a slot is being freed
+		}
+		running[r.Class]++
+		if r.preempted < maxPreemptions {
+			free[r.Class]++
+		}
+	}
+	for class, n := range free {
+		floor := class.FloorShare() * float64(total)
+		if !class.IsUrgent() && n > 0 && float64(running[class]-2) > floor {
 			return true
 		}
 	}
--- a/internal/bench/trial/row.go
+++ b/internal/bench/trial/row.go
@@ -23,6 +23,8 @@
 	// Burst is the urgent arrival rate during the burst, as a multiple of what
 	// all engines can serve; 0 means no burst.
 	Burst float64
+	// Skewed sends the burst's requests to a single host.
+	Skewed bool
 	// Fits reports whether urgent work alone fits the remaining capacity, so
 	// that the attainment target applies to the whole run.
 	Fits  bool
@@ -34,6 +36,7 @@
 	return []Row{
 		{Name: "calm", Fits: true},
 		{Name: "burst-fits", Burst: 0.8, Fits: true},
+		{Name: "burst-one-host", Burst: 0.5, Skewed: true, Fits: true},
 		{Name: "burst", Burst: 3},
 		{Name: "lagging-reports", Burst: 0.8, Fits: true, fault: lag},
 		{Name: "straggler", Fits: true, fault: straggle},
--- a/internal/bench/trial/workload.go
+++ b/internal/bench/trial/workload.go
@@ -179,7 +179,11 @@
 		if k.class.IsUrgent() && row.Burst > 0 {
 			extra := max(row.Burst*k.fullRate()-k.calmRate(), 0)
 			rng := rand.New(rand.NewPCG(cfg.Seed, uint64(i)+101))
-			all = append(all, k.arrivals(rng, extra, burstStart, burstStart+burstLength, hosts)...)
+			at := hosts
+			if row.Skewed {
+				at = hosts[:1]
+			}
+			all = append(all, k.arrivals(rng, extra, burstStart, burstStart+burstLength, at)...)
 		}
 	}
 	sort.SliceStable(all, func(i, j int) bool { return all[i].arrived < all[j].arrived })
--- a/internal/traffic/dispatch/entry.go
+++ b/internal/traffic/dispatch/entry.go
@@ -63,6 +63,8 @@
 	served  bool     // some upstream serves the model
 	claimed []*entry // in order of their claims
 	freeing int      // cancels that free a slot for claimed requests
+	// preempted is when requests last lost their slots, the earlier first.
+	preempted [2]time.Time
 }
 
 // upstream is what the core keeps of one upstream.
--- a/internal/traffic/dispatch/start.go
+++ b/internal/traffic/dispatch/start.go
@@ -7,6 +7,10 @@
 	"quetzalhook/internal/traffic/queue"
 )
 
+// preemptHold was the shortest of 1, 1.5, 2 and 3 s that kept urgent work in
+// target in most bursts of 0.8 of capacity; longer holds leave slots idle.
+const preemptHold = 2 * time.Second
+
 // result is what became of an attempt to start a request.
 type result uint8
 
@@ -85,9 +89,18 @@
 		return true
 	}
 	it := p.queue.NextStrict(now)
-	return it != nil && c.try(now, it) != resultNoSlot
+	if it == nil || p.isHeld(now) && !it.Request.Class.IsUrgent() {
+		return false
+	}
+	return c.try(now, it) != resultNoSlot
 }
 
+// isHeld reports whether free slots are kept for urgent work because of
+// repeated preemptions. A request that resumes between two urgent ones is
+// preempted again at once, and after MaxPreemptions it holds its slot to the
+// end.
+func (p *pool) isHeld(now time.Time) bool { return now.Sub(p.preempted[0]) < preemptHold }
+
 // try starts a waiting request if its customer may run one more.
 func (c *Core) try(now time.Time, it *queue.Item) result {
 	e := it.Payload.(*entry)
@@ -156,7 +169,7 @@
 	if u == nil || u.leavingFor(now) > leavingGrace && !c.faults.useLeaving {
 		return resultNoSlot
 	}
-	if c.outOfReach(now, e, id) {
+	if c.outOfReach(now, e, id) && !e.pool.queue.Freeable(e.Request.Class.Tier()) {
 		c.withdraw(e)
 		c.refuse(now, e, quetzalhook.RefuseLate)
 		return resultGone
@@ -200,7 +213,7 @@
 	if !c.acquire(now, e) {
 		return true // the next customer's request may be tried
 	}
-	if len(p.claimed) >= p.freeing && !c.preempt(p, it) {
+	if len(p.claimed) >= p.freeing && !c.preempt(now, p, it) {
 		if !held {
 			c.unacquire(now, e)
 		}
@@ -213,7 +226,7 @@
 }
 
 // preempt cancels the stream that gives up its slot for it.
-func (c *Core) preempt(p *pool, it *queue.Item) bool {
+func (c *Core) preempt(now time.Time, p *pool, it *queue.Item) bool {
 	v := p.queue.Victim(it)
 	if v == nil {
 		return false
@@ -223,6 +236,7 @@
 	e.Preemptions++
 	e.freeing = true
 	p.freeing++
+	p.preempted[0], p.preempted[1] = p.preempted[1], now
 	c.stats.Preempted++
 	c.cancel(e, quetzalhook.CausePreempted)
 	return true
--- a/internal/traffic/queue/class.go
+++ b/internal/traffic/queue/class.go
@@ -92,7 +92,7 @@
 // mayLose reports whether the class keeps its floor over time when it loses
 // one slot: it stays above the floor, or has credit to wait on.
 func (c *class) mayLose() bool {
-	return c.hasSurplus() || c.deficit <= -minCredit/2
+	return c.hasSurplus() || c.deficit <= c.debtLimit()*overdueShare-minCredit/2
 }
 
 // hasSurplus reports whether the class keeps its floor without one slot.
--- a/internal/traffic/queue/pick.go
+++ b/internal/traffic/queue/pick.go
@@ -7,12 +7,12 @@
 )
 
 // NextFloor returns the next item of the class that is furthest below its
-// floor in proportion, or nil if all classes have theirs.
+// floor in proportion, or nil if no class is overdue.
 func (q *Queue) NextFloor(now time.Time) *Item {
 	if q.noFloors {
 		return nil
 	}
-	if c := q.neediest(); c != nil && c.deficit > 0 {
+	if c := q.neediest(); c != nil && c.isOverdue() {
 		return c.head(now)
 	}
 	return nil
