Give urgent needs more headroom and let hosts yield slots

Half of the slots that nobody needs go to hosts in proportion to their urgent needs. A host that holds more than its share while others are short of slots for urgent work sees a negative number of unused slots and stops lower-tier streams. Requests that no known host sent are smoothed over 2 s, since a report and a gossip round are never of the same moment: with reports of 2 s age the noise looked like a queue, and urgent requests were refused as late.

--- a/internal/traffic/dispatch/check.go
+++ b/internal/traffic/dispatch/check.go
@@ -43,8 +43,8 @@
 
 // checkPreempt checks that the victim is of a lower tier than an urgent
 // request, is not urgent, and did not lose its slot too often.
-func (c *Core) checkPreempt(it *queue.Item, victim *entry) {
-	c.check(urgentNotShed, !victim.Request.Class.IsUrgent(), "victim", victim.Request.ID, "for", it.Request.ID)
+func (c *Core) checkPreempt(victim *entry) {
+	c.check(urgentNotShed, !victim.Request.Class.IsUrgent(), "victim", victim.Request.ID)
 	c.check(legalTransition, victim.state == stateRunning && victim.Preemptions < queue.MaxPreemptions &&
 		victim.Request.Repeatable, "victim", victim.Request.ID, "preemptions", victim.Preemptions)
 }
--- a/internal/traffic/dispatch/core.go
+++ b/internal/traffic/dispatch/core.go
@@ -194,6 +194,9 @@
 		p.queue.Advance(now)
 	}
 	c.move(now)
+	for _, p := range c.order {
+		c.yield(now, p)
+	}
 	c.dropLate(now)
 	c.resumeDelayed(now)
 	return c.drainAll(now)
--- a/internal/traffic/dispatch/end.go
+++ b/internal/traffic/dispatch/end.go
@@ -61,6 +61,10 @@
 		e.freeing = false
 		e.pool.freeing--
 	}
+	if e.yields {
+		e.yields = false
+		e.pool.yielding--
+	}
 	u := e.upstream
 	if !c.faults.loseSlot {
 		last := len(u.running) - 1
--- a/internal/traffic/dispatch/entry.go
+++ b/internal/traffic/dispatch/entry.go
@@ -42,6 +42,7 @@
 	failures int  // failed attempts since the last token
 	acquired bool // holds one of its customer's running requests
 	freeing  bool // its cancel frees a slot for a claimed request
+	yields   bool // its cancel frees a slot for another host
 	charged  float64
 }
 
@@ -63,6 +64,8 @@
 	served  bool     // some upstream serves the model
 	claimed []*entry // in order of their claims
 	freeing int      // cancels that free a slot for claimed requests
+	// yielding counts cancels that free a slot for other hosts.
+	yielding int
 	// preempted is when requests last lost their slots, the earlier first.
 	preempted [2]time.Time
 }
--- a/internal/traffic/dispatch/start.go
+++ b/internal/traffic/dispatch/start.go
@@ -202,6 +202,22 @@
 	}
 }
 
+// yield cancels lower-tier streams for the urgent work of other hosts.
+func (c *Core) yield(now time.Time, p *pool) {
+	if c.noPreempt || p.queue.Running() == 0 {
+		return
+	}
+	_, free := c.placer.Slots(now, p.model)
+	for p.yielding < -free {
+		e := c.stopVictim(now, p, p.queue.VictimForOthers())
+		if e == nil {
+			return
+		}
+		e.yields = true
+		p.yielding++
+	}
+}
+
 // claim frees a slot for a waiting request; it returns false if there is none
 // to free.
 func (c *Core) claim(now time.Time, p *pool, it *queue.Item) bool {
@@ -227,19 +243,28 @@
 
 // preempt cancels the stream that gives up its slot for it.
 func (c *Core) preempt(now time.Time, p *pool, it *queue.Item) bool {
-	v := p.queue.Victim(it)
-	if v == nil {
+	e := c.stopVictim(now, p, p.queue.Victim(it))
+	if e == nil {
 		return false
 	}
-	e := v.Payload.(*entry)
-	c.checkPreempt(it, e)
-	e.Preemptions++
 	e.freeing = true
 	p.freeing++
+	return true
+}
+
+// stopVictim cancels a stream for more urgent work and returns its entry, or
+// nil if there is none.
+func (c *Core) stopVictim(now time.Time, p *pool, v *queue.Item) *entry {
+	if v == nil {
+		return nil
+	}
+	e := v.Payload.(*entry)
+	c.checkPreempt(e)
+	e.Preemptions++
 	p.preempted[0], p.preempted[1] = p.preempted[1], now
 	c.stats.Preempted++
 	c.cancel(e, quetzalhook.CausePreempted)
-	return true
+	return e
 }
 
 // cancel asks the host to stop the stream. The request keeps its slot until
--- a/internal/traffic/placement/planner.go
+++ b/internal/traffic/placement/planner.go
@@ -67,6 +67,7 @@
 	rotated   time.Time
 	peers     []quetzalhook.PeerDemand
 	table     share.Table
+	excess    int // slots to free for urgent work of other hosts
 	refreshed time.Time
 	sampled   time.Time
 }
@@ -262,20 +263,30 @@
 func (p *Planner) finish(now time.Time, id quetzalhook.RequestID, s *stream, end quetzalhook.End) {
 	delete(p.streams, id)
 	s.prefilled()
-	s.upstream.own--
+	u := s.upstream
+	u.own--
+	if u.share > u.whole {
+		// A slot beyond the host's share goes back to the others.
+		u.share = max(u.whole, u.own)
+		p.excess = max(p.excess-1, 0)
+	}
 	if s.health != nil {
 		p.monitor.Ended(now, s.health, end)
 	}
-	p.update(now, s.upstream)
+	p.update(now, u)
 }
 
 // Slots implements quetzalhook.Placer.
 func (p *Planner) Slots(now time.Time, m quetzalhook.Model) (total, free int) {
 	p.refresh(now, false)
-	if pl := p.pools[m]; pl != nil {
-		return pl.slots, pl.unused
+	pl := p.pools[m]
+	if pl == nil {
+		return 0, 0
+	}
+	if pl.unused == 0 && p.strategy == SlotShares {
+		return pl.slots, -p.excess
 	}
-	return 0, 0
+	return pl.slots, pl.unused
 }
 
 // Unfit implements quetzalhook.Placer.
--- a/internal/traffic/placement/upstream.go
+++ b/internal/traffic/placement/upstream.go
@@ -14,6 +14,10 @@
 	// load report.
 	historySize = 20
 	historyStep = 200 * time.Millisecond
+	// externalMemory smooths the difference between reports and gossip. They
+	// are never of the same moment, so that a single difference is mostly
+	// noise.
+	externalMemory = 2 * time.Second
 )
 
 // upstream is the planner's record of one upstream.
@@ -26,6 +30,7 @@
 	own   int // this host's requests in flight
 	peers int // requests in flight by gossip
 	share int // this host's slots
+	whole int // this host's slots by its fraction, whatever is held
 	// prefilling counts the prompt tokens of this host's requests that have no
 	// token yet; an engine computes prompts one after the other.
 	prefilling float64
@@ -34,8 +39,8 @@
 	reported   int  // running and waiting by the last report
 	reportedAt time.Time
 	hasReport  bool
-	external   int   // reported requests that no known host sent
-	generation uint8 // counts gaps in the cache events
+	external   float64 // smoothed number of reported requests that no known host sent
+	generation uint8   // counts gaps in the cache events
 
 	history [historySize]point
 	next    int
@@ -100,10 +105,15 @@
 	if u.hasReport && at.Before(u.reportedAt) {
 		return
 	}
+	gain := 1.0
+	if u.hasReport {
+		gain = 1 - math.Exp(-at.Sub(u.reportedAt).Seconds()/externalMemory.Seconds())
+	}
 	u.leaving = l.Leaving
 	u.reported, u.reportedAt, u.hasReport = l.Running+l.Waiting, at, true
-	own, peers := u.inFlightAt(at)
-	u.external = max(u.reported-own-peers, 0)
+	own, _ := u.inFlightAt(at)
+	_, peers := u.inFlightAt(at.Add(settleTime))
+	u.external += gain * (float64(u.reported-own-peers) - u.external)
 }
 
 // inFlightAt returns what was in flight closest to a time in the past.
@@ -143,7 +153,7 @@
 // host's own requests since then.
 func (p *Planner) load(u *upstream) float64 {
 	if p.strategy == SlotShares || !u.hasReport {
-		return float64(u.own + u.peers + u.external)
+		return float64(u.own+u.peers) + max(u.external, 0)
 	}
 	own, _ := u.inFlightAt(u.reportedAt)
 	return float64(max(u.reported+u.own-own, u.own))
--- a/internal/traffic/queue/pick.go
+++ b/internal/traffic/queue/pick.go
@@ -73,13 +73,20 @@
 // above its floor. Urgent items, items that may not be repeated and items
 // that lost their slot MaxPreemptions times are never victims.
 func (q *Queue) Victim(it *Item) *Item {
-	urgent := it.Request.Class.IsUrgent()
+	return q.victim(it.Request.Class.IsUrgent(), it.class)
+}
+
+// VictimForOthers returns the running item that gives up its slot for urgent
+// work of another host, or nil.
+func (q *Queue) VictimForOthers() *Item { return q.victim(true, nil) }
+
+func (q *Queue) victim(urgent bool, own *class) *Item {
 	for i := len(q.classes) - 1; i >= 0; i-- {
 		c := q.classes[i]
 		if c.def.IsUrgent() {
 			return nil
 		}
-		if c == it.class || !q.noFloors && !(c.hasSurplus() || urgent && c.mayLose()) {
+		if c == own || !q.noFloors && !(c.hasSurplus() || urgent && c.mayLose()) {
 			continue
 		}
 		if v := c.victims.least(); v != nil {
--- a/internal/traffic/share/share.go
+++ b/internal/traffic/share/share.go
@@ -4,7 +4,7 @@
 // host owns it and nothing is handed over after a crash. Slots are filled by
 // tier, the most urgent first; within a tier, hosts with small needs are
 // satisfied before larger ones (max-min, "water-filling"). Slots that nobody
-// needs are split equally and serve as headroom until the next gossip round.
+// needs serve as headroom until the next gossip round.
 package share
 
 import (
@@ -27,6 +27,11 @@
 	bounds []float64
 }
 
+// urgentHeadroom is the part of the headroom that is split in proportion to
+// urgent needs; the rest is split equally. A burst at one host grows by what
+// arrives in a gossip round, and the host is given as much in advance.
+const urgentHeadroom = 0.5
+
 // Divide splits capacity slots between the hosts in needs, which must have
 // distinct names. The result does not depend on the order of needs.
 func Divide(capacity float64, needs []Need) Table {
@@ -41,12 +46,8 @@
 		}
 		left -= fill(left, want, got)
 	}
+	sum := addHeadroom(max(left, 0), needs, got)
 	t := Table{bounds: make([]float64, 1, len(needs)+1)}
-	sum := 0.0
-	for i := range got {
-		got[i] += left / float64(len(got))
-		sum += got[i]
-	}
 	at := 0.0
 	for i, n := range needs {
 		if sum > 0 {
@@ -63,6 +64,23 @@
 	return t
 }
 
+// addHeadroom splits the slots left after all needs and returns the sum of got.
+func addHeadroom(left float64, needs []Need, got []float64) float64 {
+	urgent, sum := 0.0, 0.0
+	for _, n := range needs {
+		urgent += max(n.Slots[quetzalhook.TierUrgent], 0)
+	}
+	for i, n := range needs {
+		part := 1 / float64(len(needs))
+		if urgent > 0 {
+			part += urgentHeadroom * (max(n.Slots[quetzalhook.TierUrgent], 0)/urgent - part)
+		}
+		got[i] += left * part
+		sum += got[i]
+	}
+	return sum
+}
+
 // Equal returns the division between n hosts of which only self is known.
 func Equal(self quetzalhook.HostID, n int) Table {
 	return Table{hosts: []quetzalhook.HostID{self}, bounds: []float64{0, 1 / float64(max(n, 1))}}
@@ -117,25 +135,32 @@
 	return t.bounds[i], t.bounds[i+1]
 }
 
-// Hosts returns the hosts in the order of the slices that Allocate takes.
+// Hosts returns the hosts in the order of the slices that Whole fills.
 func (t Table) Hosts() []quetzalhook.HostID { return t.hosts }
 
 // goldenRatio spreads the rounding of successive upstreams evenly.
 const goldenRatio = 0.6180339887498949
 
-// Allocate stores in got the whole slots of each host on the upstream at
-// position index of a list that all hosts order alike. A host gets its
-// fraction rounded up or down, and never less than it holds. Slots that are
-// held beyond a host's fraction are taken from the hosts with the most unused
-// slots, so that the sum is at most slots unless more are held. The rounding
-// differs between indexes so that a host's total stays near its fraction.
-func (t Table) Allocate(slots, index int, held, got []int) {
+// Whole stores in got the whole slots of each host on the upstream at
+// position index of a list that all hosts order alike: its fraction rounded
+// up or down. The sum is slots, or less if only some hosts are known. The
+// rounding differs between indexes so that a host's total stays near its
+// fraction.
+func (t Table) Whole(slots, index int, got []int) {
 	_, phase := math.Modf(float64(index+1) * goldenRatio)
 	s := float64(slots)
-	sum := 0
 	for i := range t.hosts {
-		whole := int(math.Floor(t.bounds[i+1]*s+phase) - math.Floor(t.bounds[i]*s+phase))
-		got[i] = max(whole, held[i])
+		got[i] = int(math.Floor(t.bounds[i+1]*s+phase) - math.Floor(t.bounds[i]*s+phase))
+	}
+}
+
+// Hold changes the whole slots in got so that each host has at least those it
+// holds. Slots held beyond a host's own are taken from the hosts with the most
+// unused slots, so that the sum is at most slots unless more are held.
+func Hold(slots, index int, held, got []int) {
+	sum := 0
+	for i := range got {
+		got[i] = max(got[i], held[i])
 		sum += got[i]
 	}
 	for sum > slots {
--- a/internal/traffic/share/share_test.go
+++ b/internal/traffic/share/share_test.go
@@ -68,20 +68,30 @@
 			held[i] = rapid.IntRange(0, 3).Draw(t, "held")
 			holds += held[i]
 		}
-		table.Allocate(slots, index, held, got)
-		sum := 0
+		table.Whole(slots, index, got)
+		if sum := sumOf(got); sum != slots {
+			t.Fatalf("sum of whole slots: got %d, want %d", sum, slots)
+		}
+		Hold(slots, index, held, got)
 		for i := range got {
 			if got[i] < held[i] {
 				t.Fatalf("host %d: got %d slots, want at least the %d it holds", i, got[i], held[i])
 			}
-			sum += got[i]
 		}
-		if want := max(slots, holds); sum > want || sum < slots {
+		if sum, want := sumOf(got), max(slots, holds); sum > want || sum < slots {
 			t.Fatalf("sum of slots: got %d, want %d to %d", sum, slots, want)
 		}
 	})
 }
 
+func sumOf(list []int) int {
+	sum := 0
+	for _, n := range list {
+		sum += n
+	}
+	return sum
+}
+
 // TestDivisionIsTheSameEverywhere guards against a division that depends on
 // who computes it.
 func TestDivisionIsTheSameEverywhere(t *testing.T) {
