--- a/internal/traffic/dispatch/start.go
+++ b/internal/traffic/dispatch/start.go
@@ -66,9 +66,6 @@
 	if !c.noPreempt {
 		c.free(now, p)
 	}
-	// An urgent request may find a slot that other hosts leave unused.
-	for it := p.queue.NextUrgent(now); it != nil && c.try(now, it) != resultNoSlot; it = p.queue.NextUrgent(now) {
-	}
 }
 
 // drainClaimed starts the claimed requests; it returns false if one found no
--- a/internal/traffic/placement/cost.go
+++ b/internal/traffic/placement/cost.go
@@ -85,9 +85,6 @@
 	}
 	p.sample(now, r, pl.local, &found, &rng, &c)
 	p.sample(now, r, pl.free, &found, &rng, &c)
-	if c.best == nil && r.Class.IsUrgent() {
-		p.sample(now, r, pl.idle, &found, &rng, &c)
-	}
 	return c.best
 }
 
--- a/internal/traffic/placement/upstream.go
+++ b/internal/traffic/placement/upstream.go
@@ -58,24 +58,20 @@
 	local   bool
 	inFree  int // position in pool.free, or -1
 	inLocal int // position in pool.local, or -1
-	inIdle  int // position in pool.idle, or -1
 	slots   int
 	unused  int
 }
 
 // pool holds the upstreams of one model that have a slot for this host.
 type pool struct {
-	free  []*upstream
-	local []*upstream // those of free in the host's region
-	// idle holds those without a slot for this host on which other hosts leave
-	// slots unused.
-	idle   []*upstream
+	free   []*upstream
+	local  []*upstream // those of free in the host's region
 	slots  int
 	unused int
 }
 
 func newMembership(pl *pool, local bool) membership {
-	return membership{pool: pl, local: local, inFree: -1, inLocal: -1, inIdle: -1}
+	return membership{pool: pl, local: local, inFree: -1, inLocal: -1}
 }
 
 func sortedUpstreams(list []quetzalhook.Upstream) []quetzalhook.Upstream {
@@ -179,34 +175,23 @@
 func (p *Planner) update(_ time.Time, u *upstream) {
 	slots := p.slots(u)
 	unused := max(slots-u.own, 0)
-	idle := unused == 0 && p.mayBorrow(u)
 	for i := range u.memberships {
-		u.memberships[i].set(u, slots, unused, idle)
+		u.memberships[i].set(u, slots, unused)
 	}
 }
 
 // set moves the upstream into or out of the lists of the pool.
-func (m *membership) set(u *upstream, slots, unused int, idle bool) {
+func (m *membership) set(u *upstream, slots, unused int) {
 	m.pool.slots += slots - m.slots
 	m.pool.unused += unused - m.unused
 	m.slots, m.unused = slots, unused
 	wanted := unused > 0
 	m.inFree = place(&m.pool.free, u, m.inFree, wanted, m.pool, func(o *membership) *int { return &o.inFree })
-	m.inIdle = place(&m.pool.idle, u, m.inIdle, idle, m.pool, func(o *membership) *int { return &o.inIdle })
 	if m.local {
 		m.inLocal = place(&m.pool.local, u, m.inLocal, wanted, m.pool, func(o *membership) *int { return &o.inLocal })
 	}
 }
 
-// mayBorrow reports whether an urgent request may run on u beyond the host's
-// share: a slot is unused by all that is known, and the host borrows no other
-// there. If the owner of the slot uses it at the same time, the request is
-// the first in the engine's queue.
-func (p *Planner) mayBorrow(u *upstream) bool {
-	return p.strategy == SlotShares && u.isUsable() && u.target.State() == health.Healthy &&
-		len(p.peers) > 0 && u.own <= u.share && p.load(u)+1 <= float64(u.Slots)
-}
-
 // place adds u to list or removes it by swapping in the last entry, and
 // returns its new position; field selects the position kept by a membership.
 func place(list *[]*upstream, u *upstream, at int, wanted bool, pl *pool, field func(*membership) *int) int {
