--- a/internal/bench/trial/host.go
+++ b/internal/bench/trial/host.go
@@ -27,17 +27,21 @@
 	output  int           // tokens of the whole answer
 	busy    time.Duration // time of a service call
 
-	received  int // tokens relayed to the caller
-	first     time.Duration
-	last      time.Duration
-	done      bool
-	refused   quetzalhook.RefuseKind
-	attempts  int
-	started   time.Duration // last start
-	current   *job          // the attempt in progress
-	stopping  bool
-	preempted int                             // how often it lost its slot to more urgent work
-	reached   map[quetzalhook.UpstreamID]bool // upstreams that got any part of it
+	received int // tokens relayed to the caller
+	// perSecond counts the relayed tokens by second of the run, from
+	// firstSecond on.
+	perSecond   []int
+	firstSecond int
+	first       time.Duration
+	last        time.Duration
+	done        bool
+	refused     quetzalhook.RefuseKind
+	attempts    int
+	started     time.Duration // last start
+	current     *job          // the attempt in progress
+	stopping    bool
+	preempted   int                             // how often it lost its slot to more urgent work
+	reached     map[quetzalhook.UpstreamID]bool // upstreams that got any part of it
 }
 
 // host runs one Policy.
@@ -121,6 +125,7 @@
 	if r.received == 0 {
 		r.first = h.w.now
 	}
+	r.count(h.w.now, total-r.received)
 	r.received, r.last = total, h.w.now
 	h.apply(h.policy.Progress(h.w.clock(), r.ID, total))
 }
--- a/internal/bench/trial/measure.go
+++ b/internal/bench/trial/measure.go
@@ -1,7 +1,9 @@
 package trial
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -20,10 +22,11 @@
 	TTFTP50    float64 `json:"ttft-p50-ms"`
 	TTFTP95    float64 `json:"ttft-p95-ms"`
 	TTFTP99    float64 `json:"ttft-p99-ms"`
-	// WorstCustomer is the lowest attainment of a customer in this class, and
+	// WorstAttainment is the lowest attainment of a customer in this class, and
 	// WorstGap the points by which it is below the class's mean.
-	WorstCustomer float64 `json:"worst-customer"`
-	WorstGap      float64 `json:"worst-gap"`
+	WorstCustomer   quetzalhook.CustomerID `json:"worst-customer"`
+	WorstAttainment float64                `json:"worst-attainment"`
+	WorstGap        float64                `json:"worst-gap"`
 }
 
 // Result holds the figures of one run.
@@ -33,18 +36,24 @@
 	Policy   string        `json:"policy"`
 	Fits     bool          `json:"fits"`
 	Classes  []ClassResult `json:"classes"`
-	// WorstGap is the largest WorstGap of all classes.
-	WorstGap float64 `json:"worst-gap"`
+	// WorstGap is the largest WorstGap of all classes, and WorstCustomer the
+	// customer concerned.
+	WorstGap      float64                `json:"worst-gap"`
+	WorstCustomer quetzalhook.CustomerID `json:"worst-customer"`
 	// Goodput is the useful tokens/s while requests arrive, BusyGoodput in the
 	// burst's ten seconds.
 	Goodput     float64 `json:"goodput"`
 	BusyGoodput float64 `json:"busy-goodput"`
 	// Wasted is the fraction of output tokens that reached no served request.
 	Wasted float64 `json:"wasted"`
-	// Recomputed is the fraction of prefill spent on resumed answers.
+	// Spending is the cost of all upstreams for the run, PerMillion for a
+	// million useful tokens.
 	Spending   float64 `json:"spending"`
+	PerMillion float64 `json:"spending-per-million"`
+	// CheapShare is the fraction of output tokens from reclaimable upstreams.
 	CheapShare float64 `json:"cheap-share"`
-	Unfinished int     `json:"unfinished"`
+	useful     float64
+	Unfinished int `json:"unfinished"`
 	// PeakOverload is the largest number of requests on one engine relative to
 	// its slots; Overbooked the fraction of engine time with a queue.
 	PeakOverload float64           `json:"peak-overload"`
@@ -66,10 +75,16 @@
 		Seconds: w.now.Seconds(), Invariants: w.registry.Counts(), Violations: w.registry.Violations(),
 		Details: w.registry.Details(),
 	}
+	for _, name := range slices.Sorted(maps.Keys(w.rules)) {
+		res.Invariants = append(res.Invariants, *w.rules[name])
+		res.Violations += w.rules[name].Violated
+	}
 	for _, k := range w.cfg.Workload.kinds {
 		c := measureClass(w, k.class)
 		res.Classes = append(res.Classes, c)
-		res.WorstGap = max(res.WorstGap, c.WorstGap)
+		if c.WorstGap > res.WorstGap {
+			res.WorstGap, res.WorstCustomer = c.WorstGap, c.WorstCustomer
+		}
 	}
 	w.measureTokens(&res)
 	w.measureEngines(&res)
@@ -119,13 +134,14 @@
 	c.Attainment = ratio(c.InTarget, c.Sent)
 	sort.Float64s(ttft)
 	c.TTFTP50, c.TTFTP95, c.TTFTP99 = quantile(ttft, 0.5), quantile(ttft, 0.95), quantile(ttft, 0.99)
-	c.WorstCustomer = 1
-	for _, t := range byCustomer {
-		if t.sent >= minCustomerRequests {
-			c.WorstCustomer = min(c.WorstCustomer, ratio(t.good, t.sent))
+	c.WorstAttainment = 1
+	for _, id := range slices.Sorted(maps.Keys(byCustomer)) {
+		t := byCustomer[id]
+		if a := ratio(t.good, t.sent); t.sent >= minCustomerRequests && a < c.WorstAttainment {
+			c.WorstCustomer, c.WorstAttainment = id, a
 		}
 	}
-	c.WorstGap = 100 * max(c.Attainment-c.WorstCustomer, 0)
+	c.WorstGap = 100 * max(c.Attainment-c.WorstAttainment, 0)
 	return c
 }
 
@@ -146,7 +162,7 @@
 // measureTokens counts useful and wasted output tokens. An answer is useful if
 // it was served whole and, for the urgent class, in target.
 func (w *world) measureTokens(res *Result) {
-	delivered, calm, busy := 0.0, 0.0, 0.0
+	delivered, useful, calm, busy := 0.0, 0.0, 0.0, 0.0
 	for _, r := range w.requests {
 		if r.busy > 0 {
 			continue
@@ -160,11 +176,13 @@
 		if !whole || r.Class.IsUrgent() && !r.inTarget() {
 			continue
 		}
-		calm += float64(r.output) * r.within(0, w.cfg.Duration)
-		busy += float64(r.output) * r.within(burstStart, burstStart+burstLength)
+		useful += float64(r.output)
+		calm += r.within(0, w.cfg.Duration)
+		busy += r.within(burstStart, burstStart+burstLength)
 	}
 	res.Goodput = calm / w.cfg.Duration.Seconds()
 	res.BusyGoodput = busy / burstLength.Seconds()
+	res.useful = useful
 	generated := 0.0
 	for _, e := range w.engines {
 		generated += e.generated
@@ -174,17 +192,27 @@
 	}
 }
 
-// within returns the fraction of the answer's streaming time that lies in a
-// span.
+// count records n tokens relayed at a time.
+func (r *request) count(at time.Duration, n int) {
+	second := int(at / time.Second)
+	if r.perSecond == nil {
+		r.firstSecond = second
+	}
+	for len(r.perSecond) <= second-r.firstSecond {
+		r.perSecond = append(r.perSecond, 0)
+	}
+	r.perSecond[second-r.firstSecond] += n
+}
+
+// within returns the tokens relayed in a span of whole seconds.
 func (r *request) within(from, to time.Duration) float64 {
-	if r.last <= r.first {
-		if r.first >= from && r.first < to {
-			return 1
+	sum := 0
+	for i, n := range r.perSecond {
+		if at := time.Duration(r.firstSecond+i) * time.Second; at >= from && at < to {
+			sum += n
 		}
-		return 0
 	}
-	overlap := min(r.last, to) - max(r.first, from)
-	return max(overlap.Seconds(), 0) / (r.last - r.first).Seconds()
+	return float64(sum)
 }
 
 func (w *world) measureEngines(res *Result) {
@@ -210,5 +238,8 @@
 	if all > 0 {
 		res.CheapShare = cheap / all
 	}
+	if res.useful > 0 {
+		res.PerMillion = res.Spending / res.useful * 1e6
+	}
 	res.Overbooked = overbooked.Seconds() / engines / w.now.Seconds()
 }
--- a/internal/bench/trial/policies.go
+++ b/internal/bench/trial/policies.go
@@ -29,6 +29,7 @@
 		all := append([]placement.Option{
 			placement.WithHost(env.Host), placement.WithHosts(env.Hosts), placement.WithRegion(env.Region),
 			placement.WithSeed(env.Seed), placement.WithStrategy(s), placement.WithInvariants(env.Invariants),
+			placement.WithRules(env.Rules),
 		}, opts...)
 		return dispatch.New(placement.New(all...),
 			dispatch.WithInvariants(env.Invariants), dispatch.WithHosts(env.Hosts))
--- a/internal/bench/trial/row.go
+++ b/internal/bench/trial/row.go
@@ -23,6 +23,8 @@
 	// Burst is the urgent arrival rate during the burst, as a multiple of what
 	// all engines can serve; 0 means no burst.
 	Burst float64
+	// Load multiplies the arrivals of all classes; 0 stands for 1.
+	Load float64
 	// Skewed sends the burst's requests to a single host.
 	Skewed bool
 	// Fits reports whether urgent work alone fits the remaining capacity, so
@@ -35,6 +37,7 @@
 func Rows() []Row {
 	return []Row{
 		{Name: "calm", Fits: true},
+		{Name: "overload", Load: 2},
 		{Name: "burst-fits", Burst: 0.8, Fits: true},
 		{Name: "burst-one-host", Burst: 0.5, Skewed: true, Fits: true},
 		{Name: "burst", Burst: 3},
--- a/internal/bench/trial/run.go
+++ b/internal/bench/trial/run.go
@@ -55,6 +55,7 @@
 	w := &world{
 		cfg: cfg, row: row, byID: make(map[quetzalhook.UpstreamID]*engine), lag: reportLag,
 		listed: cfg.Workload.upstreams(), rng: rand.New(rand.NewPCG(cfg.Seed, 7)), registry: invariant.New(nil),
+		rules: make(rules),
 	}
 	for i, u := range w.listed {
 		e := &engine{
@@ -73,6 +74,7 @@
 		}
 		h.policy = build(Env{
 			Host: h.id, Hosts: cfg.Hosts, Region: region, Seed: cfg.Seed + uint64(i), Invariants: w.registry,
+			Rules: w.rules,
 		})
 		w.hosts = append(w.hosts, h)
 	}
--- a/internal/bench/trial/table.go
+++ b/internal/bench/trial/table.go
@@ -17,8 +17,8 @@
 			for _, c := range r.Classes {
 				fmt.Fprintf(&b, " %11.11s", c.Class)
 			}
-			fmt.Fprintf(&b, " %9s %7s %7s %7s %7s %7s %6s %6s %5s %5s\n",
-				"worst-gap", "good/s", "busy/s", "wasted", "spend", "cheap", "over", "peak", "unfin", "viol")
+			fmt.Fprintf(&b, " %13s %7s %7s %7s %7s %7s %6s %6s %5s %5s\n",
+				"worst-gap", "good/s", "busy/s", "wasted", "spend/M", "cheap", "over", "peak", "unfin", "viol")
 		}
 		mark := ""
 		if r.Fits {
@@ -28,12 +28,20 @@
 		for _, c := range r.Classes {
 			fmt.Fprintf(&b, " %10.2f%%", 100*c.Attainment)
 		}
-		fmt.Fprintf(&b, " %9.1f %7.0f %7.0f %6.2f%% %7.2f %6.1f%% %5.1f%% %6.2f %5d %5d\n",
-			r.WorstGap, r.Goodput, r.BusyGoodput, 100*r.Wasted, r.Spending, 100*r.CheapShare,
+		fmt.Fprintf(&b, " %13s %7.0f %7.0f %6.2f%% %7.2f %6.1f%% %5.1f%% %6.2f %5d %5d\n",
+			r.gap(), r.Goodput, r.BusyGoodput, 100*r.Wasted, r.PerMillion, 100*r.CheapShare,
 			100*r.Overbooked, r.PeakOverload, r.Unfinished, r.Violations)
 	}
-	b.WriteString("\n* urgent work alone fits the remaining capacity; worst-gap in points, spend in currency units,\n" +
-		"over: engine time with a queue, peak: most requests on one engine over its slots\n")
+	b.WriteString("\n* urgent work alone fits the remaining capacity; worst-gap in points and customer,\n" +
+		"spend/M: spending for a million useful tokens, over: engine time with a queue, peak: most requests on one engine over its slots\n")
 	_, err := io.WriteString(w, b.String())
 	return err
 }
+
+// gap formats the gap of the worst customer with the customer's number.
+func (r Result) gap() string {
+	if r.WorstCustomer == "" {
+		return "0.0"
+	}
+	return fmt.Sprintf("%.1f %s", r.WorstGap, strings.TrimPrefix(string(r.WorstCustomer), "customer-"))
+}
--- a/internal/bench/trial/workload.go
+++ b/internal/bench/trial/workload.go
@@ -175,7 +175,7 @@
 	var all []*request
 	for i, k := range cfg.Workload.kinds {
 		rng := rand.New(rand.NewPCG(cfg.Seed, uint64(i)+1))
-		all = append(all, k.arrivals(rng, k.calmRate(), 0, cfg.Duration, hosts)...)
+		all = append(all, k.arrivals(rng, k.calmRate()*max(row.Load, 1), 0, cfg.Duration, hosts)...)
 		if k.class.IsUrgent() && row.Burst > 0 {
 			extra := max(row.Burst*k.fullRate()-k.calmRate(), 0)
 			rng := rand.New(rand.NewPCG(cfg.Seed, uint64(i)+101))
--- a/internal/bench/trial/world.go
+++ b/internal/bench/trial/world.go
@@ -25,6 +25,8 @@
 	Region     quetzalhook.Region
 	Seed       uint64
 	Invariants quetzalhook.Invariants
+	// Rules counts the rules that placement checks on itself.
+	Rules quetzalhook.Invariants
 }
 
 // Constructor builds the policy of one host.
@@ -75,9 +77,26 @@
 	listed    []quetzalhook.Upstream // the platform's list, which lags
 	rng       *rand.Rand
 	registry  *invariant.Registry
+	rules     rules
 	cancelled int
 }
 
+// rules counts the checks and violations of rules by name.
+type rules map[string]*invariant.Count
+
+// Check implements quetzalhook.Invariants.
+func (r rules) Check(name string, ok bool, _ ...any) {
+	c := r[name]
+	if c == nil {
+		c = &invariant.Count{Name: name}
+		r[name] = c
+	}
+	c.Checked++
+	if !ok {
+		c.Violated++
+	}
+}
+
 func (w *world) clock() time.Time { return epoch.Add(w.now) }
 
 func (w *world) at(t time.Duration, run func()) {
--- a/internal/traffic/dispatch/start.go
+++ b/internal/traffic/dispatch/start.go
@@ -196,6 +196,9 @@
 // free cancels lower-tier streams for urgent requests without a slot, then
 // streams of classes above their floor for classes far below theirs.
 func (c *Core) free(now time.Time, p *pool) {
+	// A slot that was freed may have gone to another host meanwhile.
+	for len(p.claimed) > p.freeing && c.preempt(now, p, &p.claimed[0].Item) {
+	}
 	for c.claim(now, p, p.queue.NextUrgent(now)) {
 	}
 	for c.claim(now, p, p.queue.NextOverdue(now)) {
--- a/internal/traffic/health/health.go
+++ b/internal/traffic/health/health.go
@@ -209,6 +209,22 @@
 	return max(1, int(m.cap*float64(g.size)))
 }
 
+// UnderCap reports whether no group has more upstreams out than its cap.
+func (m *Monitor) UnderCap() bool {
+	out := make(map[*group]int, len(m.groups))
+	for _, t := range m.order {
+		if t.isOut() {
+			out[t.group]++
+		}
+	}
+	for g, n := range out {
+		if n > m.limit(g) || n != g.out {
+			return false
+		}
+	}
+	return true
+}
+
 // Out returns, for the group of an upstream, how many are out and how many
 // may be.
 func (m *Monitor) Out(u quetzalhook.UpstreamID) (out, limit int) {
--- a/internal/traffic/placement/cost.go
+++ b/internal/traffic/placement/cost.go
@@ -29,7 +29,8 @@
 	// CrossRegionByte is the cost of one byte between regions, in seconds.
 	CrossRegionByte float64
 	// CheapRiskUrgent and CheapRisk are the cost of a reclaimable upstream for
-	// urgent and other requests, in seconds.
+	// urgent and other requests, in seconds. A negative cost prefers it: work
+	// that resumes elsewhere loses little by a reclaim.
 	CheapRiskUrgent float64
 	CheapRisk       float64
 	// Crowding is the cost of a full batch against an empty one, in seconds: a
@@ -40,7 +41,7 @@
 // DefaultWeights returns the weights that docs/decisions/placement.md
 // explains.
 func DefaultWeights() Weights {
-	return Weights{CrossRegionByte: 1e-6, CheapRiskUrgent: 0.05, CheapRisk: -0.05, Crowding: 0.2}
+	return Weights{CrossRegionByte: 1e-6, CheapRiskUrgent: 0.1, CheapRisk: -0.6, Crowding: 0.2}
 }
 
 // Place implements quetzalhook.Placer.
--- a/internal/traffic/placement/division.go
+++ b/internal/traffic/placement/division.go
@@ -13,7 +13,7 @@
 	// settleTime is how long peers may not know this host's demand: one gossip
 	// period and the delay. Growth of the own demand counts after this time,
 	// so that a host does not take slots that peers still use.
-	settleTime = 300 * time.Millisecond
+	settleTime = 200 * time.Millisecond
 	// defaultWork is the output of a request in tokens where demand counts only
 	// tokens.
 	defaultWork = 400
@@ -84,6 +84,7 @@
 		u.whole = got[self]
 		share.Hold(u.Slots, u.index, held, got)
 		u.share = got[self]
+		p.checkShares(u, held, got)
 		if u.isUsable() {
 			idle += max(free, 0)
 		}
@@ -91,6 +92,20 @@
 	p.excess = excess(holdings, self, idle)
 }
 
+// checkShares checks that the hosts' slots on u are no more than it has, or
+// than are held.
+func (p *Planner) checkShares(u *upstream, held, got []int) {
+	if p.rules == nil {
+		return
+	}
+	sum, holds := 0, 0
+	for i := range got {
+		sum += got[i]
+		holds += held[i]
+	}
+	p.rules.Check(RuleSlotShare, sum <= max(u.Slots, holds), "upstream", u.ID, "sum", sum, "held", holds)
+}
+
 // excess returns how many slots the host at position self holds beyond its
 // share and should free, because other hosts are short of slots for urgent
 // work by more than are idle.
--- a/internal/traffic/placement/planner.go
+++ b/internal/traffic/placement/planner.go
@@ -33,6 +33,15 @@
 	LeastLoaded
 )
 
+// Names of the rules that the planner checks on itself.
+const (
+	// RuleSlotShare states that the shares of an upstream's slots sum to at
+	// most its slots, or to those that are held.
+	RuleSlotShare = "slot-share"
+	// RuleEjectionCap states that the ejected fraction is under its cap.
+	RuleEjectionCap = "ejection-cap"
+)
+
 const (
 	// refreshInterval is the least time between two recomputations of shares
 	// and health for all upstreams.
@@ -50,6 +59,7 @@
 	seed     uint64
 	strategy Strategy
 	checks   quetzalhook.Invariants
+	rules    quetzalhook.Invariants // nil counts nothing
 	weights  Weights
 
 	monitor   *health.Monitor
@@ -96,6 +106,10 @@
 // WithInvariants sets where invariant checks are counted.
 func WithInvariants(i quetzalhook.Invariants) Option { return func(p *Planner) { p.checks = i } }
 
+// WithRules sets where the planner's own rules RuleSlotShare and
+// RuleEjectionCap are counted. They are not among the named invariants.
+func WithRules(i quetzalhook.Invariants) Option { return func(p *Planner) { p.rules = i } }
+
 // WithHealth passes options to the health monitor.
 func WithHealth(opts ...health.Option) Option { return func(p *Planner) { p.healthOpt = opts } }
 
@@ -265,10 +279,10 @@
 	s.prefilled()
 	u := s.upstream
 	u.own--
-	if u.share > u.whole {
+	if u.share > u.whole && p.excess > 0 {
 		// A slot beyond the host's share goes back to the others.
 		u.share = max(u.whole, u.own)
-		p.excess = max(p.excess-1, 0)
+		p.excess--
 	}
 	if s.health != nil {
 		p.monitor.Ended(now, s.health, end)
@@ -313,6 +327,9 @@
 	}
 	p.refreshed = now
 	p.monitor.Check(now)
+	if p.rules != nil {
+		p.rules.Check(RuleEjectionCap, p.monitor.UnderCap())
+	}
 	p.record(now)
 	p.divide(now)
 	for _, u := range p.upstreams {
