--- a/internal/traffic/dispatch/core.go
+++ b/internal/traffic/dispatch/core.go
@@ -38,6 +38,7 @@
 	upstreams map[quetzalhook.UpstreamID]*upstream
 	leaving   []*upstream // those that leave or left, with requests to move
 	shared    bool        // some upstream serves several models
+	turn      int         // starts so far
 	late      timers
 	delayed   timers
 	load      load
@@ -144,7 +145,7 @@
 	}
 	e.pool.queue.Advance(now)
 	if e.state != stateRunning && e.state != stateStopping {
-		c.check(legalTransition, end == quetzalhook.EndCallerGone, "request", id, "end", end)
+		c.checkEnd(e, end)
 		c.withdraw(e)
 		c.forget(now, e)
 	} else {
@@ -158,11 +159,11 @@
 func (c *Core) ObserveLoad(now time.Time, l quetzalhook.Load) []quetzalhook.Action {
 	c.begin()
 	c.placer.ObserveLoad(now, l)
-	if u := c.upstreams[l.Upstream]; u != nil {
-		c.setLeaving(now, u, l.Leaving || u.listedLeaving)
+	if u := c.upstreams[l.Upstream]; u != nil && u.leaving != (l.Leaving || u.listedLeaving) {
+		c.setLeaving(now, u, !u.leaving)
+		c.move(now)
 	}
-	c.move(now)
-	return c.drainAll(now)
+	return c.actions
 }
 
 // ObservePeers implements quetzalhook.Policy.
@@ -194,9 +195,6 @@
 		p.queue.Advance(now)
 	}
 	c.move(now)
-	for _, p := range c.order {
-		c.yield(now, p)
-	}
 	c.dropLate(now)
 	c.resumeDelayed(now)
 	return c.drainAll(now)
--- a/internal/traffic/dispatch/start.go
+++ b/internal/traffic/dispatch/start.go
@@ -7,10 +7,6 @@
 	"quetzalhook/internal/traffic/queue"
 )
 
-// preemptHold was the shortest of 1, 1.5, 2 and 3 s that kept urgent work in
-// target in most bursts of 0.8 of capacity; longer holds leave slots idle.
-const preemptHold = 2 * time.Second
-
 // result is what became of an attempt to start a request.
 type result uint8
 
@@ -31,17 +27,14 @@
 	c.drain(now, p)
 }
 
-// drainAll starts what fits in all pools, those with the most urgent work
-// first, because pools may share upstreams.
+// drainAll starts what fits in all pools.
 func (c *Core) drainAll(now time.Time) []quetzalhook.Action {
-	for tier := range quetzalhook.Tier(quetzalhook.TierCount) {
-		for _, p := range c.order {
-			if it := p.queue.NextStrict(now); it != nil && it.Request.Class.Tier() == tier {
-				c.drain(now, p)
-			} else if tier == 0 && len(p.claimed) > 0 {
-				c.drain(now, p)
-			}
-		}
+	if c.shared {
+		c.drainShared(now)
+		return c.actions
+	}
+	for _, p := range c.order {
+		c.drain(now, p)
 	}
 	return c.actions
 }
@@ -49,25 +42,65 @@
 // drain starts waiting requests of a pool while there are slots, then frees
 // slots for those that may take one.
 func (c *Core) drain(now time.Time, p *pool) {
-	if p.queue.Waiting() == 0 && len(p.claimed) == 0 {
-		return
-	}
-	total, free := c.placer.Slots(now, p.model)
-	p.slots = total
-	p.queue.SetSlots(total)
-	if total == 0 {
-		return
-	}
+	total, free := c.slots(now, p)
 	if free > 0 && !c.drainClaimed(now, p) {
 		return
 	}
 	for free > 0 && c.startNext(now, p) {
 	}
-	if !c.noPreempt {
+	if total > 0 {
 		c.free(now, p)
 	}
 }
 
+// drainShared does the same for pools that share upstreams: the pool with the
+// neediest class goes first, else the one with the most urgent work, else
+// they take turns.
+func (c *Core) drainShared(now time.Time) {
+	for _, p := range c.order {
+		total, free := c.slots(now, p)
+		p.full = total == 0 || free > 0 && !c.drainClaimed(now, p)
+	}
+	for p := c.nextPool(now); p != nil; p = c.nextPool(now) {
+		if !c.startNext(now, p) {
+			p.full = true
+		}
+	}
+	for _, p := range c.order {
+		if len(p.claimed) <= p.freeing {
+			c.free(now, p)
+		}
+	}
+}
+
+// nextPool returns the pool to start from, or nil.
+func (c *Core) nextPool(now time.Time) *pool {
+	var best *pool
+	var most float64
+	var top quetzalhook.Tier
+	for _, p := range c.order {
+		it := p.queue.NextStrict(now)
+		if p.full || it == nil {
+			continue
+		}
+		need, tier := p.queue.Need(), it.Request.Class.Tier()
+		if best == nil || need > most || need == most && (tier < top || tier == top && p.turn < best.turn) {
+			best, most, top = p, need, tier
+		}
+	}
+	return best
+}
+
+// slots returns the pool's slots in total and unused, or 0 if it has no work.
+func (c *Core) slots(now time.Time, p *pool) (total, free int) {
+	if p.queue.Waiting() == 0 && len(p.claimed) == 0 {
+		return 0, 0
+	}
+	total, free = c.placer.Slots(now, p.model)
+	p.queue.SetSlots(float64(total) * p.part)
+	return total, free
+}
+
 // drainClaimed starts the claimed requests; it returns false if one found no
 // slot.
 func (c *Core) drainClaimed(now time.Time, p *pool) bool {
@@ -85,22 +118,19 @@
 
 // startNext starts one waiting request; it returns false if none fits.
 func (c *Core) startNext(now time.Time, p *pool) bool {
-	if it := p.queue.NextFloor(now); it != nil && c.try(now, it) != resultNoSlot {
-		return true
+	if it := p.queue.NextFloor(now); it != nil {
+		switch c.try(now, it) {
+		case resultStarted:
+			p.queue.Protect(it)
+			return true
+		case resultGone:
+			return true
+		}
 	}
 	it := p.queue.NextStrict(now)
-	if it == nil || p.isHeld(now) && !it.Request.Class.IsUrgent() {
-		return false
-	}
-	return c.try(now, it) != resultNoSlot
+	return it != nil && c.try(now, it) != resultNoSlot
 }
 
-// isHeld reports whether free slots are kept for urgent work because of
-// repeated preemptions. A request that resumes between two urgent ones is
-// preempted again at once, and after MaxPreemptions it holds its slot to the
-// end.
-func (p *pool) isHeld(now time.Time) bool { return now.Sub(p.preempted[0]) < preemptHold }
-
 // try starts a waiting request if its customer may run one more.
 func (c *Core) try(now time.Time, it *queue.Item) result {
 	e := it.Payload.(*entry)
@@ -169,7 +199,7 @@
 	if u == nil || u.leavingFor(now) > leavingGrace && !c.faults.useLeaving {
 		return resultNoSlot
 	}
-	if c.outOfReach(now, e, id) && !e.pool.queue.Freeable(e.Request.Class.Tier()) {
+	if c.outOfReach(now, e, id) {
 		c.withdraw(e)
 		c.refuse(now, e, quetzalhook.RefuseLate)
 		return resultGone
@@ -184,6 +214,8 @@
 
 func (c *Core) run(now time.Time, e *entry, u *upstream) {
 	e.pool.queue.Run(&e.Item)
+	c.turn++
+	e.pool.turn = c.turn
 	c.setState(e, stateRunning)
 	e.upstream, e.place, e.base = u, len(u.running), e.Tokens
 	u.running = append(u.running, e)
@@ -196,28 +228,13 @@
 // free cancels lower-tier streams for urgent requests without a slot, then
 // streams of classes above their floor for classes far below theirs.
 func (c *Core) free(now time.Time, p *pool) {
-	// A slot that was freed may have gone to another host meanwhile.
-	for len(p.claimed) > p.freeing && c.preempt(now, p, &p.claimed[0].Item) {
+	if c.noPreempt {
+		return
 	}
 	for c.claim(now, p, p.queue.NextUrgent(now)) {
 	}
-	for c.claim(now, p, p.queue.NextOverdue(now)) {
-	}
-}
-
-// yield cancels lower-tier streams for the urgent work of other hosts.
-func (c *Core) yield(now time.Time, p *pool) {
-	if c.noPreempt || p.queue.Running() == 0 {
-		return
-	}
-	_, free := c.placer.Slots(now, p.model)
-	for p.yielding < -free {
-		e := c.stopVictim(now, p, p.queue.VictimForOthers())
-		if e == nil {
-			return
-		}
-		e.yields = true
-		p.yielding++
+	for it := p.queue.NextOverdue(now); c.claim(now, p, it); it = p.queue.NextOverdue(now) {
+		p.queue.Protect(it)
 	}
 }
 
@@ -232,7 +249,7 @@
 	if !c.acquire(now, e) {
 		return true // the next customer's request may be tried
 	}
-	if len(p.claimed) >= p.freeing && !c.preempt(now, p, it) {
+	if len(p.claimed) >= p.freeing && !c.preempt(p, it) {
 		if !held {
 			c.unacquire(now, e)
 		}
@@ -245,29 +262,54 @@
 }
 
 // preempt cancels the stream that gives up its slot for it.
-func (c *Core) preempt(now time.Time, p *pool, it *queue.Item) bool {
-	e := c.stopVictim(now, p, p.queue.Victim(it))
-	if e == nil {
+func (c *Core) preempt(p *pool, it *queue.Item) bool {
+	v := p.queue.Victim(it)
+	if v == nil && c.shared {
+		v = c.sharedVictim(p, it)
+	}
+	if v == nil {
 		return false
 	}
-	e.freeing = true
+	e := v.Payload.(*entry)
+	c.checkPreempt(it, e)
+	e.Preemptions++
+	e.freeing = p
 	p.freeing++
+	c.stats.Preempted++
+	c.cancel(e, quetzalhook.CausePreempted)
 	return true
 }
 
-// stopVictim cancels a stream for more urgent work and returns its entry, or
-// nil if there is none.
-func (c *Core) stopVictim(now time.Time, p *pool, v *queue.Item) *entry {
-	if v == nil {
+// maxScan bounds the upstreams that one search for a victim looks at.
+const maxScan = 64
+
+// sharedVictim returns the request of another model that gives up its slot on
+// an upstream that serves both, or nil: the lowest tier first, then the least
+// loss.
+func (c *Core) sharedVictim(p *pool, it *queue.Item) *queue.Item {
+	urgent := it.Request.Class.IsUrgent()
+	var best *entry
+	for range min(maxScan, len(p.upstreams)) {
+		p.scan++
+		u := p.upstreams[p.scan%len(p.upstreams)]
+		if u.leaving {
+			continue
+		}
+		for _, e := range u.running {
+			if e.pool == p || e.state != stateRunning || !e.pool.queue.MayLose(&e.Item, urgent) {
+				continue
+			}
+			tier := e.Request.Class.Tier()
+			if best == nil || tier > best.Request.Class.Tier() ||
+				tier == best.Request.Class.Tier() && e.Loss() < best.Loss() {
+				best = e
+			}
+		}
+	}
+	if best == nil {
 		return nil
 	}
-	e := v.Payload.(*entry)
-	c.checkPreempt(e)
-	e.Preemptions++
-	p.preempted[0], p.preempted[1] = p.preempted[1], now
-	c.stats.Preempted++
-	c.cancel(e, quetzalhook.CausePreempted)
-	return e
+	return &best.Item
 }
 
 // cancel asks the host to stop the stream. The request keeps its slot until
