Let floors lag in a burst and repay them, keep slots for urgent work

A class bears the loss of its floor for 10 s and then gets 1.5 times its floor until the window's share is repaid, so that a burst of 10 s goes first and TestFloor holds as it is.

--- a/internal/traffic/dispatch/entry.go
+++ b/internal/traffic/dispatch/entry.go
@@ -61,6 +61,8 @@
 	model   quetzalhook.Model
 	claimed []*entry // in order of their claims
 	freeing int      // cancels that free a slot for claimed requests
+	// preempted is when requests last lost their slots, the earlier first.
+	preempted [2]time.Time
 
 	upstreams []*upstream // those that serve the model
 	// part is the part of their slots that counts for floors: a slot that
--- a/internal/traffic/dispatch/start.go
+++ b/internal/traffic/dispatch/start.go
@@ -1,12 +1,17 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"quetzalhook"
 	"quetzalhook/internal/traffic/queue"
 )
 
+// preemptHold is how long free slots are kept for urgent work after repeated
+// preemptions.
+const preemptHold = 2 * time.Second
+
 // result is what became of an attempt to start a request.
 type result uint8
 
@@ -128,7 +133,25 @@
 		}
 	}
 	it := p.queue.NextStrict(now)
-	return it != nil && c.try(now, it) != resultNoSlot
+	if it == nil || !it.Request.Class.IsUrgent() && c.isHeld(now, p) {
+		return false
+	}
+	return c.try(now, it) != resultNoSlot
+}
+
+const holdFactor = 1.0
+
+// isHeld reports whether the free slots are kept for urgent work, because
+// requests lost their slots to it lately. A request that resumes between two
+// urgent ones is preempted again at once, and after MaxPreemptions it holds
+// its slot to the end. As many slots are kept as the number of running urgent
+// requests varies by.
+func (c *Core) isHeld(now time.Time, p *pool) bool {
+	if now.Sub(p.preempted[0]) >= preemptHold {
+		return false
+	}
+	_, free := c.placer.Slots(now, p.model)
+	return float64(free) <= holdFactor*math.Sqrt(float64(c.load.requests()[quetzalhook.TierUrgent]))
 }
 
 // try starts a waiting request if its customer may run one more.
@@ -199,7 +222,7 @@
 	if u == nil || u.leavingFor(now) > leavingGrace && !c.faults.useLeaving {
 		return resultNoSlot
 	}
-	if c.outOfReach(now, e, id) {
+	if c.outOfReach(now, e, id) && !e.pool.queue.Freeable(e.Request.Class.Tier()) {
 		c.withdraw(e)
 		c.refuse(now, e, quetzalhook.RefuseLate)
 		return resultGone
@@ -231,6 +254,9 @@
 	if c.noPreempt {
 		return
 	}
+	// A slot that was freed may have gone to another host meanwhile.
+	for len(p.claimed) > p.freeing && c.preempt(now, p, &p.claimed[0].Item) {
+	}
 	for c.claim(now, p, p.queue.NextUrgent(now)) {
 	}
 	for it := p.queue.NextOverdue(now); c.claim(now, p, it); it = p.queue.NextOverdue(now) {
@@ -249,7 +275,7 @@
 	if !c.acquire(now, e) {
 		return true // the next customer's request may be tried
 	}
-	if len(p.claimed) >= p.freeing && !c.preempt(p, it) {
+	if len(p.claimed) >= p.freeing && !c.preempt(now, p, it) {
 		if !held {
 			c.unacquire(now, e)
 		}
@@ -262,7 +288,7 @@
 }
 
 // preempt cancels the stream that gives up its slot for it.
-func (c *Core) preempt(p *pool, it *queue.Item) bool {
+func (c *Core) preempt(now time.Time, p *pool, it *queue.Item) bool {
 	v := p.queue.Victim(it)
 	if v == nil && c.shared {
 		v = c.sharedVictim(p, it)
@@ -275,6 +301,7 @@
 	e.Preemptions++
 	e.freeing = p
 	p.freeing++
+	p.preempted[0], p.preempted[1] = p.preempted[1], now
 	c.stats.Preempted++
 	c.cancel(e, quetzalhook.CausePreempted)
 	return true
--- a/internal/traffic/queue/class.go
+++ b/internal/traffic/queue/class.go
@@ -19,9 +19,13 @@
 	// floor took before it can lose it. Without it urgent requests would take
 	// the slot back at once.
 	protectedCredit = minCredit / 2
-	// overdueShare is the part of the window's floor that a class may be short
-	// of before it takes slots from others.
-	overdueShare = 1.0 / 3
+	// slackWindow is how long a class may get nothing while more urgent work
+	// fills all slots: urgent work of 0.8 of capacity and the floors do not fit
+	// together in a burst of 10 s, and a floor is a share over Window.
+	slackWindow = 10 * time.Second
+	// repayRate is by how much a class exceeds its floor after that; it gets
+	// the floor of the whole Window in the rest of it.
+	repayRate = float64(Window) / float64(Window-slackWindow)
 )
 
 // class is the state of one request class in a Queue.
@@ -46,8 +50,10 @@
 	deficit float64
 	// protected is set while the class runs on slots that its floor took.
 	protected bool
-	floor     float64 // slots that the class is entitled to
-	known     float64 // the latest floor above 0
+	// repaying is set from when the deficit exceeds the slack until it is gone.
+	repaying bool
+	floor    float64 // slots that the class is entitled to
+	known    float64 // the latest floor above 0
 }
 
 func newClass(def quetzalhook.Class) *class {
@@ -103,14 +109,16 @@
 		short = min(short, max(-c.deficit, 0))
 	}
 	c.deficit = min(max(c.deficit+short, -c.creditLimit()), c.debtLimit())
+	c.repaying = c.deficit > 0 && (c.repaying || c.deficit > c.floor*slackWindow.Seconds())
 	c.protected = c.protected && c.running+c.taken > 0 && c.deficit > -protectedCredit
 }
 
 // mayTake reports whether the class may take a slot ahead of its tier: it has
-// work and does not run its floor already. A large deficit does not take
-// several slots at once, because it shrinks only as time passes.
+// work, went without its floor for longer than the slack, and does not run
+// what repays it already. A large deficit does not take several slots at
+// once, because it shrinks only as time passes.
 func (c *class) mayTake() bool {
-	return c.floor > 0 && float64(c.running+c.taken) <= c.floor && c.eligible()
+	return c.repaying && c.floor > 0 && float64(c.running+c.taken) <= c.floor*repayRate && c.eligible()
 }
 
 // isStarved reports whether a class whose work must finish is below its floor
@@ -122,7 +130,7 @@
 // hasCredit reports whether the class can lose a slot and wait for its floor:
 // it is not short, and has used a slot that its floor took for a while.
 func (c *class) hasCredit() bool {
-	return c.deficit <= 0 && !c.protected || c.deficit <= -protectedCredit
+	return !c.repaying && !c.protected || c.deficit <= -protectedCredit
 }
 
 // hasSurplus reports whether the class keeps its floor without one slot.
--- a/internal/traffic/queue/pick.go
+++ b/internal/traffic/queue/pick.go
@@ -74,7 +74,7 @@
 // NextOverdue returns the next item of a class that is so far below its floor
 // that it takes a slot from a class above its own, or nil.
 func (q *Queue) NextOverdue(now time.Time) *Item {
-	if c, need := q.neediest(); need > overdueShare*Window.Seconds() {
+	if c, need := q.neediest(); need > 0 {
 		return c.head(now, true)
 	}
 	return nil
