Remove yielding of slots to other hosts

Dispatch no longer stops streams for other hosts, so the planner need not count what a host holds beyond its share, and Placer is as it was.

--- a/internal/traffic/placement/division.go
+++ b/internal/traffic/placement/division.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -22,16 +21,17 @@
 // divide computes this host's slots on every upstream from the demand of all
 // hosts.
 func (p *Planner) divide(now time.Time) {
-	needs := append(make([]share.Need, 0, len(p.peers)+1), p.ownNeed(now))
+	own := p.ownNeed(now)
 	if len(p.peers) == 0 {
 		p.table = share.Equal(p.host, p.hosts)
 	} else {
+		needs := append(make([]share.Need, 0, len(p.peers)+1), own)
 		for _, d := range p.peers {
 			needs = append(needs, need(d.Host, d.Demand))
 		}
 		p.table = share.Divide(p.capacity(), needs)
 	}
-	p.allocate(needs)
+	p.allocate()
 }
 
 func (p *Planner) capacity() float64 {
@@ -44,52 +44,27 @@
 	return float64(capacity)
 }
 
-// holding sums up one host's slots over all usable upstreams.
-type holding struct {
-	inFlight map[quetzalhook.UpstreamID]int
-	urgent   float64 // needed for urgent work
-	whole    int     // by its fraction
-	held     int
-}
-
 // allocate turns the fractions of the table into slots of each upstream.
-func (p *Planner) allocate(needs []share.Need) {
+func (p *Planner) allocate() {
 	hosts := p.table.Hosts()
 	self, _ := slices.BinarySearch(hosts, p.host)
-	holdings := make([]holding, len(hosts))
-	for _, n := range needs {
-		i, _ := slices.BinarySearch(hosts, n.Host)
-		holdings[i].urgent = n.Slots[quetzalhook.TierUrgent]
-	}
+	inFlight := make([]map[quetzalhook.UpstreamID]int, len(hosts))
 	for _, d := range p.peers {
-		i, _ := slices.BinarySearch(hosts, d.Host)
-		holdings[i].inFlight = d.Demand.InFlight
+		if i, ok := slices.BinarySearch(hosts, d.Host); ok {
+			inFlight[i] = d.Demand.InFlight
+		}
 	}
 	held, got := make([]int, len(hosts)), make([]int, len(hosts))
-	idle := 0
 	for _, u := range p.upstreams {
-		p.table.Whole(u.Slots, u.index, got)
-		free := u.Slots
-		for i := range holdings {
-			held[i] = holdings[i].inFlight[u.ID]
-			if i == self {
-				held[i] = u.own
-			}
-			free -= held[i]
-			if u.isUsable() {
-				holdings[i].whole += got[i]
-				holdings[i].held += held[i]
-			}
+		for i := range hosts {
+			held[i] = inFlight[i][u.ID]
 		}
-		u.whole = got[self]
+		held[self] = u.own
+		p.table.Whole(u.Slots, u.index, got)
 		share.Hold(u.Slots, u.index, held, got)
 		u.share = got[self]
 		p.checkShares(u, held, got)
-		if u.isUsable() {
-			idle += max(free, 0)
-		}
 	}
-	p.excess = excess(holdings, self, idle)
 }
 
 // checkShares checks that the hosts' slots on u are no more than it has, or
@@ -106,22 +81,6 @@
 	p.rules.Check(RuleSlotShare, sum <= max(u.Slots, holds), "upstream", u.ID, "sum", sum, "held", holds)
 }
 
-// excess returns how many slots the host at position self holds beyond its
-// share and should free, because other hosts are short of slots for urgent
-// work by more than are idle.
-func excess(holdings []holding, self, idle int) int {
-	short, over := -float64(idle), 0
-	for _, h := range holdings {
-		short += max(min(h.urgent, float64(h.whole))-float64(h.held), 0)
-		over += max(h.held-h.whole, 0)
-	}
-	own := max(holdings[self].held-holdings[self].whole, 0)
-	if short <= 0 || own == 0 {
-		return 0
-	}
-	return int(math.Ceil(min(short/float64(over), 1) * float64(own)))
-}
-
 // ownNeed returns this host's need as its peers know it: growth counts after
 // settleTime, a decrease at once.
 func (p *Planner) ownNeed(now time.Time) share.Need {
--- a/internal/traffic/placement/planner.go
+++ b/internal/traffic/placement/planner.go
@@ -77,7 +77,6 @@
 	rotated   time.Time
 	peers     []quetzalhook.PeerDemand
 	table     share.Table
-	excess    int // slots to free for urgent work of other hosts
 	refreshed time.Time
 	sampled   time.Time
 }
@@ -279,11 +278,6 @@
 	s.prefilled()
 	u := s.upstream
 	u.own--
-	if u.share > u.whole && p.excess > 0 {
-		// A slot beyond the host's share goes back to the others.
-		u.share = max(u.whole, u.own)
-		p.excess--
-	}
 	if s.health != nil {
 		p.monitor.Ended(now, s.health, end)
 	}
@@ -297,9 +291,6 @@
 	if pl == nil {
 		return 0, 0
 	}
-	if pl.unused == 0 && p.strategy == SlotShares {
-		return pl.slots, -p.excess
-	}
 	return pl.slots, pl.unused
 }
 
--- a/internal/traffic/placement/upstream.go
+++ b/internal/traffic/placement/upstream.go
@@ -30,7 +30,6 @@
 	own   int // this host's requests in flight
 	peers int // requests in flight by gossip
 	share int // this host's slots
-	whole int // this host's slots by its fraction, whatever is held
 	// prefilling counts the prompt tokens of this host's requests that have no
 	// token yet; an engine computes prompts one after the other.
 	prefilling float64
--- a/placer.go
+++ b/placer.go
@@ -23,9 +23,7 @@
 	Progress(now time.Time, id RequestID, n int)
 	// Ended reports the end of the attempt that Started began.
 	Ended(now time.Time, id RequestID, end End)
-	// Slots returns this host's slots for a model, in total and unused. Unused
-	// is negative when other hosts need slots for urgent work that this host
-	// holds beyond its share.
+	// Slots returns this host's slots for a model, in total and unused.
 	Slots(now time.Time, m Model) (total, free int)
 	// Unfit returns the upstreams whose running requests should move: leaving,
 	// gone or ejected.
