--- a/internal/traffic/dispatch/check.go
+++ b/internal/traffic/dispatch/check.go
@@ -16,60 +16,94 @@
 	legalTransition = invariant.LegalTransition
 )
 
-// check counts one check of an invariant.
-func (c *Core) check(name string, ok bool, details ...any) {
-	if c.invariants != nil {
-		c.invariants.Check(name, ok, details...)
+// broken counts one passed check and returns false, or returns true for the
+// caller to report the violation. Details are built only then, because
+// passing them costs allocations.
+func (c *Core) broken(name string, ok bool) bool {
+	if ok && c.invariants != nil {
+		c.invariants.Check(name, true)
 	}
+	return !ok && c.invariants != nil
+}
+
+// report counts one failed check.
+func (c *Core) report(name string, e *entry, details ...any) {
+	details = append(details, "request", e.Request.ID, "class", e.Request.Class.Name(), "state", e.state)
+	c.invariants.Check(name, false, details...)
 }
 
 // checkNew reports whether the request is new. A second one of the same name
 // would break "every request ends once", so it is dropped.
 func (c *Core) checkNew(r quetzalhook.Request) bool {
-	ok := c.entries[r.ID] == nil
-	c.check(legalTransition, ok, "request", r.ID, "event", "submitted-twice")
-	return ok
+	e := c.entries[r.ID]
+	if c.broken(legalTransition, e == nil) {
+		c.report(legalTransition, e, "event", "submitted-twice")
+	}
+	return e == nil
+}
+
+// checkEnd checks that a request without a slot ends only because its caller
+// went away.
+func (c *Core) checkEnd(e *entry, end quetzalhook.End) {
+	if c.broken(legalTransition, end == quetzalhook.EndCallerGone) {
+		c.report(legalTransition, e, "end", end)
+	}
 }
 
 // checkStart checks that the request may start, that the upstream was not
 // leaving for long, and that no class that must finish was passed over while
-// it got nothing for a window.
+// it got nothing of its floor for a window.
 func (c *Core) checkStart(now time.Time, e *entry, u *upstream) {
-	c.check(legalTransition, e.state == stateWaiting || e.state == stateClaimed, "request", e.Request.ID, "state", e.state)
-	c.check(leavingUpstream, u.leavingFor(now) <= leavingGrace, "request", e.Request.ID, "upstream", u.id)
+	if c.broken(legalTransition, e.state == stateWaiting || e.state == stateClaimed) {
+		c.report(legalTransition, e, "event", "start")
+	}
+	if c.broken(leavingUpstream, u.leavingFor(now) <= leavingGrace) {
+		c.report(leavingUpstream, e, "upstream", u.id)
+	}
 	if e.state == stateClaimed && !e.Request.Class.IsUrgent() {
 		return // a slot was freed for its own floor
 	}
 	starved := e.pool.queue.PassedOver(&e.Item)
-	c.check(noStarvation, starved == "", "request", e.Request.ID, "class", e.Request.Class.Name(), "starved", starved)
+	if c.broken(noStarvation, starved == "") {
+		c.report(noStarvation, e, "starved", starved)
+	}
 }
 
-// checkPreempt checks that the victim is of a lower tier than an urgent
-// request, is not urgent, and did not lose its slot too often.
+// checkPreempt checks that the victim is not urgent, may be repeated, and did
+// not lose its slot too often.
 func (c *Core) checkPreempt(it *queue.Item, victim *entry) {
-	c.check(urgentNotShed, !victim.Request.Class.IsUrgent(), "victim", victim.Request.ID, "for", it.Request.ID)
-	c.check(legalTransition, victim.state == stateRunning && victim.Preemptions < queue.MaxPreemptions &&
-		victim.Request.Repeatable, "victim", victim.Request.ID, "preemptions", victim.Preemptions)
+	if c.broken(urgentNotShed, !victim.Request.Class.IsUrgent()) {
+		c.report(urgentNotShed, victim, "for", it.Request.ID)
+	}
+	legal := victim.state == stateRunning && victim.Preemptions < queue.MaxPreemptions && victim.Request.Repeatable
+	if c.broken(legalTransition, legal) {
+		c.report(legalTransition, victim, "preemptions", victim.Preemptions)
+	}
 }
 
 // checkRefusal checks that the outcome is true and that an urgent request is
 // not refused for overload while lower-tier work could make room.
 func (c *Core) checkRefusal(e *entry, kind quetzalhook.RefuseKind, outcome quetzalhook.Outcome) {
-	c.check(trueRefusal, outcome == quetzalhook.OutcomeUnknown || !e.sent, "request", e.Request.ID, "kind", kind)
+	if c.broken(trueRefusal, outcome == quetzalhook.OutcomeUnknown || !e.sent) {
+		c.report(trueRefusal, e, "kind", kind)
+	}
 	if !e.Request.Class.IsUrgent() {
 		return
 	}
 	tier := e.Request.Class.Tier()
 	shed := kind == quetzalhook.RefuseOverload &&
 		(c.sheddable(tier) != nil || e.pool.queue.Freeable(tier) && !c.noPreempt)
-	c.check(urgentNotShed, !shed, "request", e.Request.ID, "kind", kind)
+	if c.broken(urgentNotShed, !shed) {
+		c.report(urgentNotShed, e, "kind", kind)
+	}
 }
 
 // checkDropped checks that accepted work that must finish is given up only
 // after too many failed attempts.
 func (c *Core) checkDropped(e *entry, kind quetzalhook.RefuseKind) {
-	c.check(noStarvation, !e.Request.Class.MustFinish() || kind == quetzalhook.RefuseRetryBudget,
-		"request", e.Request.ID, "class", e.Request.Class.Name(), "kind", kind)
+	if c.broken(noStarvation, !e.Request.Class.MustFinish() || kind == quetzalhook.RefuseRetryBudget) {
+		c.report(noStarvation, e, "kind", kind)
+	}
 }
 
 // checkSlots checks that the requests on upstreams are those that hold a slot.
@@ -78,5 +112,7 @@
 	for _, u := range c.upstreams {
 		on += len(u.running)
 	}
-	c.check(legalTransition, on == c.load.held(), "on-upstreams", on, "held", c.load.held())
+	if c.broken(legalTransition, on == c.load.held()) {
+		c.invariants.Check(legalTransition, false, "on-upstreams", on, "held", c.load.held())
+	}
 }
--- a/internal/traffic/dispatch/core.go
+++ b/internal/traffic/dispatch/core.go
@@ -145,7 +145,7 @@
 	}
 	e.pool.queue.Advance(now)
 	if e.state != stateRunning && e.state != stateStopping {
-		c.check(legalTransition, end == quetzalhook.EndCallerGone, "request", id, "end", end)
+		c.checkEnd(e, end)
 		c.withdraw(e)
 		c.forget(now, e)
 	} else {
@@ -159,11 +159,11 @@
 func (c *Core) ObserveLoad(now time.Time, l quetzalhook.Load) []quetzalhook.Action {
 	c.begin()
 	c.placer.ObserveLoad(now, l)
-	if u := c.upstreams[l.Upstream]; u != nil {
-		c.setLeaving(now, u, l.Leaving || u.listedLeaving)
+	if u := c.upstreams[l.Upstream]; u != nil && u.leaving != (l.Leaving || u.listedLeaving) {
+		c.setLeaving(now, u, !u.leaving)
+		c.move(now)
 	}
-	c.move(now)
-	return c.drainAll(now)
+	return c.actions
 }
 
 // ObservePeers implements quetzalhook.Policy.
