Run random tests with lagging states, free slots only where they help

The world of TestRandom now tells the core about upstreams 2 s late: a leaving engine takes no new stream, one that is gone breaks all. It also ejects upstreams and has an urgent class whose late answers are worthless. Found: - A request that must finish was given up after 8 failures, 1.3 s, while an upstream refused streams and the core had not heard of it. It now gets 30 attempts, about 25 s. - A victim on an ejected upstream freed a slot that nobody could use. Such streams are no victims now, and a claimed request whose slot was lost gets another one. - Streams that may not be repeated could hold all slots; they now count with the streams that lost their slot twice. - The core doomed a stream whose cancel was already open.

urgent-not-shed now also sees an urgent request that gets late in the queue while a slot could be freed; TestFaults shows it with preemption off.

--- a/internal/traffic/dispatch/check.go
+++ b/internal/traffic/dispatch/check.go
@@ -91,13 +91,30 @@
 		return
 	}
 	tier := e.Request.Class.Tier()
-	shed := kind == quetzalhook.RefuseOverload &&
-		(c.sheddable(tier) != nil || e.pool.queue.Freeable(tier) && !c.noPreempt)
+	shed := kind == quetzalhook.RefuseOverload && (c.sheddable(tier) != nil || e.pool.queue.Freeable(tier))
 	if c.broken(urgentNotShed, !shed) {
 		c.report(urgentNotShed, e, "kind", kind)
 	}
 }
 
+// checkLate checks that an urgent request did not get late in the queue while
+// a slot could be freed for it.
+func (c *Core) checkLate(e *entry) {
+	class := e.Request.Class
+	shed := class.IsUrgent() && e.state == stateWaiting && !e.pool.queue.Parked(&e.Item) &&
+		e.pool.slots > 0 && e.pool.queue.Freeable(class.Tier())
+	if c.broken(urgentNotShed, !shed) {
+		c.report(urgentNotShed, e, "kind", quetzalhook.RefuseLate)
+	}
+}
+
+// checkEndsOnce checks that a request ends once.
+func (c *Core) checkEndsOnce(e *entry) {
+	if c.broken(legalTransition, e.state != stateNew && e.state != stateEnded) {
+		c.report(legalTransition, e, "event", "ended-twice")
+	}
+}
+
 // checkDropped checks that accepted work that must finish is given up only
 // after too many failed attempts.
 func (c *Core) checkDropped(e *entry, kind quetzalhook.RefuseKind) {
--- a/internal/traffic/dispatch/core.go
+++ b/internal/traffic/dispatch/core.go
@@ -37,6 +37,7 @@
 	parked    map[quetzalhook.CustomerID][]*entry // one of each parked flow
 	upstreams map[quetzalhook.UpstreamID]*upstream
 	leaving   []*upstream // those that leave or left, with requests to move
+	unfit     []*upstream // those that the placer ejected
 	shared    bool        // some upstream serves several models
 	turn      int         // starts so far
 	late      timers
@@ -162,6 +163,7 @@
 	if u := c.upstreams[l.Upstream]; u != nil && u.leaving != (l.Leaving || u.listedLeaving) {
 		c.setLeaving(now, u, !u.leaving)
 		c.move(now)
+		c.drainAll(now)
 	}
 	return c.actions
 }
@@ -181,10 +183,12 @@
 // Tick implements quetzalhook.Policy.
 func (c *Core) Tick(now time.Time) []quetzalhook.Action {
 	c.begin()
+	c.dropLate(now) // first, so that its check sees what the last drain saw
 	if now.Sub(c.lastSlow) >= slowInterval {
 		c.lastSlow = now
 		c.placer.ObserveDemand(now, c.Demand(now))
 		c.limiter.Tick(now)
+		c.move(now)
 		c.unparkAll()
 		for _, p := range c.order {
 			p.queue.Sweep()
@@ -194,8 +198,6 @@
 	for _, p := range c.order {
 		p.queue.Advance(now)
 	}
-	c.move(now)
-	c.dropLate(now)
 	c.resumeDelayed(now)
 	return c.drainAll(now)
 }
--- a/internal/traffic/dispatch/core_test.go
+++ b/internal/traffic/dispatch/core_test.go
@@ -19,6 +19,7 @@
 // TestMain fixes the seed; -rapid.seed and -rapid.checks run others and more.
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
 	flag.Parse()
 	os.Exit(m.Run())
 }
@@ -69,6 +70,7 @@
 		opt  Option
 	}{
 		"urgent refused":       {invariant.UrgentNotShed, func(c *Core) { c.faults.refuseUrgent = true }},
+		"no preemption":        {invariant.UrgentNotShed, WithoutPreemption()},
 		"untrue not-run":       {invariant.TrueRefusal, func(c *Core) { c.faults.claimNotRun = true }},
 		"leaving upstream":     {invariant.LeavingUpstream, func(c *Core) { c.faults.useLeaving = true }},
 		"slot kept":            {invariant.LegalTransition, func(c *Core) { c.faults.loseSlot = true }},
@@ -79,9 +81,9 @@
 			got := int64(0)
 			for seed := uint64(0); seed < 20 && got == 0; seed++ {
 				rng := rand.New(rand.NewPCG(seed, 1))
-				w := newWorld([]int{2, 2}, WithMaxWaiting(20), tc.opt)
+				w := newWorld([]int{2, 1, 1}, WithMaxWaiting(20), tc.opt)
 				w.placer.usesLeaving = name == "leaving upstream"
-				for range 600 {
+				for range 1000 {
 					w.random(rng.IntN)
 				}
 				for _, n := range w.counts.Counts() {
--- a/internal/traffic/dispatch/end.go
+++ b/internal/traffic/dispatch/end.go
@@ -12,10 +12,13 @@
 	retryDelay = time.Second
 	// minRetryDelay keeps callers over their limit from asking again at once.
 	minRetryDelay = 100 * time.Millisecond
-	// maxFailures bounds the attempts without a new token. A request that must
-	// finish gets them regardless of the retry budget; without a bound one
-	// that breaks every engine would run for ever.
+	// maxFailures bounds the attempts without a new token.
 	maxFailures = 8
+	// finishFailures is the same for requests that must finish, regardless of
+	// the retry budget. Their delays add up to about 25 s, several times the
+	// lag of load reports. Without a bound a request that breaks every engine
+	// would run for ever.
+	finishFailures = 30
 	// urgentFailures is how many failures of an urgent request are retried
 	// regardless of the retry budget.
 	urgentFailures = 2
@@ -88,8 +91,16 @@
 	e.failures++
 	allowed := end == quetzalhook.EndNotSent || e.Request.Repeatable
 	class := e.Request.Class
-	budget := c.budget.Retry(now) || class.MustFinish() || class.IsUrgent() && e.failures <= urgentFailures
-	if !allowed || !budget || e.failures >= maxFailures {
+	budget := c.budget.Retry(now)
+	switch {
+	case class.MustFinish():
+		budget = e.failures < finishFailures
+	case class.IsUrgent() && e.failures <= urgentFailures:
+		budget = true
+	default:
+		budget = budget && e.failures < maxFailures
+	}
+	if !allowed || !budget {
 		c.refuse(now, e, quetzalhook.RefuseRetryBudget)
 		return
 	}
@@ -98,7 +109,7 @@
 		return
 	}
 	c.setState(e, stateDelayed)
-	c.delayed.add(e, now.Add(min(firstDelay<<(e.failures-2), maxDelay)))
+	c.delayed.add(e, now.Add(min(firstDelay<<min(e.failures-2, maxFailures), maxDelay)))
 }
 
 // resumeDelayed queues the delayed requests whose time has come.
--- a/internal/traffic/dispatch/entry.go
+++ b/internal/traffic/dispatch/entry.go
@@ -65,10 +65,11 @@
 	upstreams []*upstream // those that serve the model
 	// part is the part of their slots that counts for floors: a slot that
 	// serves several models counts for each in equal parts.
-	part float64
-	full bool // found no slot in the present drain
-	turn int  // serial number of the latest start
-	scan int  // where sharedVictim continues
+	part  float64
+	slots int  // in total, in the present drain
+	full  bool // found no slot in the present drain
+	turn  int  // serial number of the latest start
+	scan  int  // where sharedVictim continues
 }
 
 // upstream is what the core keeps of one upstream.
@@ -76,6 +77,7 @@
 	id            quetzalhook.UpstreamID
 	running       []*entry
 	leaving       bool
+	unfit         bool // ejected by the placer
 	listed        bool
 	listedLeaving bool
 	since         time.Time // when it began to leave
@@ -236,6 +238,7 @@
 
 // forget ends a request that is in no queue and on no upstream.
 func (c *Core) forget(now time.Time, e *entry) {
+	c.checkEndsOnce(e)
 	c.setState(e, stateEnded)
 	c.late.remove(e)
 	delete(c.entries, e.Request.ID)
--- a/internal/traffic/dispatch/late.go
+++ b/internal/traffic/dispatch/late.go
@@ -100,8 +100,13 @@
 // dropLate ends the requests without a first token whose late answers are
 // worthless and whose deadline has passed.
 func (c *Core) dropLate(now time.Time) {
+	var due []*entry
 	for e := c.late.due(now); e != nil; e = c.late.due(now) {
 		c.late.remove(e)
+		c.checkLate(e)
+		due = append(due, e)
+	}
+	for _, e := range due {
 		switch {
 		case e.Tokens > 0:
 		case e.state == stateRunning:
--- a/internal/traffic/dispatch/move.go
+++ b/internal/traffic/dispatch/move.go
@@ -32,14 +32,40 @@
 	}
 	clear(c.leaving[len(kept):])
 	c.leaving = kept
-	for _, id := range c.placer.Unfit(now) {
-		if u := c.upstreams[id]; u != nil && !u.leaving && len(u.running) > 0 {
+	c.markUnfit(c.placer.Unfit(now))
+	for _, u := range c.unfit {
+		if !u.leaving && len(u.running) > 0 {
 			free := make(map[*pool]int)
 			c.moveFrom(u, func(p *pool) bool { return c.hasSlot(now, p, free) })
 		}
 	}
 }
 
+// markUnfit takes the placer's list of unfit upstreams. Streams on them are no
+// victims: a slot there is of no use to an urgent request.
+func (c *Core) markUnfit(ids []quetzalhook.UpstreamID) {
+	before := c.unfit
+	c.unfit = nil
+	for _, u := range before {
+		u.unfit = false
+	}
+	for _, id := range ids {
+		if u := c.upstreams[id]; u != nil {
+			u.unfit = true
+			c.unfit = append(c.unfit, u)
+		}
+	}
+	for _, list := range [][]*upstream{before, c.unfit} {
+		for _, u := range list {
+			for _, e := range u.running {
+				if e.state == stateRunning {
+					e.pool.queue.Offer(&e.Item, !u.unfit)
+				}
+			}
+		}
+	}
+}
+
 // moveFrom cancels the streams on an upstream for which there is room.
 func (c *Core) moveFrom(u *upstream, room func(*pool) bool) {
 	for _, e := range u.running {
--- a/internal/traffic/dispatch/scenario_test.go
+++ b/internal/traffic/dispatch/scenario_test.go
@@ -14,9 +14,9 @@
 )
 
 // TestScripts guards against changed decisions in the scripted cases of
-// testdata.
+// testdata/scripts.
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		var w *world
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if w == nil {
@@ -57,6 +57,7 @@
 		w.end(w.calls[quetzalhook.RequestID(f[1])], ends[f[2]])
 	case "state": // upstream, state
 		w.setState(number(f[1]), quetzalhook.UpstreamState(number(f[2])))
+		w.hear()
 	default:
 		t.Fatalf("unknown command %q", f[0])
 	}
--- a/internal/traffic/dispatch/start.go
+++ b/internal/traffic/dispatch/start.go
@@ -42,14 +42,13 @@
 // drain starts waiting requests of a pool while there are slots, then frees
 // slots for those that may take one.
 func (c *Core) drain(now time.Time, p *pool) {
-	total, free := c.slots(now, p)
-	if free > 0 && !c.drainClaimed(now, p) {
-		return
-	}
-	for free > 0 && c.startNext(now, p) {
+	free := c.freeSlots(now, p)
+	if free > 0 && c.drainClaimed(now, p) {
+		for c.startNext(now, p) {
+		}
 	}
-	if total > 0 {
-		c.free(now, p)
+	if p.slots > 0 {
+		c.free(now, p, free)
 	}
 }
 
@@ -58,8 +57,8 @@
 // they take turns.
 func (c *Core) drainShared(now time.Time) {
 	for _, p := range c.order {
-		total, free := c.slots(now, p)
-		p.full = total == 0 || free > 0 && !c.drainClaimed(now, p)
+		free := c.freeSlots(now, p)
+		p.full = free == 0 || !c.drainClaimed(now, p)
 	}
 	for p := c.nextPool(now); p != nil; p = c.nextPool(now) {
 		if !c.startNext(now, p) {
@@ -67,8 +66,9 @@
 		}
 	}
 	for _, p := range c.order {
-		if len(p.claimed) <= p.freeing {
-			c.free(now, p)
+		if p.slots > 0 {
+			free := c.freeSlots(now, p)
+			c.free(now, p, free)
 		}
 	}
 }
@@ -91,14 +91,17 @@
 	return best
 }
 
-// slots returns the pool's slots in total and unused, or 0 if it has no work.
-func (c *Core) slots(now time.Time, p *pool) (total, free int) {
+// freeSlots returns the pool's unused slots and records the total; both are 0
+// if it has no work.
+func (c *Core) freeSlots(now time.Time, p *pool) int {
 	if p.queue.Waiting() == 0 && len(p.claimed) == 0 {
-		return 0, 0
+		p.slots = 0
+		return 0
 	}
-	total, free = c.placer.Slots(now, p.model)
+	total, free := c.placer.Slots(now, p.model)
+	p.slots = total
 	p.queue.SetSlots(float64(total) * p.part)
-	return total, free
+	return free
 }
 
 // drainClaimed starts the claimed requests; it returns false if one found no
@@ -227,10 +230,13 @@
 
 // free cancels lower-tier streams for urgent requests without a slot, then
 // streams of classes above their floor for classes far below theirs.
-func (c *Core) free(now time.Time, p *pool) {
+func (c *Core) free(now time.Time, p *pool, free int) {
 	if c.noPreempt {
 		return
 	}
+	// A freed slot can be lost with its upstream.
+	for free == 0 && len(p.claimed) > p.freeing && c.preempt(p, &p.claimed[p.freeing].Item) {
+	}
 	for c.claim(now, p, p.queue.NextUrgent(now)) {
 	}
 	for it := p.queue.NextOverdue(now); c.claim(now, p, it); it = p.queue.NextOverdue(now) {
--- a/internal/traffic/dispatch/world_test.go
+++ b/internal/traffic/dispatch/world_test.go
@@ -13,6 +13,7 @@
 
 var (
 	question = quetzalhook.NewClass("permit-question", 0, quetzalhook.WithTTFTTarget(2*time.Second))
+	alarm    = quetzalhook.NewClass("alarm", 0, quetzalhook.WithTTFTTarget(time.Second), quetzalhook.WithLateWorthless())
 	booking  = quetzalhook.NewClass("pitch-booking", 1, quetzalhook.WithTTFTTarget(5*time.Second))
 	status   = quetzalhook.NewClass("order-status", 1, quetzalhook.WithTTFTTarget(3*time.Second),
 		quetzalhook.WithLateWorthless(), quetzalhook.WithFloorShare(0.05))
@@ -20,11 +21,15 @@
 		quetzalhook.WithMustFinish(), quetzalhook.WithFloorShare(0.2))
 	summary = quetzalhook.NewClass("daily-summary", 3, quetzalhook.WithMustFinish(), quetzalhook.WithFloorShare(0.1))
 	draft   = quetzalhook.NewClass("draft", 3)
-	classes = []quetzalhook.Class{question, booking, status, rulebook, summary, draft}
+	classes = []quetzalhook.Class{question, alarm, booking, status, rulebook, summary, draft}
 )
 
-// tokenRate is the tokens/s of one stream of the fake engine.
-const tokenRate = 50
+const (
+	// tokenRate is the tokens/s of one stream of the fake engine.
+	tokenRate = 50
+	// reportLag is the time until the core hears of an upstream's state.
+	reportLag = 2 * time.Second
+)
 
 // call is one request as the host and the engine see it.
 type call struct {
@@ -34,7 +39,7 @@
 	upstream                 quetzalhook.UpstreamID
 	tokens                   int
 	ran                      bool // an attempt may have reached an engine
-	preempted                int
+	preempted, attempts      int
 	accepted                 bool
 	arrived, started, answer time.Time
 }
@@ -49,7 +54,9 @@
 	calls   map[quetzalhook.RequestID]*call
 	live    []*call
 	serial  int
-	leaving map[quetzalhook.UpstreamID]time.Time
+	states  map[quetzalhook.UpstreamID]quetzalhook.UpstreamState
+	changed map[quetzalhook.UpstreamID]time.Time // when the state changed
+	heard   time.Time                            // when the core hears of it, or zero
 	errors  []string
 	log     []string
 	ended   func(*call, string)
@@ -58,7 +65,7 @@
 func newWorld(slots []int, opts ...Option) *world {
 	w := &world{
 		placer: newFakePlacer(), counts: invariant.New(nil), now: epoch,
-		calls: map[quetzalhook.RequestID]*call{}, leaving: map[quetzalhook.UpstreamID]time.Time{},
+		calls: map[quetzalhook.RequestID]*call{}, states: map[quetzalhook.UpstreamID]quetzalhook.UpstreamState{}, changed: map[quetzalhook.UpstreamID]time.Time{},
 		ended: func(*call, string) {},
 	}
 	w.core = New(w.placer, append([]Option{WithInvariants(w.counts)}, opts...)...)
@@ -149,7 +156,7 @@
 	if c.running || a.Offset != c.tokens || c.ran && !c.Repeatable {
 		w.fail("start %+v of %+v", a, *c)
 	}
-	if since, ok := w.leaving[a.Upstream]; ok && w.now.Sub(since) > leavingGrace {
+	if w.states[a.Upstream] != quetzalhook.UpstreamReady && w.now.Sub(w.changed[a.Upstream]) > reportLag+time.Second {
 		w.fail("start on leaving upstream %s", a.Upstream)
 	}
 	for _, u := range w.placer.upstreams {
@@ -158,6 +165,7 @@
 		}
 	}
 	c.running, c.stopping, c.upstream, c.started = true, false, a.Upstream, w.now
+	c.attempts++
 }
 
 func (w *world) cancel(c *call, a quetzalhook.Action) {
@@ -182,19 +190,28 @@
 	if c.running || a.Outcome == quetzalhook.OutcomeNotRun && c.ran {
 		w.fail("refusal %+v of %+v", a, *c)
 	}
-	if c.Class.MustFinish() && !submitted && a.Refusal != quetzalhook.RefuseRetryBudget {
+	if c.Class.MustFinish() && !submitted && (a.Refusal != quetzalhook.RefuseRetryBudget || c.attempts < finishFailures) {
 		w.fail("accepted %s refused for %s", c.Class.Name(), a.Refusal)
 	}
 	w.drop(c, string(a.Refusal))
 }
 
 // step lets the engines work for d; they confirm cancels and report tokens
-// at its end.
+// at its end. A leaving engine takes no new stream, one that is gone breaks
+// all of them.
 func (w *world) step(d time.Duration) {
 	w.now = w.now.Add(d)
+	if !w.heard.IsZero() && !w.now.Before(w.heard) {
+		w.hear()
+	}
 	for _, c := range slices.Clone(w.live) {
+		state := w.states[c.upstream]
 		switch {
 		case !c.running:
+		case state == quetzalhook.UpstreamGone && c.tokens > 0:
+			w.end(c, quetzalhook.EndBroken)
+		case state != quetzalhook.UpstreamReady && !c.started.Before(w.changed[c.upstream]):
+			w.end(c, quetzalhook.EndNotSent)
 		case c.stopping:
 			w.end(c, quetzalhook.EndCancelled)
 		case w.now.Sub(c.started) >= 100*time.Millisecond:
@@ -211,33 +228,42 @@
 	w.apply(w.core.Tick(w.now), nil)
 }
 
-// setState changes the state of an upstream; the core hears it at once.
+// setState changes the state of an upstream; the core hears of it later.
 func (w *world) setState(i int, state quetzalhook.UpstreamState) {
+	id := w.placer.upstreams[i].ID
+	w.states[id], w.changed[id] = state, w.now
+	if w.heard.IsZero() {
+		w.heard = w.now.Add(reportLag)
+	}
+}
+
+// hear tells the core the state of all upstreams.
+func (w *world) hear() {
+	w.heard = time.Time{}
 	us := slices.Clone(w.placer.upstreams)
-	us[i].State = state
-	if delete(w.leaving, us[i].ID); state != quetzalhook.UpstreamReady {
-		w.leaving[us[i].ID] = w.now
+	for i := range us {
+		us[i].State = w.states[us[i].ID]
 	}
 	w.apply(w.core.SetUpstreams(w.now, us), nil)
 }
 
 // random makes one random move; draw returns a number from 0 to n-1.
 func (w *world) random(draw func(n int) int) {
-	switch move := draw(18); {
-	case move < 6:
+	switch move := draw(20); {
+	case move < 8:
 		m := quetzalhook.Model([]string{"m", "m", "n"}[draw(3)])
-		w.submitTo(m, fmt.Sprint("c", draw(4)), classes[draw(len(classes))], 10+draw(500), 1+draw(200))
-	case move < 11:
+		w.submitTo(m, fmt.Sprint("c", draw(4)), classes[draw(len(classes))], 10+draw(500), 1+draw(400))
+	case move < 13:
 		w.step(time.Duration(1+draw(500)) * time.Millisecond)
-	case move < 12:
+	case move < 14:
 		w.setState(draw(len(w.placer.upstreams)), quetzalhook.UpstreamState(draw(3)))
-	case move < 13:
+	case move < 15:
 		w.apply(w.core.SetLimits(w.now, map[quetzalhook.CustomerID]quetzalhook.CustomerLimit{
 			"c0": {Concurrency: draw(4), Weight: 2}, "c1": {WorkRate: float64(draw(3) * 300), WorkBurst: 1000},
 		}), nil)
-	case move < 14:
+	case move < 16:
 		w.placer.ejected = quetzalhook.UpstreamID(fmt.Sprint("u", draw(8)))
-	case move < 15:
+	case move < 17:
 		u := w.placer.upstreams[draw(len(w.placer.upstreams))]
 		if u.State == quetzalhook.UpstreamReady {
 			w.apply(w.core.ObserveLoad(w.now, quetzalhook.Load{Upstream: u.ID, Leaving: draw(2) == 0}), nil)
--- a/internal/traffic/limit/limit_test.go
+++ b/internal/traffic/limit/limit_test.go
@@ -15,6 +15,7 @@
 // TestMain fixes the seed; -rapid.seed and -rapid.checks run others and more.
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
 	flag.Parse()
 	os.Exit(m.Run())
 }
--- a/internal/traffic/queue/class.go
+++ b/internal/traffic/queue/class.go
@@ -55,11 +55,7 @@
 }
 
 // eligible reports whether the class has work that may start.
-func (c *class) eligible() bool { return c.eligibleWith(true) }
-
-func (c *class) eligibleWith(worn bool) bool {
-	return worn && c.worn.n > 0 || c.resumed.n > 0 || len(c.ready) > 0
-}
+func (c *class) eligible() bool { return c.worn.n > 0 || c.resumed.n > 0 || len(c.ready) > 0 }
 
 // head returns the next item of the class, or nil; worn allows worn items.
 func (c *class) head(now time.Time, worn bool) *Item {
--- a/internal/traffic/queue/item.go
+++ b/internal/traffic/queue/item.go
@@ -30,13 +30,18 @@
 	charged float64 // work charged to the flow so far
 	resumed bool    // held a slot before
 	taken   bool    // between Take and Run
-	keeps   bool    // runs and keeps its slot, because it lost too many
+	keeps   bool    // runs and cannot lose its slot
 	bucket  int     // in the class's victims while preemptible, else -1
 
 	list       *list
 	prev, next *Item
 }
 
+// mustKeep reports whether the item cannot lose a slot that it gets.
+func (it *Item) mustKeep() bool {
+	return it.Preemptions >= MaxPreemptions || !it.Request.Repeatable
+}
+
 // Loss estimates the tokens to compute again if the item loses its slot: the
 // prompt and the output so far are prefilled again. An item without output
 // counts as free, because at most a part of its prefill is done.
--- a/internal/traffic/queue/pick.go
+++ b/internal/traffic/queue/pick.go
@@ -45,22 +45,23 @@
 }
 
 // NextStrict returns the next item by tier only, or nil. Classes of one tier
-// share by work.
+// share by work. Items that keep their slot are left out while too many run.
 func (q *Queue) NextStrict(now time.Time) *Item {
-	var best *class
-	worn := q.wornMayStart()
+	var best *Item
+	keeper := q.keeperMayStart()
 	for _, c := range q.classes {
-		if best != nil && c.def.Tier() != best.def.Tier() {
+		if best != nil && c.def.Tier() != best.class.def.Tier() {
 			break
 		}
-		if c.eligibleWith(worn) && (best == nil || c.served < best.served) {
-			best = c
+		it := c.head(now, keeper)
+		if it == nil || !keeper && it.mustKeep() && !c.def.IsUrgent() {
+			continue
+		}
+		if best == nil || c.served < best.class.served {
+			best = it
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	return best.head(now, worn)
+	return best
 }
 
 // NextUrgent returns the next urgent item, or nil.
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -43,7 +43,7 @@
 	waiting      int
 	running      int
 	slots        float64
-	keeping      int     // running items that lost their slots before and keep this one
+	keeping      int     // running items below the urgent tier that cannot lose their slot
 	peak         float64 // urgent items at once, decayed
 	last         time.Time
 }
@@ -88,10 +88,10 @@
 	q.last = now
 }
 
-// wornMayStart reports whether an item that keeps its slot may start. Such
+// keeperMayStart reports whether an item that keeps its slot may start. Such
 // items leave as many slots as urgent requests lately used at once, at most
 // half, to items that can be preempted.
-func (q *Queue) wornMayStart() bool {
+func (q *Queue) keeperMayStart() bool {
 	return float64(q.keeping) < q.slots-min(math.Ceil(q.peak), q.slots/2)
 }
 
@@ -245,6 +245,9 @@
 	it.class.changed(it.flow)
 }
 
+// Parked reports whether the item's customer and class are parked.
+func (q *Queue) Parked(it *Item) bool { return it.flow.parked }
+
 // Take removes a waiting item that is about to get a slot, and charges its
 // work to its customer.
 func (q *Queue) Take(it *Item) {
@@ -293,14 +296,26 @@
 	c.running++
 	q.running++
 	switch {
-	case it.Preemptions >= MaxPreemptions:
+	case c.def.IsUrgent():
+	case it.mustKeep():
 		it.keeps = true
 		q.keeping++
-	case it.Request.Repeatable && !c.def.IsUrgent():
+	default:
 		c.victims.add(it)
 	}
 }
 
+// Offer sets whether the slot of a running item is of use to others, so that
+// the item may be a victim.
+func (q *Queue) Offer(it *Item, useful bool) {
+	switch {
+	case !useful:
+		it.class.victims.remove(it)
+	case it.bucket < 0 && !it.keeps && !it.class.def.IsUrgent():
+		it.class.victims.add(it)
+	}
+}
+
 // Progress records the output of a running item so far.
 func (q *Queue) Progress(it *Item, tokens int) {
 	it.Tokens = tokens
