--- a/internal/traffic/dispatch/core.go
+++ b/internal/traffic/dispatch/core.go
@@ -107,7 +107,7 @@
 		c.limiter.Correct(now, r.Customer, -e.Work)
 		return c.reject(e, quetzalhook.RefuseOverload, retryDelay)
 	}
-	c.budget.Request(now)
+	c.budget.Record(now)
 	e.charged = e.Work
 	c.entries[r.ID] = e
 	if e.worthlessAfter(c.faults) {
--- a/internal/traffic/dispatch/end.go
+++ b/internal/traffic/dispatch/end.go
@@ -91,7 +91,7 @@
 	e.failures++
 	allowed := end == quetzalhook.EndNotSent || e.Request.Repeatable
 	class := e.Request.Class
-	budget := c.budget.Retry(now)
+	budget := c.budget.Allow(now)
 	switch {
 	case class.MustFinish():
 		budget = e.failures < finishFailures
--- a/internal/traffic/dispatch/option.go
+++ b/internal/traffic/dispatch/option.go
@@ -54,10 +54,10 @@
 
 // RetryBudget bounds retries to a share of the traffic.
 type RetryBudget interface {
-	// Request counts one new request.
-	Request(now time.Time)
-	// Retry takes one retry from the budget, or returns false.
-	Retry(now time.Time) bool
+	// Record counts one new request.
+	Record(now time.Time)
+	// Allow takes one retry from the budget, or returns false.
+	Allow(now time.Time) bool
 }
 
 const (
@@ -71,11 +71,11 @@
 // shareBudget is the default RetryBudget.
 type shareBudget struct{ tokens float64 }
 
-// Request implements RetryBudget.
-func (b *shareBudget) Request(time.Time) { b.tokens = min(b.tokens+retryShare, maxRetryTokens) }
+// Record implements RetryBudget.
+func (b *shareBudget) Record(time.Time) { b.tokens = min(b.tokens+retryShare, maxRetryTokens) }
 
-// Retry implements RetryBudget.
-func (b *shareBudget) Retry(time.Time) bool {
+// Allow implements RetryBudget.
+func (b *shareBudget) Allow(time.Time) bool {
 	if b.tokens < 1 {
 		return false
 	}
