--- /dev/null
+++ b/internal/record/journal/document.go
@@ -0,0 +1,207 @@
+package journal
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"quetzalhook"
+)
+
+// digest is a shortened SHA-256.
+type digest [16]byte
+
+// entry is one claim. Entries are CBOR arrays without field names, because
+// their size bounds how many claims fit into a shard.
+type entry struct {
+	_           struct{} `cbor:",toarray"`
+	Key         digest
+	Fingerprint digest
+	Nonce       digest
+	Epoch       uint32
+	Done        bool
+	Stored      bool   // the response is in an object of its own
+	Response    []byte // empty if Stored
+	// Host and Incarnation name the claimant until the outcome is known.
+	Host        quetzalhook.HostID
+	Incarnation quetzalhook.Incarnation
+}
+
+// entryOverhead is an upper bound of the encoded size of an entry without
+// its response and host name, in bytes.
+const entryOverhead = 76
+
+func (e *entry) size() int { return entryOverhead + len(e.Response) + len(e.Host) }
+
+// document is the format of a shard object.
+type document struct {
+	// Epoch counts parts of the retention period; see lane.advance.
+	Epoch   uint32  `cbor:"epoch"`
+	Entries []entry `cbor:"entries"`
+}
+
+// shard is a decoded document with an index.
+type shard struct {
+	document
+	index map[digest]int
+	size  int // upper bound of the encoded size in bytes
+}
+
+const documentOverhead = 64
+
+func newShard() *shard {
+	return &shard{index: make(map[digest]int), size: documentOverhead}
+}
+
+func decodeShard(value []byte) (*shard, error) {
+	s := newShard()
+	if err := cbor.Unmarshal(value, &s.document); err != nil {
+		return nil, err
+	}
+	for i := range s.Entries {
+		s.index[s.Entries[i].Key] = i
+		s.size += s.Entries[i].size()
+	}
+	return s, nil
+}
+
+func (s *shard) encode() ([]byte, error) { return cbor.Marshal(s.document) }
+
+func (s *shard) find(key digest) *entry {
+	i, ok := s.index[key]
+	if !ok {
+		return nil
+	}
+	return &s.Entries[i]
+}
+
+func (s *shard) add(e entry) {
+	s.index[e.Key] = len(s.Entries)
+	s.Entries = append(s.Entries, e)
+	s.size += e.size()
+}
+
+func (s *shard) remove(key digest) {
+	i := s.index[key]
+	last := len(s.Entries) - 1
+	s.size -= s.Entries[i].size()
+	s.Entries[i] = s.Entries[last]
+	s.index[s.Entries[i].Key] = i
+	s.Entries[last] = entry{}
+	s.Entries = s.Entries[:last]
+	delete(s.index, key)
+}
+
+// action selects what an operation does.
+type action uint8
+
+const (
+	actionClaim   action = iota + 1
+	actionFinish         // store the response
+	actionRelease        // undo a claim whose call was provably not sent
+	actionDrop           // forget an expired claim
+)
+
+// operation is one change of a shard. Its nonce names the claim.
+type operation struct {
+	Action      action                  `cbor:"action"`
+	Key         digest                  `cbor:"key"`
+	Nonce       digest                  `cbor:"nonce"`
+	Fingerprint digest                  `cbor:"fingerprint"`
+	Host        quetzalhook.HostID      `cbor:"host"`
+	Incarnation quetzalhook.Incarnation `cbor:"incarnation"`
+	Response    []byte                  `cbor:"response,omitempty"`
+	Stored      bool                    `cbor:"stored,omitempty"`
+}
+
+// verdict is the result of an operation.
+type verdict uint8
+
+const (
+	verdictDone     verdict = iota + 1 // claimed, finished, released or dropped
+	verdictReplay                      // claimed before, with the response
+	verdictOpen                        // claimed before, without an outcome
+	verdictMismatch                    // claimed before with another request
+	verdictOther                       // finish: the claim is not in the shard
+	verdictFull                        // the shard has no room; provably absent
+	verdictAbsent                      // not written, and never will be
+	verdictLost                        // whether it was written is not known
+)
+
+type answer struct {
+	Verdict  verdict `cbor:"verdict"`
+	Response []byte  `cbor:"response,omitempty"`
+	Stored   bool    `cbor:"stored,omitempty"`
+	Nonce    digest  `cbor:"nonce"` // of the claim that owns the response
+}
+
+// maxShardSize leaves room below the store's limit for the responses of
+// claims that are still open.
+const maxShardSize = quetzalhook.MaxValueSize * 3 / 4
+
+// maxFinishSize bounds a shard after its open claims got their responses.
+const maxFinishSize = quetzalhook.MaxValueSize - 4096
+
+// apply makes an operation and reports whether it changed the shard. Applying
+// it again gives the same answer without a change.
+func (s *shard) apply(op *operation) (answer, bool) {
+	e := s.find(op.Key)
+	own := e != nil && e.Nonce == op.Nonce
+	switch {
+	case op.Action == actionClaim:
+		return s.claim(op, e, own)
+	case op.Action == actionFinish && own:
+		return s.finish(op, e)
+	case op.Action == actionFinish:
+		return answer{Verdict: verdictOther}, false
+	case op.Action == actionRelease && own && !e.Done, op.Action == actionDrop && own:
+		s.remove(op.Key)
+		return answer{Verdict: verdictDone}, true
+	}
+	return answer{Verdict: verdictDone}, false
+}
+
+func (s *shard) claim(op *operation, e *entry, own bool) (answer, bool) {
+	switch {
+	case own:
+		return answer{Verdict: verdictDone}, false
+	case e != nil && e.Fingerprint != op.Fingerprint:
+		return answer{Verdict: verdictMismatch}, false
+	case e != nil && e.Done:
+		return answer{Verdict: verdictReplay, Response: e.Response, Stored: e.Stored, Nonce: e.Nonce}, false
+	case e != nil:
+		return answer{Verdict: verdictOpen}, false
+	}
+	added := entry{
+		Key: op.Key, Fingerprint: op.Fingerprint, Nonce: op.Nonce, Epoch: s.Epoch,
+		Host: op.Host, Incarnation: op.Incarnation,
+	}
+	if s.size+added.size() > maxShardSize {
+		return answer{Verdict: verdictFull}, false
+	}
+	s.add(added)
+	return answer{Verdict: verdictDone}, true
+}
+
+func (s *shard) finish(op *operation, e *entry) (answer, bool) {
+	if e.Done {
+		return answer{Verdict: verdictDone}, false
+	}
+	if s.size+len(op.Response) > maxFinishSize {
+		return answer{Verdict: verdictFull}, false
+	}
+	s.size -= e.size()
+	e.Done, e.Stored, e.Response = true, op.Stored, op.Response
+	e.Host, e.Incarnation = "", 0
+	e.Epoch = s.Epoch // the retention counts from the outcome
+	s.size += e.size()
+	return answer{Verdict: verdictDone}, true
+}
+
+// expired reports whether the retention period of an entry has passed. A
+// claim without outcome never expires unless its claimant is known dead: a
+// paused one may still send.
+func (s *shard) expired(e *entry, dead func(quetzalhook.HostID, quetzalhook.Incarnation) bool) bool {
+	if s.Epoch-e.Epoch <= retentionParts {
+		return false
+	}
+	return e.Done || dead(e.Host, e.Incarnation)
+}
