Let the policies reach services under the model that a host names

Cause: a host gives each service a model of its own (service:NAME), but placement and baseline looked for the plain name of the service. All calls to services waited in the queue until their callers gave up.

Ruled out: plain names in the host, since a service may have the name of a model. After: the test passes.

--- a/internal/traffic/baseline/baseline.go
+++ b/internal/traffic/baseline/baseline.go
@@ -170,10 +170,10 @@
 	return "", false
 }
 
-// serves reports whether u runs the model; a service is reached under its own
-// name.
+// serves reports whether u runs the model; a service without models is
+// reached under its own name.
 func serves(u quetzalhook.Upstream, m quetzalhook.Model) bool {
-	if u.Kind == quetzalhook.KindService {
+	if u.Kind == quetzalhook.KindService && len(u.Models) == 0 {
 		return u.Service == string(m)
 	}
 	for _, have := range u.Models {
--- a/internal/traffic/placement/upstream.go
+++ b/internal/traffic/placement/upstream.go
@@ -72,10 +72,10 @@
 	return sorted
 }
 
-// servedModels returns the models of an engine; a service is reached under
-// its own name.
+// servedModels returns the models of an upstream; a service without models is
+// reached under its own name.
 func servedModels(u quetzalhook.Upstream) []quetzalhook.Model {
-	if u.Kind == quetzalhook.KindService {
+	if u.Kind == quetzalhook.KindService && len(u.Models) == 0 {
 		return []quetzalhook.Model{quetzalhook.Model(u.Service)}
 	}
 	return u.Models
