Add the demo: the whole system with scripted faults

Cause: the invariants and targets need the whole system on real sockets.

Six hosts in three zones, 18 engines (6 of them cheap), 3 services and the stand-in platform run in one process. Outside checks compare what callers were told with the records of the stand-ins.

Before: none.

--- a/internal/bench/client/request.go
+++ b/internal/bench/client/request.go
@@ -151,7 +151,9 @@
 	if err != nil {
 		return endBroken
 	}
-	r.client.countError("status-" + http.StatusText(res.StatusCode))
+	if !r.arrival.Class.Status || res.StatusCode != http.StatusNotFound {
+		r.client.countError("status " + http.StatusText(res.StatusCode))
+	}
 	return endUnknown
 }
 
--- /dev/null
+++ b/internal/bench/scenario/check.go
@@ -0,0 +1,111 @@
+package scenario
+
+import (
+	"time"
+
+	"quetzalhook"
+	"quetzalhook/internal/bench/client"
+	"quetzalhook/internal/state/invariant"
+)
+
+// leavingGrace is the time after which a leaving upstream must receive no new
+// work.
+const leavingGrace = 3 * time.Second
+
+func hostID(name string) quetzalhook.HostID { return quetzalhook.HostID(name) }
+
+// generated returns the tokens that each engine has generated.
+func (s *system) generated() []int64 {
+	var list []int64
+	for _, e := range s.backend.engines {
+		list = append(list, e.Stats().GeneratedTokens)
+	}
+	return list
+}
+
+// result joins the callers' measures with the records of the stand-ins and
+// the counters of all hosts. The tokens in begin were generated before the
+// run.
+func (s *system) result(begin []int64) Result {
+	s.checkStandins()
+	s.checkStops()
+	report := s.client.Report()
+	s.client.Verify(s.records(), &report)
+	var total, cheap int64
+	for i, n := range s.generated() {
+		total += n - begin[i]
+		if s.backend.engines[i].upstream.Cheap {
+			cheap += n - begin[i]
+		}
+	}
+	report.WastedTokens = max(total-report.ServedTokens-s.probed.Load(), 0)
+	report.Spending = s.backend.spending.total()
+	if total > 0 {
+		report.CheapShare = float64(cheap) / float64(total)
+	}
+	report.AddCounts(s.checks.Counts())
+	details := s.checks.Details()
+	for _, h := range s.hosts {
+		counts, found := h.counts()
+		report.AddCounts(counts)
+		details = append(details, found...)
+	}
+	return Result{Report: report, Details: details, Errors: s.client.Errors()}
+}
+
+func (s *system) records() client.Records {
+	var all client.Records
+	for _, e := range s.backend.engines {
+		all.Merge(client.Records{Runs: e.Runs()})
+	}
+	for _, d := range s.backend.services {
+		all.Merge(client.Records{Orders: d.Runs(), Runs: d.Requests()})
+	}
+	return all
+}
+
+// checkStandins compares what reached the stand-ins with the invariants.
+func (s *system) checkStandins() {
+	for customer, secret := range s.keys {
+		for _, e := range s.backend.engines {
+			n, watched := e.SawSecret(secret)
+			s.checks.Check(invariant.KeyNotForwarded, n == 0 && watched, "customer", customer, "upstream", e.upstream.Name)
+		}
+		for _, d := range s.backend.services {
+			n, watched := d.SawSecret(secret)
+			s.checks.Check(invariant.KeyNotForwarded, n == 0 && watched, "customer", customer, "upstream", d.upstream.Name)
+		}
+	}
+	for _, e := range s.backend.engines {
+		if e.Faults().Leaving {
+			late := e.LateArrivals(leavingGrace)
+			s.checks.Check(invariant.LeavingUpstream, late == 0, "upstream", e.upstream.Name, "late", late)
+		}
+		s.checkOrders(e)
+	}
+	stale := s.backend.cloud.StaleOrders()
+	s.checks.Check(invariant.SingleCommander, stale == 0, "stale-orders", stale)
+	_, conflicting := s.backend.cloud.Reports()
+	s.checks.Check(invariant.SingleReport, conflicting == 0, "conflicting", conflicting)
+}
+
+// checkOrders looks for accepted orders whose fencing number is older than
+// that of an order before.
+func (s *system) checkOrders(e engineUnit) {
+	highest := uint64(0)
+	for _, o := range e.Orders() {
+		s.checks.Check(invariant.SingleCommander, !o.Accepted || o.Fencing >= highest, "upstream", e.upstream.Name, "fencing", o.Fencing)
+		highest = max(highest, o.Fencing)
+	}
+}
+
+// checkStops looks for requests that broke on a host that was never killed.
+func (s *system) checkStops() {
+	broken := s.client.Broken()
+	for _, h := range s.hosts {
+		if h.kills == 0 {
+			n := broken[h.address()]
+			s.checks.Check(invariant.GracefulStop, n == 0, "host", h.name, "broken", n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/scenario/fault.go
@@ -0,0 +1,207 @@
+package scenario
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"quetzalhook"
+	"quetzalhook/internal/bench/workload"
+	"quetzalhook/internal/platform/memory"
+	"quetzalhook/internal/standin/engine"
+)
+
+// Names of the faults.
+const (
+	FaultBurst            = "burst"
+	FaultPlatformOutage   = "platform-outage"
+	FaultLostAnswer       = "lost-answer"
+	FaultLaggingReports   = "lagging-reports"
+	FaultStraggler        = "straggler"
+	FaultEngineCrash      = "engine-crash"
+	FaultZoneReclaim      = "zone-reclaim"
+	FaultKeyWithdrawal    = "key-withdrawal"
+	FaultHostKill         = "host-kill"
+	FaultHostStop         = "host-stop"
+	FaultSilentConnection = "silent-connection"
+	FaultOperatorsRace    = "operators-race"
+)
+
+const (
+	stragglerFactor = 10.0
+	reportLagMS     = 2000
+	eventGap        = 5
+	lostAnswers     = 3
+	reclaimNotice   = 2 * time.Second
+)
+
+// step is one event of a fault at a fraction of the run.
+type step struct {
+	at float64
+	do func(context.Context, *system) error
+}
+
+// schedules holds the steps of each fault. Different faults use different
+// engines and hosts where that is possible, so that pairs add up.
+var schedules = map[string][]step{
+	FaultBurst: {},
+	FaultPlatformOutage: {
+		{0.30, store(func(f *memory.Faults) { f.Outage = true })},
+		{0.60, store(func(f *memory.Faults) { f.Outage = false })},
+	},
+	FaultLostAnswer: {
+		{0.10, loseAnswers}, {0.25, loseAnswers}, {0.40, loseAnswers}, {0.55, loseAnswers}, {0.70, loseAnswers}, {0.85, loseAnswers},
+	},
+	FaultLaggingReports: {
+		{0, engines(0, zones*enginesPerZone, func(f *engine.Faults) {
+			f.ReportLagMS, f.EventLagMS, f.EventGap = reportLagMS, reportLagMS, eventGap
+		})},
+	},
+	FaultStraggler: {
+		{0.25, engines(0, 2, func(f *engine.Faults) { f.Straggler = stragglerFactor })},
+		{0.75, engines(0, 2, func(f *engine.Faults) { f.Straggler = 1 })},
+	},
+	FaultEngineCrash: {
+		{0.25, engines(2, 3, func(f *engine.Faults) { f.Crash = true })},
+		{0.45, engines(7, 8, func(f *engine.Faults) { f.Crash = true })},
+		{0.65, engines(2, 3, func(f *engine.Faults) { f.Crash = false })},
+	},
+	FaultZoneReclaim: {
+		{0.35, reclaim(1, reclaimNotice)},
+		{0.65, reclaim(2, 0)},
+	},
+	FaultKeyWithdrawal: {{0.40, withdrawKey}},
+	FaultHostKill: {
+		{0.35, func(_ context.Context, s *system) error { return s.hosts[1].kill() }},
+		{0.60, func(ctx context.Context, s *system) error { return s.hosts[1].start(ctx) }},
+	},
+	FaultHostStop: {
+		{0.40, stopHost(4)},
+		{0.75, func(ctx context.Context, s *system) error { return s.hosts[4].start(ctx) }},
+	},
+	FaultSilentConnection: {
+		{0.30, engines(8, 11, func(f *engine.Faults) { f.Silent = true })},
+		{0.50, silence},
+		{0.70, engines(12, 15, func(f *engine.Faults) { f.Silent = true })},
+	},
+	FaultOperatorsRace: {{0.30, raceOperators}, {0.65, raceOperators}},
+}
+
+// Faults returns the names of all faults in alphabetical order.
+func Faults() []string {
+	names := make([]string, 0, len(schedules))
+	for name := range schedules {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// burst adds the bursts of FaultBurst to a workload: its urgent class sends
+// six times as much for a while, its least urgent one eight times.
+func burst(w workload.Workload) workload.Workload {
+	urgent, last := w.Classes[0].Name, w.Classes[len(w.Classes)-1].Name
+	w.Bursts = append(append([]workload.Burst(nil), w.Bursts...),
+		workload.Burst{Class: urgent, From: 0.20, To: 0.28, Factor: 6},
+		workload.Burst{Class: last, From: 0.50, To: 0.60, Factor: 8},
+	)
+	return w
+}
+
+// inject runs the steps of all faults at their times and returns when all
+// are done or ctx ends.
+func (s *system) inject(ctx context.Context, begin time.Time) {
+	var group sync.WaitGroup
+	for _, name := range s.settings.Faults {
+		for _, next := range schedules[name] {
+			group.Go(func() {
+				at := time.Duration(next.at * float64(s.settings.Duration))
+				if !sleep(ctx, time.Until(begin.Add(at))) {
+					return
+				}
+				log := s.log.WithFields(logrus.Fields{"fault": name, "at": at})
+				if err := next.do(ctx, s); err != nil {
+					log.WithError(err).Error("step failed")
+					return
+				}
+				log.Info("step done")
+			})
+		}
+	}
+	group.Wait()
+}
+
+func store(change func(*memory.Faults)) func(context.Context, *system) error {
+	return func(_ context.Context, s *system) error {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		f := s.backend.cloud.Store().Faults()
+		change(&f)
+		s.backend.cloud.Store().SetFaults(f)
+		return nil
+	}
+}
+
+func loseAnswers(ctx context.Context, s *system) error {
+	s.backend.cloud.LoseOrderAnswers(1)
+	return store(func(f *memory.Faults) { f.LoseAnswers += lostAnswers })(ctx, s)
+}
+
+// engines changes the faults of the engines with numbers from first to below
+// last.
+func engines(first, last int, change func(*engine.Faults)) func(context.Context, *system) error {
+	return func(_ context.Context, s *system) error {
+		return s.changeEngines(s.backend.engines[first:last], change)
+	}
+}
+
+func (s *system) changeEngines(list []engineUnit, change func(*engine.Faults)) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range list {
+		f := e.Faults()
+		change(&f)
+		if err := e.SetFaults(f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// reclaim takes the cheap engines of a zone away, after a notice if there is
+// one.
+func reclaim(zone int, notice time.Duration) func(context.Context, *system) error {
+	return func(ctx context.Context, s *system) error {
+		cheap := s.backend.cheapIn(zone)
+		if notice > 0 {
+			s.setStates(cheap, quetzalhook.UpstreamLeaving)
+			if err := s.changeEngines(cheap, func(f *engine.Faults) { f.Leaving = true }); err != nil {
+				return err
+			}
+			sleep(ctx, notice)
+		}
+		s.setStates(cheap, quetzalhook.UpstreamGone)
+		return s.changeEngines(cheap, func(f *engine.Faults) { f.Crash = true })
+	}
+}
+
+func (s *system) setStates(list []engineUnit, state quetzalhook.UpstreamState) {
+	for _, e := range list {
+		s.backend.cloud.SetUpstreamState(quetzalhook.UpstreamID(e.upstream.Name), state)
+	}
+}
+
+// silence makes the open connections of a service and of the platform stop
+// answering.
+func silence(_ context.Context, s *system) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	desk := s.backend.services[0]
+	f := desk.Faults()
+	f.Silent = true
+	s.backend.platform.Silence()
+	return desk.SetFaults(f)
+}
--- /dev/null
+++ b/internal/bench/scenario/host.go
@@ -0,0 +1,219 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quetzalhook/internal/bench/workload"
+	"quetzalhook/internal/entry/node"
+	"quetzalhook/internal/entry/setting"
+	"quetzalhook/internal/state/invariant"
+)
+
+const (
+	peerSecret  = "demo-peer-secret-0123456789"
+	operatorKey = "demo-operator-key-0123456789"
+	// stopTimeout bounds a planned stop; a stop that takes longer cuts requests
+	// and violates graceful-stop.
+	stopTimeout = 60 * time.Second
+)
+
+// host is one entry host over all its incarnations.
+type host struct {
+	name     string
+	settings setting.Settings
+	system   *system
+
+	mu         sync.Mutex
+	node       *node.Node // nil while the host is down
+	registries []*invariant.Registry
+	kills      int
+	last       int64 // highest configuration version seen
+}
+
+// newHosts returns the hosts of all zones, not started.
+func newHosts(s *system, workloads []workload.Workload) ([]*host, error) {
+	var hosts []*host
+	var seeds []string
+	for i := range zones * hostsPerZone {
+		callers, err := freePort("tcp", 1)
+		if err != nil {
+			return nil, err
+		}
+		peers, err := freePort("udp", 2)
+		if err != nil {
+			return nil, err
+		}
+		seeds = append(seeds, peers)
+		name := fmt.Sprintf("host-%d", i+1)
+		hosts = append(hosts, &host{name: name, system: s, settings: setting.Settings{
+			Host: hostID(name), Zone: zoneName(workloads[0].Regions[i/hostsPerZone]),
+			Listen: callers, PeerListen: peers, Hosts: zones * hostsPerZone, Platform: s.backend.address,
+			PeerSecret: peerSecret, OperatorKey: operatorKey, Policy: s.settings.Policy, HostsLifetime: hostsLifetime,
+		}})
+	}
+	for _, h := range hosts {
+		h.settings.Seeds = seeds
+	}
+	return hosts, nil
+}
+
+// start begins a new incarnation.
+func (h *host) start(ctx context.Context) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.node != nil {
+		return nil
+	}
+	n, err := node.New(h.settings, h.system.hostLog)
+	if err != nil {
+		return err
+	}
+	// The ports of the last incarnation may take a moment to become free.
+	limited, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	if err := retry(limited, func() error { return n.Start(context.WithoutCancel(ctx)) }); err != nil {
+		return errors.Wrap(err, h.name)
+	}
+	h.node = n
+	h.registries = append(h.registries, n.Invariants())
+	h.last = 0
+	return nil
+}
+
+// kill ends the host as a crash would.
+func (h *host) kill() error {
+	h.mu.Lock()
+	n := h.node
+	h.node = nil
+	h.kills++
+	h.mu.Unlock()
+	if n != nil {
+		n.Kill()
+	}
+	return nil
+}
+
+// stop shuts the host down gracefully.
+func (h *host) stop(ctx context.Context) error {
+	h.mu.Lock()
+	n := h.node
+	h.mu.Unlock()
+	if n == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	err := n.Stop(ctx)
+	h.mu.Lock()
+	h.node = nil
+	h.mu.Unlock()
+	return err
+}
+
+func (h *host) isDown() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.node == nil
+}
+
+func (h *host) address() string { return h.settings.Listen }
+
+// version returns the configuration in force, or the last one seen while the
+// host is down. A version that goes back is a violation.
+func (h *host) version() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.node == nil {
+		return h.last
+	}
+	v := h.node.Version()
+	h.system.checks.Check(invariant.ConfigForward, v >= h.last, "host", h.name, "version", v, "before", h.last)
+	h.last = max(h.last, v)
+	return v
+}
+
+// counts returns the invariant counters of all incarnations.
+func (h *host) counts() (counts []invariant.Count, details []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range h.registries {
+		counts = append(counts, r.Counts()...)
+		for _, d := range r.Details() {
+			details = append(details, h.name+": "+d)
+		}
+	}
+	return counts, details
+}
+
+// live returns the hosts that are up and not stopping.
+func (s *system) live() []*host {
+	var list []*host
+	for i, h := range s.hosts {
+		if !h.isDown() && !s.stopping[i].Load() {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// stopHost stops host number i gracefully. The callers must not notice.
+func stopHost(i int) func(context.Context, *system) error {
+	return func(ctx context.Context, s *system) error {
+		s.stopping[i].Store(true)
+		defer s.stopping[i].Store(false)
+		return s.hosts[i].stop(ctx)
+	}
+}
+
+// freePort returns a loopback address with n free ports in a row.
+func freePort(network string, n int) (string, error) {
+	const attempts = 50
+	for range attempts {
+		if address, ok := tryPorts(network, n); ok {
+			return address, nil
+		}
+	}
+	return "", errors.Errorf("no %d free %s ports in a row", n, network)
+}
+
+func tryPorts(network string, n int) (string, bool) {
+	address, port := "127.0.0.1:0", 0
+	var first string
+	for i := range n {
+		if i > 0 {
+			address = fmt.Sprintf("127.0.0.1:%d", port+i)
+		}
+		used, closer, err := bind(network, address)
+		if err != nil {
+			return "", false
+		}
+		defer closer()
+		if i == 0 {
+			first = used
+			_, text, _ := net.SplitHostPort(used)
+			_, _ = fmt.Sscan(text, &port)
+		}
+	}
+	return first, true
+}
+
+func bind(network, address string) (used string, closer func(), err error) {
+	if network == "udp" {
+		c, err := net.ListenPacket(network, address)
+		if err != nil {
+			return "", nil, err
+		}
+		return c.LocalAddr().String(), func() { _ = c.Close() }, nil
+	}
+	l, err := net.Listen(network, address)
+	if err != nil {
+		return "", nil, err
+	}
+	return l.Addr().String(), func() { _ = l.Close() }, nil
+}
--- /dev/null
+++ b/internal/bench/scenario/run.go
@@ -0,0 +1,249 @@
+package scenario
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"quetzalhook"
+	"quetzalhook/internal/bench/client"
+	"quetzalhook/internal/bench/measure"
+	"quetzalhook/internal/bench/workload"
+	"quetzalhook/internal/record/configuration"
+	"quetzalhook/internal/state/invariant"
+)
+
+const (
+	startTimeout   = 15 * time.Second
+	samplePeriod   = 100 * time.Millisecond
+	upstreamPeriod = 5 // samples between two reads of the upstream list
+)
+
+// system is a deployment in one process.
+type system struct {
+	settings  Settings
+	log       logrus.FieldLogger
+	hostLog   logrus.FieldLogger
+	workloads []workload.Workload
+	backend   *backend
+	hosts     []*host
+	stopping  []atomic.Bool
+	operator  *operator
+	document  configuration.Document
+	keys      map[quetzalhook.CustomerID]string
+	spare     issuedKey
+	checks    *invariant.Registry // what is checked from outside
+	client    *client.Client
+	probed    atomic.Int64 // tokens that the probes of faults received
+
+	mu       sync.Mutex // guards variants and changes of faults
+	variants int
+}
+
+// Result is what a run gives.
+type Result struct {
+	Report measure.Report
+	// Details describe the first violations.
+	Details []string
+	// Errors counts the error answers that callers got, by kind and outcome.
+	Errors map[string]int
+}
+
+// Run starts the system, sends both workloads through the faults, and stops
+// it.
+func Run(ctx context.Context, settings Settings) (Result, error) {
+	if err := settings.Validate(); err != nil {
+		return Result{}, err
+	}
+	s, err := newSystem(settings)
+	if err != nil {
+		return Result{}, err
+	}
+	defer s.close()
+	if err := s.start(ctx); err != nil {
+		return Result{}, err
+	}
+	begin := s.generated()
+	s.load(ctx)
+	s.stopAll(ctx)
+	return s.result(begin), nil
+}
+
+func newSystem(settings Settings) (*system, error) {
+	s := &system{
+		settings: settings, log: settings.Log, hostLog: settings.HostLog, workloads: workload.All(),
+		keys: make(map[quetzalhook.CustomerID]string), stopping: make([]atomic.Bool, zones*hostsPerZone),
+		operator: &operator{client: &http.Client{Transport: &http.Transport{}}, key: operatorKey},
+	}
+	if s.log == nil {
+		s.log = silentLog()
+	}
+	if s.hostLog == nil {
+		s.hostLog = silentLog()
+	}
+	if settings.has(FaultBurst) {
+		for i := range s.workloads {
+			s.workloads[i] = burst(s.workloads[i])
+		}
+	}
+	s.checks = invariant.New(s.log)
+	var err error
+	if s.backend, err = startBackend(s.workloads); err != nil {
+		return nil, err
+	}
+	s.document = document(s.workloads, s.backend.upstreams())
+	if s.hosts, err = newHosts(s, s.workloads); err != nil {
+		_ = s.backend.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// start brings up the hosts, confirms the configuration and issues keys.
+func (s *system) start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, h := range s.hosts {
+		if err := h.start(ctx); err != nil {
+			return err
+		}
+	}
+	encoded, err := encode(s.document)
+	if err != nil {
+		return err
+	}
+	first := s.hosts[0].address()
+	if err := retry(ctx, func() error { return s.configure(ctx, first, encoded) }); err != nil {
+		return errors.Wrap(err, "first configuration")
+	}
+	if err := s.issueKeys(ctx); err != nil {
+		return err
+	}
+	for _, h := range s.hosts {
+		if err := retry(ctx, func() error { return s.ready(ctx, h) }); err != nil {
+			return errors.Wrapf(err, "host %s does not serve", h.name)
+		}
+	}
+	s.client = client.New(client.Settings{
+		Hosts: s.addresses(), Keys: func(c quetzalhook.CustomerID) string { return s.keys[c] },
+		Region:     func(a workload.Arrival) string { return string(s.workloads[0].Regions[a.Zone]) },
+		Invariants: s.checks, Collector: measure.New(),
+	})
+	return nil
+}
+
+func (s *system) configure(ctx context.Context, host string, document []byte) error {
+	plan, err := s.operator.plan(ctx, host, document)
+	if err != nil {
+		return err
+	}
+	_, err = s.operator.confirm(ctx, host, plan)
+	return err
+}
+
+func (s *system) issueKeys(ctx context.Context) error {
+	var secrets []string
+	for i, c := range s.document.Customers {
+		var key issuedKey
+		host := s.hosts[i%len(s.hosts)].address()
+		err := retry(ctx, func() (err error) {
+			key, err = s.operator.issue(ctx, host, quetzalhook.CustomerID(c.Name))
+			return err
+		})
+		if err != nil {
+			return errors.Wrapf(err, "key of %s", c.Name)
+		}
+		s.keys[quetzalhook.CustomerID(c.Name)] = key.Secret
+		if quetzalhook.CustomerID(c.Name) == spareCustomer {
+			s.spare = key
+		}
+		secrets = append(secrets, key.Secret)
+	}
+	for _, e := range s.backend.engines {
+		e.WatchSecrets(secrets...)
+	}
+	for _, d := range s.backend.services {
+		d.WatchSecrets(secrets...)
+	}
+	return nil
+}
+
+// ready checks that a host serves a request.
+func (s *system) ready(ctx context.Context, h *host) error {
+	status, err := s.probe(ctx, h.address(), s.spare.Secret)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return errors.Errorf("status %d", status)
+	}
+	return nil
+}
+
+func (s *system) addresses() []string {
+	var list []string
+	for _, h := range s.hosts {
+		list = append(list, h.address())
+	}
+	return list
+}
+
+// load sends all requests and waits for them and for the faults.
+func (s *system) load(ctx context.Context) {
+	arrivals := workload.Generate(s.settings.Seed, s.settings.Duration, s.settings.Scale, s.workloads...)
+	limited, cancel := context.WithTimeout(ctx, s.settings.Duration+drainTimeout)
+	defer cancel()
+	watched, stop := context.WithCancel(ctx)
+	var group, watchers sync.WaitGroup
+	begin := time.Now()
+	watchers.Go(func() { s.watch(watched) })
+	group.Go(func() { s.inject(limited, begin) })
+	s.client.Run(limited, arrivals)
+	s.log.WithField("took", time.Since(begin).Round(time.Millisecond)).Info("all requests ended")
+	group.Wait()
+	stop()
+	watchers.Wait()
+}
+
+// watch samples versions and spending until ctx ends.
+func (s *system) watch(ctx context.Context) {
+	var upstreams []quetzalhook.Upstream
+	for i := 0; sleep(ctx, samplePeriod); i++ {
+		for _, h := range s.hosts {
+			h.version()
+		}
+		if i%upstreamPeriod == 0 {
+			upstreams = s.backend.cloud.Upstreams()
+		}
+		s.backend.spending.sample(time.Now(), upstreams)
+	}
+}
+
+func (s *system) stopAll(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, h := range s.hosts {
+		group.Go(func() {
+			if err := h.stop(ctx); err != nil {
+				s.log.WithError(err).WithField("host", h.name).Error("stop failed")
+			}
+		})
+	}
+	group.Wait()
+}
+
+// close frees what is left.
+func (s *system) close() {
+	for _, h := range s.hosts {
+		_ = h.kill()
+	}
+	if s.client != nil {
+		_ = s.client.Close()
+	}
+	s.operator.client.CloseIdleConnections()
+	_ = s.backend.Close()
+}
