Add a steady load for one host; raise the rates of long work

Cause: the targets for CPU at 30 streamed requests/s and for requests/s of one core need an even rate to a single host; and with the former rates the bursts of long work did not exceed the 144 slots of the demo.

--- a/cmd/load/compare.go
+++ b/cmd/load/compare.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/urfave/cli/v3"
@@ -10,23 +11,53 @@
 	"quetzalhook/internal/bench/client"
 )
 
+func questionFlags(more ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringFlag{Name: "host", Required: true, Usage: "`ADDRESS` of an entry host", Sources: cli.EnvVars("LOAD_HOST")},
+		&cli.StringFlag{Name: "key", Required: true, Usage: "`KEY` of a customer", Sources: cli.EnvVars("LOAD_KEY")},
+		&cli.StringFlag{Name: "model", Value: "rules-7b", Usage: "`MODEL` to ask", Sources: cli.EnvVars("LOAD_MODEL")},
+		&cli.StringFlag{Name: "class", Value: "permit-question", Usage: "request `CLASS`", Sources: cli.EnvVars("LOAD_CLASS")},
+		&cli.IntFlag{Name: "tokens", Value: 20, Usage: "`NUMBER` of tokens of each answer", Sources: cli.EnvVars("LOAD_TOKENS")},
+	}, more...)
+}
+
 func compareCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "compare",
 		Usage: "measure the latency that a host adds, against going to an engine directly",
-		Flags: []cli.Flag{
+		Flags: questionFlags(
 			&cli.StringFlag{Name: "engine", Required: true, Usage: "`ADDRESS` of an engine", Sources: cli.EnvVars("LOAD_ENGINE")},
-			&cli.StringFlag{Name: "host", Required: true, Usage: "`ADDRESS` of an entry host", Sources: cli.EnvVars("LOAD_HOST")},
-			&cli.StringFlag{Name: "key", Required: true, Usage: "`KEY` of a customer", Sources: cli.EnvVars("LOAD_KEY")},
-			&cli.StringFlag{Name: "model", Value: "rules-7b", Usage: "`MODEL` to ask", Sources: cli.EnvVars("LOAD_MODEL")},
-			&cli.StringFlag{Name: "class", Value: "permit-question", Usage: "request `CLASS`", Sources: cli.EnvVars("LOAD_CLASS")},
 			&cli.IntFlag{Name: "requests", Value: 500, Usage: "`NUMBER` of pairs of requests", Sources: cli.EnvVars("LOAD_REQUESTS")},
-			&cli.IntFlag{Name: "tokens", Value: 20, Usage: "`NUMBER` of tokens of each answer", Sources: cli.EnvVars("LOAD_TOKENS")},
-		},
+		),
 		Action: compare,
 	}
 }
 
+func steadyCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "steady",
+		Usage: "send one question at an even rate to a single host",
+		Flags: questionFlags(
+			&cli.FloatFlag{Name: "rate", Value: 30, Usage: "`NUMBER` of requests a second", Sources: cli.EnvVars("LOAD_RATE")},
+			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "how long to send", Sources: cli.EnvVars("LOAD_DURATION")},
+		),
+		Action: steady,
+	}
+}
+
+func steady(ctx context.Context, cmd *cli.Command) error {
+	times, failed := client.Comparison{
+		Host: cmd.String("host"), Key: cmd.String("key"), Model: cmd.String("model"),
+		Class: cmd.String("class"), Tokens: cmd.Int("tokens"),
+	}.Steady(ctx, cmd.Float("rate"), cmd.Duration("duration"))
+	w := cmd.Root().Writer
+	fmt.Fprintf(w, "served %d, failed %d\n", times.Total.TotalCount(), failed)
+	for _, q := range []float64{50, 99} {
+		fmt.Fprintf(w, "p%.0f: first token %d µs, whole answer %d µs\n", q, times.FirstToken.ValueAtQuantile(q), times.Total.ValueAtQuantile(q))
+	}
+	return nil
+}
+
 func compare(ctx context.Context, cmd *cli.Command) error {
 	direct, routed, err := client.Comparison{
 		Engine: cmd.String("engine"), Host: cmd.String("host"), Key: cmd.String("key"), Model: cmd.String("model"),
--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -39,7 +39,7 @@
 	return &cli.Command{
 		Name:     "load",
 		Usage:    "send load to entry hosts and measure",
-		Commands: []*cli.Command{runCommand(), compareCommand()},
+		Commands: []*cli.Command{runCommand(), compareCommand(), steadyCommand()},
 	}
 }
 
--- a/internal/bench/client/compare.go
+++ b/internal/bench/client/compare.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -67,6 +68,35 @@
 	return direct, routed, nil
 }
 
+// Steady sends the question to the host at an even rate, open loop, and
+// returns the times and the number of failed requests.
+func (c Comparison) Steady(ctx context.Context, rate float64, duration time.Duration) (times Latencies, failed int) {
+	times = newLatencies()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections, MaxIdleConns: idleConnections}}
+	defer client.CloseIdleConnections()
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	begin := time.Now()
+	for i := range int(rate * duration.Seconds()) {
+		if !wait(ctx, time.Until(begin.Add(time.Duration(float64(i)/rate*float64(time.Second))))) {
+			break
+		}
+		group.Go(func() {
+			first, total, err := c.send(ctx, client, c.Host, i)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failed++
+				return
+			}
+			_ = times.FirstToken.RecordValue(first.Microseconds())
+			_ = times.Total.RecordValue(total.Microseconds())
+		})
+	}
+	group.Wait()
+	return times, failed
+}
+
 // send returns the time to the first token and to the end of the answer.
 func (c Comparison) send(ctx context.Context, client *http.Client, address string, i int) (first, total time.Duration, err error) {
 	body, err := json.Marshal(chatBody{
--- a/internal/bench/workload/data.go
+++ b/internal/bench/workload/data.go
@@ -6,7 +6,7 @@
 	"quetzalhook"
 )
 
-// The rates are chosen so that both workloads together use about 60% of the
+// The rates are chosen so that both workloads together use about 75% of the
 // demo's 18 engines and exceed them in bursts.
 
 // Association returns the traffic of the balloon sellers' association in
@@ -25,12 +25,12 @@
 			},
 			{Name: "pitch-booking", Tier: 1, Route: RouteBookings, Rate: 3, Target: time.Second, FloorShare: 0.05},
 			{
-				Name: "rulebook-question", Tier: 2, Route: RouteChat, Rate: 4, Target: 4 * time.Second,
+				Name: "rulebook-question", Tier: 2, Route: RouteChat, Rate: 6, Target: 4 * time.Second,
 				MustFinish: true, FloorShare: 0.15, Prefixes: 3, PrefixTokens: 1536,
 				Prompt: Lengths{400, 1200, 3000}, Output: Lengths{200, 400, 600},
 			},
 			{
-				Name: "daily-summary", Tier: 3, Route: RouteChat, Rate: 2, Target: 15 * time.Second,
+				Name: "daily-summary", Tier: 3, Route: RouteChat, Rate: 3, Target: 15 * time.Second,
 				MustFinish: true, FloorShare: 0.1, Prefixes: 1, PrefixTokens: 256,
 				Prompt: Lengths{800, 2000, 4000}, Output: Lengths{280, 500, 600},
 			},
@@ -70,12 +70,12 @@
 			{Name: "grate-order", Tier: 1, Route: RouteOrders, Rate: 3, Target: time.Second, FloorShare: 0.05},
 			{Name: "order-status", Tier: 1, Route: RouteOrders, Rate: 1.5, Target: time.Second, Status: true},
 			{
-				Name: "quotation", Tier: 2, Route: RouteChat, Rate: 3.5, Target: 4 * time.Second,
+				Name: "quotation", Tier: 2, Route: RouteChat, Rate: 5, Target: 4 * time.Second,
 				MustFinish: true, FloorShare: 0.15, Prefixes: 5, PrefixTokens: 768,
 				Prompt: Lengths{500, 1500, 3000}, Output: Lengths{240, 450, 600},
 			},
 			{
-				Name: "specification-review", Tier: 3, Route: RouteChat, Rate: 1.5, Target: 15 * time.Second,
+				Name: "specification-review", Tier: 3, Route: RouteChat, Rate: 2.25, Target: 15 * time.Second,
 				MustFinish: true, FloorShare: 0.1, Prefixes: 6, PrefixTokens: 2048,
 				Prompt: Lengths{1500, 4000, 6000}, Output: Lengths{400, 800, 800},
 			},
