Keep resumed work off the slots that a burst is about to take

After 3 s of a burst a third of all slots could not be freed.

Requests that lost a slot now wait until the urgent requests of the last 3 s fit beside them, and those that cannot lose it again until those of the last 30 s do; floors start both at any time. The cap of half of the slots is gone.

--- a/internal/traffic/dispatch/core.go
+++ b/internal/traffic/dispatch/core.go
@@ -184,6 +184,9 @@
 func (c *Core) Tick(now time.Time) []quetzalhook.Action {
 	c.begin()
 	c.dropLate(now) // first, so that its check sees what the last drain saw
+	for _, p := range c.order {
+		p.queue.Advance(now)
+	}
 	if now.Sub(c.lastSlow) >= slowInterval {
 		c.lastSlow = now
 		c.placer.ObserveDemand(now, c.Demand(now))
@@ -195,9 +198,6 @@
 		}
 		c.checkSlots()
 	}
-	for _, p := range c.order {
-		p.queue.Advance(now)
-	}
 	c.resumeDelayed(now)
 	return c.drainAll(now)
 }
--- a/internal/traffic/dispatch/start.go
+++ b/internal/traffic/dispatch/start.go
@@ -79,11 +79,15 @@
 	var most float64
 	var top quetzalhook.Tier
 	for _, p := range c.order {
-		it := p.queue.NextStrict(now)
-		if p.full || it == nil {
+		if p.full {
+			continue
+		}
+		need, tier := p.queue.Need(), quetzalhook.Tier(quetzalhook.TierCount)
+		if it := p.queue.NextStrict(now); it != nil {
+			tier = it.Request.Class.Tier()
+		} else if need == 0 {
 			continue
 		}
-		need, tier := p.queue.Need(), it.Request.Class.Tier()
 		if best == nil || need > most || need == most && (tier < top || tier == top && p.turn < best.turn) {
 			best, most, top = p, need, tier
 		}
--- a/internal/traffic/queue/class.go
+++ b/internal/traffic/queue/class.go
@@ -37,6 +37,7 @@
 	virtual float64 // virtual time of the latest start
 	served  float64 // work started, orders classes of one tier
 	waiting int
+	held    int // waiting in parked flows
 	taken   int // on the way from waiting to running
 	running int
 	used    time.Time // when work last came in
@@ -57,12 +58,18 @@
 // eligible reports whether the class has work that may start.
 func (c *class) eligible() bool { return c.worn.n > 0 || c.resumed.n > 0 || len(c.ready) > 0 }
 
-// head returns the next item of the class, or nil; worn allows worn items.
-func (c *class) head(now time.Time, worn bool) *Item {
-	if worn && c.worn.n > 0 {
+// allowance tells which items may start.
+type allowance struct {
+	keepers bool // items that cannot lose their slot
+	resumed bool // items that lost a slot
+}
+
+// head returns the next item of the class that may start, or nil.
+func (c *class) head(now time.Time, a allowance) *Item {
+	if a.keepers && c.worn.n > 0 {
 		return c.worn.head
 	}
-	if c.resumed.n > 0 {
+	if a.resumed && c.resumed.n > 0 {
 		return c.resumed.head
 	}
 	if len(c.ready) > 0 {
@@ -137,6 +144,12 @@
 // after its waiting items changed.
 func (c *class) changed(f *flow) {
 	c.lengths.update(f)
+	held := 0
+	if f.parked {
+		held = f.waiting()
+	}
+	c.held += held - f.held
+	f.held = held
 	switch wanted := f.waiting() > 0 && !f.parked; {
 	case wanted && f.position < 0:
 		c.ready.push(f)
--- a/internal/traffic/queue/flow.go
+++ b/internal/traffic/queue/flow.go
@@ -23,6 +23,7 @@
 	items    int // requests of the flow that did not end
 	position int // in the class's heap, -1 outside
 	parked   bool
+	held     int  // waiting items while parked
 	idle     bool // in the class's list of idle flows
 
 	length     int // bucket in the class's lengths, -1 outside
--- a/internal/traffic/queue/pick.go
+++ b/internal/traffic/queue/pick.go
@@ -10,7 +10,7 @@
 // floor in proportion, or nil if all classes have theirs.
 func (q *Queue) NextFloor(now time.Time) *Item {
 	if c, need := q.neediest(); need > 0 {
-		return c.head(now, true)
+		return c.head(now, allowance{true, true})
 	}
 	return nil
 }
@@ -45,16 +45,21 @@
 }
 
 // NextStrict returns the next item by tier only, or nil. Classes of one tier
-// share by work. Items that keep their slot are left out while too many run.
+// share by work. Items that lost or cannot lose their slot are left out while
+// urgent requests need the slots.
 func (q *Queue) NextStrict(now time.Time) *Item {
 	var best *Item
-	keeper := q.keeperMayStart()
+	a := q.allowance()
 	for _, c := range q.classes {
 		if best != nil && c.def.Tier() != best.class.def.Tier() {
 			break
 		}
-		it := c.head(now, keeper)
-		if it == nil || !keeper && it.mustKeep() && !c.def.IsUrgent() {
+		allowed := a
+		if c.def.IsUrgent() {
+			allowed = allowance{true, true}
+		}
+		it := c.head(now, allowed)
+		if it == nil || !allowed.keepers && it.mustKeep() {
 			continue
 		}
 		if best == nil || c.served < best.class.served {
@@ -76,7 +81,7 @@
 // that it takes a slot from a class above its own, or nil.
 func (q *Queue) NextOverdue(now time.Time) *Item {
 	if c, need := q.neediest(); need > overdueShare*Window.Seconds() {
-		return c.head(now, true)
+		return c.head(now, allowance{true, true})
 	}
 	return nil
 }
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -44,15 +44,23 @@
 	running      int
 	slots        float64
 	keeping      int     // running items below the urgent tier that cannot lose their slot
-	peak         float64 // urgent items at once, decayed
+	urgent       int     // running urgent items
+	peak         float64 // urgent items at once, decayed by peakMemory
+	recent       float64 // the same, decayed by recentMemory
 	last         time.Time
 }
 
 // MaxPreemptions is how often one request may lose its slot to another.
 const MaxPreemptions = 2
 
-// peakMemory is the time constant of the peak of urgent work.
-const peakMemory = 2 * time.Minute
+const (
+	// peakMemory is the time constant of the peak of urgent work that slots
+	// are kept open for.
+	peakMemory = 30 * time.Second
+	// recentMemory is the same for requests that lost a slot. It is a few
+	// times the length of an urgent answer.
+	recentMemory = 3 * time.Second
+)
 
 // maxFloorSum leaves slots for urgent work if the configured floors add up to
 // more.
@@ -80,19 +88,26 @@
 		for _, c := range q.classes {
 			c.advance(d)
 			if c.def.IsUrgent() {
-				urgent += c.waiting + c.taken + c.running
+				urgent += c.waiting - c.held + c.taken + c.running
 			}
 		}
 		q.peak = max(q.peak*math.Exp(-d/peakMemory.Seconds()), float64(urgent))
+		q.recent = max(q.recent*math.Exp(-d/recentMemory.Seconds()), float64(urgent))
 	}
 	q.last = now
 }
 
-// keeperMayStart reports whether an item that keeps its slot may start. Such
-// items leave as many slots as urgent requests lately used at once, at most
-// half, to items that can be preempted.
-func (q *Queue) keeperMayStart() bool {
-	return float64(q.keeping) < q.slots-min(math.Ceil(q.peak), q.slots/2)
+// allowance returns which items may start by tier. Items that cannot lose
+// their slot leave as many slots as urgent requests used at once in the last
+// half minute, so that a burst finds slots to take. Items that lost a slot
+// wait until the urgent requests of the last seconds would fit beside them;
+// otherwise the next few urgent requests take their slot again. Floors start
+// both kinds at any time.
+func (q *Queue) allowance() allowance {
+	return allowance{
+		keepers: float64(q.keeping) < q.slots-math.Round(q.peak),
+		resumed: float64(q.running-q.urgent) < q.slots-math.Round(q.recent),
+	}
 }
 
 // Protect keeps urgent requests from taking the slots of the item's class
@@ -297,6 +312,7 @@
 	q.running++
 	switch {
 	case c.def.IsUrgent():
+		q.urgent++
 	case it.mustKeep():
 		it.keeps = true
 		q.keeping++
@@ -336,6 +352,9 @@
 		it.keeps = false
 		q.keeping--
 	}
+	if it.class.def.IsUrgent() {
+		q.urgent--
+	}
 	it.class.running--
 	q.running--
 }
