--- a/cmd/quetzalhook/operate.go
+++ b/cmd/quetzalhook/operate.go
@@ -121,7 +121,12 @@
 			if err != nil {
 				return err
 			}
-			return call(ctx, cmd, http.MethodPost, "/operator/keys/"+url.PathEscape(id)+"/withdraw", nil, nil)
+			var body operator.WithdrawBody
+			if err := call(ctx, cmd, http.MethodPost, "/operator/keys/"+url.PathEscape(id)+"/withdraw", nil, &body); err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(cmd.Root().Writer, "withdrawn; in the store: %v; hosts that have not confirmed: %v\n", body.Persisted, body.Missed)
+			return err
 		},
 	}
 }
--- a/internal/entry/front/auth.go
+++ b/internal/entry/front/auth.go
@@ -77,8 +77,9 @@
 // watchKey returns a context that ends when the key is withdrawn.
 func (x *exchange) watchKey() (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(x.r.Context())
-	withdrawn := x.front.deps.Keys.Withdrawn(x.owner.Key)
+	withdrawn, release := x.front.deps.Keys.Withdrawn(x.owner.Key)
 	go func() {
+		defer release()
 		select {
 		case <-withdrawn:
 			cancel(errWithdrawn)
--- a/internal/entry/front/chat.go
+++ b/internal/entry/front/chat.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -40,7 +41,7 @@
 }
 
 func (x *exchange) guard() relay.Guard {
-	return relay.Guard{Secret: x.secret, Sent: &x.sent}
+	return relay.Guard{Secret: x.secret, Key: x.owner.Key, Sent: &x.sent}
 }
 
 func (x *exchange) request(c *relay.ChatRequest) quetzalhook.Request {
@@ -94,7 +95,20 @@
 			return nil, keyInRequest()
 		}
 	}
-	return body, nil
+	return body, x.findEscapedSecret(body)
+}
+
+// findEscapedSecret refuses a JSON body whose escape sequences spell the key.
+func (x *exchange) findEscapedSecret(body []byte) error {
+	var v any
+	if json.Unmarshal(body, &v) != nil {
+		return nil
+	}
+	plain, err := json.Marshal(v)
+	if err == nil && relay.ContainsSecret(x.secret, string(plain)) {
+		return keyInRequest()
+	}
+	return nil
 }
 
 func (x *exchange) hasModel(m quetzalhook.Model) bool {
--- a/internal/entry/front/service.go
+++ b/internal/entry/front/service.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"time"
@@ -36,9 +35,6 @@
 	if err != nil {
 		return err
 	}
-	if err := x.findEscapedSecret(body); err != nil {
-		return err
-	}
 	safe := x.r.Method == http.MethodGet || x.r.Method == http.MethodHead
 	if x.route.Repeatable || safe {
 		response, err := x.callService(body, "", true)
@@ -50,19 +46,6 @@
 	return x.once(body)
 }
 
-// findEscapedSecret refuses a JSON body whose escape sequences spell the key.
-func (x *exchange) findEscapedSecret(body []byte) error {
-	var v any
-	if json.Unmarshal(body, &v) != nil {
-		return nil
-	}
-	plain, err := json.Marshal(v)
-	if err == nil && relay.ContainsSecret(x.secret, string(plain)) {
-		return keyInRequest()
-	}
-	return nil
-}
-
 // once runs a call that may not be repeated.
 func (x *exchange) once(body []byte) error {
 	journal := x.front.deps.Journal
--- a/internal/entry/node/records.go
+++ b/internal/entry/node/records.go
@@ -10,6 +10,7 @@
 	"quetzalhook/internal/entry/operator"
 	"quetzalhook/internal/fleet/lease"
 	"quetzalhook/internal/record/configuration"
+	"quetzalhook/internal/record/credential"
 )
 
 // records joins the parts of a host that keep what must last.
@@ -17,7 +18,7 @@
 	node    *Node
 	rollout *configuration.Rollout
 	planner *configuration.Planner
-	keys    *thinKeys
+	keys    *keyRing
 	journal quetzalhook.CallJournal
 
 	mu    sync.Mutex
@@ -31,14 +32,22 @@
 			configuration.Identity{Host: n.settings.Host, Zone: n.settings.Zone},
 			n.platform, n.fleet.peers, n.clock, n.log, n.inv),
 		planner: configuration.NewPlanner(n.platform, n.clock, n.log),
-		keys:    newThinKeys(n.platform),
-		usage:   make(map[quetzalhook.CustomerID]front.Usage),
+		keys: &keyRing{clock: n.clock, registry: credential.NewRegistry(
+			credential.Identity{Host: n.settings.Host, Zone: n.settings.Zone},
+			n.platform, n.fleet.peers, n.clock, n.log, n.inv)},
+		usage: make(map[quetzalhook.CustomerID]front.Usage),
 	}, nil
 }
 
-func (r *records) start(ctx context.Context) { r.rollout.Start(ctx) }
+func (r *records) start(ctx context.Context) {
+	r.rollout.Start(ctx)
+	r.keys.registry.Start(ctx)
+}
 
-func (r *records) close() { _ = r.rollout.Close() }
+func (r *records) close() {
+	_ = r.keys.registry.Close()
+	_ = r.rollout.Close()
+}
 
 func (r *records) kill() {}
 
@@ -71,4 +80,4 @@
 
 func (r *records) settle(context.Context, string, string) error { return nil }
 
-func (r *records) storeAge() time.Duration { return 0 }
+func (r *records) storeAge() time.Duration { return r.keys.registry.StoreAge() }
--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -14,6 +14,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/record/configuration"
+	"quetzalhook/internal/record/credential"
 )
 
 // maxDocument bounds a configuration document in bytes.
@@ -29,9 +30,9 @@
 type Keys interface {
 	// Issue returns a new key of the customer. The secret is not kept.
 	Issue(ctx context.Context, customer quetzalhook.CustomerID) (id quetzalhook.KeyID, secret string, err error)
-	// Withdraw withdraws a key; it returns when other hosts know of it or the
-	// store has it.
-	Withdraw(ctx context.Context, id quetzalhook.KeyID) error
+	// Withdraw withdraws a key. It reports whether the store has the withdrawal
+	// and which hosts have not confirmed it yet.
+	Withdraw(ctx context.Context, id quetzalhook.KeyID) (persisted bool, missed []quetzalhook.HostID, err error)
 }
 
 // Deps are what a Server needs.
@@ -100,6 +101,15 @@
 	Secret   string                 `json:"secret"`
 }
 
+// WithdrawBody is the answer to the withdrawal of a key.
+type WithdrawBody struct {
+	// Persisted reports that the store has the withdrawal; otherwise hosts keep
+	// trying to store it.
+	Persisted bool `json:"persisted"`
+	// Missed lists hosts that have not confirmed the withdrawal yet.
+	Missed []quetzalhook.HostID `json:"missed,omitempty"`
+}
+
 // ErrorBody is the JSON body of a failure.
 type ErrorBody struct {
 	Kind     string   `json:"kind"`
@@ -156,11 +166,12 @@
 }
 
 func (s *Server) withdraw(w http.ResponseWriter, r *http.Request) {
-	if err := s.deps.Keys.Withdraw(r.Context(), quetzalhook.KeyID(r.PathValue("id"))); err != nil {
+	persisted, missed, err := s.deps.Keys.Withdraw(r.Context(), quetzalhook.KeyID(r.PathValue("id")))
+	if err != nil {
 		writeError(w, statusOf(err), kindOf(err), err)
 		return
 	}
-	w.WriteHeader(http.StatusNoContent)
+	writeJSON(w, http.StatusOK, WithdrawBody{Persisted: persisted, Missed: missed})
 }
 
 func (s *Server) settle(w http.ResponseWriter, r *http.Request) {
@@ -185,9 +196,13 @@
 }
 
 func kindOf(err error) string {
-	var e *configuration.Error
-	if errors.As(err, &e) {
-		return string(e.Kind)
+	var document *configuration.Error
+	if errors.As(err, &document) {
+		return string(document.Kind)
+	}
+	var key *credential.Error
+	if errors.As(err, &key) {
+		return string(key.Kind)
 	}
 	if kind := storeKind(err); kind != "" {
 		return string(kind)
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -108,6 +108,8 @@
 type Guard struct {
 	// Secret is the caller's key, which must not reach an upstream.
 	Secret string
+	// Key identifies the secret.
+	Key quetzalhook.KeyID
 	// Sent is set before the first byte of a request may leave the host.
 	Sent *atomic.Bool
 }
@@ -410,7 +412,7 @@
 			return err
 		}
 		stall.extend(r.nextStall)
-		r.report(t, answer, before)
+		r.report(t, call, before)
 	}
 	return errIncomplete
 }
@@ -437,9 +439,13 @@
 }
 
 // report tells the policy of the first token and then of every few.
-func (r *Relay) report(t *broker.Ticket, answer *Answer, before int) {
-	if n := answer.tokens - before; n == 1 || n%progressTokens == 0 {
-		r.broker.Progress(t, answer.tokens)
+func (r *Relay) report(t *broker.Ticket, call Call, before int) {
+	if n := call.Answer.tokens - before; n != 1 && n%progressTokens != 0 {
+		return
+	}
+	r.broker.Progress(t, call.Answer.tokens)
+	if r.keys != nil {
+		r.keys.CheckOpen(call.Key)
 	}
 }
 
--- a/keyring.go
+++ b/keyring.go
@@ -38,7 +38,11 @@
 	// Lookup returns the owner of a caller's key, or a *KeyError.
 	Lookup(ctx context.Context, secret string) (Identity, error)
 	// Withdrawn returns a channel that is closed when the key is withdrawn.
-	Withdrawn(id KeyID) <-chan struct{}
+	// Release frees it.
+	Withdrawn(id KeyID) (withdrawn <-chan struct{}, release func())
+	// CheckOpen counts one check that a stream does not outlive the withdrawal
+	// of its key.
+	CheckOpen(id KeyID)
 }
 
 // CallJournal runs calls that may not be repeated at most once.
