--- a/internal/entry/node/fleet.go
+++ b/internal/entry/node/fleet.go
@@ -28,3 +28,14 @@
 
 // Close ends all connections to other hosts.
 func (f *fleet) Close() error { return nil }
+
+// live returns the other hosts that were heard from lately.
+func (f *fleet) live() []quetzalhook.HostID {
+	var hosts []quetzalhook.HostID
+	for _, m := range f.peers.Members() {
+		if m.Silent < aliveLimit && !m.Draining {
+			hosts = append(hosts, m.Host)
+		}
+	}
+	return hosts
+}
--- a/internal/entry/node/records.go
+++ b/internal/entry/node/records.go
@@ -5,9 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"quetzalhook"
 	"quetzalhook/internal/entry/front"
 	"quetzalhook/internal/entry/operator"
+	"quetzalhook/internal/fleet/controller"
 	"quetzalhook/internal/fleet/lease"
 	"quetzalhook/internal/record/configuration"
 	"quetzalhook/internal/record/credential"
@@ -20,13 +23,16 @@
 	planner *configuration.Planner
 	keys    *keyRing
 	journal quetzalhook.CallJournal
+	leases  []*lease.Lease
+
+	controller *controller.Controller
 
 	mu    sync.Mutex
 	usage map[quetzalhook.CustomerID]front.Usage
 }
 
 func (n *Node) newRecords() (*records, error) {
-	return &records{
+	r := &records{
 		node: n,
 		rollout: configuration.NewRollout(
 			configuration.Identity{Host: n.settings.Host, Zone: n.settings.Zone},
@@ -36,21 +42,47 @@
 			credential.Identity{Host: n.settings.Host, Zone: n.settings.Zone},
 			n.platform, n.fleet.peers, n.clock, n.log, n.inv)},
 		usage: make(map[quetzalhook.CustomerID]front.Usage),
-	}, nil
+	}
+	role, err := r.newLease(lease.RoleController)
+	if err != nil {
+		return nil, err
+	}
+	r.controller = controller.New(role, n.platform, n.platform, &capacityPlanner{node: n}, n.clock, controller.WithLog(n.log))
+	return r, nil
+}
+
+// newLease returns a lease for which only some of the live hosts compete.
+func (r *records) newLease(role string) (*lease.Lease, error) {
+	n := r.node
+	l, err := lease.New(role, n.settings.Host, n.fleet.incarnation, n.platform, n.clock, n.inv,
+		lease.WithCandidate(func() bool { return lease.IsCandidate(role, n.settings.Host, n.fleet.live()) }))
+	if err != nil {
+		return nil, err
+	}
+	r.leases = append(r.leases, l)
+	return l, nil
 }
 
 func (r *records) start(ctx context.Context) {
 	r.rollout.Start(ctx)
 	r.keys.registry.Start(ctx)
+	for _, l := range r.leases {
+		l.Start()
+	}
+	r.controller.Start()
 }
 
+// close ends the parts in the reverse order; leases are released after their
+// users have stopped.
 func (r *records) close() {
+	_ = r.controller.Close()
+	for _, l := range r.leases {
+		_ = l.Close()
+	}
 	_ = r.keys.registry.Close()
 	_ = r.rollout.Close()
 }
 
-func (r *records) kill() {}
-
 func (r *records) addUsage(u front.Usage) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -78,6 +110,14 @@
 	return rows
 }
 
-func (r *records) settle(context.Context, string, string) error { return nil }
+// settle records an operator's statement about an open intent.
+func (r *records) settle(ctx context.Context, role, intent string) error {
+	for i, name := range []string{lease.RoleController} {
+		if name == role {
+			return r.leases[i].Confirm(ctx, intent)
+		}
+	}
+	return errors.Errorf("there is no role %q", role)
+}
 
 func (r *records) storeAge() time.Duration { return r.keys.registry.StoreAge() }
--- a/internal/entry/node/stop.go
+++ b/internal/entry/node/stop.go
@@ -61,8 +61,8 @@
 	n.stopped.Do(func() {
 		_ = n.machine.Fire(eventKill)
 		n.fleet.kill()
+		_ = n.platform.Close()
 		_ = n.server.Close()
-		n.records.kill()
 		n.close()
 	})
 }
--- a/internal/platform/object/client.go
+++ b/internal/platform/object/client.go
@@ -40,6 +40,9 @@
 	http    *http.Client
 	timeout time.Duration
 
+	closed  context.Context // ends at Close
+	close   context.CancelFunc
+
 	reads, writes, watches atomic.Int64
 }
 
@@ -57,6 +60,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.closed, c.close = context.WithCancel(context.Background())
 	c.http = &http.Client{Transport: &http.Transport{
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: 16,
@@ -64,8 +68,10 @@
 	return c
 }
 
-// Close closes idle connections.
+// Close cancels calls in progress, whose changes then have an unknown
+// outcome, and makes every later call fail without being sent.
 func (c *Client) Close() error {
+	c.close()
 	c.http.CloseIdleConnections()
 	return nil
 }
@@ -176,9 +182,20 @@
 	return list, nil
 }
 
+// bound returns the context of one call: it ends with the timeout and when
+// the client is closed.
+func (c *Client) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	stop := context.AfterFunc(c.closed, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 func (c *Client) read(ctx context.Context, op, key, path string, into any) error {
 	c.reads.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	ctx, cancel := c.bound(ctx)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
@@ -208,7 +225,7 @@
 
 func (c *Client) write(ctx context.Context, w call) (http.Header, error) {
 	c.writes.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	ctx, cancel := c.bound(ctx)
 	defer cancel()
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
--- a/internal/platform/object/watch.go
+++ b/internal/platform/object/watch.go
@@ -26,6 +26,7 @@
 func (c *Client) Watch(ctx context.Context, prefix string, after quetzalhook.Version) (quetzalhook.Watch, error) {
 	c.watches.Add(1)
 	ctx, cancel := context.WithCancel(ctx)
+	context.AfterFunc(c.closed, cancel)
 	path := fmt.Sprintf("%s%s?prefix=%s&after=%d", c.base, PathWatch, url.QueryEscape(prefix), after)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, path, nil)
 	if err != nil {
