--- a/internal/traffic/dispatch/core.go
+++ b/internal/traffic/dispatch/core.go
@@ -207,6 +207,7 @@
 	d := quetzalhook.Demand{
 		Waiting:  c.load.waiting(),
 		Running:  c.load.running(),
+		Requests: c.load.requests(),
 		InFlight: make(map[quetzalhook.UpstreamID]int),
 		Used:     c.limiter.Used(),
 	}
--- a/internal/traffic/placement/planner_test.go
+++ b/internal/traffic/placement/planner_test.go
@@ -1,15 +1,26 @@
 package placement
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"quetzalhook"
+	"quetzalhook/internal/state/invariant"
 )
 
 var start = time.Unix(1_000_000, 0)
 
+// TestMain fixes the seed; -rapid.seed and -rapid.checks run others and more.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
 func engines(n int) []quetzalhook.Upstream {
 	list := make([]quetzalhook.Upstream, n)
 	for i := range list {
@@ -33,8 +44,8 @@
 	}
 }
 
-// Guards against a planner that sends more to an upstream than the host's
-// slots, or that loses slots when requests end.
+// TestPlaceUsesOwnSlotsOnly guards against a planner that sends more to an
+// upstream than the host's slots, or that loses slots when requests end.
 func TestPlaceUsesOwnSlotsOnly(t *testing.T) {
 	p := New(WithHost("a"), WithHosts(4), WithRegion("region-0"), WithSeed(1))
 	p.SetUpstreams(start, engines(18))
@@ -66,3 +77,219 @@
 		t.Errorf("free after the end: got %d, want %d", got, total)
 	}
 }
+
+// TestLeavingGetsNoWork guards against work on an upstream that leaves by
+// report or by list, and against a check that does not see it.
+func TestLeavingGetsNoWork(t *testing.T) {
+	checks := invariant.New(nil)
+	p := New(WithSeed(1), WithInvariants(checks))
+	list := engines(2)
+	p.SetUpstreams(start, list)
+	p.ObserveLoad(start, quetzalhook.Load{Upstream: list[0].ID, Leaving: true})
+	if u, ok := p.Place(start, request(1)); !ok || u != list[1].ID {
+		t.Errorf("one leaves by report: got %q, want %s", u, list[1].ID)
+	}
+	list[1].State = quetzalhook.UpstreamLeaving
+	p.SetUpstreams(start, list)
+	if u, ok := p.Place(start, request(2)); ok {
+		t.Errorf("both leave: got %s, want none", u)
+	}
+	if got := p.Unfit(start); len(got) != 2 {
+		t.Errorf("unfit: got %v, want both", got)
+	}
+	p.Started(start, request(3), list[1].ID)
+	if got := checks.Violations(); got != 1 {
+		t.Errorf("start on a leaving upstream: got %d violations, want 1", got)
+	}
+}
+
+// TestNoHerdAfterLaggingReport guards against hosts that all send their next
+// requests to the one upstream that an old report shows idle.
+func TestNoHerdAfterLaggingReport(t *testing.T) {
+	const hosts, requests = 6, 40
+	for name, tc := range map[string]struct {
+		strategy Strategy
+		herds    bool
+	}{"shares": {SlotShares, false}, "least-loaded": {LeastLoaded, true}} {
+		perUpstream := map[quetzalhook.UpstreamID]int{}
+		for h := range hosts {
+			p := New(WithHost(hostID(h)), WithHosts(hosts), WithSeed(uint64(h)), WithStrategy(tc.strategy))
+			list := engines(18)
+			p.SetUpstreams(start, list)
+			for i, u := range list {
+				p.ObserveLoad(start, quetzalhook.Load{Upstream: u.ID, Running: 14 * min(i, 1), Age: 2 * time.Second})
+			}
+			p.ObservePeers(start, idlePeers(hosts, h))
+			for i := range requests {
+				if u, ok := p.Place(start, request(100*h+i)); ok {
+					p.Started(start, request(100*h+i), u)
+					perUpstream[u]++
+				}
+			}
+		}
+		most := 0
+		for _, n := range perUpstream {
+			most = max(most, n)
+		}
+		if herds := most > 16; herds != tc.herds {
+			t.Errorf("%s: got %d requests of all hosts on an upstream of 16 slots, want herding %v", name, most, tc.herds)
+		}
+	}
+}
+
+func hostID(i int) quetzalhook.HostID { return quetzalhook.HostID(fmt.Sprintf("host-%d", i)) }
+
+func idlePeers(hosts, self int) []quetzalhook.PeerDemand {
+	var peers []quetzalhook.PeerDemand
+	for h := range hosts {
+		if h != self {
+			peers = append(peers, quetzalhook.PeerDemand{Host: hostID(h)})
+		}
+	}
+	return peers
+}
+
+// TestUnusedShareGoesToOthers guards against idle slots while another host
+// has work, and against slots of a dead host that nobody takes over.
+func TestUnusedShareGoesToOthers(t *testing.T) {
+	p := New(WithHost(hostID(0)), WithHosts(6), WithSeed(1))
+	p.SetUpstreams(start, engines(18))
+	peers := idlePeers(6, 0)
+	for i := range peers {
+		peers[i].Demand.Requests[2] = 48 // all slots are in use
+	}
+	own := quetzalhook.Demand{}
+	own.Requests[2] = 200
+	now := start
+	slots := func() int {
+		for range 4 {
+			now = now.Add(250 * time.Millisecond)
+			p.ObserveDemand(now, own)
+			p.ObservePeers(now, peers)
+		}
+		total, _ := p.Slots(now, "small")
+		return total
+	}
+	if got := slots(); got < 46 || got > 50 {
+		t.Errorf("all hosts busy: got %d slots, want about an equal share of 48", got)
+	}
+	peers[0].Demand.Requests[2] = 0
+	if got := slots(); got < 90 || got > 102 {
+		t.Errorf("one host idle: got %d slots, want about 96", got)
+	}
+	peers[1].Age = peerTimeout + 1
+	if got := slots(); got < 138 || got > 150 {
+		t.Errorf("and one host dead: got %d slots, want about 144", got)
+	}
+}
+
+// TestPrefixCache guards against a planner that ignores cached prompts, or
+// trusts them after an eviction or a gap in the events.
+func TestPrefixCache(t *testing.T) {
+	p := New(WithSeed(1))
+	list := engines(3)
+	p.SetUpstreams(start, list)
+	r := request(1)
+	r.PromptTokens, r.Prefixes, r.PrefixTokens = 8000, []uint64{11, 12, 13}, 2000
+	cold := p.FirstToken(start, r, list[2].ID)
+	p.ObserveLoad(start, quetzalhook.Load{Upstream: list[2].ID, Prefixes: []uint64{11, 12, 13}})
+	if u, _ := p.Place(start, r); u != list[2].ID {
+		t.Errorf("place: got %s, want %s with the cached prompt", u, list[2].ID)
+	}
+	warm := p.FirstToken(start, r, list[2].ID)
+	if got := cold - warm; got != 750*time.Millisecond {
+		t.Errorf("6000 cached tokens: got %v saved, want 750ms", got)
+	}
+	p.ObserveLoad(start.Add(1), quetzalhook.Load{Upstream: list[2].ID, Evicted: []uint64{13}, PrefixGap: true})
+	if got := cold - p.FirstToken(start, r, list[2].ID); got != 250*time.Millisecond {
+		t.Errorf("4000 uncertain tokens: got %v saved, want 250ms", got)
+	}
+}
+
+// TestPrefixIndexIsBounded guards against an index that grows with traffic.
+func TestPrefixIndexIsBounded(t *testing.T) {
+	x, u := newPrefixIndex(100), &upstream{}
+	for i := range uint64(1000) {
+		x.add(i, u)
+	}
+	if got := len(x.entries); got != 100 {
+		t.Errorf("entries: got %d, want 100", got)
+	}
+}
+
+// TestRandom guards the lists of free upstreams and the slot counts against
+// any order of events, and the planner's rules against violation.
+func TestRandom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rules := invariant.New(nil)
+		p := New(WithHost(hostID(0)), WithHosts(3), WithRegion("region-0"), WithRules(rulesOnly{rules}), WithInvariants(rules))
+		list := engines(rapid.IntRange(1, 12).Draw(t, "upstreams"))
+		now := start
+		p.SetUpstreams(now, list)
+		running := map[int]bool{}
+		for step := range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			u := rapid.IntRange(0, len(list)-1).Draw(t, "upstream")
+			switch rapid.IntRange(0, 7).Draw(t, "event") {
+			case 0, 1, 2:
+				if id, ok := p.Place(now, request(step)); ok {
+					p.Started(now, request(step), id)
+					running[step] = true
+				}
+			case 3:
+				other := rapid.IntRange(0, step).Draw(t, "other")
+				p.Ended(now, request(other).ID, quetzalhook.End(rapid.IntRange(1, 5).Draw(t, "end")))
+				delete(running, other)
+			case 4:
+				list[u].State = quetzalhook.UpstreamState(rapid.IntRange(0, 2).Draw(t, "state"))
+				p.SetUpstreams(now, list)
+			case 5:
+				p.ObserveLoad(now, quetzalhook.Load{Upstream: list[u].ID, Running: 5, Age: time.Second})
+			case 6:
+				again := rapid.IntRange(0, step).Draw(t, "again")
+				if id, ok := p.Place(now, request(again)); ok && running[again] {
+					p.Started(now, request(again), id)
+				}
+			case 7:
+				peers := idlePeers(3, 0)
+				peers[0].Demand.InFlight = map[quetzalhook.UpstreamID]int{list[u].ID: rapid.IntRange(0, 20).Draw(t, "in flight")}
+				peers[1].Demand.Requests[0] = rapid.IntRange(0, 99).Draw(t, "need")
+				p.ObservePeers(now, peers)
+			}
+			checkPools(t, p, len(running))
+		}
+		if got := rules.Violations(); got > 0 {
+			t.Fatalf("violations: got %d, want 0: %v", got, rules.Details())
+		}
+	})
+}
+
+// rulesOnly counts the planner's rules under the name of an invariant.
+type rulesOnly struct{ r *invariant.Registry }
+
+func (o rulesOnly) Check(name string, ok bool, details ...any) {
+	o.r.Check(invariant.LegalTransition, ok, append(details, "rule", name)...)
+}
+
+// checkPools compares the lists and sums of the pool with a recount.
+func checkPools(t *rapid.T, p *Planner, running int) {
+	own, free, unused := 0, 0, 0
+	for _, u := range p.upstreams {
+		own += u.own
+		if n := p.slots(u) - u.own; n > 0 {
+			free++
+			unused += n
+		}
+	}
+	for _, u := range p.gone {
+		if p.byID[u.ID] == nil {
+			own += u.own
+		}
+	}
+	if own != running {
+		t.Fatalf("requests in flight: got %d, want %d", own, running)
+	}
+	if pl := p.pools["small"]; pl != nil && (len(pl.free) != free || pl.unused != unused) {
+		t.Fatalf("pool: got %d free upstreams, %d slots, want %d, %d", len(pl.free), pl.unused, free, unused)
+	}
+}
