--- a/internal/traffic/dispatch/start.go
+++ b/internal/traffic/dispatch/start.go
@@ -12,10 +12,10 @@
 	// preemptHold is how long free slots are kept for urgent work after repeated
 	// preemptions.
 	preemptHold = 2 * time.Second
-	// holdFactor was the smallest of 0.7, 1 and 1.4 with urgent work at 99% in
-	// bursts of 0.8 of capacity; it costs 2% to 4% of the useful tokens when all
-	// classes are overloaded, holding every free slot 11%.
-	holdFactor = 1.4
+	// holdFactor was chosen from 0, 0.7, 1 and 1.4: larger ones keep urgent work
+	// in target in bursts of 0.8 of capacity, and cost useful tokens when all
+	// classes are overloaded (docs/decisions/many-hosts-one-engine.md).
+	holdFactor = 1.0
 )
 
 // result is what became of an attempt to start a request.
@@ -90,11 +90,15 @@
 	var most float64
 	var top quetzalhook.Tier
 	for _, p := range c.order {
-		it := p.queue.NextStrict(now)
-		if p.full || it == nil {
+		if p.full {
+			continue
+		}
+		need, tier := p.queue.Need(), quetzalhook.Tier(quetzalhook.TierCount)
+		if it := p.queue.NextStrict(now); it != nil {
+			tier = it.Request.Class.Tier()
+		} else if need == 0 {
 			continue
 		}
-		need, tier := p.queue.Need(), it.Request.Class.Tier()
 		if best == nil || need > most || need == most && (tier < top || tier == top && p.turn < best.turn) {
 			best, most, top = p, need, tier
 		}
