--- a/internal/traffic/queue/class.go
+++ b/internal/traffic/queue/class.go
@@ -10,8 +10,8 @@
 	// Window is the time over which a class gets its floor share.
 	Window = 30 * time.Second
 	// creditWindow bounds how long a class that had more than its floor waits
-	// before the floor holds again.
-	creditWindow = 5 * time.Second
+	// before the floor holds again. It covers a usual burst.
+	creditWindow = 10 * time.Second
 	// minCredit in slot-seconds lets a class with a floor below one slot pay
 	// for a whole request before its floor takes the next slot.
 	minCredit = 5.0
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -57,9 +57,9 @@
 	// peakMemory is the time constant of the peak of urgent work that slots
 	// are kept open for.
 	peakMemory = 30 * time.Second
-	// recentMemory is the same for requests that lost a slot. It is a few
-	// times the length of an urgent answer.
-	recentMemory = 3 * time.Second
+	// recentMemory is the same for requests that lost a slot. With 3 s they
+	// lost it twice within a burst of 10 s.
+	recentMemory = 12 * time.Second
 )
 
 // maxFloorSum leaves slots for urgent work if the configured floors add up to
@@ -91,16 +91,19 @@
 				urgent += c.waiting - c.held + c.taken + c.running
 			}
 		}
-		q.peak = max(q.peak*math.Exp(-d/peakMemory.Seconds()), float64(urgent))
-		q.recent = max(q.recent*math.Exp(-d/recentMemory.Seconds()), float64(urgent))
+		q.peak = max(q.peak*decay(d, peakMemory), float64(urgent))
+		q.recent = max(q.recent*decay(d, recentMemory), float64(urgent))
 	}
 	q.last = now
 }
 
+// decay returns the part that d seconds leave of a peak, to first order.
+func decay(d float64, memory time.Duration) float64 { return max(1-d/memory.Seconds(), 0) }
+
 // allowance returns which items may start by tier. Items that cannot lose
 // their slot leave as many slots as urgent requests used at once in the last
 // half minute, so that a burst finds slots to take. Items that lost a slot
-// wait until the urgent requests of the last seconds would fit beside them;
+// wait until the urgent requests of the last 12 s would fit beside them;
 // otherwise the next few urgent requests take their slot again. Floors start
 // both kinds at any time.
 func (q *Queue) allowance() allowance {
