--- a/internal/traffic/limit/limit_test.go
+++ b/internal/traffic/limit/limit_test.go
@@ -164,7 +164,9 @@
 			}
 			g.step(tc.work)
 		}
-		if got := g.admitted / (testLimit.WorkRate * 120); got < tc.want {
+		got := g.admitted / (testLimit.WorkRate * 120)
+		t.Logf("%s: %.2f of the rate", name, got)
+		if got < tc.want {
 			t.Errorf("%s: got %.2f of the rate, want %.2f", name, got, tc.want)
 		}
 	}
@@ -195,6 +197,7 @@
 				got++
 			}
 		}
+		t.Logf("%s: %d running of %d", name, got, testLimit.Concurrency)
 		if most := testLimit.Concurrency + MaxConcurrencyExcess(testLimit, 4, true); got < tc.want || got > most {
 			t.Errorf("%s: got %d running, want %d to %d", name, got, tc.want, most)
 		}
