--- a/internal/traffic/dispatch/core.go
+++ b/internal/traffic/dispatch/core.go
@@ -208,7 +208,6 @@
 		Requests: c.load.requests(),
 		Waiting:  c.load.waiting(),
 		Running:  c.load.running(),
-		Requests: c.load.requests(),
 		InFlight: make(map[quetzalhook.UpstreamID]int),
 		Used:     c.limiter.Used(),
 	}
