--- a/internal/entry/front/error.go
+++ b/internal/entry/front/error.go
@@ -95,13 +95,22 @@
 	case relay.KindSecret:
 		out.Status = http.StatusBadRequest
 	case relay.KindKey:
-		out.Status = http.StatusUnauthorized
+		out.Kind, out.Status = keyKind(e), http.StatusUnauthorized
 	case relay.KindUpstream:
 		out.Status = e.Status
 	}
 	return out
 }
 
+// keyKind returns why a key was refused right before a send.
+func keyKind(err error) string {
+	var e *quetzalhook.KeyError
+	if errors.As(err, &e) {
+		return string(e.Kind)
+	}
+	return "wrong-customer"
+}
+
 // fail tells the caller of a failure, in the response or as the last event of
 // a stream that has begun.
 func (x *exchange) fail(err error) {
