--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -120,7 +120,9 @@
 	return nil
 }
 
-func (j *journal) Abandon(_ context.Context, c quetzalhook.JournalClaim) error {
+func (j *journal) Abandon(quetzalhook.JournalClaim) {}
+
+func (j *journal) Release(_ context.Context, c quetzalhook.JournalClaim) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	delete(j.calls, c.ID)
--- a/internal/entry/front/service.go
+++ b/internal/entry/front/service.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -14,7 +15,6 @@
 	"quetzalhook"
 	"quetzalhook/internal/entry/meter"
 	"quetzalhook/internal/entry/relay"
-	"quetzalhook/internal/record/configuration"
 )
 
 const (
@@ -41,7 +41,8 @@
 		if err != nil {
 			return err
 		}
-		return x.respond(response, false)
+		x.respond(response, false)
+		return nil
 	}
 	return x.once(body)
 }
@@ -71,9 +72,13 @@
 		if err := cbor.Unmarshal(claim.Response, &response); err != nil {
 			return unknown(http.StatusInternalServerError, "journal-broken", "the stored response cannot be read")
 		}
-		return x.respond(response, true)
+		x.respond(response, true)
+		return nil
 	case quetzalhook.JournalUnknown:
-		return unknown(http.StatusConflict, "outcome-unknown", "an earlier call with this key was sent and its outcome is not known")
+		return &Error{
+			Op: "claim", Kind: "outcome-unknown", Status: http.StatusConflict, Outcome: quetzalhook.OutcomeUnknown, RetryAfter: shortRetry,
+			Message: "an earlier call with this key was sent and its outcome is not known yet",
+		}
 	case quetzalhook.JournalMismatch:
 		return notRun(http.StatusUnprocessableEntity, "key-reused", "the Idempotency-Key was used with another request", 0)
 	}
@@ -95,26 +100,32 @@
 	return notRun(http.StatusServiceUnavailable, "journal-unavailable", err.Error(), shortRetry)
 }
 
-// runClaimed sends a claimed call and stores its outcome.
+// runClaimed sends a claimed call and stores its outcome. The caller gets the
+// answer first: while the store is down, storing takes long, and a caller that
+// has its answer does not repeat the call.
 func (x *exchange) runClaimed(claim quetzalhook.JournalClaim, body []byte) error {
 	journal := x.front.deps.Journal
 	response, err := x.callService(body, claim.ID, false)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), finishTimeout)
 	defer cancel()
 	if err != nil {
-		if !x.sent.Load() {
-			_ = journal.Abandon(ctx, claim)
+		if x.sent.Load() {
+			journal.Abandon(claim)
+		} else if releaseErr := journal.Release(ctx, claim); releaseErr != nil {
+			x.log().WithField("error", releaseErr).Warn("claim not released; repeats will be told that the outcome is unknown")
 		}
 		return err
 	}
 	stored, err := cbor.Marshal(response)
 	if err != nil {
+		journal.Abandon(claim)
 		return unknown(http.StatusInternalServerError, "journal-broken", err.Error())
 	}
+	x.respond(response, false)
 	if err := journal.Finish(ctx, claim, stored); err != nil {
 		x.log().WithField("error", err).Warn("outcome not stored; repeats will be told that it is unknown")
 	}
-	return x.respond(response, false)
+	return nil
 }
 
 func (x *exchange) callService(body []byte, operation string, repeatable bool) (relay.ServiceResponse, error) {
@@ -123,7 +134,7 @@
 			ID: x.id, Customer: x.owner.Customer, Class: x.class, Model: ServiceModel(x.route.Service),
 			PromptTokens: serviceTokens, MaxTokens: 1, Region: x.front.deps.Region(), Repeatable: repeatable,
 		},
-		Method: x.r.Method, Path: servicePath(x.r, x.route), Header: x.r.Header, Body: body, Guard: x.guard(), OperationID: operation,
+		Method: x.r.Method, Path: x.r.URL.RequestURI(), Header: x.r.Header, Body: body, Guard: x.guard(), OperationID: operation,
 	}
 	ticket, err := x.front.deps.Broker.Submit(x.ctx, call.Request)
 	if err != nil {
@@ -136,9 +147,6 @@
 	return response, err
 }
 
-// servicePath returns the path that the service sees: the request's own.
-func servicePath(r *http.Request, _ configuration.Route) string { return r.URL.RequestURI() }
-
 func (x *exchange) fingerprint(body []byte) []byte {
 	h := sha256.New()
 	h.Write([]byte(x.r.Method + " " + x.r.URL.RequestURI() + "\n"))
@@ -146,17 +154,19 @@
 	return []byte(hex.EncodeToString(h.Sum(nil)))
 }
 
-func (x *exchange) respond(response relay.ServiceResponse, replayed bool) error {
+// respond writes the whole response to the caller at once.
+func (x *exchange) respond(response relay.ServiceResponse, replayed bool) {
 	for name, values := range response.Header {
 		x.w.Header()[name] = values
 	}
 	if replayed {
 		x.w.Header().Set(HeaderReplayed, "true")
 	}
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(response.Body)))
 	x.w.WriteHeader(response.Status)
 	_, _ = x.w.Write(response.Body)
+	_ = http.NewResponseController(x.w).Flush()
 	took := x.front.deps.Clock.Now().Sub(x.start)
 	x.front.deps.Meter.Served(meter.Result{Customer: x.owner.Customer, Class: x.class, FirstToken: took})
 	x.log().WithField("status", response.Status).WithField("replayed", replayed).Info("service call served")
-	return nil
 }
--- /dev/null
+++ b/internal/entry/node/journal.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"sync"
+
+	"quetzalhook"
+	"quetzalhook/internal/entry/front"
+	"quetzalhook/internal/record/journal"
+)
+
+// callJournal adapts a journal to quetzalhook.CallJournal. It keeps the claims
+// of calls that are being sent.
+type callJournal struct {
+	journal *journal.Journal
+
+	mu     sync.Mutex
+	claims map[string]journal.Claim
+}
+
+func newCallJournal(j *journal.Journal) *callJournal {
+	return &callJournal{journal: j, claims: make(map[string]journal.Claim)}
+}
+
+var journalStates = map[journal.ResultKind]quetzalhook.JournalState{
+	journal.Claimed:  quetzalhook.JournalClaimed,
+	journal.Replay:   quetzalhook.JournalReplay,
+	journal.Unknown:  quetzalhook.JournalUnknown,
+	journal.Mismatch: quetzalhook.JournalMismatch,
+}
+
+// journalFailure tells a front what a caller may be told.
+type journalFailure struct{ cause *journal.Error }
+
+// Outcome implements front.JournalError.
+func (f journalFailure) Outcome() quetzalhook.Outcome { return f.cause.Outcome }
+
+// Error implements error.
+func (f journalFailure) Error() string { return f.cause.Error() }
+
+// Unwrap returns the cause.
+func (f journalFailure) Unwrap() error { return f.cause }
+
+var _ front.JournalError = journalFailure{}
+
+// Claim implements quetzalhook.CallJournal.
+func (c *callJournal) Claim(ctx context.Context, call quetzalhook.JournalCall) (quetzalhook.JournalClaim, error) {
+	result, err := c.journal.Claim(ctx, journal.Call{
+		Customer: call.Customer, Route: call.Route, Key: call.Key, Fingerprint: journal.Fingerprint(call.Fingerprint),
+	})
+	if err != nil {
+		return quetzalhook.JournalClaim{}, explain(err)
+	}
+	claim := quetzalhook.JournalClaim{State: journalStates[result.Kind], Response: result.Response}
+	if result.Kind == journal.Claimed {
+		claim.ID = operationID(call)
+		c.keep(claim.ID, result.Claim)
+	}
+	return claim, nil
+}
+
+// operationID names a call towards the service without revealing the caller's
+// own key.
+func operationID(call quetzalhook.JournalCall) string {
+	sum := journal.Fingerprint([]byte(call.Customer), []byte(call.Route), []byte(call.Key))
+	return hex.EncodeToString(sum[:16])
+}
+
+func explain(err error) error {
+	var e *journal.Error
+	if errors.As(err, &e) {
+		return journalFailure{e}
+	}
+	return err
+}
+
+func (c *callJournal) keep(id string, claim journal.Claim) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.claims[id] = claim
+}
+
+func (c *callJournal) take(id string) journal.Claim {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	claim := c.claims[id]
+	delete(c.claims, id)
+	return claim
+}
+
+// Finish implements quetzalhook.CallJournal.
+func (c *callJournal) Finish(ctx context.Context, claim quetzalhook.JournalClaim, response []byte) error {
+	return c.journal.Finish(ctx, c.take(claim.ID), response)
+}
+
+// Release implements quetzalhook.CallJournal.
+func (c *callJournal) Release(ctx context.Context, claim quetzalhook.JournalClaim) error {
+	return c.journal.Release(ctx, c.take(claim.ID))
+}
+
+// Abandon implements quetzalhook.CallJournal.
+func (c *callJournal) Abandon(claim quetzalhook.JournalClaim) { c.journal.Abandon(c.take(claim.ID)) }
--- a/internal/entry/node/records.go
+++ b/internal/entry/node/records.go
@@ -14,6 +14,7 @@
 	"quetzalhook/internal/fleet/lease"
 	"quetzalhook/internal/record/configuration"
 	"quetzalhook/internal/record/credential"
+	"quetzalhook/internal/record/journal"
 )
 
 // records joins the parts of a host that keep what must last.
@@ -22,7 +23,7 @@
 	rollout *configuration.Rollout
 	planner *configuration.Planner
 	keys    *keyRing
-	journal quetzalhook.CallJournal
+	journal *callJournal
 	leases  []*lease.Lease
 
 	controller *controller.Controller
@@ -41,7 +42,8 @@
 		keys: &keyRing{clock: n.clock, registry: credential.NewRegistry(
 			credential.Identity{Host: n.settings.Host, Zone: n.settings.Zone},
 			n.platform, n.fleet.peers, n.clock, n.log, n.inv)},
-		usage: make(map[quetzalhook.CustomerID]front.Usage),
+		journal: newCallJournal(journal.New(n.settings.Host, n.fleet.incarnation, n.platform, n.clock, n.fleet.peers, n.inv)),
+		usage:   make(map[quetzalhook.CustomerID]front.Usage),
 	}
 	role, err := r.newLease(lease.RoleController)
 	if err != nil {
@@ -70,11 +72,13 @@
 		l.Start()
 	}
 	r.controller.Start()
+	r.journal.journal.Start()
 }
 
 // close ends the parts in the reverse order; leases are released after their
 // users have stopped.
 func (r *records) close() {
+	_ = r.journal.journal.Close()
 	_ = r.controller.Close()
 	for _, l := range r.leases {
 		_ = l.Close()
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -408,6 +408,8 @@
 		if c.Usage != nil {
 			usage = c.Usage
 		}
+		// The time that a slow reader takes is not the upstream's.
+		stall.pause()
 		if err := callerGone(answer.take(c)); err != nil {
 			return err
 		}
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -197,6 +197,22 @@
 	}
 }
 
+// Guards against a slow reader being taken for a silent engine, which would
+// waste the tokens that the engine has generated.
+func TestChatSlowReader(t *testing.T) {
+	first, second := engine.New(engine.WithTokenRate(2000)), engine.New(engine.WithTokenRate(2000))
+	h := newHarness(t, []quetzalhook.Upstream{engineUpstream(t, first, "a"), engineUpstream(t, second, "b")},
+		withRelay(relay.WithStallTimeouts(100*time.Millisecond, 100*time.Millisecond)))
+	w := &onToken{ResponseRecorder: httptest.NewRecorder(), after: 5}
+	w.call = func() { <-time.After(300 * time.Millisecond) }
+	if err := h.chat(chatBody(true, 20), w); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := first.Stats().Requests+second.Stats().Requests, int64(1); got != want {
+		t.Errorf("requests at the engines: got %d, want %d", got, want)
+	}
+}
+
 // Guards against an answer assembled wrongly for callers that do not stream.
 func TestChatWhole(t *testing.T) {
 	h := newHarness(t, []quetzalhook.Upstream{engineUpstream(t, engine.New(engine.WithTokenRate(2000)), "a")})
--- a/internal/entry/relay/stall.go
+++ b/internal/entry/relay/stall.go
@@ -23,6 +23,9 @@
 // extend restarts the timeout.
 func (s *stall) extend(timeout time.Duration) { s.timer.Reset(timeout) }
 
+// pause stops the timeout until it is extended.
+func (s *stall) pause() { s.timer.Stop() }
+
 func (s *stall) stop() {
 	s.timer.Stop()
 	s.cancel(nil)
--- a/internal/platform/object/client.go
+++ b/internal/platform/object/client.go
@@ -40,8 +40,8 @@
 	http    *http.Client
 	timeout time.Duration
 
-	closed  context.Context // ends at Close
-	close   context.CancelFunc
+	closed context.Context // ends at Close
+	close  context.CancelFunc
 
 	reads, writes, watches atomic.Int64
 }
--- /dev/null
+++ b/journal.go
@@ -0,0 +1,46 @@
+package quetzalhook
+
+import "context"
+
+// CallJournal runs calls that may not be repeated at most once.
+type CallJournal interface {
+	// Claim decides whether the call may be sent.
+	Claim(ctx context.Context, c JournalCall) (JournalClaim, error)
+	// Finish stores the response for later repeats.
+	Finish(ctx context.Context, c JournalClaim, response []byte) error
+	// Release gives up a claim whose call provably was not sent, so that the
+	// caller may try again with the same key.
+	Release(ctx context.Context, c JournalClaim) error
+	// Abandon ends a claim whose outcome will never be known. Later calls with
+	// the key are answered as unknown.
+	Abandon(c JournalClaim)
+}
+
+// JournalCall identifies a call that may not be repeated.
+type JournalCall struct {
+	Customer    CustomerID
+	Route       string
+	Key         string // the caller's Idempotency-Key
+	Fingerprint []byte // hash of method, path and body
+}
+
+// JournalState is the result of a claim.
+type JournalState uint8
+
+const (
+	// JournalClaimed lets this host send the call, once.
+	JournalClaimed JournalState = iota + 1
+	// JournalReplay returns the stored response of the first call.
+	JournalReplay
+	// JournalUnknown reports that an earlier call has no known outcome.
+	JournalUnknown
+	// JournalMismatch reports the same key with another request.
+	JournalMismatch
+)
+
+// JournalClaim is the result of CallJournal.Claim.
+type JournalClaim struct {
+	State    JournalState
+	ID       string
+	Response []byte // for JournalReplay
+}
