Ignore ends without an attempt, count whole slots for resumed work

An end other than caller-gone for a request that waits was reported and ended the request without an answer to its caller; it is now reported and ignored. A confirmed cancel of a stream that may not be repeated counts as broken, so that it is never started again.

Resumed requests and those that keep their slot were held against the part of the slots that floors count, half of them on upstreams with two models; they are now held against all.

--- a/internal/traffic/dispatch/check.go
+++ b/internal/traffic/dispatch/check.go
@@ -42,12 +42,14 @@
 	return e == nil
 }
 
-// checkEnd checks that a request without a slot ends only because its caller
-// went away.
-func (c *Core) checkEnd(e *entry, end quetzalhook.End) {
-	if c.broken(legalTransition, end == quetzalhook.EndCallerGone) {
+// checkEnd reports whether a request without a slot may end: only because its
+// caller went away. Any other end has no attempt that it could belong to.
+func (c *Core) checkEnd(e *entry, end quetzalhook.End) bool {
+	ok := end == quetzalhook.EndCallerGone
+	if c.broken(legalTransition, ok) {
 		c.report(legalTransition, e, "end", end)
 	}
+	return ok
 }
 
 // checkStart checks that the request may start, that the upstream was not
--- a/internal/traffic/dispatch/core.go
+++ b/internal/traffic/dispatch/core.go
@@ -148,12 +148,11 @@
 		return nil // cancelled as doomed or refused before
 	}
 	e.pool.queue.Advance(now)
-	if e.state != stateRunning && e.state != stateStopping {
-		c.checkEnd(e, end)
+	if e.state == stateRunning || e.state == stateStopping {
+		c.endAttempt(now, e, end)
+	} else if c.checkEnd(e, end) {
 		c.withdraw(e)
 		c.forget(now, e)
-	} else {
-		c.endAttempt(now, e, end)
 	}
 	c.drainFrom(now, e.pool)
 	return c.actions
--- a/internal/traffic/dispatch/end.go
+++ b/internal/traffic/dispatch/end.go
@@ -31,8 +31,11 @@
 // endAttempt handles the end of an attempt on an upstream.
 func (c *Core) endAttempt(now time.Time, e *entry, end quetzalhook.End) {
 	progress := e.Tokens > e.base
-	if e.state == stateStopping && (end == quetzalhook.EndBroken || end == quetzalhook.EndNotSent) {
+	switch {
+	case e.state == stateStopping && (end == quetzalhook.EndBroken || end == quetzalhook.EndNotSent):
 		end = quetzalhook.EndCancelled // the stream broke before the cancel reached it
+	case end == quetzalhook.EndCancelled && !e.Request.Repeatable:
+		end = quetzalhook.EndBroken // the core does not cancel such a stream
 	}
 	c.release(now, e, end)
 	switch end {
--- a/internal/traffic/dispatch/start.go
+++ b/internal/traffic/dispatch/start.go
@@ -67,8 +67,7 @@
 	}
 	for _, p := range c.order {
 		if p.slots > 0 {
-			free := c.freeSlots(now, p)
-			c.free(now, p, free)
+			c.free(now, p, c.freeSlots(now, p))
 		}
 	}
 }
@@ -104,7 +103,7 @@
 	}
 	total, free := c.placer.Slots(now, p.model)
 	p.slots = total
-	p.queue.SetSlots(float64(total) * p.part)
+	p.queue.SetSlots(total, p.part)
 	return free
 }
 
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -42,7 +42,8 @@
 	virtual      [quetzalhook.TierCount]float64 // served work of the latest start
 	waiting      int
 	running      int
-	slots        float64
+	total        int     // slots
+	slots        float64 // slots that floors are shares of
 	keeping      int     // running items below the urgent tier that cannot lose their slot
 	urgent       int     // running urgent items
 	peak         float64 // urgent items at once, decayed by peakMemory
@@ -108,8 +109,8 @@
 // both kinds at any time.
 func (q *Queue) allowance() allowance {
 	return allowance{
-		keepers: float64(q.keeping) < q.slots-math.Round(q.peak),
-		resumed: float64(q.running-q.urgent) < q.slots-math.Round(q.recent),
+		keepers: q.keeping < q.total-int(math.Round(q.peak)),
+		resumed: q.running-q.urgent < q.total-int(math.Round(q.recent)),
 	}
 }
 
@@ -118,10 +119,11 @@
 // or NextOverdue.
 func (q *Queue) Protect(it *Item) { it.class.protected = true }
 
-// SetSlots sets the number of slots that floors are shares of. While it is 0
-// no class builds up a deficit.
-func (q *Queue) SetSlots(n float64) {
-	if n != q.slots {
+// SetSlots sets the number of slots, and the part of them that floors are
+// shares of. Without slots no class builds up a deficit.
+func (q *Queue) SetSlots(total int, part float64) {
+	q.total = total
+	if n := float64(total) * part; n != q.slots {
 		q.slots = n
 		q.setFloors()
 	}
--- a/internal/traffic/queue/queue_test.go
+++ b/internal/traffic/queue/queue_test.go
@@ -36,7 +36,7 @@
 	class := quetzalhook.NewClass("draft", 3)
 	rapid.Check(t, func(t *rapid.T) {
 		q := New()
-		q.SetSlots(1)
+		q.SetSlots(1, 1)
 		const largest = 1000
 		weights := rapid.SliceOfN(rapid.IntRange(1, 5), 2, 6).Draw(t, "weights")
 		served := make([]float64, len(weights))
