--- a/internal/traffic/dispatch/core.go
+++ b/internal/traffic/dispatch/core.go
@@ -128,6 +128,9 @@
 	if e.state == stateStopping {
 		e.Tokens = n
 	} else {
+		if e.Tokens == 0 {
+			e.pool.queue.FirstToken(&e.Item, now.Sub(e.started))
+		}
 		e.pool.queue.Progress(&e.Item, n)
 	}
 	c.placer.Progress(now, id, n-e.base)
@@ -145,12 +148,11 @@
 		return nil // cancelled as doomed or refused before
 	}
 	e.pool.queue.Advance(now)
-	if e.state != stateRunning && e.state != stateStopping {
-		c.checkEnd(e, end)
+	if e.state == stateRunning || e.state == stateStopping {
+		c.endAttempt(now, e, end)
+	} else if c.checkEnd(e, end) {
 		c.withdraw(e)
 		c.forget(now, e)
-	} else {
-		c.endAttempt(now, e, end)
 	}
 	c.drainFrom(now, e.pool)
 	return c.actions
--- a/internal/traffic/dispatch/start.go
+++ b/internal/traffic/dispatch/start.go
@@ -78,8 +78,7 @@
 	}
 	for _, p := range c.order {
 		if p.slots > 0 {
-			free := c.freeSlots(now, p)
-			c.free(now, p, free)
+			c.free(now, p, c.freeSlots(now, p))
 		}
 	}
 }
@@ -115,7 +114,7 @@
 	}
 	total, free := c.placer.Slots(now, p.model)
 	p.slots = total
-	p.queue.SetSlots(float64(total) * p.part)
+	p.queue.SetSlots(total, p.part)
 	return free
 }
 
@@ -251,7 +250,8 @@
 	c.turn++
 	e.pool.turn = c.turn
 	c.setState(e, stateRunning)
-	e.upstream, e.place, e.base = u, len(u.running), e.Tokens
+	e.upstream, e.place = u, len(u.running)
+	e.started, e.base = now, e.Tokens
 	u.running = append(u.running, e)
 	c.placer.Started(now, e.Request, u.id)
 	c.actions = append(c.actions, quetzalhook.Action{
