--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -57,9 +57,11 @@
 	candidate   func() bool
 	nonce       func() string
 
-	// op serialises the operations that read or write the object. It is taken
-	// before mu and is the only lock that is held during a store call.
-	op      sync.Mutex
+	// op serialises the operations that read or write the object: it is full
+	// while one is under way. It is taken before mu and is the only lock that
+	// is held during a store call. It is a channel because a goroutine that
+	// waits for a mutex stops virtual time in tests.
+	op      chan struct{}
 	known   bool // doc is the object's value as far as this host knows
 	doc     document
 	version quetzalhook.Version
@@ -109,7 +111,7 @@
 	}
 	l := &Lease{
 		store: store, clock: clock, inv: inv, machine: c.NewMachine(role, inv),
-		role: role, key: "lease/" + role, host: host, incarnation: incarnation,
+		op: make(chan struct{}, 1), role: role, key: "lease/" + role, host: host, incarnation: incarnation,
 		term: defaultTerm, margin: defaultMargin,
 		candidate: func() bool { return true }, nonce: rand.Text,
 		sent: make(map[string]time.Time), own: make(map[string]progress),
--- a/internal/fleet/lease/order.go
+++ b/internal/fleet/lease/order.go
@@ -74,8 +74,8 @@
 
 // begin writes the intent and returns the fencing number to send with.
 func (l *Lease) begin(ctx context.Context, o Order) (uint64, error) {
-	l.op.Lock()
-	defer l.op.Unlock()
+	l.op <- struct{}{}
+	defer func() { <-l.op }()
 	l.expire()
 	if l.machine.State() != stateHolding {
 		return 0, l.fail("order", KindNotHolder, nil)
@@ -135,8 +135,8 @@
 // finish notes the result of a send and writes the outcome. If the write
 // fails, the next renewal repeats it.
 func (l *Lease) finish(ctx context.Context, id string, err error) {
-	l.op.Lock()
-	defer l.op.Unlock()
+	l.op <- struct{}{}
+	defer func() { <-l.op }()
 	if err != nil && storeKind(err) == quetzalhook.StoreUnknown {
 		l.own[id] = unclear
 		return
--- a/internal/fleet/lease/resolve.go
+++ b/internal/fleet/lease/resolve.go
@@ -11,8 +11,8 @@
 // Open returns the intents without a known outcome in the object as this host
 // last saw it.
 func (l *Lease) Open() []Intent {
-	l.op.Lock()
-	defer l.op.Unlock()
+	l.op <- struct{}{}
+	defer func() { <-l.op }()
 	return slices.Clone(l.doc.Intents)
 }
 
@@ -20,8 +20,8 @@
 // says so only if the effect of the order was seen or if the process that
 // wrote the intent is known to be dead. Only the holder may resolve.
 func (l *Lease) Resolve(ctx context.Context, resolved func(Intent) bool) error {
-	l.op.Lock()
-	defer l.op.Unlock()
+	l.op <- struct{}{}
+	defer func() { <-l.op }()
 	l.expire()
 	if l.machine.State() != stateHolding {
 		return l.fail("resolve", KindNotHolder, nil)
@@ -45,8 +45,8 @@
 // Confirm removes an open intent because an operator states that the process
 // that wrote it sends nothing more. Any host may record the confirmation.
 func (l *Lease) Confirm(ctx context.Context, id string) error {
-	l.op.Lock()
-	defer l.op.Unlock()
+	l.op <- struct{}{}
+	defer func() { <-l.op }()
 	l.known = false
 	found := false
 	err := l.write(ctx, func(d *document) error {
--- a/internal/fleet/lease/step.go
+++ b/internal/fleet/lease/step.go
@@ -32,8 +32,8 @@
 // Step does one round: the holder renews; another host reads the object and
 // challenges when the holder's term has passed.
 func (l *Lease) Step(ctx context.Context) error {
-	l.op.Lock()
-	defer l.op.Unlock()
+	l.op <- struct{}{}
+	defer func() { <-l.op }()
 	if l.machine.State() == stateClosed {
 		return l.fail("step", KindClosed, nil)
 	}
@@ -153,8 +153,8 @@
 
 // release gives the role up in the object and ends this lease.
 func (l *Lease) release(ctx context.Context) error {
-	l.op.Lock()
-	defer l.op.Unlock()
+	l.op <- struct{}{}
+	defer func() { <-l.op }()
 	if l.machine.State() == stateClosed {
 		return nil
 	}
--- a/internal/platform/memory/network.go
+++ b/internal/platform/memory/network.go
@@ -85,7 +85,17 @@
 }
 
 // Handle registers the handler of a kind.
-func (p *Peer) Handle(kind string, h quetzalhook.PeerHandler) { p.handlers[kind] = h }
+func (p *Peer) Handle(kind string, h quetzalhook.PeerHandler) {
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	p.handlers[kind] = h
+}
+
+func (p *Peer) handler(kind string) quetzalhook.PeerHandler {
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	return p.handlers[kind]
+}
 
 // Call runs the handler of the other host. It ends with ctx even if the other
 // host is paused; the handler then runs on.
@@ -94,7 +104,11 @@
 		return nil, err
 	}
 	to, lose := p.network.route(p.member.Host, host)
-	if to == nil || to.handlers[kind] == nil {
+	if to == nil {
+		return nil, errNoHost
+	}
+	handler := to.handler(kind)
+	if handler == nil {
 		return nil, errNoHost
 	}
 	type result struct {
@@ -107,7 +121,7 @@
 			done <- result{nil, err}
 			return
 		}
-		answer, err := to.handlers[kind](ctx, p.member.Host, slices.Clone(body))
+		answer, err := handler(ctx, p.member.Host, slices.Clone(body))
 		done <- result{answer, err}
 	}()
 	select {
--- a/internal/record/journal/forward.go
+++ b/internal/record/journal/forward.go
@@ -40,9 +40,9 @@
 	if l.j.peers == nil {
 		return l.j.host
 	}
+	now := l.j.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.j.clock.Now()
 	if l.preferred != "" && now.Sub(l.rankedAt) < rankFor {
 		return l.preferred
 	}
