Add calls between hosts over QUIC

Cause: configuration pulls, withdrawals, claims and usage replicas need calls with answers, and open connections may go silent for ever.

Every host derives the same certificate authority from the shared secret; the name in a host's certificate is the sender of its calls.

--- /dev/null
+++ b/internal/fleet/peer/tls.go
@@ -0,0 +1,101 @@
+package peer
+
+import (
+	"crypto/ed25519"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quetzalhook"
+)
+
+// protocol is the name in the TLS handshake; another version gets another
+// name.
+const protocol = "quetzalhook-peer/1"
+
+// identity holds the certificate of one host. All hosts derive the same
+// authority from the shared secret; whoever knows the secret is a host.
+type identity struct {
+	authority *x509.Certificate
+	own       tls.Certificate
+}
+
+// validity does not depend on clocks, which hosts must not compare.
+var (
+	notBefore = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+	notAfter  = time.Date(2100, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+func newIdentity(host quetzalhook.HostID, secret []byte) (identity, error) {
+	h := hmac.New(sha256.New, secret)
+	h.Write([]byte("quetzalhook peer authority"))
+	key := ed25519.NewKeyFromSeed(h.Sum(nil))
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "quetzalhook peers"},
+		NotBefore: notBefore, NotAfter: notAfter,
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return identity{}, errors.Wrap(err, "make authority")
+	}
+	authority, err := x509.ParseCertificate(der)
+	if err != nil {
+		return identity{}, errors.Wrap(err, "make authority")
+	}
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return identity{}, errors.Wrap(err, "make key")
+	}
+	leaf := &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: string(host)},
+		NotBefore: notBefore, NotAfter: notAfter, KeyUsage: x509.KeyUsageDigitalSignature,
+	}
+	der, err = x509.CreateCertificate(rand.Reader, leaf, authority, public, key)
+	if err != nil {
+		return identity{}, errors.Wrap(err, "make certificate")
+	}
+	return identity{authority: authority, own: tls.Certificate{Certificate: [][]byte{der}, PrivateKey: private}}, nil
+}
+
+// config returns the TLS settings. Host names are no DNS names, so that the
+// certificates are checked here and not by package tls.
+func (id identity) config(want quetzalhook.HostID) *tls.Config {
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		Certificates:       []tls.Certificate{id.own},
+		NextProtos:         []string{protocol},
+		ClientAuth:         tls.RequireAnyClientCert,
+		InsecureSkipVerify: true, // replaced by VerifyConnection
+		VerifyConnection: func(state tls.ConnectionState) error {
+			host, err := id.verify(state)
+			if err == nil && want != "" && host != want {
+				err = errors.Errorf("the address belongs to host %s, not %s", host, want)
+			}
+			return err
+		},
+		// A resumed session would skip the check of a new certificate.
+		SessionTicketsDisabled: true,
+	}
+}
+
+// verify checks the certificate of the other side and returns its host.
+func (id identity) verify(state tls.ConnectionState) (quetzalhook.HostID, error) {
+	if len(state.PeerCertificates) == 0 {
+		return "", errors.New("no certificate")
+	}
+	roots := x509.NewCertPool()
+	roots.AddCert(id.authority)
+	leaf := state.PeerCertificates[0]
+	_, err := leaf.Verify(x509.VerifyOptions{
+		Roots: roots, CurrentTime: notBefore.AddDate(1, 0, 0), KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	return quetzalhook.HostID(leaf.Subject.CommonName), errors.Wrap(err, "certificate")
+}
