Find silent upstreams by what works beside the stream

An upstream now counts as silent when no stream on it got a token for 400 ms while several wait for one, or for 1 s while one does, and after two requests that were given up without a token while nothing else came. A pause of the host itself moves all clocks. Plain services are judged by failures only, as they answer whole.

The capacity that hosts divide is that of the engines: slots of services were counted in, so that tiers competed for 192 slots where there are 144.

--- a/internal/bench/trial/engine.go
+++ b/internal/bench/trial/engine.go
@@ -48,6 +48,7 @@
 	w       *world
 	speed   float64
 	up      bool
+	silent  bool // accepts requests and answers nothing
 	leaving bool
 	waiting []*job
 	running []*job
@@ -144,7 +145,7 @@
 // step advances the batch by one quantum.
 func (e *engine) step() {
 	e.active = false
-	if !e.up {
+	if !e.up || e.silent {
 		return
 	}
 	e.admit()
--- a/internal/bench/trial/row.go
+++ b/internal/bench/trial/row.go
@@ -43,6 +43,7 @@
 		{Name: "burst", Burst: 3},
 		{Name: "lagging-reports", Burst: 0.8, Fits: true, fault: lag},
 		{Name: "straggler", Fits: true, fault: straggle},
+		{Name: "silent", Fits: true, fault: silence},
 		{Name: "crash", Fits: true, fault: crash},
 		{Name: "reclaim-fits", Burst: 0.6, Fits: true, fault: reclaim},
 		{Name: "reclaim", Burst: 3, fault: reclaim},
@@ -56,6 +57,11 @@
 	w.at(faultStart, func() { w.engines[3].speed = straggling })
 }
 
+// silence makes an engine accept requests and answer nothing, for ever.
+func silence(w *world) {
+	w.at(faultStart, func() { w.engines[5].silent = true })
+}
+
 func crash(w *world) {
 	w.at(faultStart, func() {
 		e := w.engines[4]
--- a/internal/traffic/health/health.go
+++ b/internal/traffic/health/health.go
@@ -102,12 +102,16 @@
 	key     groupKey
 	group   *group
 	nominal float64
+	service bool // answers whole, so that tokens tell nothing
 
 	state     State
 	until     time.Time // end of an ejection
 	ejections int
 	failures  int // consecutive
 
+	lastToken  time.Time // of any stream
+	unanswered int       // streams given up without a token since then
+
 	rate    float64 // smoothed token rate of one stream over nominal
 	samples int
 	sampled time.Time
@@ -156,7 +160,7 @@
 		if t == nil {
 			t = &Target{id: u.ID, streams: make(map[*Stream]struct{})}
 		}
-		t.key, t.nominal = key, max(u.TokenRate, 1)
+		t.key, t.nominal, t.service = key, max(u.TokenRate, 1), u.Kind == quetzalhook.KindService
 		g := m.groups[key]
 		if g == nil {
 			g = &group{}
@@ -179,7 +183,7 @@
 		}
 	}
 	for _, t := range m.order {
-		if t.isOut() && t.group.out > m.limit(t.group) {
+		if t.isOut() && t.group.out > m.maxOut(t.group) {
 			t.state = Suspect
 			t.group.out--
 		}
@@ -200,9 +204,9 @@
 	return s
 }
 
-// limit is the number of upstreams of a group that may be out at once. A
+// maxOut is the number of upstreams of a group that may be out at once. A
 // group of two may lose one; the only upstream of a group is never ejected.
-func (m *Monitor) limit(g *group) int {
+func (m *Monitor) maxOut(g *group) int {
 	if g.size <= 1 {
 		return 0
 	}
@@ -218,7 +222,7 @@
 		}
 	}
 	for g, n := range out {
-		if n > m.limit(g) || n != g.out {
+		if n > m.maxOut(g) || n != g.out {
 			return false
 		}
 	}
@@ -232,7 +236,7 @@
 	if t == nil {
 		return 0, 0
 	}
-	return t.group.out, m.limit(t.group)
+	return t.group.out, m.maxOut(t.group)
 }
 
 // Target returns the record of an upstream, or nil.
@@ -277,7 +281,7 @@
 	if n <= s.tokens {
 		return
 	}
-	s.last = now
+	s.last, s.target.lastToken, s.target.unanswered = now, now, 0
 	if s.tokens == 0 {
 		// The first token ends prefill; rates are measured from here on.
 		s.tokens, s.winAt, s.winN = n, now, n
@@ -309,6 +313,8 @@
 		m.succeed(t)
 	case quetzalhook.EndBroken, quetzalhook.EndNotSent:
 		m.fail(now, t)
+	default:
+		m.giveUp(now, s)
 	}
 }
 
@@ -338,7 +344,7 @@
 // eject takes t out of service, or marks it Suspect if the cap is reached.
 func (m *Monitor) eject(now time.Time, t *Target) {
 	if !t.isOut() {
-		if t.group.out >= m.limit(t.group) {
+		if t.group.out >= m.maxOut(t.group) {
 			t.state = Suspect
 			return
 		}
@@ -350,7 +356,7 @@
 	d := min(m.ejection<<min(t.ejections, 10), maxEjection)
 	t.state, t.until = Ejected, now.Add(d)
 	t.ejections++
-	t.samples = 0
+	t.samples, t.unanswered = 0, 0
 }
 
 // isSlow compares t with the median of its kind.
@@ -362,9 +368,13 @@
 
 // Check judges all upstreams; it does nothing if the last call is recent.
 func (m *Monitor) Check(now time.Time) {
-	if now.Sub(m.checked) < checkInterval {
+	gap := now.Sub(m.checked)
+	if gap < checkInterval {
 		return
 	}
+	if !m.checked.IsZero() && gap > pauseLimit {
+		m.forgive(gap)
+	}
 	m.checked = now
 	m.measure(now)
 	for _, t := range m.order {
@@ -397,11 +407,8 @@
 		}
 		return
 	}
-	stalled, running := m.stalled(now, t), len(t.streams)
 	switch {
-	case stalled > 0 && (2*stalled >= running || stalled >= m.failures):
-		m.eject(now, t)
-	case m.isSlow(now, t):
+	case m.isStalled(now, t), m.isSilent(now, t), m.isSlow(now, t):
 		m.eject(now, t)
 	case t.state == Probing && t.samples >= minSamples && m.probed(t):
 		m.restore(t)
@@ -417,21 +424,3 @@
 	}
 	return false
 }
-
-// stalled counts the silent streams of t. A stream is silent after the stall
-// time or, if that is longer, a multiple of what was expected: of the
-// predicted first token before it, of the nominal gap after it.
-func (m *Monitor) stalled(now time.Time, t *Target) int {
-	n := 0
-	for s := range t.streams {
-		expect := s.expect
-		if s.tokens > 0 {
-			expect = time.Duration(float64(time.Second) / t.nominal)
-		}
-		limit := max(m.stall, time.Duration(m.stallScale*float64(expect)))
-		if now.Sub(s.last) > limit {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/traffic/health/health_test.go
+++ b/internal/traffic/health/health_test.go
@@ -28,10 +28,11 @@
 	now     time.Time
 	streams map[string]*Stream
 	tokens  map[string]float64
+	muted   map[string]bool
 }
 
 func newBench(n int) *bench {
-	b := &bench{m: New(), now: epoch, streams: map[string]*Stream{}, tokens: map[string]float64{}}
+	b := &bench{m: New(), now: epoch, streams: map[string]*Stream{}, tokens: map[string]float64{}, muted: map[string]bool{}}
 	var list []quetzalhook.Upstream
 	for i := range n {
 		list = append(list, quetzalhook.Upstream{
@@ -48,6 +49,9 @@
 	for end := b.now.Add(d); b.now.Before(end); {
 		b.now = b.now.Add(50 * time.Millisecond)
 		for name, s := range b.streams {
+			if b.muted[name] {
+				continue
+			}
 			b.tokens[name] += 0.05 * rate(string(s.target.id))
 			b.m.Progress(b.now, s, int(b.tokens[name]))
 		}
@@ -99,6 +103,16 @@
 					d.ScanArgs(t, "how", &how)
 					b.end(name, ends[how])
 				}
+			case "mute":
+				var name string
+				d.ScanArgs(t, "stream", &name)
+				b.muted[name] = true
+			case "pause":
+				var ms int
+				d.ScanArgs(t, "ms", &ms)
+				b.now = b.now.Add(time.Duration(ms) * time.Millisecond)
+				b.m.Check(b.now)
+				return b.states()
 			case "rate":
 				var on string
 				var tokens int
--- a/internal/traffic/placement/cost.go
+++ b/internal/traffic/placement/cost.go
@@ -22,6 +22,11 @@
 	// may have grown unseen in one second; doubtMax bounds it.
 	doubtPerSecond = 0.03
 	doubtMax       = 0.25
+	// minSpeed bounds the predictions for an upstream that hardly moves.
+	minSpeed = 0.02
+	// probePenalty keeps urgent requests off upstreams that are being probed as
+	// long as another has a slot; in seconds.
+	probePenalty = 30
 )
 
 // Weights convert the parts of a cost to seconds of waiting.
@@ -89,7 +94,7 @@
 	return c.best
 }
 
-// sample costs a run of list from a random position.
+// sample costs up to sampleSize upstreams drawn from list, with repetition.
 func (p *Planner) sample(
 	now time.Time, r quetzalhook.Request, list []*upstream, found *matches, rng *source, c *choice,
 ) {
@@ -122,7 +127,7 @@
 func (p *Planner) firstToken(
 	now time.Time, r quetzalhook.Request, u *upstream, found *matches, load float64,
 ) float64 {
-	speed := max(p.speed(now, u), 0.02)
+	speed := max(p.speed(now, u), minSpeed)
 	t := 2*u.Distance.Seconds() + u.queue(load)/speed
 	if u.PrefillRate > 0 {
 		t += (u.prefilling + max(float64(r.PromptTokens)-found.on(u), 1)) / (u.PrefillRate * speed)
@@ -184,10 +189,6 @@
 	return t
 }
 
-// probePenalty keeps urgent requests off upstreams that are being probed as
-// long as another has a slot; in seconds.
-const probePenalty = 30
-
 // source is a small generator seeded by the decision, so that Place changes
 // nothing.
 type source struct{ state uint64 }
--- a/internal/traffic/placement/division.go
+++ b/internal/traffic/placement/division.go
@@ -34,14 +34,23 @@
 	p.allocate()
 }
 
+// capacity returns the slots that requests compete for: those of the engines.
+// Services answer at once; theirs count only if there is no engine.
 func (p *Planner) capacity() float64 {
-	capacity := 0
+	engines, services := 0, 0
 	for _, u := range p.upstreams {
-		if u.isUsable() {
-			capacity += u.Slots
+		switch {
+		case !u.isUsable():
+		case u.Kind == quetzalhook.KindService:
+			services += u.Slots
+		default:
+			engines += u.Slots
 		}
 	}
-	return float64(capacity)
+	if engines == 0 {
+		return float64(services)
+	}
+	return float64(engines)
 }
 
 // allocate turns the fractions of the table into slots of each upstream.
--- a/internal/traffic/placement/planner.go
+++ b/internal/traffic/placement/planner.go
@@ -199,7 +199,7 @@
 	for _, h := range l.Prefixes {
 		p.prefixes.add(h, u)
 	}
-	p.update(now, u)
+	p.update(u)
 }
 
 // ObservePeers implements quetzalhook.Placer.
@@ -251,7 +251,7 @@
 	for _, h := range r.Prefixes {
 		p.prefixes.add(h, u)
 	}
-	p.update(now, u)
+	p.update(u)
 }
 
 // Progress implements quetzalhook.Placer.
@@ -281,7 +281,7 @@
 	if s.health != nil {
 		p.monitor.Ended(now, s.health, end)
 	}
-	p.update(now, u)
+	p.update(u)
 }
 
 // Slots implements quetzalhook.Placer.
@@ -307,6 +307,7 @@
 	for _, u := range p.gone {
 		unfit = append(unfit, u.ID)
 	}
+	slices.Sort(unfit)
 	return unfit
 }
 
@@ -324,6 +325,6 @@
 	p.record(now)
 	p.divide(now)
 	for _, u := range p.upstreams {
-		p.update(now, u)
+		p.update(u)
 	}
 }
--- a/internal/traffic/placement/upstream.go
+++ b/internal/traffic/placement/upstream.go
@@ -65,7 +65,7 @@
 type pool struct {
 	free   []*upstream
 	local  []*upstream // those of free in the host's region
-	slots  int
+	slots  int         // this host's, on all upstreams of the model
 	unused int
 }
 
@@ -171,7 +171,7 @@
 }
 
 // update brings the place of u in the pools up to date.
-func (p *Planner) update(_ time.Time, u *upstream) {
+func (p *Planner) update(u *upstream) {
 	slots := p.slots(u)
 	unused := max(slots-u.own, 0)
 	for i := range u.memberships {
