--- a/internal/entry/node/fleet.go
+++ b/internal/entry/node/fleet.go
@@ -2,8 +2,15 @@
 
 import (
 	"context"
+	"math"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"quetzalhook"
+	"quetzalhook/internal/fleet/member"
 	"quetzalhook/internal/fleet/peer"
 )
 
@@ -11,29 +18,102 @@
 type fleet struct {
 	node        *Node
 	incarnation quetzalhook.Incarnation
-	peers       quetzalhook.Peers
+	members     *member.Service
+	peers       *peer.Service
 }
 
+// newFleet returns the fleet of a host. A restarted host, which may run on
+// another machine, needs a larger incarnation, which only wall-clock time
+// gives without a place to keep the last one.
 func (n *Node) newFleet() (*fleet, error) {
-	network := peer.NewNetwork(n.clock, 0)
-	f := &fleet{node: n, incarnation: quetzalhook.Incarnation(n.clock.Now().UnixNano())}
-	f.peers = network.Endpoint(n.settings.Host)
-	return f, nil
+	f := &fleet{node: n, incarnation: quetzalhook.Incarnation(time.Now().UnixNano())}
+	s := n.settings
+	calls, err := nextPort(s.PeerListen)
+	if err != nil {
+		return nil, err
+	}
+	self := member.Self{
+		Host: s.Host, Incarnation: f.incarnation, Zone: s.Zone, Address: n.advertised(), Heartbeat: s.PeerAdvertise,
+	}
+	if s.PeerAdvertise != "" {
+		if self.Peer, err = nextPort(s.PeerAdvertise); err != nil {
+			return nil, err
+		}
+	}
+	f.members = member.NewService(member.Settings{
+		Self: self, Listen: s.PeerListen, Secret: []byte(s.PeerSecret), Seeds: s.Seeds, Report: f.report, Hosts: n.platform,
+	}, n.clock, n.log)
+	f.peers, err = peer.NewService(peer.Settings{
+		Host: s.Host, Listen: calls, Secret: []byte(s.PeerSecret), Directory: f.members,
+	}, n.clock, n.log)
+	return f, err
+}
+
+// advertised returns the address for callers as far as it is known before the
+// listener is open.
+func (n *Node) advertised() string {
+	if n.settings.Advertise != "" {
+		return n.settings.Advertise
+	}
+	return n.settings.Listen
+}
+
+// nextPort returns the address with the next port, which carries calls beside
+// the heartbeats; port 0 stays.
+func nextPort(address string) (string, error) {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	if err != nil || n == math.MaxUint16 {
+		return "", errors.Errorf("port of %q is not a number below %d", address, math.MaxUint16)
+	}
+	if n > 0 {
+		n++
+	}
+	return net.JoinHostPort(host, strconv.FormatUint(n, 10)), nil
 }
 
-func (f *fleet) start(context.Context) error { return nil }
-func (f *fleet) announce()                   {}
-func (f *fleet) setDraining()                {}
-func (f *fleet) kill()                       {}
+func (f *fleet) start(ctx context.Context) error {
+	if err := f.peers.Start(ctx); err != nil {
+		return err
+	}
+	if f.node.settings.PeerAdvertise == "" {
+		f.members.SetPeerAddress(f.peers.Address())
+	}
+	if err := f.members.Start(ctx); err != nil {
+		_ = f.peers.Close()
+		return err
+	}
+	return nil
+}
 
-// Close ends all connections to other hosts.
-func (f *fleet) Close() error { return nil }
+// report returns what the heartbeats tell of this host.
+func (f *fleet) report() member.Report {
+	n := f.node
+	count, hash := n.records.keys.registry.Digest()
+	return member.Report{
+		Draining: n.draining.Load(), FreeCapacity: math.Float64frombits(n.free.Load()),
+		ConfigVersion: n.Version(), StoreAge: n.records.storeAge(),
+		WithdrawnCount: count, WithdrawnHash: hash, Demand: n.broker.Demand(),
+	}
+}
+
+// leave tells the other hosts of a planned stop.
+func (f *fleet) leave() { f.members.Leave() }
+
+// Close ends all traffic with other hosts.
+func (f *fleet) Close() error {
+	_ = f.members.Close()
+	return f.peers.Close()
+}
 
 // live returns the other hosts that were heard from lately.
 func (f *fleet) live() []quetzalhook.HostID {
 	var hosts []quetzalhook.HostID
 	for _, m := range f.peers.Members() {
-		if m.Silent < aliveLimit && !m.Draining {
+		if member.HealthOf(m) != member.Gone && !m.Draining {
 			hosts = append(hosts, m.Host)
 		}
 	}
--- a/internal/entry/node/follow.go
+++ b/internal/entry/node/follow.go
@@ -125,7 +125,6 @@
 		}
 		n.broker.ObservePeers(peers)
 		n.free.Store(math.Float64bits(n.freeCapacity()))
-		n.fleet.announce()
 	}
 }
 
--- a/internal/entry/node/stop.go
+++ b/internal/entry/node/stop.go
@@ -31,7 +31,6 @@
 	n.log.Info("host leaves the list")
 	_ = n.machine.Fire(eventLeave)
 	n.draining.Store(true)
-	n.fleet.setDraining()
 	wait(ctx, n.settings.HostsLifetime+drainNotice)
 	n.log.WithField("open", n.front.Open()).Info("host drains")
 	_ = n.machine.Fire(eventDrain)
@@ -43,6 +42,7 @@
 	open := n.front.Open()
 	n.inv.Check(invariant.GracefulStop, err == nil && open == 0, "open", open, "error", err)
 	_ = n.machine.Fire(eventIdle)
+	n.fleet.leave()
 	n.close()
 	n.log.WithField("error", err).Info("host stopped")
 	return err
@@ -60,7 +60,7 @@
 func (n *Node) Kill() {
 	n.stopped.Do(func() {
 		_ = n.machine.Fire(eventKill)
-		n.fleet.kill()
+		_ = n.fleet.Close()
 		_ = n.platform.Close()
 		_ = n.server.Close()
 		n.close()
--- a/internal/fleet/member/service.go
+++ b/internal/fleet/member/service.go
@@ -193,11 +193,19 @@
 	}
 }
 
+// send sends datagrams. The socket engine delivers datagrams before Start has
+// the socket; answers to those are dropped, since heartbeats are repeated.
 func (s *Service) send(out []datagram) {
+	s.mu.Lock()
+	conn := s.conn
+	s.mu.Unlock()
+	if conn == nil {
+		return
+	}
 	for _, d := range out {
 		to, err := net.ResolveUDPAddr("udp", d.to)
 		if err == nil {
-			_, err = s.conn.WriteTo(d.data, to)
+			_, err = conn.WriteTo(d.data, to)
 		}
 		if err != nil {
 			s.log.WithError(err).WithField("to", d.to).Debug("datagram not sent")
