--- a/internal/traffic/capacity/capacity.go
+++ b/internal/traffic/capacity/capacity.go
@@ -81,6 +81,7 @@
 
 // State is what Plan remembers between calls. The zero value is ready.
 type State struct {
+	since     time.Time // of the first observation
 	at        time.Time
 	urgent    float64 // remembered peak in slots
 	other     float64 // smoothed demand of the other tiers in slots
@@ -115,6 +116,10 @@
 		at: now, changed: make(map[key]time.Time), wanted: make(map[key]int),
 		reclaimed: make(map[quetzalhook.Zone]time.Time),
 	}
+	next.since = s.since
+	if s.since.IsZero() {
+		next.since = now
+	}
 	elapsed := time.Duration(0)
 	if !s.at.IsZero() {
 		elapsed = max(now.Sub(s.at), 0)
@@ -253,7 +258,8 @@
 		gone := cheap && s.room(z, true) == 0 && have > 0
 		if count < have && !gone {
 			count, wait = min(max(down[i], count), have), shrinkInterval
-			if growing {
+			// A new holder of the role has not seen the bursts of the past.
+			if growing || now.Sub(s.since) < shrinkInterval {
 				continue
 			}
 		}
--- a/internal/traffic/capacity/capacity_test.go
+++ b/internal/traffic/capacity/capacity_test.go
@@ -37,6 +37,8 @@
 				z.Zone = quetzalhook.Zone(name)
 				d.MaybeScanArgs(t, "max-cheap", &z.MaxCheap)
 				d.MaybeScanArgs(t, "max-regular", &z.MaxRegular)
+				d.MaybeScanArgs(t, "regular", &z.Regular)
+				d.MaybeScanArgs(t, "cheap", &z.Cheap)
 				in.Zones = append(in.Zones, z)
 				return ""
 			case "reclaim":
