Leave the use by customer out of the demand that the placer gets

The placer does not read it, and it is a copy of the state of every customer seen recently, four times a second.

--- a/internal/traffic/dispatch/core.go
+++ b/internal/traffic/dispatch/core.go
@@ -191,7 +191,7 @@
 	}
 	if now.Sub(c.lastSlow) >= slowInterval {
 		c.lastSlow = now
-		c.placer.ObserveDemand(now, c.Demand(now))
+		c.placer.ObserveDemand(now, c.demand())
 		c.limiter.Tick(now)
 		c.move(now)
 		c.unparkAll()
@@ -206,11 +206,18 @@
 
 // Demand implements quetzalhook.Policy.
 func (c *Core) Demand(time.Time) quetzalhook.Demand {
+	d := c.demand()
+	d.Used = c.limiter.Used()
+	return d
+}
+
+// demand returns the demand without the use by customer, which the placer
+// does not need and which is the costly part with thousands of customers.
+func (c *Core) demand() quetzalhook.Demand {
 	d := quetzalhook.Demand{
 		Waiting:  c.load.waiting(),
 		Running:  c.load.running(),
 		InFlight: make(map[quetzalhook.UpstreamID]int),
-		Used:     c.limiter.Used(),
 	}
 	for id, u := range c.upstreams {
 		if len(u.running) > 0 {
