--- a/internal/traffic/dispatch/late.go
+++ b/internal/traffic/dispatch/late.go
@@ -12,8 +12,8 @@
 	e  *entry
 }
 
-// timers is a heap of entries by time. An entry is in at most one of the
-// core's timers at each place, and is found by its position.
+// timers is a heap of entries by time. It knows each entry's position, so that
+// an entry can be removed before its time.
 type timers struct {
 	heap     []timer
 	position map[*entry]int
