Avoid upstreams whose reports stopped, count cross-region bytes by kind

An upstream whose last report is a second older than the newest of any upstream costs 0.5 s more; when all reports lag alike, none does.

Lists of up to six upstreams are now costed whole. TestPrefixCache showed by this that a prompt token counted 120 bytes between regions, as a streamed one does: a cached prompt in another region lost to an uncached one near by. It now counts 4 bytes. TestUnheardUpstreamIsAvoided failed without the cost.

--- a/internal/bench/trial/engine.go
+++ b/internal/bench/trial/engine.go
@@ -49,6 +49,7 @@
 	speed   float64
 	up      bool
 	silent  bool // accepts requests and answers nothing
+	reports bool // sends load reports while it is silent
 	leaving bool
 	waiting []*job
 	running []*job
--- a/internal/bench/trial/row.go
+++ b/internal/bench/trial/row.go
@@ -44,6 +44,7 @@
 		{Name: "lagging-reports", Burst: 0.8, Fits: true, fault: lag},
 		{Name: "straggler", Fits: true, fault: straggle},
 		{Name: "silent", Fits: true, fault: silence},
+		{Name: "silent-streams", Fits: true, fault: silenceStreams},
 		{Name: "crash", Fits: true, fault: crash},
 		{Name: "reclaim-fits", Burst: 0.6, Fits: true, fault: reclaim},
 		{Name: "reclaim", Burst: 3, fault: reclaim},
@@ -57,11 +58,17 @@
 	w.at(faultStart, func() { w.engines[3].speed = straggling })
 }
 
-// silence makes an engine accept requests and answer nothing, for ever.
+// silence makes an engine accept requests and answer nothing, for ever; it
+// sends no load reports either.
 func silence(w *world) {
 	w.at(faultStart, func() { w.engines[5].silent = true })
 }
 
+// silenceStreams is the same with load reports that go on.
+func silenceStreams(w *world) {
+	w.at(faultStart, func() { w.engines[5].silent, w.engines[5].reports = true, true })
+}
+
 func crash(w *world) {
 	w.at(faultStart, func() {
 		e := w.engines[4]
--- a/internal/bench/trial/run.go
+++ b/internal/bench/trial/run.go
@@ -85,7 +85,7 @@
 
 // publish sends a load report of e to all hosts; it arrives after the lag.
 func (w *world) publish(e *engine) {
-	if !e.up || e.silent {
+	if !e.up || e.silent && !e.reports {
 		return
 	}
 	l := e.report()
--- a/internal/traffic/placement/cost.go
+++ b/internal/traffic/placement/cost.go
@@ -16,14 +16,21 @@
 	// meanOutput is the output in tokens of a request on a busy slot, for the
 	// time until the slot is free.
 	meanOutput = 300
-	// bytesPerToken is the size of a streamed token, with its framing.
-	bytesPerToken = 120
+	// promptTokenBytes and streamTokenBytes are the size of a token in a prompt
+	// and of a streamed one, with its framing.
+	promptTokenBytes = 4
+	streamTokenBytes = 120
 	// doubtPerSecond is the fraction of an upstream's slots by which its load
 	// may have grown unseen in one second; doubtMax bounds it.
 	doubtPerSecond = 0.03
 	doubtMax       = 0.25
 	// minSpeed bounds the predictions for an upstream that hardly moves.
 	minSpeed = 0.02
+	// reportSlack is how much older than the newest report of all upstreams a
+	// report may be; unheardPenalty is the cost of one that is older, in
+	// seconds. An upstream that stopped reporting may have stopped answering.
+	reportSlack    = time.Second
+	unheardPenalty = 0.5
 	// probePenalty keeps urgent requests off upstreams that are being probed as
 	// long as another has a slot; in seconds.
 	probePenalty = 30
@@ -94,14 +101,18 @@
 	return c.best
 }
 
-// sample costs up to sampleSize upstreams drawn from list, with repetition.
+// sample costs all of a short list, else sampleSize upstreams drawn from it
+// with repetition.
 func (p *Planner) sample(
 	now time.Time, r quetzalhook.Request, list []*upstream, found *matches, rng *source, c *choice,
 ) {
-	if len(list) == 0 {
+	if len(list) <= sampleSize {
+		for _, u := range list {
+			c.consider(u, p.cost(now, r, u, found))
+		}
 		return
 	}
-	for range min(sampleSize, len(list)) {
+	for range sampleSize {
 		u := list[rng.below(len(list))]
 		c.consider(u, p.cost(now, r, u, found))
 	}
@@ -173,8 +184,8 @@
 	t := p.firstToken(now, r, u, found, p.doubtfulLoad(now, u))
 	t += p.weights.Crowding * p.load(u) / float64(max(u.Slots, 1))
 	if u.Region != r.Region && u.Region != p.region {
-		tokens := r.PromptTokens + meanOutput
-		t += p.weights.CrossRegionByte * float64(tokens*bytesPerToken)
+		size := r.PromptTokens*promptTokenBytes + meanOutput*streamTokenBytes
+		t += p.weights.CrossRegionByte * float64(size)
 	}
 	if u.Cheap {
 		if r.Class.IsUrgent() {
@@ -183,6 +194,9 @@
 			t += p.weights.CheapRisk
 		}
 	}
+	if u.hasReport && p.newest.Sub(u.reportedAt) > reportSlack {
+		t += unheardPenalty
+	}
 	if u.target != nil && u.target.State() != health.Healthy && r.Class.IsUrgent() {
 		t += probePenalty
 	}
--- a/internal/traffic/placement/planner.go
+++ b/internal/traffic/placement/planner.go
@@ -79,6 +79,7 @@
 	table     share.Table
 	refreshed time.Time
 	sampled   time.Time
+	newest    time.Time // when the newest load report was taken
 }
 
 // Option sets a property of a Planner.
@@ -190,6 +191,9 @@
 		return
 	}
 	u.observe(now, l)
+	if u.reportedAt.After(p.newest) {
+		p.newest = u.reportedAt
+	}
 	if l.PrefixGap {
 		u.generation++
 	}
--- a/internal/traffic/placement/planner_test.go
+++ b/internal/traffic/placement/planner_test.go
@@ -206,6 +206,29 @@
 	}
 }
 
+// TestUnheardUpstreamIsAvoided guards against work on an upstream whose reports
+// stopped, and against distrust of all when all reports lag.
+func TestUnheardUpstreamIsAvoided(t *testing.T) {
+	p := New(WithSeed(1))
+	list := engines(2)
+	list[1].Distance = list[0].Distance + 50*time.Millisecond
+	p.SetUpstreams(start, list)
+	report := func(now time.Time, u int, age time.Duration) {
+		p.ObserveLoad(now, quetzalhook.Load{Upstream: list[u].ID, Running: 1, Age: age})
+	}
+	for u := range list {
+		report(start, u, 3*time.Second)
+	}
+	if u, _ := p.Place(start, request(1)); u != list[0].ID {
+		t.Errorf("all lag: got %s, want the nearer %s", u, list[0].ID)
+	}
+	now := start.Add(2 * time.Second)
+	report(now, 1, 0)
+	if u, _ := p.Place(now, request(2)); u != list[1].ID {
+		t.Errorf("one stopped: got %s, want %s", u, list[1].ID)
+	}
+}
+
 // TestPrefixIndexIsBounded guards against an index that grows with traffic.
 func TestPrefixIndexIsBounded(t *testing.T) {
 	x, u := newPrefixIndex(100), &upstream{}
