--- a/internal/traffic/health/health.go
+++ b/internal/traffic/health/health.go
@@ -109,8 +109,7 @@
 	ejections int
 	failures  int // consecutive
 
-	lastToken  time.Time // of any stream
-	unanswered int       // streams given up without a token since then
+	lastToken time.Time // of any stream
 
 	rate    float64 // smoothed token rate of one stream over nominal
 	samples int
@@ -281,7 +280,7 @@
 	if n <= s.tokens {
 		return
 	}
-	s.last, s.target.lastToken, s.target.unanswered = now, now, 0
+	s.last, s.target.lastToken = now, now
 	if s.tokens == 0 {
 		// The first token ends prefill; rates are measured from here on.
 		s.tokens, s.winAt, s.winN = n, now, n
@@ -356,7 +355,7 @@
 	d := min(m.ejection<<min(t.ejections, 10), maxEjection)
 	t.state, t.until = Ejected, now.Add(d)
 	t.ejections++
-	t.samples, t.unanswered = 0, 0
+	t.samples = 0
 }
 
 // isSlow compares t with the median of its kind.
--- a/internal/traffic/health/silence.go
+++ b/internal/traffic/health/silence.go
@@ -8,10 +8,6 @@
 	// 20 tokens.
 	quiet      = 400 * time.Millisecond
 	quietAlone = time.Second
-	// maxUnanswered is the number of streams given up without a token, and
-	// without one of any other stream meanwhile, after which an upstream is
-	// silent.
-	maxUnanswered = 2
 	// pauseLimit is the time between two checks after which the host itself
 	// was paused: tokens may wait unread.
 	pauseLimit = 500 * time.Millisecond
@@ -67,18 +63,17 @@
 	return waiting > 0 && now.Sub(since) > patience
 }
 
-// giveUp counts a stream that was cancelled while it waited for a token that
-// was due, if the upstream gave no token to any other meanwhile. Urgent
-// requests are given up before a stall shows.
+// giveUp ejects an upstream when a stream is cancelled that waited for a first
+// token past its time, and the upstream gave no token to any other meanwhile.
+// Urgent requests are given up before a stall shows; waiting for a second one
+// cost each host one more.
 func (m *Monitor) giveUp(now time.Time, s *Stream) {
 	t := s.target
 	waited := now.Sub(s.started)
 	if t.service || s.tokens > 0 || waited < m.limit(s, quiet) || t.lastToken.After(s.started) {
 		return
 	}
-	if t.unanswered++; t.unanswered >= maxUnanswered || t.state == Probing {
-		m.eject(now, t)
-	}
+	m.eject(now, t)
 }
 
 // forgive moves the clocks of all streams by the time that the host was
