--- a/internal/traffic/dispatch/core.go
+++ b/internal/traffic/dispatch/core.go
@@ -128,6 +128,9 @@
 	if e.state == stateStopping {
 		e.Tokens = n
 	} else {
+		if e.Tokens == 0 {
+			e.pool.queue.FirstToken(&e.Item, now.Sub(e.started))
+		}
 		e.pool.queue.Progress(&e.Item, n)
 	}
 	c.placer.Progress(now, id, n-e.base)
@@ -145,12 +148,11 @@
 		return nil // cancelled as doomed or refused before
 	}
 	e.pool.queue.Advance(now)
-	if e.state != stateRunning && e.state != stateStopping {
-		c.checkEnd(e, end)
+	if e.state == stateRunning || e.state == stateStopping {
+		c.endAttempt(now, e, end)
+	} else if c.checkEnd(e, end) {
 		c.withdraw(e)
 		c.forget(now, e)
-	} else {
-		c.endAttempt(now, e, end)
 	}
 	c.drainFrom(now, e.pool)
 	return c.actions
@@ -189,7 +191,7 @@
 	}
 	if now.Sub(c.lastSlow) >= slowInterval {
 		c.lastSlow = now
-		c.placer.ObserveDemand(now, c.Demand(now))
+		c.placer.ObserveDemand(now, c.demand())
 		c.limiter.Tick(now)
 		c.move(now)
 		c.unparkAll()
@@ -204,12 +206,19 @@
 
 // Demand implements quetzalhook.Policy.
 func (c *Core) Demand(time.Time) quetzalhook.Demand {
+	d := c.demand()
+	d.Used = c.limiter.Used()
+	return d
+}
+
+// demand returns the demand without the use by customer, which the placer
+// does not need and which is the costly part with thousands of customers.
+func (c *Core) demand() quetzalhook.Demand {
 	d := quetzalhook.Demand{
 		Waiting:  c.load.waiting(),
 		Running:  c.load.running(),
 		Requests: c.load.requests(),
 		InFlight: make(map[quetzalhook.UpstreamID]int),
-		Used:     c.limiter.Used(),
 	}
 	for id, u := range c.upstreams {
 		if len(u.running) > 0 {
