--- a/internal/record/usage/usage_test.go
+++ b/internal/record/usage/usage_test.go
@@ -63,12 +63,12 @@
 	f.hosts[i] = h
 }
 
-func (f *fleet) add(i int) {
+func (f *fleet) add(i int, class quetzalhook.ClassName) {
 	h := f.hosts[i]
 	if h.gate.Paused() {
 		return // a paused process counts nothing
 	}
-	h.meter.Add("customer", "class", Amount{Prompt: 3, Requests: 1})
+	h.meter.Add("customer", class, Amount{Prompt: 3, Requests: 1})
 	f.added[h.meter.self]++
 	f.windows[schedule.At(time.Now())] = true
 }
@@ -126,7 +126,7 @@
 		for _, p := range peers {
 			f.net.Cut("host-0", p.Host, also == "cut-before" && n < 2000)
 		}
-		f.add(0)
+		f.add(0, quetzalhook.ClassName(fmt.Sprint("class-", n/500)))
 		time.Sleep(10 * time.Millisecond)
 	}
 	source := f.hosts[0].meter.self
@@ -173,7 +173,7 @@
 		"add": func(t *rapid.T) {
 			i := pick.Draw(t, "host")
 			for range 5 {
-				f.add(i)
+				f.add(i, "class")
 			}
 		},
 		"kill": func(t *rapid.T) {
