--- a/cmd/load/compare.go
+++ b/cmd/load/compare.go
@@ -11,6 +11,9 @@
 	"quetzalhook/internal/bench/client"
 )
 
+// maxErrors bounds the printed errors.
+const maxErrors = 10
+
 func questionFlags(more ...cli.Flag) []cli.Flag {
 	return append([]cli.Flag{
 		&cli.StringFlag{Name: "host", Required: true, Usage: "`ADDRESS` of an entry host", Sources: cli.EnvVars("LOAD_HOST")},
@@ -51,7 +54,10 @@
 		Class: cmd.String("class"), Tokens: cmd.Int("tokens"),
 	}.Steady(ctx, cmd.Float("rate"), cmd.Duration("duration"))
 	w := cmd.Root().Writer
-	fmt.Fprintf(w, "served %d, failed %d\n", times.Total.TotalCount(), failed)
+	fmt.Fprintf(w, "served %d, failed %d\n", times.Total.TotalCount(), len(failed))
+	for _, err := range failed[:min(len(failed), maxErrors)] {
+		fmt.Fprintln(w, "failed:", err)
+	}
 	for _, q := range []float64{50, 99} {
 		fmt.Fprintf(w, "p%.0f: first token %d µs, whole answer %d µs\n", q, times.FirstToken.ValueAtQuantile(q), times.Total.ValueAtQuantile(q))
 	}
--- a/internal/bench/client/compare.go
+++ b/internal/bench/client/compare.go
@@ -69,8 +69,8 @@
 }
 
 // Steady sends the question to the host at an even rate, open loop, and
-// returns the times and the number of failed requests.
-func (c Comparison) Steady(ctx context.Context, rate float64, duration time.Duration) (times Latencies, failed int) {
+// returns the times and the errors of failed requests.
+func (c Comparison) Steady(ctx context.Context, rate float64, duration time.Duration) (times Latencies, failed []error) {
 	times = newLatencies()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections, MaxIdleConns: idleConnections}}
 	defer client.CloseIdleConnections()
@@ -86,7 +86,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
-				failed++
+				failed = append(failed, err)
 				return
 			}
 			_ = times.FirstToken.RecordValue(first.Microseconds())
--- a/internal/bench/scenario/host.go
+++ b/internal/bench/scenario/host.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -171,49 +173,41 @@
 	}
 }
 
+// Ports of hosts are outside the range from which the system takes ports of
+// outgoing connections, so that a host that comes back finds its own free.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
 // freePort returns a loopback address with n free ports in a row.
 func freePort(network string, n int) (string, error) {
-	const attempts = 50
+	const attempts = 200
 	for range attempts {
-		if address, ok := tryPorts(network, n); ok {
-			return address, nil
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if portsFree(network, port, n) {
+			return address(port), nil
 		}
 	}
 	return "", errors.Errorf("no %d free %s ports in a row", n, network)
 }
 
-func tryPorts(network string, n int) (string, bool) {
-	address, port := "127.0.0.1:0", 0
-	var first string
+func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+func portsFree(network string, port, n int) bool {
 	for i := range n {
-		if i > 0 {
-			address = fmt.Sprintf("127.0.0.1:%d", port+i)
-		}
-		used, closer, err := bind(network, address)
+		closer, err := bind(network, address(port+i))
 		if err != nil {
-			return "", false
-		}
-		defer closer()
-		if i == 0 {
-			first = used
-			_, text, _ := net.SplitHostPort(used)
-			_, _ = fmt.Sscan(text, &port)
+			return false
 		}
+		_ = closer.Close()
 	}
-	return first, true
+	return true
 }
 
-func bind(network, address string) (used string, closer func(), err error) {
+func bind(network, address string) (io.Closer, error) {
 	if network == "udp" {
-		c, err := net.ListenPacket(network, address)
-		if err != nil {
-			return "", nil, err
-		}
-		return c.LocalAddr().String(), func() { _ = c.Close() }, nil
-	}
-	l, err := net.Listen(network, address)
-	if err != nil {
-		return "", nil, err
+		return net.ListenPacket(network, address)
 	}
-	return l.Addr().String(), func() { _ = l.Close() }, nil
+	return net.Listen(network, address)
 }
