--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -123,6 +123,8 @@
 		}
 		err = r.attempt(t, attempt, call, tries)
 		if err == nil {
+			// The policy learns the length of answers from the last progress.
+			r.broker.Progress(t, call.Answer.tokens)
 			r.broker.End(t, quetzalhook.EndFinished)
 			return nil
 		}
