--- a/internal/standin/cloud/cloud.go
+++ b/internal/standin/cloud/cloud.go
@@ -91,6 +91,7 @@
 	c.mux.HandleFunc("POST "+object.PathOrders, c.write(c.order))
 	c.mux.HandleFunc("POST "+object.PathUsage+"{window}", c.write(c.report))
 	c.mux.HandleFunc("GET "+object.PathHosts, c.read(c.listHosts))
+	c.mux.HandleFunc("GET /records", c.getRecords)
 	c.mux.HandleFunc("POST /faults", c.postFaults)
 	c.mux.HandleFunc("POST /upstreams/{id}/state", c.postState)
 	return c
--- a/internal/standin/cloud/handlers.go
+++ b/internal/standin/cloud/handlers.go
@@ -199,6 +199,21 @@
 	writeJSON(w, append([]object.HostItem{}, c.hosts...))
 }
 
+// records is the body of GET /records.
+type records struct {
+	Orders             int `json:"orders"`
+	StaleOrders        int `json:"stale-orders"`
+	Reports            int `json:"reports"`
+	ConflictingReports int `json:"conflicting-reports"`
+}
+
+func (c *Cloud) getRecords(w http.ResponseWriter, _ *http.Request) {
+	received, conflicting := c.Reports()
+	writeJSON(w, records{
+		Orders: len(c.Orders()), StaleOrders: c.StaleOrders(), Reports: received, ConflictingReports: conflicting,
+	})
+}
+
 // faultsRequest is the body of POST /faults.
 type faultsRequest struct {
 	Outage        bool   `json:"outage"`
