Repeat orders with unknown outcome under their own intent

A holder whose receiver did not answer eight orders could send no more until an operator stepped in, because each repetition needed an intent of its own: 40 s of timeouts would have stopped the controller. Dropping old intents was ruled out, because their orders may still be under way.

An intent now counts its sends, written before each send. The effect of an order that was sent once resolves its intent for a successor; that of one that was sent again does not, because another send may still come from a paused holder. The controller repeats an unclear order before it sends a new one of the same kind, so one intent of each kind is open at most. The observer of dead hosts moves to the lease package for the reporter.

--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -28,10 +28,6 @@
 	// defaultPatience is how long an order may stay without effect on the
 	// platform's list before it is sent again under a new identifier.
 	defaultPatience = 2 * time.Minute
-	// defaultSettle is how long the platform must show a newer incarnation of
-	// a host before the old one counts as dead. It covers a request that the
-	// old process left in the network.
-	defaultSettle = time.Minute
 )
 
 // Need is the wanted number of upstreams of one kind in one zone.
@@ -62,7 +58,6 @@
 type Controller struct {
 	lease     *lease.Lease
 	platform  quetzalhook.Provisioner
-	hosts     quetzalhook.HostLister
 	planner   Planner
 	clock     quetzalhook.Clock
 	log       logrus.FieldLogger
@@ -71,9 +66,10 @@
 	settle    time.Duration
 	fencing   bool
 	newID     func() string
-	replaced  map[process]time.Time // since when the platform shows a newer incarnation
-	orders    map[kind]ordered      // what this term of the role has ordered
-	term      uint64                // fencing number that orders belongs to
+	deaths    *lease.Deaths
+	orders    map[kind]ordered                   // what this term of the role has ordered
+	unclear   map[kind]quetzalhook.UpstreamOrder // sent without an answer
+	term      uint64                             // fencing number that orders belongs to
 	stop      context.CancelFunc
 	done      chan struct{}
 	closeOnce sync.Once
@@ -108,13 +104,14 @@
 	planner Planner, clock quetzalhook.Clock, opts ...Option,
 ) *Controller {
 	c := &Controller{
-		lease: l, platform: platform, hosts: hosts, planner: planner, clock: clock,
-		interval: defaultInterval, patience: defaultPatience, settle: defaultSettle,
-		newID: rand.Text, replaced: make(map[process]time.Time),
+		lease: l, platform: platform, planner: planner, clock: clock,
+		interval: defaultInterval, patience: defaultPatience, settle: lease.DefaultSettle,
+		newID: rand.Text,
 	}
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.deaths = lease.NewDeaths(hosts, clock, c.settle)
 	return c
 }
 
@@ -169,6 +166,7 @@
 	}
 	if fencing != c.term || c.orders == nil {
 		c.term, c.orders = fencing, make(map[kind]ordered)
+		c.unclear = make(map[kind]quetzalhook.UpstreamOrder)
 	}
 	if err := c.resolve(ctx); err != nil {
 		return err
@@ -209,17 +207,24 @@
 	return !ok || need.Count != last.count || late && need.Count != present[k]
 }
 
+// order sends one order. An order of the same kind with unknown outcome is
+// repeated first, so that no more than one of each kind is open.
 func (c *Controller) order(ctx context.Context, need Need) error {
-	id := c.newID()
-	o := lease.Order{ID: id, Target: Target, ChecksFencing: c.fencing}
+	k := kind{need.Zone, need.Cheap}
+	u, repeated := c.unclear[k]
+	if !repeated {
+		u = quetzalhook.UpstreamOrder{ID: c.newID(), Zone: need.Zone, Cheap: need.Cheap, Count: need.Count}
+	}
+	o := lease.Order{ID: u.ID, Target: Target, ChecksFencing: c.fencing}
 	err := c.lease.Order(ctx, o, func(ctx context.Context, fencing uint64) error {
-		return c.platform.Order(ctx, quetzalhook.UpstreamOrder{
-			ID: id, Zone: need.Zone, Cheap: need.Cheap, Count: need.Count, Fencing: fencing,
-		})
+		c.unclear[k] = u
+		u.Fencing = fencing
+		return c.platform.Order(ctx, u)
 	})
 	if err != nil {
-		return errors.Wrapf(err, "order %d upstreams in %s", need.Count, need.Zone)
+		return errors.Wrapf(err, "order %d upstreams in %s", u.Count, u.Zone)
 	}
-	c.orders[kind{need.Zone, need.Cheap}] = ordered{need.Count, c.clock.Now()}
+	delete(c.unclear, k)
+	c.orders[k] = ordered{u.Count, c.clock.Now()}
 	return nil
 }
--- a/internal/fleet/lease/document.go
+++ b/internal/fleet/lease/document.go
@@ -21,14 +21,16 @@
 	Intents []Intent `json:"intents,omitempty"`
 }
 
-// Intent is an order that was written down before it was sent. One intent
-// covers one send: a repetition is another intent.
+// Intent is an order that was written down before it was sent.
 type Intent struct {
 	ID          string                  `json:"id"`
 	Target      string                  `json:"target"`
 	Fencing     uint64                  `json:"fencing"`
 	Host        quetzalhook.HostID      `json:"host"`
 	Incarnation quetzalhook.Incarnation `json:"incarnation"`
+	// Sends counts the sends that the intent covers. Only with a single one
+	// does a visible effect prove to others that no send is still to come.
+	Sends int `json:"sends"`
 }
 
 func (d document) clone() document {
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -36,7 +36,7 @@
 	// pollsPerTerm lets a holder miss two renewals before its term ends.
 	pollsPerTerm = 4
 	// maxOwnIntents bounds a holder's orders with unknown outcome to one target.
-	maxOwnIntents = 8
+	maxOwnIntents = 64
 	// maxAttempts bounds the repetitions of one conditional write.
 	maxAttempts = 6
 )
@@ -68,6 +68,7 @@
 	seenAt  time.Time            // when version was first seen
 	sent    map[string]time.Time // nonces of writes whose answer was lost
 	own     map[string]progress  // intents of this incarnation
+	count   map[string]int       // sends of orders without a known outcome
 
 	mu      sync.Mutex
 	until   time.Time // end of the term that this host believes in
@@ -115,6 +116,7 @@
 		term: defaultTerm, margin: defaultMargin,
 		candidate: func() bool { return true }, nonce: rand.Text,
 		sent: make(map[string]time.Time), own: make(map[string]progress),
+		count: make(map[string]int),
 	}
 	for _, opt := range opts {
 		opt(l)
--- a/internal/fleet/lease/order.go
+++ b/internal/fleet/lease/order.go
@@ -36,15 +36,15 @@
 type Send func(ctx context.Context, fencing uint64) error
 
 var (
-	errBlocked  = errors.New("an intent of another process is open")
-	errRepeated = errors.New("the order was sent before under this identifier")
-	errTooMany  = errors.New("too many orders with unknown outcome")
+	errBlocked = errors.New("an intent of another process is open")
+	errSending = errors.New("the order is being sent")
+	errTooMany = errors.New("too many orders with unknown outcome")
 )
 
 // Order writes the intent, sends the order and writes the outcome. Errors of
 // KindNotHolder, KindBlocked and KindStore mean that nothing was sent. After
-// KindSend with an unknown outcome the intent stays open; a repetition needs
-// another Order with another ID.
+// KindSend with an unknown outcome the intent stays open; the same process may
+// call Order again with the same ID until the outcome is known.
 func (l *Lease) Order(ctx context.Context, o Order, send Send) error {
 	if !l.enter() {
 		return l.fail("order", KindClosed, nil)
@@ -80,14 +80,15 @@
 	if l.machine.State() != stateHolding {
 		return 0, l.fail("order", KindNotHolder, nil)
 	}
-	if l.own[o.ID] != unsent {
-		return 0, l.fail("order", KindBlocked, errRepeated)
+	if l.own[o.ID] == sending {
+		return 0, l.fail("order", KindBlocked, errSending)
+	}
+	if l.own[o.ID] != unclear {
+		l.own[o.ID] = unsent
 	}
-	l.own[o.ID] = unsent
 	err := l.write(ctx, func(d *document) error { return l.addIntent(d, o) })
 	switch {
 	case errors.Is(err, errBlocked), errors.Is(err, errTooMany):
-		delete(l.own, o.ID)
 		return 0, l.fail("order", KindBlocked, err)
 	case err != nil:
 		return 0, l.lost("order", err)
@@ -99,6 +100,7 @@
 	l.inv.Check(invariant.SingleCommander, l.maySend(o, fencing), "role", l.role, "host", l.host,
 		"order", o.ID, "target", o.Target, "fencing", fencing, "intents", l.doc.Intents)
 	l.own[o.ID] = sending
+	l.count[o.ID]++
 	return fencing, nil
 }
 
@@ -110,15 +112,19 @@
 	if !o.ChecksFencing && l.hasForeign(*d, o.Target) {
 		return errBlocked
 	}
-	if d.has(o.ID) {
-		return nil // an earlier attempt took effect, its answer was lost
+	sends := l.count[o.ID] + 1
+	for n := range d.Intents {
+		if d.Intents[n].ID == o.ID {
+			d.Intents[n].Sends = sends
+			return nil
+		}
 	}
 	if l.openOwn(*d, o.Target) >= maxOwnIntents {
 		return errTooMany
 	}
 	d.Intents = append(d.Intents, Intent{
 		ID: o.ID, Target: o.Target, Fencing: d.Fencing,
-		Host: l.host, Incarnation: l.incarnation,
+		Host: l.host, Incarnation: l.incarnation, Sends: sends,
 	})
 	return nil
 }
@@ -142,6 +148,7 @@
 		return
 	}
 	l.own[id] = ended
+	delete(l.count, id)
 	_ = l.write(ctx, func(d *document) error {
 		if !d.remove(l.settled) {
 			return errNoChange
@@ -162,6 +169,9 @@
 	return func(i Intent) bool { return i.ID != id && l.settled(i) }
 }
 
+// IsOwn reports whether this process wrote the intent.
+func (l *Lease) IsOwn(i Intent) bool { return l.isOwn(i) }
+
 func (l *Lease) isOwn(i Intent) bool {
 	return i.Host == l.host && i.Incarnation == l.incarnation
 }
