--- /dev/null
+++ b/internal/record/billing/billing_test.go
@@ -0,0 +1,336 @@
+package billing
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"quetzalhook"
+	"quetzalhook/internal/fleet/lease"
+	"quetzalhook/internal/platform/memory"
+	"quetzalhook/internal/record/usage"
+	"quetzalhook/internal/state/invariant"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "7")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.steps", "60")
+	_ = flag.Set("rapid.checks", "50")
+	os.Exit(m.Run())
+}
+
+var schedule = usage.NewSchedule(time.Minute)
+
+// sink is the platform. It takes note of reports that differ from an earlier
+// one of the same window and of reports with an older fencing number.
+type sink struct {
+	mu      sync.Mutex
+	hosts   []quetzalhook.HostStatus
+	bodies  map[string]string
+	fencing uint64
+	lose    int
+	refuse  bool
+	wrong   []string
+	repeats int
+}
+
+func (s *sink) take(window string, fencing uint64, body []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refuse {
+		return &quetzalhook.StoreError{Op: "report", Kind: quetzalhook.StoreUnavailable}
+	}
+	if before, ok := s.bodies[window]; ok {
+		s.repeats++
+		if before != string(body) {
+			s.wrong = append(s.wrong, fmt.Sprintf("%s: %s after %s", window, body, before))
+		}
+	}
+	if fencing < s.fencing {
+		s.wrong = append(s.wrong, fmt.Sprintf("%s: fencing number %d after %d", window, fencing, s.fencing))
+	}
+	s.bodies[window], s.fencing = string(body), max(s.fencing, fencing)
+	if s.lose > 0 {
+		s.lose--
+		return &quetzalhook.StoreError{Op: "report", Kind: quetzalhook.StoreUnknown}
+	}
+	return nil
+}
+
+// billed sums the lines of all reports.
+func (s *sink) billed(t fataler) map[usage.Key]usage.Amount {
+	sum := make(map[usage.Key]usage.Amount)
+	for _, body := range s.bodies {
+		var r Report
+		if err := json.Unmarshal([]byte(body), &r); err != nil {
+			t.Fatal(err)
+		}
+		for _, l := range r.Lines {
+			k := usage.Key{Customer: l.Customer, Class: l.Class}
+			sum[k] = sum[k].Plus(usage.Amount{Prompt: l.Prompt, Output: l.Output, Wasted: l.Wasted, Requests: l.Requests})
+		}
+	}
+	return sum
+}
+
+// fataler is a test of either library.
+type fataler interface {
+	Fatal(...any)
+	Errorf(string, ...any)
+}
+
+// testHost is one host: its usage meter, lease and reporter behind a gate.
+type testHost struct {
+	id       quetzalhook.HostStatus
+	gate     *memory.Gate
+	to       *sink
+	meter    *usage.Meter
+	lease    *lease.Lease
+	reporter *Reporter
+}
+
+func (h *testHost) Report(_ context.Context, window string, fencing uint64, body []byte) error {
+	if h.gate.Pass() != nil {
+		return &quetzalhook.StoreError{Op: "report", Kind: quetzalhook.StoreUnavailable}
+	}
+	err := h.to.take(window, fencing, slices.Clone(body))
+	_ = h.gate.Pass()
+	return err
+}
+
+func (h *testHost) Hosts(context.Context) ([]quetzalhook.HostStatus, error) {
+	err := h.gate.Pass()
+	h.to.mu.Lock()
+	defer h.to.mu.Unlock()
+	return slices.Clone(h.to.hosts), err
+}
+
+// fleet is a set of hosts and what they counted.
+type fleet struct {
+	store *memory.Store
+	net   *memory.Network
+	to    *sink
+	inv   *invariant.Registry
+	hosts []*testHost
+	ended []*testHost
+	inc   quetzalhook.Incarnation
+}
+
+func newFleet() *fleet {
+	return &fleet{
+		store: memory.New(), net: memory.NewNetwork(), inv: invariant.New(nil),
+		to: &sink{bodies: make(map[string]string)}, hosts: make([]*testHost, 3),
+	}
+}
+
+func (f *fleet) launch(t fataler, i int) {
+	f.join(t, i)
+	f.hosts[i].meter.Start()
+	f.hosts[i].lease.Start()
+	f.hosts[i].reporter.Start()
+}
+
+// join adds a host whose background work is not started.
+func (f *fleet) join(t fataler, i int) {
+	f.inc++
+	h := &testHost{gate: &memory.Gate{}, to: f.to}
+	h.id = quetzalhook.HostStatus{Host: quetzalhook.HostID(fmt.Sprint("host-", i)), Incarnation: f.inc}
+	wall := quetzalhook.ClockFunc(time.Now)
+	clock, store := h.gate.Clock(wall), h.gate.Store(f.store)
+	zone := quetzalhook.Zone(fmt.Sprint("zone-", i))
+	peer := f.net.Join(quetzalhook.Member{Host: h.id.Host, Incarnation: f.inc, Zone: zone}, h.gate)
+	h.meter = usage.New(usage.Source{Host: h.id.Host, Incarnation: f.inc}, zone, store, clock, wall, peer, schedule,
+		usage.WithIntervals(5*time.Second, 15*time.Second))
+	l, err := lease.New(lease.RoleReporter, h.id.Host, f.inc, store, clock, f.inv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.lease = l
+	h.reporter = New(l, store, h, h, f.inv, clock, wall, schedule, WithGrace(45*time.Second),
+		WithGone(30*time.Second), WithSettle(20*time.Second), WithLookback(120))
+	f.hosts[i] = h
+	f.to.mu.Lock()
+	f.to.hosts = slices.DeleteFunc(f.to.hosts, func(s quetzalhook.HostStatus) bool { return s.Host == h.id.Host })
+	f.to.hosts = append(f.to.hosts, h.id)
+	f.to.mu.Unlock()
+}
+
+func (f *fleet) kill(t *rapid.T, i int) {
+	f.hosts[i].gate.Kill()
+	f.ended = append(f.ended, f.hosts[i])
+	f.launch(t, i)
+}
+
+func (f *fleet) close() {
+	for _, h := range append(f.ended, f.hosts...) {
+		_ = h.reporter.Close()
+		_ = h.lease.Close()
+		_ = h.meter.Close(context.Background())
+	}
+	time.Sleep(3 * time.Minute) // late changes end
+}
+
+func (f *fleet) check(t *rapid.T) {
+	f.to.mu.Lock()
+	defer f.to.mu.Unlock()
+	if len(f.to.wrong) > 0 || f.inv.Violations() > 0 {
+		t.Fatalf("got %v %v, want one report of each window by one reporter", f.to.wrong, f.inv.Details())
+	}
+}
+
+// Guards against reports with other figures, reports of two reporters at once,
+// and usage that is billed twice or not at all, under pauses, kills, outages,
+// lost and late writes and lost or refused reports.
+func TestFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { rapid.SyncTest(t, runFaults) })
+}
+
+func runFaults(t *rapid.T) {
+	f := newFleet()
+	for i := range f.hosts {
+		f.launch(t, i)
+	}
+	pick := rapid.IntRange(0, 2)
+	sleep := rapid.SampledFrom([]time.Duration{time.Second, 20 * time.Second, time.Minute})
+	t.Repeat(map[string]func(*rapid.T){
+		"add": func(t *rapid.T) {
+			if h := f.hosts[pick.Draw(t, "host")]; !h.gate.Paused() {
+				h.meter.Add("customer", "class", usage.Amount{Prompt: 3, Output: 5, Requests: 1})
+			}
+		},
+		"pause":  func(t *rapid.T) { f.hosts[pick.Draw(t, "host")].gate.Pause() },
+		"resume": func(t *rapid.T) { f.hosts[pick.Draw(t, "host")].gate.Resume() },
+		"kill":   func(t *rapid.T) { f.kill(t, pick.Draw(t, "host")) },
+		"faults": func(t *rapid.T) {
+			f.store.SetFaults(memory.Faults{
+				Outage: rapid.Bool().Draw(t, "outage"), LoseAnswers: rapid.IntRange(0, 3).Draw(t, "lose"),
+				LateChanges: rapid.IntRange(0, 2).Draw(t, "late"), LateBy: sleep.Draw(t, "late-by"),
+				StaleReads: rapid.Bool().Draw(t, "stale"),
+			})
+		},
+		"heal": func(*rapid.T) { f.store.SetFaults(memory.Faults{}) },
+		"sink": func(t *rapid.T) {
+			f.to.mu.Lock()
+			f.to.lose, f.to.refuse = rapid.IntRange(0, 3).Draw(t, "lose"), rapid.Bool().Draw(t, "refuse")
+			f.to.mu.Unlock()
+		},
+		"run": func(t *rapid.T) { time.Sleep(sleep.Draw(t, "time")) },
+		"":    f.check,
+	})
+	f.store.SetFaults(memory.Faults{})
+	f.to.mu.Lock()
+	f.to.lose, f.to.refuse = 0, false
+	f.to.mu.Unlock()
+	for _, h := range append(f.ended, f.hosts...) {
+		h.gate.Resume()
+	}
+	time.Sleep(8 * time.Minute)
+	f.check(t)
+	f.checkBilled(t)
+	f.close()
+}
+
+// checkBilled compares the reports with the usage in the store.
+func (f *fleet) checkBilled(t fataler) {
+	f.to.mu.Lock()
+	defer f.to.mu.Unlock()
+	want := make(map[usage.Key]usage.Amount)
+	for w := range f.to.bodies {
+		all, err := usage.Collect(context.Background(), f.store, usage.Window(w))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for k, a := range usage.Sum(all) {
+			want[k] = want[k].Plus(a)
+		}
+	}
+	f.checkFrozen(t)
+	if got := f.to.billed(t); fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("billed: got %v, want %v as counted", got, want)
+	}
+	newest := slices.Max(slices.Collect(maps.Keys(f.to.bodies)))
+	if end, _ := schedule.End(usage.Window(newest)); time.Since(end) > 4*time.Minute {
+		t.Errorf("newest report: got %s at %s, want one of the last minutes", newest, time.Now())
+	}
+}
+
+// checkFrozen compares the reports with the frozen figures in the store.
+func (f *fleet) checkFrozen(t fataler) {
+	for w, got := range f.to.bodies {
+		r := &Reporter{store: f.store, bodies: make(map[usage.Window][]byte)}
+		want, err := r.frozen(context.Background(), usage.Window(w))
+		if err != nil || got != string(want) {
+			t.Errorf("report of %s: got %s, want %s as frozen (%v)", w, got, want, err)
+		}
+	}
+}
+
+// Guards against a reporter that is paused anywhere in its round and then
+// freezes or reports figures beside its successor, which knows of more usage.
+func TestPausedReporter(t *testing.T) {
+	pass := 0
+	for reached := true; reached; {
+		pass++
+		synctest.Test(t, func(t *testing.T) { reached = pausedReporter(t, pass) })
+	}
+	if got, want := pass, 30; got < want {
+		t.Errorf("passes: got %d, want at least %d", got, want)
+	}
+}
+
+func pausedReporter(t *testing.T, pass int) bool {
+	ctx := context.Background()
+	f := newFleet()
+	for i := range f.hosts {
+		f.join(t, i)
+	}
+	a, b, c := f.hosts[0], f.hosts[1], f.hosts[2]
+	step := func(h *testHost) {
+		_ = h.lease.Step(ctx)
+		_ = h.reporter.Step(ctx)
+	}
+	step(a) // the first window is the current one
+	for _, h := range []*testHost{b, c} {
+		h.meter.Add("customer", "class", usage.Amount{Requests: 1})
+	}
+	time.Sleep(2 * time.Minute)
+	_ = b.meter.Flush(ctx)
+	a.gate.PauseAt(a.gate.Passes() + pass)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		step(a)
+	}()
+	synctest.Wait()
+	reached := a.gate.Paused()
+	a.gate.PauseAt(0)
+	_ = c.meter.Flush(ctx) // late for a, in time for its successor
+	for range 20 {
+		step(b)
+		time.Sleep(3 * time.Second)
+	}
+	a.gate.Resume()
+	<-done
+	for range 40 {
+		step(a)
+		step(b)
+		time.Sleep(3 * time.Second)
+	}
+	if len(f.to.wrong) > 0 || f.inv.Violations() > 0 {
+		t.Errorf("pass %d: got %v %v, want one report by one reporter", pass, f.to.wrong, f.inv.Details())
+	}
+	f.checkBilled(t)
+	return reached
+}
--- a/internal/record/usage/amount.go
+++ b/internal/record/usage/amount.go
@@ -69,6 +69,9 @@
 // NewSchedule returns windows of the given length, which should divide a day.
 func NewSchedule(length time.Duration) Schedule { return Schedule{length} }
 
+// Length returns the length of a window.
+func (s Schedule) Length() time.Duration { return s.length }
+
 // At returns the window that contains t.
 func (s Schedule) At(t time.Time) Window {
 	return Window(t.UTC().Truncate(s.length).Format(windowFormat))
