--- a/internal/fleet/peer/link.go
+++ b/internal/fleet/peer/link.go
@@ -99,7 +99,8 @@
 		return nil, errors.New("closed")
 	}
 	if l != nil && l.address != address {
-		s.wg.Go(func() { s.drop(l, "the host has another address") })
+		old := l
+		s.wg.Go(func() { s.drop(old, "the host has another address") })
 		l = nil
 	}
 	if l == nil {
@@ -183,26 +184,29 @@
 
 // watch returns the reason to close the link when there is one.
 func (s *Service) watch(l *link) string {
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(pingInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-s.ctx.Done():
 			return "closed"
 		case <-l.conn.Context().Done():
 			return "closed by the other side"
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		now := s.clock.Now().UnixNano()
 		if time.Duration(now-l.used.Load()) > unusedTimeout {
 			return "not used"
 		}
-		if time.Duration(now-l.answered.Load()) < pingInterval {
-			continue
-		}
-		if err := s.ping(l); err != nil {
-			return "no answer to a ping"
+		quiet := time.Duration(now - l.answered.Load())
+		if quiet >= pingInterval {
+			if err := s.ping(l); err != nil {
+				return "no answer to a ping"
+			}
+			quiet = 0
 		}
+		// Not a fixed tick: that would add up to a second to the detection.
+		timer.Reset(pingInterval - quiet)
 	}
 }
 
--- a/internal/record/configuration/bench_test.go
+++ b/internal/record/configuration/bench_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,9 +27,14 @@
 // BenchmarkChange measures what one host receives and computes for a change
 // of one customer.
 func BenchmarkChange(b *testing.B) {
-	for _, n := range []int{10, 1000, 17_000} {
-		b.Run(fmt.Sprintf("customers=%d", n), func(b *testing.B) {
-			f := newFleet(b, customers(example(b, "association"), n), 0)
+	for _, c := range []struct{ customers, upstreams int }{{10, 21}, {1000, 21}, {17_000, 21}, {17_000, 10_000}} {
+		b.Run(fmt.Sprintf("customers=%d/upstreams=%d", c.customers, c.upstreams), func(b *testing.B) {
+			f := newFleet(b, customers(example(b, "association"), c.customers), 0)
+			for i := len(f.base.Upstreams); i < c.upstreams; i++ {
+				u := f.base.Upstreams[i%18]
+				u.Name = fmt.Sprintf("engine-%d", i)
+				f.base.Upstreams = append(f.base.Upstreams, u)
+			}
 			end := f.network.Endpoint("host")
 			r := NewRollout(Identity{Host: "host"}, f.store, end, f.clock, quiet(), f.inv)
 			var heads [2]Head
@@ -74,6 +81,30 @@
 	}
 }
 
+// BenchmarkParse measures the parsing of a document, which only the host that
+// plans a change does.
+func BenchmarkParse(b *testing.B) {
+	head, err := os.ReadFile("../../../examples/association.yaml")
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, n := range []int{10, 1000, 17_000} {
+		b.Run(fmt.Sprintf("customers=%d", n), func(b *testing.B) {
+			var list strings.Builder
+			for i := range n {
+				fmt.Fprintf(&list, "  - {name: c-%d, weight: 1, classes: [permit-question], work-rate: 10, work-burst: 100}\n", i)
+			}
+			text := strings.Replace(string(head), "customers:\n", "customers:\n"+list.String(), 1)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := Parse([]byte(text)); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkFleet measures the store's calls for each change and the virtual
 // time until a change is in force everywhere.
 func BenchmarkFleet(b *testing.B) {
--- a/internal/record/credential/bench_test.go
+++ b/internal/record/credential/bench_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"quetzalhook"
@@ -44,6 +45,38 @@
 	}
 }
 
+// BenchmarkDigestPull measures what two hosts exchange when one of them lacks
+// one of n withdrawals.
+func BenchmarkDigestPull(b *testing.B) {
+	for _, n := range []int{100, 1700, 17_000} {
+		b.Run(fmt.Sprintf("withdrawn=%d", n), func(b *testing.B) {
+			var ids []ID
+			for range n {
+				_, hash := newKey()
+				ids = append(ids, ID(hash[:len(ID{})]))
+			}
+			x, y := newTable(), newTable()
+			x.withdraw(time.Unix(1, 0), ids, true, false)
+			y.withdraw(time.Unix(1, 0), ids[1:], true, false)
+			size := 0
+			for b.Loop() {
+				ask, err := cbor.Marshal(withdrawalMessage{Buckets: y.bucketHashes()})
+				if err != nil {
+					b.Fatal(err)
+				}
+				var answer withdrawalAnswer
+				answer.Persisted, answer.Pending = x.differing(y.bucketHashes())
+				reply, err := cbor.Marshal(answer)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(ask) + len(reply)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
+
 // BenchmarkWithdrawal measures the store's calls in an idle minute and the
 // virtual time until a withdrawal is known everywhere.
 func BenchmarkWithdrawal(b *testing.B) {
