--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -342,7 +342,7 @@
 		}
 		list = append(list, quetzalhook.Member{
 			Host: host, Incarnation: p.profile.Incarnation, Zone: p.profile.Zone, Region: p.profile.Region,
-			Address: p.profile.Address, PeerAddress: p.profile.Peer, Draining: b.Draining, Silent: p.silent(now),
+			Address: p.profile.Address, PeerAddress: p.profile.Peer, Draining: b.Draining, Silent: p.silent(now), Direct: p.cell == g.cell,
 			FreeCapacity: float64(b.FreePercent) / 100, ConfigVersion: b.ConfigVersion, StoreAge: age,
 			WithdrawnCount: b.WithdrawnCount, WithdrawnHash: b.WithdrawnHash, Demand: demand,
 		})
--- a/internal/fleet/member/summary.go
+++ b/internal/fleet/member/summary.go
@@ -106,17 +106,11 @@
 	return p
 }
 
-// summaryAnswer returns the own summary for a host that asked for it.
+// summaryAnswer returns summaries for a host that asked for them.
 func (g *gossip) summaryAnswer(now time.Time, p *peer) (*datagram, error) {
 	g.arrange()
-	m := g.packet()
-	m.Summaries = []summary{g.summaryOf(now, g.told)}
-	f, err := newFiller(m, maxBody)
-	if err != nil {
-		return nil, err
-	}
-	body, err := f.encode()
-	return &datagram{to: p.profile.Heartbeat, data: g.seal.seal(p.profile.Incarnation, body)}, err
+	d, err := g.summaryFor(now, p, g.summaryOf(now, g.told), false)
+	return &d, err
 }
 
 // summaryFor returns a datagram with the own summary and, as far as they fit,
--- a/internal/fleet/peer/network.go
+++ b/internal/fleet/peer/network.go
@@ -156,7 +156,7 @@
 			s = sighting{member: quetzalhook.Member{Host: id}, at: e.created}
 		}
 		m := s.member
-		m.Silent = now.Sub(s.at)
+		m.Silent, m.Direct = now.Sub(s.at), true
 		list = append(list, m)
 	}
 	slices.SortFunc(list, func(a, b quetzalhook.Member) int { return strings.Compare(string(a.Host), string(b.Host)) })
--- a/internal/record/configuration/rollout.go
+++ b/internal/record/configuration/rollout.go
@@ -1,7 +1,9 @@
 package configuration
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -22,9 +24,11 @@
 	// silence is how long a watch may deliver nothing before it is reopened.
 	// A change that a silent watch missed has to be in force within 8 s.
 	silence = 3 * time.Second
-	// aliveLimit is the longest silence of a member that counts for the choice
-	// of watchers.
+	// aliveLimit and farLimit are the longest silences of members of the own
+	// and of other cells that count for the choice of watchers. If those of
+	// other cells did not count, every cell would have its own watchers.
 	aliveLimit = 3 * time.Second
+	farLimit   = 2 * time.Minute
 	// slowPoll is the interval at which hosts without a watch read the head:
 	// 9 reads/s from 2,800 hosts.
 	slowPoll = 5 * time.Minute
@@ -108,7 +112,8 @@
 func (r *Rollout) IsWatcher() bool {
 	own, ahead := watchScore(r.host), 0
 	for _, m := range r.peers.Members() {
-		if m.Zone == r.zone && !m.Draining && m.Silent < aliveLimit && watchScore(m.Host) > own {
+		alive := m.Silent < aliveLimit || !m.Direct && m.Silent < farLimit
+		if m.Zone == r.zone && !m.Draining && alive && watchScore(m.Host) > own {
 			ahead++
 		}
 	}
@@ -310,42 +315,37 @@
 const pullAttempts = 3
 
 // ahead returns members with a newer version, those of the own zone first and
-// otherwise in an order that differs between hosts, which spreads the load.
+// otherwise in an order that differs between hosts, which spreads the load,
+// and changes with time, so that a member that does not answer is not asked
+// first every time.
 func (r *Rollout) ahead() []quetzalhook.HostID {
-	current := r.Version()
-	members := slices.DeleteFunc(slices.Clone(r.peers.Members()), func(m quetzalhook.Member) bool {
-		return m.ConfigVersion <= current
-	})
-	slices.SortFunc(members, func(a, b quetzalhook.Member) int {
-		if (a.Zone == r.zone) != (b.Zone == r.zone) {
-			if a.Zone == r.zone {
-				return -1
-			}
-			return 1
+	type candidate struct {
+		host  quetzalhook.HostID
+		far   int
+		score uint64
+	}
+	current, round := r.Version(), r.clock.Now().Unix()
+	var list []candidate
+	for _, m := range r.peers.Members() {
+		if m.ConfigVersion <= current {
+			continue
 		}
-		sa, sb := r.pullScore(a.Host), r.pullScore(b.Host)
-		switch {
-		case sa < sb:
-			return -1
-		case sa > sb:
-			return 1
+		c := candidate{host: m.Host, score: xxhash.Sum64String(fmt.Sprint(r.host, m.Host, round))}
+		if m.Zone != r.zone {
+			c.far = 1
 		}
-		return 0
+		list = append(list, c)
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.far, b.far), cmp.Compare(a.score, b.score))
 	})
 	hosts := make([]quetzalhook.HostID, 0, pullAttempts)
-	for _, m := range members[:min(len(members), pullAttempts)] {
-		hosts = append(hosts, m.Host)
+	for _, c := range list[:min(len(list), pullAttempts)] {
+		hosts = append(hosts, c.host)
 	}
 	return hosts
 }
 
-// pullScore changes with time, so that a member that does not answer is not
-// asked first every time.
-func (r *Rollout) pullScore(h quetzalhook.HostID) uint64 {
-	round := r.clock.Now().Unix()
-	return xxhash.Sum64String(string(r.host)+"\x00"+string(h)) * uint64(round|1)
-}
-
 // sleep waits for d and reports whether ctx is still open.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/record/credential/persist.go
+++ b/internal/record/credential/persist.go
@@ -24,8 +24,10 @@
 	dutyHosts = 2
 	// watchersPerZone is the number of hosts of a zone that watch the store.
 	watchersPerZone = 2
-	// aliveLimit is the longest silence of a member that counts for duties.
+	// aliveLimit and farLimit are the longest silences of members of the own
+	// and of other cells that count for duties.
 	aliveLimit = 3 * time.Second
+	farLimit   = 2 * time.Minute
 	// interval is the time between two looks at the digests of other hosts, at
 	// withdrawals that are not persisted, and at a store that failed.
 	interval = time.Second
@@ -181,13 +183,17 @@
 func (r *Registry) isAmong(name string, n int, members []quetzalhook.Member, eligible func(quetzalhook.Member) bool) bool {
 	mine, ahead := rank(name, r.self.Host), 0
 	for _, m := range members {
-		if m.Silent < aliveLimit && !m.Draining && eligible(m) && rank(name, m.Host) > mine {
+		if isAlive(m) && !m.Draining && eligible(m) && rank(name, m.Host) > mine {
 			ahead++
 		}
 	}
 	return ahead < n
 }
 
+func isAlive(m quetzalhook.Member) bool {
+	return m.Silent < aliveLimit || !m.Direct && m.Silent < farLimit
+}
+
 func (r *Registry) isWatcher() bool {
 	return r.isAmong("key", watchersPerZone, r.peers.Members(), func(m quetzalhook.Member) bool { return m.Zone == r.self.Zone })
 }
--- a/internal/record/credential/spread.go
+++ b/internal/record/credential/spread.go
@@ -174,7 +174,7 @@
 				state.at = heard
 			}
 			state.digest = d
-		case !asked[d] && len(ask) < pullsPerRound && m.Silent < aliveLimit:
+		case !asked[d] && len(ask) < pullsPerRound && isAlive(m):
 			asked[d] = true
 			ask = append(ask, m)
 		}
--- a/platform.go
+++ b/platform.go
@@ -133,7 +133,10 @@
 	Address     string // for callers, host:port
 	PeerAddress string // for other hosts, host:port
 	Draining    bool
-	Silent      time.Duration // time since the last heartbeat
+	Silent      time.Duration // time since the last sign of life
+	// Direct reports that the host is in the same cell. Signs of life of other
+	// hosts come through summaries and are later.
+	Direct bool
 	// FreeCapacity is the fraction of unused slots, from 0 to 1.
 	FreeCapacity float64
 	// ConfigVersion is the configuration in force on the host.
