Answer summary requests with the host's own current state

A host that is alone in its cell sends no heartbeats, so that its answer carried an empty state: version 0 and the digest of no withdrawals.

--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -95,7 +95,8 @@
 	sequence uint64
 	beats    int
 	outgoing demandQueue
-	told     beat // last own beat sent
+	latest   beat // the own beat now
+	told     beat // the own beat last sent to the cell
 	regions  map[cellID]*cellView
 	random   uint64
 	blocked  func(quetzalhook.HostID) bool
--- a/internal/fleet/member/send.go
+++ b/internal/fleet/member/send.go
@@ -26,15 +26,16 @@
 	g.arrange()
 	round := g.beats%beatsPerRound == 0
 	g.beats++
+	g.latest = toBeat(r)
 	if round {
 		g.outgoing.update(r.Demand)
 		g.forgetLeft(now)
 	}
-	out, err := g.heartbeats(now, r, round)
+	out, err := g.heartbeats(now, round)
 	if err != nil || !round {
 		return out, err
 	}
-	more, err := g.summaries(now, r)
+	more, err := g.summaries(now)
 	if err != nil {
 		return out, err
 	}
@@ -55,7 +56,7 @@
 // heartbeats returns the heartbeat for each host of the cell that has been
 // heard. Hosts that are gone get one a round, so that they come back after a
 // partition.
-func (g *gossip) heartbeats(now time.Time, r Report, round bool) ([]datagram, error) {
+func (g *gossip) heartbeats(now time.Time, round bool) ([]datagram, error) {
 	var targets []*peer
 	for _, p := range g.near {
 		if p.left.IsZero() && !p.seen.IsZero() && !g.blocked(p.profile.Host) && (round || p.silent(now) < goneAfter) {
@@ -66,7 +67,8 @@
 		return nil, nil
 	}
 	m := g.packet()
-	if b := toBeat(r); round || differs(b, g.told) {
+	if round || differs(g.latest, g.told) {
+		b := g.latest
 		m.Beat, g.told = &b, b
 	}
 	limit := max(minBody, sendBudget/(beatsPerRound*len(targets))-headerSize-macSize)
--- a/internal/fleet/member/summary.go
+++ b/internal/fleet/member/summary.go
@@ -31,8 +31,8 @@
 const cellRetention = 5 * time.Minute
 
 // summaryOf describes the own cell.
-func (g *gossip) summaryOf(now time.Time, own beat) summary {
-	s := summary{Cell: g.cell, Origin: g.self.Host, Beat: own}
+func (g *gossip) summaryOf(now time.Time) summary {
+	s := summary{Cell: g.cell, Origin: g.self.Host, Beat: g.latest}
 	s.Alive = binary.BigEndian.AppendUint32(s.Alive, hostHash(g.self.Host))
 	free, n := int(s.Beat.FreePercent), 1
 	for _, p := range g.near {
@@ -55,11 +55,11 @@
 // one, and one of the cell that this host has heard of least recently, which
 // is asked for its summary. With random hosts only, the worst silence in 60
 // cells was 84 s.
-func (g *gossip) summaries(now time.Time, r Report) ([]datagram, error) {
+func (g *gossip) summaries(now time.Time) ([]datagram, error) {
 	if g.cells.single {
 		return nil, nil
 	}
-	own := g.summaryOf(now, toBeat(r))
+	own := g.summaryOf(now)
 	asked := g.pickStalest(now)
 	random := g.pick(func(p *peer) bool { return p.cell != g.cell && p != asked && g.isReachable(p) })
 	var out []datagram
@@ -109,7 +109,7 @@
 // summaryAnswer returns summaries for a host that asked for them.
 func (g *gossip) summaryAnswer(now time.Time, p *peer) (*datagram, error) {
 	g.arrange()
-	d, err := g.summaryFor(now, p, g.summaryOf(now, g.told), false)
+	d, err := g.summaryFor(now, p, g.summaryOf(now), false)
 	return &d, err
 }
 
