--- a/cmd/trial/main.go
+++ b/cmd/trial/main.go
@@ -34,6 +34,7 @@
 			&cli.StringSliceFlag{Name: "policy", Usage: "policies to run; default all"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the load and the choices"},
 			&cli.IntFlag{Name: "hosts", Value: 6, Usage: "number of hosts"},
+			&cli.IntFlag{Name: "engines", Value: 6, Usage: "number of engines in each of three zones"},
 			&cli.IntFlag{Name: "parallel", Value: 4, Usage: "runs at once"},
 			&cli.DurationFlag{Name: "duration", Value: time.Minute, Usage: "virtual time of arrivals"},
 			&cli.BoolFlag{Name: "json", Usage: "print one JSON array after the table"},
@@ -82,7 +83,7 @@
 					continue
 				}
 				cfg := trial.Config{
-					Workload: wl, Seed: cmd.Uint64("seed"), Hosts: cmd.Int("hosts"), Duration: cmd.Duration("duration"),
+					Workload: wl.Scaled(max(cmd.Int("engines"), 1)), Seed: cmd.Uint64("seed"), Hosts: cmd.Int("hosts"), Duration: cmd.Duration("duration"),
 				}
 				list = append(list, func() trial.Result { return trial.Run(cfg, row, p.Name, p.Build) })
 			}
--- a/internal/bench/trial/workload.go
+++ b/internal/bench/trial/workload.go
@@ -33,9 +33,11 @@
 type Workload struct {
 	Name    string
 	Regions []quetzalhook.Region
-	// Cheap is the number of reclaimable engines among the six of each zone.
-	Cheap int
-	kinds []kind
+	// Engines is the number of engines in each of the three zones, Cheap how
+	// many of them are reclaimable.
+	Engines int
+	Cheap   int
+	kinds   []kind
 }
 
 const (
@@ -46,7 +48,7 @@
 // Association returns the workload of the balloon sellers' association.
 func Association() Workload {
 	return Workload{
-		Name: "association", Regions: []quetzalhook.Region{"ljubljana", "maribor", "koper"}, Cheap: 2,
+		Name: "association", Regions: []quetzalhook.Region{"ljubljana", "maribor", "koper"}, Engines: 6, Cheap: 2,
 		kinds: []kind{
 			{
 				class: quetzalhook.NewClass("permit-question", 0, quetzalhook.WithTTFTTarget(urgentTarget), quetzalhook.WithLateWorthless(),
@@ -77,7 +79,7 @@
 // Foundry returns the workload of the pattern shop.
 func Foundry() Workload {
 	return Workload{
-		Name: "foundry", Regions: []quetzalhook.Region{"addis", "mekelle", "hawassa"}, Cheap: 3,
+		Name: "foundry", Regions: []quetzalhook.Region{"addis", "mekelle", "hawassa"}, Engines: 6, Cheap: 3,
 		kinds: []kind{
 			{
 				class: quetzalhook.NewClass("defect-question", 0, quetzalhook.WithTTFTTarget(urgentTarget), quetzalhook.WithLateWorthless(),
@@ -106,7 +108,6 @@
 }
 
 const (
-	enginesPerZone  = 6
 	engineSlots     = 8
 	engineTokens    = 100 // tokens/s of one stream alone
 	enginePrefill   = 20000
@@ -126,7 +127,7 @@
 	var list []quetzalhook.Upstream
 	for z, region := range wl.Regions {
 		zone := quetzalhook.Zone(string(region) + "-a")
-		for i := range enginesPerZone {
+		for i := range wl.Engines {
 			u := quetzalhook.Upstream{
 				ID: quetzalhook.UpstreamID(fmt.Sprintf("%s-engine-%d", region, i)), Zone: zone, Region: region,
 				Models: []quetzalhook.Model{model}, Slots: engineSlots, TokenRate: engineTokens,
@@ -158,16 +159,27 @@
 	return k.meanOutput()*(1+batchSlope)/engineTokens + 2*fresh/enginePrefill
 }
 
-// calmRate returns the arrivals/s of calm traffic.
-func (k kind) calmRate() float64 {
+// Scaled returns the workload with n engines in each zone, cheap ones in the
+// same proportion.
+func (wl Workload) Scaled(n int) Workload {
+	wl.Cheap = wl.Cheap * n / wl.Engines
+	wl.Engines = n
+	return wl
+}
+
+// slots returns the slots of all engines.
+func (wl Workload) slots() float64 { return float64(len(wl.Regions) * wl.Engines * engineSlots) }
+
+// calmRate returns the arrivals/s of calm traffic of a kind.
+func (wl Workload) calmRate(k kind) float64 {
 	if k.service != "" {
 		return k.rate
 	}
-	return k.share * 3 * enginesPerZone * engineSlots / k.slotTime()
+	return k.share * wl.fullRate(k)
 }
 
-// fullRate returns the arrivals/s that would keep every slot busy.
-func (k kind) fullRate() float64 { return 3 * enginesPerZone * engineSlots / k.slotTime() }
+// fullRate returns the arrivals/s of a kind that would keep every slot busy.
+func (wl Workload) fullRate(k kind) float64 { return wl.slots() / k.slotTime() }
 
 // generate draws all requests of a run in order of arrival. The draws of a
 // class do not depend on the row, except for the added burst.
@@ -175,9 +187,9 @@
 	var all []*request
 	for i, k := range cfg.Workload.kinds {
 		rng := rand.New(rand.NewPCG(cfg.Seed, uint64(i)+1))
-		all = append(all, k.arrivals(rng, k.calmRate()*max(row.Load, 1), 0, cfg.Duration, hosts)...)
+		all = append(all, k.arrivals(rng, cfg.Workload.calmRate(k)*max(row.Load, 1), 0, cfg.Duration, hosts)...)
 		if k.class.IsUrgent() && row.Burst > 0 {
-			extra := max(row.Burst*k.fullRate()-k.calmRate(), 0)
+			extra := max(row.Burst*cfg.Workload.fullRate(k)-cfg.Workload.calmRate(k), 0)
 			rng := rand.New(rand.NewPCG(cfg.Seed, uint64(i)+101))
 			at := hosts
 			if row.Skewed {
