Convert demand in tokens by the size of own requests

Hosts of which gossip carries only tokens were taken to need a slot for each 400 tokens, a multiple of what long requests need. The conversion now uses the mean work of this host's requests in each tier. TestDemandInTokens failed with the fixed size.

--- a/internal/traffic/placement/division.go
+++ b/internal/traffic/placement/division.go
@@ -13,11 +13,14 @@
 	// period and the delay. Growth of the own demand counts after this time,
 	// so that a host does not take slots that peers still use.
 	settleTime = 200 * time.Millisecond
-	// defaultWork is the output of a request in tokens where demand counts only
-	// tokens.
-	defaultWork = 400
+	// workGain weighs a new mean of the work of a request.
+	workGain = 0.1
 )
 
+// defaultWork is the work of a request in tokens, by tier, until this host has
+// had one: short questions, and long work with its prompt.
+var defaultWork = [quetzalhook.TierCount]float64{500, 500, 4000, 4000}
+
 // divide computes this host's slots on every upstream from the demand of all
 // hosts.
 func (p *Planner) divide(now time.Time) {
@@ -27,7 +30,7 @@
 	} else {
 		needs := append(make([]share.Need, 0, len(p.peers)+1), own)
 		for _, d := range p.peers {
-			needs = append(needs, need(d.Host, d.Demand))
+			needs = append(needs, p.need(d.Host, d.Demand))
 		}
 		p.table = share.Divide(p.capacity(), needs)
 	}
@@ -93,7 +96,7 @@
 // ownNeed returns this host's need as its peers know it: growth counts after
 // settleTime, a decrease at once.
 func (p *Planner) ownNeed(now time.Time) share.Need {
-	current := need(p.host, p.own)
+	current := p.need(p.host, p.own)
 	if now.Sub(p.rotated) >= settleTime {
 		p.settled, p.pending, p.rotated = p.pending, current, now
 	}
@@ -104,8 +107,9 @@
 }
 
 // need converts a host's demand to slots by tier: one for each request. A
-// host that reports only tokens is taken to need one slot for defaultWork.
-func need(h quetzalhook.HostID, d quetzalhook.Demand) share.Need {
+// host that reports only tokens is taken to have requests of the size of this
+// host's.
+func (p *Planner) need(h quetzalhook.HostID, d quetzalhook.Demand) share.Need {
 	n := share.Need{Host: h}
 	counted := false
 	for tier, requests := range d.Requests {
@@ -116,7 +120,16 @@
 		return n
 	}
 	for tier := range n.Slots {
-		n.Slots[tier] = (d.Waiting[tier] + d.Running[tier]) / defaultWork
+		n.Slots[tier] = (d.Waiting[tier] + d.Running[tier]) / p.work[tier]
 	}
 	return n
 }
+
+// learnWork smooths the mean work of this host's requests in each tier.
+func (p *Planner) learnWork(d quetzalhook.Demand) {
+	for tier, n := range d.Requests {
+		if n > 0 {
+			p.work[tier] += workGain * ((d.Waiting[tier]+d.Running[tier])/float64(n) - p.work[tier])
+		}
+	}
+}
--- a/internal/traffic/placement/planner.go
+++ b/internal/traffic/placement/planner.go
@@ -72,7 +72,8 @@
 	streams   map[quetzalhook.RequestID]*stream
 
 	own       quetzalhook.Demand
-	settled   share.Need // own need that the peers know
+	work      [quetzalhook.TierCount]float64 // mean work of a request in tokens
+	settled   share.Need                     // own need that the peers know
 	pending   share.Need
 	rotated   time.Time
 	peers     []quetzalhook.PeerDemand
@@ -137,6 +138,7 @@
 		pools:    make(map[quetzalhook.Model]*pool),
 		prefixes: newPrefixIndex(maxPrefixes),
 		streams:  make(map[quetzalhook.RequestID]*stream),
+		work:     defaultWork,
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -230,6 +232,7 @@
 // ObserveDemand implements quetzalhook.Placer.
 func (p *Planner) ObserveDemand(now time.Time, d quetzalhook.Demand) {
 	p.own = d
+	p.learnWork(d)
 	p.refresh(now, false)
 }
 
--- a/internal/traffic/placement/planner_test.go
+++ b/internal/traffic/placement/planner_test.go
@@ -183,6 +183,27 @@
 	}
 }
 
+// TestDemandInTokens guards against peers that gossip only tokens and get the
+// slots of many requests for a few long ones.
+func TestDemandInTokens(t *testing.T) {
+	p := New(WithHost(hostID(0)), WithHosts(2), WithSeed(1))
+	p.SetUpstreams(start, engines(18))
+	own := quetzalhook.Demand{}
+	own.Requests[0], own.Requests[2] = 100, 60
+	own.Running[0], own.Running[2] = 100*300, 60*9000
+	peers := idlePeers(2, 0)
+	peers[0].Demand.Running[0], peers[0].Demand.Running[2] = 100*300, 60*9000
+	now := start
+	for range 100 {
+		now = now.Add(250 * time.Millisecond)
+		p.ObserveDemand(now, own)
+		p.ObservePeers(now, peers)
+	}
+	if got, _ := p.Slots(now, "small"); got < 138 || got > 150 {
+		t.Errorf("two hosts with the same work: got %d of 288 slots, want about 144", got)
+	}
+}
+
 // TestPrefixCache guards against a planner that ignores cached prompts, or
 // trusts them after an eviction or a gap in the events.
 func TestPrefixCache(t *testing.T) {
