Cap ejections for each model of an upstream

Upstreams were grouped by their whole list of models, so that a model served by differently configured upstreams could lose more than its cap. They now count for each of their models. TestEjectedUnderCap mixes upstreams of one and two models; it failed with no cap (1 of 1 out), with the cap of the first model only and without counting returns.

--- a/internal/bench/trial/host.go
+++ b/internal/bench/trial/host.go
@@ -35,7 +35,6 @@
 	first       time.Duration
 	last        time.Duration
 	done        bool
-	ended       time.Duration // of a refusal
 	refused     quetzalhook.RefuseKind
 	attempts    int
 	started     time.Duration // last start
@@ -235,7 +234,6 @@
 		w.check(invariant.UrgentNotShed, a.Refusal == quetzalhook.RefuseLimit || !h.runsLower(), "request", r.ID, "kind", a.Refusal)
 	}
 	r.refused = a.Refusal
-	r.ended = h.w.now
 	r.current = nil
 	h.close(r)
 }
--- a/internal/traffic/health/health.go
+++ b/internal/traffic/health/health.go
@@ -7,6 +7,7 @@
 import (
 	"math"
 	"sort"
+	"strings"
 	"time"
 
 	"quetzalhook"
@@ -99,8 +100,8 @@
 // Target is the health record of one upstream.
 type Target struct {
 	id      quetzalhook.UpstreamID
-	key     groupKey
-	group   *group
+	kind    string   // of upstreams whose token rates are comparable
+	groups  []*group // one for each model
 	nominal float64
 	service bool // answers whole, so that tokens tell nothing
 
@@ -154,53 +155,69 @@
 		if u.State == quetzalhook.UpstreamGone {
 			continue
 		}
-		key := groupKey{model: modelKey(u), zone: u.Zone}
 		t := old[u.ID]
 		if t == nil {
 			t = &Target{id: u.ID, streams: make(map[*Stream]struct{})}
 		}
-		t.key, t.nominal, t.service = key, max(u.TokenRate, 1), u.Kind == quetzalhook.KindService
-		g := m.groups[key]
-		if g == nil {
-			g = &group{}
-			m.groups[key] = g
+		t.nominal, t.service = max(u.TokenRate, 1), u.Kind == quetzalhook.KindService
+		t.groups = t.groups[:0]
+		names := served(u)
+		t.kind = strings.Join(names, " ")
+		for _, name := range names {
+			t.groups = append(t.groups, m.join(groupKey{model: name, zone: u.Zone}))
 		}
-		t.group = g
-		g.size++
 		m.targets[u.ID] = t
 		m.order = append(m.order, t)
 	}
 	m.recap()
 }
 
-// recap counts the ejected upstreams of each group again and returns those
-// over the cap, the least often ejected first, to Suspect.
+// join returns the group of a key with one upstream more.
+func (m *Monitor) join(key groupKey) *group {
+	g := m.groups[key]
+	if g == nil {
+		g = &group{}
+		m.groups[key] = g
+	}
+	g.size++
+	return g
+}
+
+// recap counts the ejected upstreams of each group again and makes those over
+// the cap Suspect.
 func (m *Monitor) recap() {
 	for _, t := range m.order {
-		if t.isOut() {
-			t.group.out++
+		if t.isOut() && !m.takeOut(t) {
+			t.state = Suspect
 		}
 	}
-	for _, t := range m.order {
-		if t.isOut() && t.group.out > m.maxOut(t.group) {
-			t.state = Suspect
-			t.group.out--
+}
+
+// takeOut counts t as out, or returns false if the cap of a group is reached.
+func (m *Monitor) takeOut(t *Target) bool {
+	for _, g := range t.groups {
+		if g.out >= m.maxOut(g) {
+			return false
 		}
 	}
+	for _, g := range t.groups {
+		g.out++
+	}
+	return true
 }
 
 func (t *Target) isOut() bool { return t.state == Ejected || t.state == Probing }
 
-// modelKey joins what makes token rates comparable: kind and models.
-func modelKey(u quetzalhook.Upstream) string {
+// served returns the models of an engine, or the name of a service.
+func served(u quetzalhook.Upstream) []string {
 	if u.Kind == quetzalhook.KindService {
-		return "service " + u.Service
+		return []string{"service " + u.Service}
 	}
-	s := "engine"
+	names := make([]string, 0, len(u.Models))
 	for _, m := range u.Models {
-		s += " " + string(m)
+		names = append(names, string(m))
 	}
-	return s
+	return names
 }
 
 // maxOut is the number of upstreams of a group that may be out at once. A
@@ -217,7 +234,9 @@
 	out := make(map[*group]int, len(m.groups))
 	for _, t := range m.order {
 		if t.isOut() {
-			out[t.group]++
+			for _, g := range t.groups {
+				out[g]++
+			}
 		}
 	}
 	for g, n := range out {
@@ -228,16 +247,6 @@
 	return true
 }
 
-// Out returns, for the group of an upstream, how many are out and how many
-// may be.
-func (m *Monitor) Out(u quetzalhook.UpstreamID) (out, limit int) {
-	t := m.targets[u]
-	if t == nil {
-		return 0, 0
-	}
-	return t.group.out, m.maxOut(t.group)
-}
-
 // Target returns the record of an upstream, or nil.
 func (m *Monitor) Target(u quetzalhook.UpstreamID) *Target { return m.targets[u] }
 
@@ -329,7 +338,9 @@
 
 func (m *Monitor) restore(t *Target) {
 	t.state, t.failures, t.ejections = Healthy, 0, 0
-	t.group.out--
+	for _, g := range t.groups {
+		g.out--
+	}
 }
 
 // fail counts a failure; a probe that fails ejects at once.
@@ -342,12 +353,9 @@
 
 // eject takes t out of service, or marks it Suspect if the cap is reached.
 func (m *Monitor) eject(now time.Time, t *Target) {
-	if !t.isOut() {
-		if t.group.out >= m.maxOut(t.group) {
-			t.state = Suspect
-			return
-		}
-		t.group.out++
+	if !t.isOut() && !m.takeOut(t) {
+		t.state = Suspect
+		return
 	}
 	if t.state == Ejected {
 		return
@@ -360,7 +368,7 @@
 
 // isSlow compares t with the median of its kind.
 func (m *Monitor) isSlow(now time.Time, t *Target) bool {
-	median, ok := m.medians[t.key.model]
+	median, ok := m.medians[t.kind]
 	return ok && t.samples >= minSamples && now.Sub(t.sampled) <= rateMemory &&
 		t.rate < m.slowRatio*median
 }
@@ -387,7 +395,7 @@
 	rates := make(map[string][]float64)
 	for _, t := range m.order {
 		if t.samples >= minSamples && now.Sub(t.sampled) <= rateMemory {
-			rates[t.key.model] = append(rates[t.key.model], t.rate)
+			rates[t.kind] = append(rates[t.kind], t.rate)
 		}
 	}
 	clear(m.medians)
--- a/internal/traffic/health/health_test.go
+++ b/internal/traffic/health/health_test.go
@@ -29,17 +29,17 @@
 	streams map[string]*Stream
 	tokens  map[string]float64
 	muted   map[string]bool
+	list    []quetzalhook.Upstream
 }
 
 func newBench(n int) *bench {
 	b := &bench{m: New(), now: epoch, streams: map[string]*Stream{}, tokens: map[string]float64{}, muted: map[string]bool{}}
-	var list []quetzalhook.Upstream
 	for i := range n {
-		list = append(list, quetzalhook.Upstream{
+		b.list = append(b.list, quetzalhook.Upstream{
 			ID: quetzalhook.UpstreamID(fmt.Sprintf("e%d", i)), Zone: "z", Models: []quetzalhook.Model{"m"}, TokenRate: 50,
 		})
 	}
-	b.m.SetUpstreams(list)
+	b.m.SetUpstreams(b.list)
 	return b
 }
 
@@ -144,6 +144,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 8).Draw(t, "engines")
 		b := newBench(n)
+		for i := range b.list {
+			if i%2 == 0 {
+				b.list[i].Models = append(b.list[i].Models, "n")
+			}
+		}
+		b.m.SetUpstreams(b.list)
 		rates := map[string]float64{}
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			e := fmt.Sprintf("e%d", rapid.IntRange(0, n-1).Draw(t, "engine"))
@@ -156,14 +162,22 @@
 			}
 			rates[e] = rapid.SampledFrom([]float64{0, 5, 50}).Draw(t, "rate")
 			b.run(time.Duration(rapid.IntRange(50, 4000).Draw(t, "ms"))*time.Millisecond, func(e string) float64 { return rates[e] })
-			out := 0
-			for _, o := range b.m.order {
-				if o.State() == Ejected || o.State() == Probing {
+			out, shared := 0, 0
+			for i, o := range b.m.order {
+				if o.isOut() {
 					out++
+					shared += (i + 1) % 2
 				}
 			}
-			if _, limit := b.m.Out("e0"); out > limit || limit > max(n/2, 1) {
-				t.Fatalf("ejected: got %d of %d, want at most %d", out, n, limit)
+			// Every other engine serves model n, too.
+			if want := max(n/2, 1); n > 1 && out > want || n == 1 && out > 0 {
+				t.Fatalf("ejected: got %d of %d, want at most %d", out, n, want)
+			}
+			if half := (n + 1) / 2; shared > max(half/2, 1) || half == 1 && shared > 0 {
+				t.Fatalf("ejected of those that serve n: got %d of %d, want at most half", shared, half)
+			}
+			if !b.m.UnderCap() {
+				t.Fatal("got over the cap by the monitor's own check")
 			}
 		}
 	})
