State the ejection bound of the test by group size

The message named a bound of 1 for a group of one, of which none may be out. With the cap removed the test now says: got 1 of 1, want at most 0.

--- a/internal/traffic/health/health_test.go
+++ b/internal/traffic/health/health_test.go
@@ -170,11 +170,13 @@
 				}
 			}
 			// Every other engine serves model n, too.
-			if want := max(n/2, 1); n > 1 && out > want || n == 1 && out > 0 {
-				t.Fatalf("ejected: got %d of %d, want at most %d", out, n, want)
+			// Half may be out, at least one of two, never the only one.
+			most := func(size int) int { return max(size/2, min(size-1, 1)) }
+			if out > most(n) {
+				t.Fatalf("ejected: got %d of %d, want at most %d", out, n, most(n))
 			}
-			if half := (n + 1) / 2; shared > max(half/2, 1) || half == 1 && shared > 0 {
-				t.Fatalf("ejected of those that serve n: got %d of %d, want at most half", shared, half)
+			if size := (n + 1) / 2; shared > most(size) {
+				t.Fatalf("ejected of those that serve n: got %d of %d, want at most %d", shared, size, most(size))
 			}
 			if !b.m.UnderCap() {
 				t.Fatal("got over the cap by the monitor's own check")
