Count usage and report billing windows

Usage totals are replicated to two hosts of other zones every second and written in batches; the holder of the role reporter freezes and reports each window. Intervals shrink with the window, so that a window is reported within the next one. The stand-in platform lists hosts with a lag.

--- a/internal/bench/scenario/host.go
+++ b/internal/bench/scenario/host.go
@@ -14,6 +14,7 @@
 	"quetzalhook/internal/bench/workload"
 	"quetzalhook/internal/entry/node"
 	"quetzalhook/internal/entry/setting"
+	"quetzalhook/internal/platform/object"
 	"quetzalhook/internal/state/invariant"
 )
 
@@ -56,7 +57,7 @@
 		hosts = append(hosts, &host{name: name, system: s, settings: setting.Settings{
 			Host: hostID(name), Zone: zoneName(workloads[0].Regions[i/hostsPerZone]),
 			Listen: callers, PeerListen: peers, Hosts: zones * hostsPerZone, Platform: s.backend.address,
-			PeerSecret: peerSecret, OperatorKey: operatorKey, Policy: s.settings.Policy, HostsLifetime: hostsLifetime,
+			PeerSecret: peerSecret, OperatorKey: operatorKey, Policy: s.settings.Policy, HostsLifetime: hostsLifetime, BillingWindow: billingWindow,
 		}})
 	}
 	for _, h := range hosts {
@@ -85,9 +86,22 @@
 	h.node = n
 	h.registries = append(h.registries, n.Invariants())
 	h.last = 0
+	h.system.listHost(h.item(n, false))
 	return nil
 }
 
+// item returns the host's entry in the platform's list.
+func (h *host) item(n *node.Node, leaving bool) object.HostItem {
+	return object.HostItem{
+		Host: h.name, Incarnation: uint64(n.Incarnation()), Zone: string(h.settings.Zone), Leaving: leaving,
+	}
+}
+
+// listHost changes an entry of the platform's list after its lag.
+func (s *system) listHost(item object.HostItem) {
+	time.AfterFunc(listLag, func() { s.backend.cloud.ListHost(item) })
+}
+
 // kill ends the host as a crash would.
 func (h *host) kill() error {
 	h.mu.Lock()
@@ -111,6 +125,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
+	h.system.listHost(h.item(n, true))
 	err := n.Stop(ctx)
 	h.mu.Lock()
 	h.node = nil
--- a/internal/bench/scenario/scenario.go
+++ b/internal/bench/scenario/scenario.go
@@ -31,6 +31,10 @@
 	servicePrice   = 0.1     // an hour
 
 	hostsLifetime = time.Second
+	// billingWindow lets several windows end within a run.
+	billingWindow = 5 * time.Second
+	// listLag is how late the platform's list of hosts is.
+	listLag = 2 * time.Second
 	// drainTimeout bounds the wait for open requests after the last arrival.
 	drainTimeout = 45 * time.Second
 )
--- a/internal/entry/node/fleet.go
+++ b/internal/entry/node/fleet.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,7 @@
 	incarnation quetzalhook.Incarnation
 	members     *member.Service
 	peers       *peer.Service
+	closed      sync.Once
 }
 
 // newFleet returns the fleet of a host. A restarted host, which may run on
@@ -105,8 +107,11 @@
 
 // Close ends all traffic with other hosts.
 func (f *fleet) Close() error {
-	_ = f.members.Close()
-	return f.peers.Close()
+	f.closed.Do(func() {
+		_ = f.members.Close()
+		_ = f.peers.Close()
+	})
+	return nil
 }
 
 // live returns the other hosts that were heard from lately.
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -185,6 +185,9 @@
 	return n.listener.Addr().String()
 }
 
+// Incarnation returns the number of this process lifetime of the host.
+func (n *Node) Incarnation() quetzalhook.Incarnation { return n.fleet.incarnation }
+
 // Invariants returns the counters of the host's invariant checks.
 func (n *Node) Invariants() *invariant.Registry { return n.inv }
 
--- a/internal/entry/node/records.go
+++ b/internal/entry/node/records.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,9 +11,22 @@
 	"quetzalhook/internal/entry/operator"
 	"quetzalhook/internal/fleet/controller"
 	"quetzalhook/internal/fleet/lease"
+	"quetzalhook/internal/record/billing"
 	"quetzalhook/internal/record/configuration"
 	"quetzalhook/internal/record/credential"
 	"quetzalhook/internal/record/journal"
+	"quetzalhook/internal/record/usage"
+)
+
+const (
+	replicaInterval = time.Second
+	flushInterval   = time.Minute
+	reportInterval  = 10 * time.Second
+	reportGrace     = 3 * time.Minute
+	hostGone        = 2 * time.Minute
+	// windowParts shortens these intervals for short billing windows, so that
+	// a window is reported within the next one.
+	windowParts = 5
 )
 
 // records joins the parts of a host that keep what must last.
@@ -24,12 +36,11 @@
 	planner *configuration.Planner
 	keys    *keyRing
 	journal *callJournal
-	leases  []*lease.Lease
+	usage   *usage.Meter
+	leases  map[string]*lease.Lease
 
 	controller *controller.Controller
-
-	mu    sync.Mutex
-	usage map[quetzalhook.CustomerID]front.Usage
+	reporter   *billing.Reporter
 }
 
 func (n *Node) newRecords() (*records, error) {
@@ -43,14 +54,33 @@
 			credential.Identity{Host: n.settings.Host, Zone: n.settings.Zone},
 			n.platform, n.fleet.peers, n.clock, n.log, n.inv)},
 		journal: newCallJournal(journal.New(n.settings.Host, n.fleet.incarnation, n.platform, n.clock, n.fleet.peers, n.inv)),
-		usage:   make(map[quetzalhook.CustomerID]front.Usage),
+		leases:  make(map[string]*lease.Lease),
 	}
-	role, err := r.newLease(lease.RoleController)
+	return r, r.addRoles()
+}
+
+// addRoles adds the parts that only the holder of a role runs.
+func (r *records) addRoles() error {
+	n := r.node
+	schedule := usage.NewSchedule(n.settings.BillingWindow)
+	calendar := quetzalhook.ClockFunc(time.Now)
+	source := usage.Source{Host: n.settings.Host, Incarnation: n.fleet.incarnation}
+	part := n.settings.BillingWindow / windowParts
+	r.usage = usage.New(source, n.settings.Zone, n.platform, n.clock, calendar, n.fleet.peers, schedule,
+		usage.WithIntervals(min(replicaInterval, part), min(flushInterval, part)))
+	control, err := r.newLease(lease.RoleController)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	r.controller = controller.New(control, n.platform, n.platform, &capacityPlanner{node: n}, n.clock, controller.WithLog(n.log))
+	report, err := r.newLease(lease.RoleReporter)
+	if err != nil {
+		return err
 	}
-	r.controller = controller.New(role, n.platform, n.platform, &capacityPlanner{node: n}, n.clock, controller.WithLog(n.log))
-	return r, nil
+	r.reporter = billing.New(report, n.platform, n.platform, n.platform, n.inv, n.clock, calendar, schedule,
+		billing.WithLog(n.log), billing.WithInterval(min(reportInterval, part)),
+		billing.WithGrace(min(reportGrace, 2*part)), billing.WithGone(min(hostGone, 2*part)))
+	return nil
 }
 
 // newLease returns a lease for which only some of the live hosts compete.
@@ -61,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r.leases = append(r.leases, l)
+	r.leases[role] = l
 	return l, nil
 }
 
@@ -72,13 +102,19 @@
 		l.Start()
 	}
 	r.controller.Start()
+	r.reporter.Start()
+	r.usage.Start()
 	r.journal.journal.Start()
 }
 
 // close ends the parts in the reverse order; leases are released after their
-// users have stopped.
-func (r *records) close() {
+// users have stopped. Until ctx ends, it tries to store the last usage.
+func (r *records) close(ctx context.Context) {
 	_ = r.journal.journal.Close()
+	if err := r.usage.Close(ctx); err != nil {
+		r.node.log.WithError(err).Warn("usage not stored; peers hold the last replica")
+	}
+	_ = r.reporter.Close()
 	_ = r.controller.Close()
 	for _, l := range r.leases {
 		_ = l.Close()
@@ -88,12 +124,9 @@
 }
 
 func (r *records) addUsage(u front.Usage) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	total := r.usage[u.Customer]
-	total.PromptTokens += u.PromptTokens
-	total.OutputTokens += u.OutputTokens
-	r.usage[u.Customer] = total
+	r.usage.Add(u.Customer, u.Class, usage.Amount{
+		Prompt: int64(u.PromptTokens), Output: int64(u.OutputTokens), Wasted: int64(u.WastedTokens), Requests: 1,
+	})
 }
 
 // roles returns the state of all roles, without those that the store does not
@@ -116,10 +149,8 @@
 
 // settle records an operator's statement about an open intent.
 func (r *records) settle(ctx context.Context, role, intent string) error {
-	for i, name := range []string{lease.RoleController} {
-		if name == role {
-			return r.leases[i].Confirm(ctx, intent)
-		}
+	if l := r.leases[role]; l != nil {
+		return l.Confirm(ctx, intent)
 	}
 	return errors.Errorf("there is no role %q", role)
 }
--- a/internal/entry/node/stop.go
+++ b/internal/entry/node/stop.go
@@ -42,8 +42,7 @@
 	open := n.front.Open()
 	n.inv.Check(invariant.GracefulStop, err == nil && open == 0, "open", open, "error", err)
 	_ = n.machine.Fire(eventIdle)
-	n.fleet.leave()
-	n.close()
+	n.close(ctx)
 	n.log.WithField("error", err).Info("host stopped")
 	return err
 }
@@ -63,15 +62,19 @@
 		_ = n.fleet.Close()
 		_ = n.platform.Close()
 		_ = n.server.Close()
-		n.close()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		n.close(ctx)
 	})
 }
 
-// close ends all parts. Each Close waits for its goroutines.
-func (n *Node) close() {
+// close ends all parts. Each Close waits for its goroutines. The others hear
+// of a planned stop last, since until then this host may still need them.
+func (n *Node) close(ctx context.Context) {
 	n.cancel()
 	_ = n.server.Close()
-	n.records.close()
+	n.records.close(ctx)
+	n.fleet.leave()
 	_ = n.fleet.Close()
 	_ = n.prober.Close()
 	_ = n.broker.Close()
--- a/internal/entry/setting/flag.go
+++ b/internal/entry/setting/flag.go
@@ -45,6 +45,10 @@
 			Name: "hosts-lifetime", Value: defaultHostsLifetime, Usage: "how long callers may keep the list of hosts",
 			Sources: environment("hosts-lifetime"),
 		},
+		&cli.DurationFlag{
+			Name: "billing-window", Value: time.Hour, Usage: "length of a billing window, the same on all hosts",
+			Sources: environment("billing-window"),
+		},
 		&cli.DurationFlag{
 			Name: "stop-timeout", Usage: "limit of a graceful shutdown; 0 waits for every request", Sources: environment("stop-timeout"),
 		},
@@ -70,6 +74,7 @@
 		Certificate:   cmd.String("certificate"),
 		PrivateKey:    cmd.String("private-key"),
 		HostsLifetime: cmd.Duration("hosts-lifetime"),
+		BillingWindow: cmd.Duration("billing-window"),
 		StopTimeout:   cmd.Duration("stop-timeout"),
 	}
 }
--- a/internal/entry/setting/setting.go
+++ b/internal/entry/setting/setting.go
@@ -25,6 +25,8 @@
 	maxHosts         = 1 << 16
 	minHostsLifetime = 100 * time.Millisecond
 	maxHostsLifetime = 10 * time.Minute
+	minBillingWindow = time.Second
+	day              = 24 * time.Hour
 )
 
 // Settings are the settings of one host, from flags and environment
@@ -61,6 +63,8 @@
 	PrivateKey  string
 	// HostsLifetime is how long callers may keep the answer of GET /v1/hosts.
 	HostsLifetime time.Duration
+	// BillingWindow is the length of a billing window; all hosts use the same.
+	BillingWindow time.Duration
 	// StopTimeout bounds a graceful shutdown; 0 waits for every request.
 	StopTimeout time.Duration
 }
@@ -138,6 +142,9 @@
 	if s.HostsLifetime < minHostsLifetime || s.HostsLifetime > maxHostsLifetime {
 		c.add("--hosts-lifetime %s is not from %s to %s", s.HostsLifetime, minHostsLifetime, maxHostsLifetime)
 	}
+	if s.BillingWindow < minBillingWindow || s.BillingWindow > day || day%s.BillingWindow != 0 {
+		c.add("--billing-window %s is not from %s to %s or does not divide a day", s.BillingWindow, minBillingWindow, day)
+	}
 	if s.StopTimeout < 0 {
 		c.add("--stop-timeout %s is negative", s.StopTimeout)
 	}
--- a/internal/standin/cloud/cloud.go
+++ b/internal/standin/cloud/cloud.go
@@ -10,6 +10,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -123,11 +124,20 @@
 	return append([]quetzalhook.Upstream(nil), c.upstreams...)
 }
 
-// SetHosts replaces the list of hosts.
-func (c *Cloud) SetHosts(hosts []object.HostItem) {
+// ListHost adds an incarnation of a host to the list, in place of an earlier
+// one, or removes the host if it is leaving.
+func (c *Cloud) ListHost(item object.HostItem) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hosts = hosts
+	i := slices.IndexFunc(c.hosts, func(h object.HostItem) bool { return h.Host == item.Host })
+	switch {
+	case i < 0 && !item.Leaving:
+		c.hosts = append(c.hosts, item)
+	case i >= 0 && !item.Leaving && c.hosts[i].Incarnation < item.Incarnation:
+		c.hosts[i] = item
+	case i >= 0 && item.Leaving && c.hosts[i].Incarnation == item.Incarnation:
+		c.hosts = slices.Delete(c.hosts, i, i+1)
+	}
 }
 
 // LoseOrderAnswers loses the answers of the next n orders after their effect.
