--- a/internal/bench/trial/row.go
+++ b/internal/bench/trial/row.go
@@ -47,11 +47,19 @@
 		{Name: "silent-streams", Fits: true, fault: silenceStreams},
 		{Name: "crash", Fits: true, fault: crash},
 		{Name: "reclaim-fits", Burst: 0.6, Fits: true, fault: reclaim},
+		{Name: "three-faults", Burst: 0.6, Fits: true, fault: threeFaults},
 		{Name: "reclaim", Burst: 3, fault: reclaim},
 		{Name: "reclaim-sudden", Burst: 3, fault: reclaimSudden},
 	}
 }
 
+// threeFaults combines lagging reports, a straggler and a crash.
+func threeFaults(w *world) {
+	lag(w)
+	straggle(w)
+	crash(w)
+}
+
 func lag(w *world) { w.lag = laggingReport }
 
 func straggle(w *world) {
--- a/internal/bench/trial/trial_test.go
+++ b/internal/bench/trial/trial_test.go
@@ -31,7 +31,7 @@
 	t.Parallel()
 	for name, wl := range map[string]Workload{
 		"burst-fits": Association(), "lagging-reports": Association(), "straggler": Foundry(), "crash": Foundry(),
-		"reclaim-fits": Association(), "reclaim-sudden": Foundry(),
+		"reclaim-fits": Association(), "reclaim-sudden": Foundry(), "silent": Foundry(), "three-faults": Association(),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
