Delete old versions of the configuration, and keep partial fetches

A confirm now deletes once in 100 versions what only older ones use. Store versions take the place of a clock, so that a plan just made is spared: a plan writes its shards anew even if they exist.

A host with a slow store could not load a split document at all, since each attempt began anew and was cut after 2 s; fetched shards are now kept, and eight are read at once. The setting retention.plans is gone; nothing used it.

--- /dev/null
+++ b/internal/record/configuration/clean.go
@@ -0,0 +1,131 @@
+package configuration
+
+import (
+	"context"
+	"strconv"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"quetzalhook"
+)
+
+// keptVersions is the default number of old versions that are kept. Old
+// versions are deleted once in as many confirms.
+const keptVersions = 100
+
+// touch writes a shard also if it exists already. The new store version shows
+// Clean that a plan relies on it.
+func (p *Planner) touch(ctx context.Context, key string, value []byte) error {
+	var err error
+	for range storeAttempts {
+		o, getErr := p.store.Get(ctx, key)
+		if kind := storeKind(getErr); kind != "" && kind != quetzalhook.StoreNotFound {
+			return storeFailure("write", getErr)
+		}
+		_, err = p.store.Put(ctx, key, value, o.Version)
+		switch storeKind(err) {
+		case "":
+			return nil
+		case quetzalhook.StoreConflict, quetzalhook.StoreUnknown:
+		default:
+			return storeFailure("write", err)
+		}
+	}
+	return storeFailure("write", err)
+}
+
+// Clean deletes plans, version records and shards that only versions older
+// than the kept ones use. It may run on several hosts at once and beside
+// plans and confirms.
+//
+// A plan that can still be confirmed was made from the version in force, so
+// that its shards were written after that version's predecessors were
+// recorded. Clean deletes no shard written after the oldest kept record, and
+// each delete is conditional on the store version that was looked at.
+func (p *Planner) Clean(ctx context.Context) error {
+	head, _, err := readHead(ctx, p.store)
+	if err != nil || head.Number <= p.keep {
+		return err
+	}
+	oldest := head.Number - p.keep
+	shards, err := p.store.List(ctx, shardPrefix)
+	if err != nil {
+		return storeFailure("clean", err)
+	}
+	used, since, err := p.usedShards(ctx, oldest, head)
+	if err != nil {
+		return err
+	}
+	for _, o := range shards {
+		if o.Version < since && !used[strings.TrimPrefix(o.Key, shardPrefix)] {
+			if err := p.remove(ctx, o); err != nil {
+				return err
+			}
+		}
+	}
+	if err := p.removeOld(ctx, planPrefix, func(o quetzalhook.Object) bool {
+		var plan Plan
+		return cbor.Unmarshal(o.Value, &plan) == nil && plan.Base < oldest
+	}); err != nil {
+		return err
+	}
+	return p.removeOld(ctx, versionPrefix, func(o quetzalhook.Object) bool {
+		n, err := strconv.ParseInt(strings.TrimPrefix(o.Key, versionPrefix), 10, 64)
+		return err == nil && n < oldest
+	})
+}
+
+// usedShards returns the shards of all kept versions, and the store version of
+// the oldest kept record.
+func (p *Planner) usedShards(ctx context.Context, oldest int64, head Head) (map[string]bool, quetzalhook.Version, error) {
+	used := make(map[string]bool)
+	var since quetzalhook.Version
+	add := func(m Manifest) {
+		for _, h := range m.Shards {
+			used[h.String()] = true
+		}
+	}
+	for n := oldest; n < head.Number; n++ {
+		o, err := p.store.Get(ctx, versionKey(n))
+		if err != nil {
+			return nil, 0, storeFailure("clean", err)
+		}
+		var record Head
+		if err := cbor.Unmarshal(o.Value, &record); err != nil {
+			return nil, 0, &Error{Op: "clean", Kind: ErrorCorrupt, Err: err}
+		}
+		if n == oldest {
+			since = o.Version
+		}
+		add(record.Manifest)
+	}
+	add(head.Manifest)
+	return used, since, nil
+}
+
+// removeOld deletes the objects under prefix that are old.
+func (p *Planner) removeOld(ctx context.Context, prefix string, isOld func(quetzalhook.Object) bool) error {
+	objects, err := p.store.List(ctx, prefix)
+	if err != nil {
+		return storeFailure("clean", err)
+	}
+	for _, o := range objects {
+		if isOld(o) {
+			if err := p.remove(ctx, o); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// remove deletes an object unless it has changed since it was read.
+func (p *Planner) remove(ctx context.Context, o quetzalhook.Object) error {
+	switch err := p.store.Delete(ctx, o.Key, o.Version); storeKind(err) {
+	case "", quetzalhook.StoreConflict, quetzalhook.StoreNotFound, quetzalhook.StoreUnknown:
+		return nil
+	default:
+		return storeFailure("clean", err)
+	}
+}
--- a/internal/record/configuration/document.go
+++ b/internal/record/configuration/document.go
@@ -125,9 +125,9 @@
 	UnknownRetention time.Duration `yaml:"unknown-retention" cbor:"2,keyasint,omitempty"`
 }
 
-// Retention says how long records are kept.
+// Retention says how long records are kept. Old versions of the configuration
+// are kept by number, see WithKeptVersions.
 type Retention struct {
 	Journal time.Duration `yaml:"journal" cbor:"1,keyasint,omitempty"`
 	Usage   time.Duration `yaml:"usage" cbor:"2,keyasint,omitempty"`
-	Plans   time.Duration `yaml:"plans" cbor:"3,keyasint,omitempty"`
 }
--- a/internal/record/configuration/planner.go
+++ b/internal/record/configuration/planner.go
@@ -31,13 +31,35 @@
 	clock quetzalhook.Clock
 	log   logrus.FieldLogger
 
+	inlineLimit int
+	keep        int64
+
 	mu    sync.Mutex // guards cache
 	cache *shardCache
 }
 
+// PlannerOption changes a Planner.
+type PlannerOption func(*Planner)
+
+// WithInlineLimit sets the size in bytes from which documents are split.
+func WithInlineLimit(n int) PlannerOption {
+	return func(p *Planner) { p.inlineLimit = n }
+}
+
+// WithKeptVersions sets how many versions before the one in force are kept.
+func WithKeptVersions(n int64) PlannerOption {
+	return func(p *Planner) { p.keep = n }
+}
+
 // NewPlanner returns a planner over the store.
-func NewPlanner(store quetzalhook.Store, clock quetzalhook.Clock, log logrus.FieldLogger) *Planner {
-	return &Planner{store: store, clock: clock, log: log, cache: newShardCache()}
+func NewPlanner(store quetzalhook.Store, clock quetzalhook.Clock, log logrus.FieldLogger, opts ...PlannerOption) *Planner {
+	p := &Planner{
+		store: store, clock: clock, log: log, inlineLimit: inlineLimit, keep: keptVersions, cache: newShardCache(),
+	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
 }
 
 // Plan validates a document, stores it as a plan against the version in force
@@ -52,7 +74,7 @@
 	if err != nil {
 		return Plan{}, err
 	}
-	manifest, shards, err := encodeDocument(d)
+	manifest, shards, err := encodeDocument(d, p.inlineLimit)
 	if err != nil {
 		return Plan{}, err
 	}
@@ -64,7 +86,7 @@
 		if known[h] {
 			continue
 		}
-		if err := p.create(ctx, shardPrefix+h.String(), value); err != nil {
+		if err := p.touch(ctx, shardPrefix+h.String(), value); err != nil {
 			return Plan{}, err
 		}
 	}
@@ -112,6 +134,11 @@
 				p.log.WithError(err).Warn("version record left to the next confirm")
 			}
 			p.log.WithFields(logrus.Fields{"plan": id, "version": next.Number}).Info("configuration confirmed")
+			if next.Number%max(p.keep, 1) == 0 {
+				if err := p.Clean(ctx); err != nil {
+					p.log.WithError(err).Warn("old versions not deleted")
+				}
+			}
 			return next.Number, nil
 		}
 	}
--- a/internal/record/configuration/rollout.go
+++ b/internal/record/configuration/rollout.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"quetzalhook"
 	"quetzalhook/internal/state/invariant"
@@ -34,6 +35,8 @@
 	slowPoll = 5 * time.Minute
 	// callTimeout bounds each call to the store and to a peer.
 	callTimeout = 2 * time.Second
+	// parallelReads bounds the reads of shards that a host has open at once.
+	parallelReads = 8
 )
 
 // Rollout follows the confirmed versions on one host, only forward.
@@ -124,7 +127,7 @@
 	return xxhash.Sum64String("configuration\x00" + string(h))
 }
 
-// source reads shards.
+// source reads shards. With an error it returns those that it has.
 type source func(ctx context.Context, wanted []Hash) (map[Hash][]byte, error)
 
 // advance puts a newer head in force after fetching what it lacks. It ignores
@@ -136,14 +139,31 @@
 	r.mu.Lock()
 	missing := r.cache.missing(head.Manifest)
 	r.mu.Unlock()
-	fetched := make(map[Hash][]byte)
+	var fetched map[Hash][]byte
+	var err error
 	if len(missing) > 0 {
-		var err error
-		if fetched, err = from(ctx, missing); err != nil {
+		fetched, err = from(ctx, missing)
+	}
+	// What came before a failure is kept: with a slow store no single attempt
+	// may bring all shards.
+	if addErr := r.addShards(fetched); err == nil {
+		err = addErr
+	}
+	if err != nil {
+		return err
+	}
+	return r.install(head)
+}
+
+func (r *Rollout) addShards(shards map[Hash][]byte) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for h, value := range shards {
+		if err := r.cache.add(h, value); err != nil {
 			return err
 		}
 	}
-	return r.install(head, fetched)
+	return nil
 }
 
 // isNews reports whether head is newer than the version in force. One number
@@ -157,17 +177,12 @@
 	return head.Number > r.head.Number
 }
 
-func (r *Rollout) install(head Head, fetched map[Hash][]byte) error {
+func (r *Rollout) install(head Head) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if head.Number <= r.head.Number { // the other source was faster
 		return nil
 	}
-	for h, value := range fetched {
-		if err := r.cache.add(h, value); err != nil {
-			return err
-		}
-	}
 	d, err := r.cache.assemble(head.Manifest)
 	if err != nil {
 		return err
@@ -178,7 +193,7 @@
 	r.head, r.document = head, d
 	close(r.changed)
 	r.changed = make(chan struct{})
-	r.log.WithFields(logrus.Fields{"version": head.Number, "shards": len(fetched)}).Info("configuration in force")
+	r.log.WithField("version", head.Number).Info("configuration in force")
 	return nil
 }
 
@@ -289,15 +304,24 @@
 }
 
 func (r *Rollout) fromStore(ctx context.Context, wanted []Hash) (map[Hash][]byte, error) {
+	var mu sync.Mutex
 	shards := make(map[Hash][]byte, len(wanted))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelReads)
 	for _, h := range wanted {
-		o, err := r.store.Get(ctx, shardPrefix+h.String())
-		if err != nil {
-			return nil, storeFailure("read shard", err)
-		}
-		shards[h] = o.Value
+		group.Go(func() error {
+			o, err := r.store.Get(ctx, shardPrefix+h.String())
+			if err != nil {
+				return storeFailure("read shard", err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			shards[h] = o.Value
+			return nil
+		})
 	}
-	return shards, nil
+	err := group.Wait()
+	return shards, err
 }
 
 // followPeers pulls newer versions that members show in their heartbeats.
--- a/internal/record/configuration/version.go
+++ b/internal/record/configuration/version.go
@@ -60,13 +60,14 @@
 	Difference []string `cbor:"4,keyasint,omitempty"`
 }
 
-// encodeDocument returns the manifest of a document and its shards.
-func encodeDocument(d *Document) (Manifest, map[Hash][]byte, error) {
+// encodeDocument returns the manifest of a document and, if it is larger than
+// limit, its shards.
+func encodeDocument(d *Document, limit int) (Manifest, map[Hash][]byte, error) {
 	data, err := cbor.Marshal(d)
 	if err != nil {
 		return Manifest{}, nil, &Error{Op: "encode", Kind: ErrorInvalid, Err: err}
 	}
-	if len(data) <= inlineLimit {
+	if len(data) <= limit {
 		return Manifest{Inline: data}, nil, nil
 	}
 	var m Manifest
