Choose hosts for duties and upstreams over all cells

Cause: in a fleet of several cells a host hears of other cells through summaries, which are up to 65 s old with 2,800 hosts (BenchmarkFleet of internal/fleet/member). Every host also used, polled and divided all upstreams of the configuration, not those of its cell. Ruled out: reporting a shorter silence for distant hosts, because the rule for current keys depends on the true one. Before: at 120 hosts in 9 cells the new TestDutiesAcrossCells fails with the 3 s limit for all hosts. After: Member.Distant and Member.IsHeard judge hosts of other cells by 2 min; above 700 engines a host uses those of its cell. Fleets of up to 24 hosts and 700 engines behave as before. Conclusion: go test -race passes on the changed packages.

--- a/internal/entry/node/fleet.go
+++ b/internal/entry/node/fleet.go
@@ -113,7 +113,7 @@
 func (f *fleet) live() []quetzalhook.HostID {
 	var hosts []quetzalhook.HostID
 	for _, m := range f.peers.Members() {
-		if member.HealthOf(m) != member.Gone && !m.Draining {
+		if m.IsHeard(aliveLimit) && !m.Draining {
 			hosts = append(hosts, m.Host)
 		}
 	}
--- a/internal/entry/node/follow.go
+++ b/internal/entry/node/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"reflect"
 	"slices"
 	"time"
 
@@ -52,7 +53,9 @@
 // platform lists. An upstream that the platform does not list, such as a
 // service, keeps the state ready.
 func (n *Node) applyUpstreams(doc *configuration.Document) {
-	upstreams := doc.UpstreamsFrom(n.settings.Zone)
+	n.applying.Lock()
+	defer n.applying.Unlock()
+	upstreams := inView(doc.UpstreamsFrom(n.settings.Zone), n.fleet.members.Owns)
 	states := make(map[quetzalhook.UpstreamID]quetzalhook.UpstreamState)
 	if listed := n.listed.Load(); listed != nil {
 		for _, u := range *listed {
@@ -66,11 +69,37 @@
 			u.Models = []quetzalhook.Model{front.ServiceModel(u.Service)}
 		}
 	}
+	if reflect.DeepEqual(upstreams, n.applied) {
+		return
+	}
+	n.applied = upstreams
 	n.pool.Set(upstreams)
 	n.prober.Set(upstreams)
 	n.broker.SetUpstreams(upstreams)
 }
 
+// viewLimit is the number of engines up to which a host uses all of them; it is
+// the size up to which the cost of a decision is measured. With 10,000 engines
+// in view a host would have to poll 10,000 load reports.
+const viewLimit = 700
+
+// inView returns the upstreams that a host uses: all services and, of more than
+// viewLimit engines, those that its cell owns.
+func inView(upstreams []quetzalhook.Upstream, owns func(quetzalhook.UpstreamID, quetzalhook.Zone) bool) []quetzalhook.Upstream {
+	engines := 0
+	for _, u := range upstreams {
+		if u.Kind == quetzalhook.KindEngine {
+			engines++
+		}
+	}
+	if engines <= viewLimit {
+		return upstreams
+	}
+	return slices.DeleteFunc(upstreams, func(u quetzalhook.Upstream) bool {
+		return u.Kind == quetzalhook.KindEngine && !owns(u.ID, u.Zone)
+	})
+}
+
 // followPlatform reads the platform's list of upstreams. While the platform
 // does not answer, the last list stays in use.
 func (n *Node) followPlatform(ctx context.Context) {
@@ -99,9 +128,10 @@
 		return
 	}
 	old := n.listed.Swap(&upstreams)
-	if old != nil && sameStates(*old, upstreams) {
+	if old != nil && sameStates(*old, upstreams) && len(upstreams) <= viewLimit {
 		return
 	}
+	// In a large fleet the cells may have changed since the last read.
 	if doc := n.document(); doc != nil {
 		n.applyUpstreams(doc)
 	}
--- a/internal/entry/node/follow_test.go
+++ b/internal/entry/node/follow_test.go
@@ -1,8 +1,12 @@
 package node
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
+
+	"quetzalhook"
 )
 
 // Guards against a fleet whose reads of the list of upstreams use up the
@@ -18,3 +22,21 @@
 		t.Errorf("8 hosts: got %s, want %s", got, want)
 	}
 }
+
+// Guards against a host that polls every engine of a large fleet, and against
+// a limit that hides services or engines of a small one.
+func TestView(t *testing.T) {
+	list := func(engines int) []quetzalhook.Upstream {
+		upstreams := []quetzalhook.Upstream{{ID: "desk", Kind: quetzalhook.KindService}}
+		for i := range engines {
+			upstreams = append(upstreams, quetzalhook.Upstream{ID: quetzalhook.UpstreamID(fmt.Sprint("engine-", i))})
+		}
+		return upstreams
+	}
+	owns := func(id quetzalhook.UpstreamID, _ quetzalhook.Zone) bool { return strings.HasSuffix(string(id), "7") }
+	for engines, want := range map[int]int{18: 19, viewLimit: viewLimit + 1, 10_000: 1001} {
+		if got := len(inView(list(engines), owns)); got != want {
+			t.Errorf("%d engines: got %d upstreams in view, want %d", engines, got, want)
+		}
+	}
+}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -62,6 +62,9 @@
 	listed   atomic.Pointer[[]quetzalhook.Upstream] // the platform's list
 	free     atomic.Uint64                          // free share of slots, as float64 bits
 
+	applying sync.Mutex
+	applied  []quetzalhook.Upstream // the upstreams in use, guarded by applying
+
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	stopped sync.Once
--- a/internal/fleet/member/cell.go
+++ b/internal/fleet/member/cell.go
@@ -53,6 +53,23 @@
 	return best
 }
 
+// ofUpstream returns the cell whose hosts use an upstream. The upstreams of a
+// zone without hosts are divided between the other zones.
+func (c cells) ofUpstream(id quetzalhook.UpstreamID, zone quetzalhook.Zone) cellID {
+	name := quetzalhook.HostID(id)
+	if c.counts[zone] > 0 {
+		return c.of(name, zone)
+	}
+	var best quetzalhook.Zone
+	var highest uint64
+	for z := range c.counts {
+		if score := rendezvous(name, zoneCell(z, 0)); best == "" || score > highest {
+			best, highest = z, score
+		}
+	}
+	return c.of(name, best)
+}
+
 func zoneCell(zone quetzalhook.Zone, i int) cellID {
 	var b [8]byte
 	binary.BigEndian.PutUint64(b[:], uint64(i))
--- /dev/null
+++ b/internal/fleet/member/cell_test.go
@@ -0,0 +1,61 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"quetzalhook"
+)
+
+// Guards against upstreams that several cells or no cell would use, and against
+// cells that get far more than their part. The last zone has no hosts.
+func TestCellsOfUpstreams(t *testing.T) {
+	const upstreams = 10_000
+	counts := make(map[quetzalhook.Zone]int)
+	hosts := make(map[cellID]bool)
+	for z := range zones {
+		counts[quetzalhook.Zone(fmt.Sprintf("zone-%02d", z))] = 187
+	}
+	c := newCells(counts)
+	for zone, n := range counts {
+		for i := range n {
+			hosts[c.of(quetzalhook.HostID(fmt.Sprint(zone, "-host-", i)), zone)] = true
+		}
+	}
+	owned := make(map[cellID]int)
+	for i := range upstreams {
+		cell := c.ofUpstream(quetzalhook.UpstreamID(fmt.Sprint("engine-", i)), quetzalhook.Zone(fmt.Sprintf("zone-%02d", i%(zones+1))))
+		if !hosts[cell] {
+			t.Fatalf("upstream %d: got cell %d, which has no host", i, cell)
+		}
+		owned[cell]++
+	}
+	worst := 0
+	for _, n := range owned {
+		worst = max(worst, n)
+	}
+	if got, want := worst, 2*upstreams/len(hosts); got > want {
+		t.Errorf("upstreams of the largest of %d cells: got %d, want at most %d", len(hosts), got, want)
+	}
+}
+
+// Guards against hosts of other cells that count as missing when a few hosts of
+// the whole fleet are chosen for a duty: each cell then chose its own.
+func TestDutiesAcrossCells(t *testing.T) {
+	w := newWorld(t, cellFleet, 3)
+	w.list()
+	w.run(12 * time.Second)
+	const limit = goneAfter
+	for i := range cellFleet {
+		heard := 0
+		for _, m := range w.hosts[address(i)].members(w.now) {
+			if m.IsHeard(limit) {
+				heard++
+			}
+		}
+		if got, want := heard, cellFleet-1; got != want {
+			t.Errorf("host %d: hears %d others, want %d", i, got, want)
+		}
+	}
+}
--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -326,6 +326,7 @@
 
 // members returns the other hosts that have not stopped, by name.
 func (g *gossip) members(now time.Time) []quetzalhook.Member {
+	g.arrange()
 	list := make([]quetzalhook.Member, 0, len(g.peers))
 	for host, p := range g.peers {
 		if !p.left.IsZero() {
@@ -343,7 +344,7 @@
 		list = append(list, quetzalhook.Member{
 			Host: host, Incarnation: p.profile.Incarnation, Zone: p.profile.Zone, Region: p.profile.Region,
 			Address: p.profile.Address, PeerAddress: p.profile.Peer, Draining: b.Draining, Silent: p.silent(now),
-			FreeCapacity: float64(b.FreePercent) / 100, ConfigVersion: b.ConfigVersion, StoreAge: age,
+			Distant: p.cell != g.cell, FreeCapacity: float64(b.FreePercent) / 100, ConfigVersion: b.ConfigVersion, StoreAge: age,
 			WithdrawnCount: b.WithdrawnCount, WithdrawnHash: b.WithdrawnHash, Demand: demand,
 		})
 	}
--- a/internal/fleet/member/service.go
+++ b/internal/fleet/member/service.go
@@ -158,6 +158,15 @@
 	return s.gossip.cellSummaries(s.clock.Now())
 }
 
+// Owns reports whether the hosts of the own cell use an upstream: each upstream
+// belongs to one cell, and all to the cell of a fleet that has only one.
+func (s *Service) Owns(id quetzalhook.UpstreamID, zone quetzalhook.Zone) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gossip.arrange()
+	return s.gossip.cells.ofUpstream(id, zone) == s.gossip.cell
+}
+
 // Health is what the silence of a host says about it.
 type Health string
 
--- a/platform.go
+++ b/platform.go
@@ -134,6 +134,9 @@
 	PeerAddress string // for other hosts, host:port
 	Draining    bool
 	Silent      time.Duration // time since the last heartbeat
+	// Distant marks a host of another cell, which is heard of through summaries
+	// only.
+	Distant bool
 	// FreeCapacity is the fraction of unused slots, from 0 to 1.
 	FreeCapacity float64
 	// ConfigVersion is the configuration in force on the host.
@@ -147,6 +150,21 @@
 	Demand         Demand
 }
 
+// distantLimit is the longest silence of a live host of another cell. In 180
+// cells the worst silence of a live host was 65 s.
+const distantLimit = 2 * time.Minute
+
+// IsHeard reports whether the host counts as alive for the choice of hosts for
+// a duty: it has been silent for less than limit or, in another cell, for less
+// than 2 min. Without the longer limit, each cell of a large fleet chose hosts
+// of its own for duties that need a few hosts of the whole fleet.
+func (m Member) IsHeard(limit time.Duration) bool {
+	if m.Distant {
+		limit = max(limit, distantLimit)
+	}
+	return m.Silent < limit
+}
+
 // PeerHandler answers a call of another host.
 type PeerHandler func(ctx context.Context, from HostID, body []byte) ([]byte, error)
 
