Show the number of known hosts in cmd/slopes

Cause: with 64 hosts that know one seed, heartbeats and watches did not match their cells, because the hosts did not know each other yet. After: the table shows how many hosts a host knows.

--- a/cmd/slopes/main.go
+++ b/cmd/slopes/main.go
@@ -79,10 +79,10 @@
 		return nil
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "phase\thosts\tupstreams\tcustomers\tcpu-%\theap-MB\tgoroutines\tdatagrams/s\tB/s\tpolls/s\tchat/s\tfailed/s\tplatform-B/s\twatches")
+	fmt.Fprintln(t, "phase\thosts\tupstreams\tcustomers\tcpu-%\theap-MB\tgoroutines\tmembers\tdatagrams/s\tB/s\tpolls/s\tchat/s\tfailed/s\tplatform-B/s\twatches")
 	for _, r := range rows {
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%.2f\t%.2f\t%.0f\t%.1f\t%.0f\t%.1f\t%.1f\t%.2f\t%.0f\t%.2f\n",
-			r.Phase, r.Hosts, r.Upstreams, r.Customers, r.CPU, r.Heap, r.Routines, r.Datagrams, r.Bytes, r.Polls,
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%.2f\t%.2f\t%.0f\t%.1f\t%.1f\t%.0f\t%.1f\t%.1f\t%.2f\t%.0f\t%.2f\n",
+			r.Phase, r.Hosts, r.Upstreams, r.Customers, r.CPU, r.Heap, r.Routines, r.Members, r.Datagrams, r.Bytes, r.Polls,
 			r.Requests, r.Failed, r.PlatformBytes, r.Watches)
 	}
 	for _, r := range rows {
--- a/internal/bench/slope/fleet.go
+++ b/internal/bench/slope/fleet.go
@@ -180,7 +180,7 @@
 	cpu                                     time.Duration
 	datagrams, bytes, served, failed, polls int64
 	calls                                   map[string]int64
-	platformBytes, watches                  int64
+	platformBytes, watches, members         int64
 }
 
 func (f *fleet) snapshot() snapshot {
@@ -193,6 +193,7 @@
 	f.platform.mu.Unlock()
 	for _, n := range f.nodes {
 		var vars struct {
+			Members    int64 `json:"members"`
 			Heartbeats struct {
 				Datagrams int64 `json:"datagrams"`
 				Bytes     int64 `json:"bytes"`
@@ -200,6 +201,7 @@
 		}
 		if b, err := n.Meter().MarshalJSON(); err == nil && json.Unmarshal(b, &vars) == nil {
 			s.datagrams += vars.Heartbeats.Datagrams
+			s.members += vars.Members
 			s.bytes += vars.Heartbeats.Bytes
 		}
 	}
--- a/internal/bench/slope/slope.go
+++ b/internal/bench/slope/slope.go
@@ -70,6 +70,7 @@
 	CPU       float64 `json:"cpu-percent"` // of a core, with the stand-ins' part
 	Heap      float64 `json:"heap-mb"`     // after a collection, over that before the hosts started
 	Routines  float64 `json:"goroutines"`
+	Members   float64 `json:"members"`              // other hosts that are known
 	Datagrams float64 `json:"datagrams-per-second"` // heartbeats sent
 	Bytes     float64 `json:"bytes-per-second"`     // of heartbeats sent
 	Requests  float64 `json:"requests-per-second"`  // answered by chat
@@ -130,6 +131,7 @@
 		Upstreams: f.settings.Upstreams, Customers: f.settings.Customers,
 		CPU:       100 * (end.cpu - begin.cpu).Seconds() / seconds / hosts,
 		Routines:  float64(runtime.NumGoroutine()) / hosts,
+		Members:   float64(end.members) / hosts,
 		Datagrams: per(begin.datagrams, end.datagrams), Bytes: per(begin.bytes, end.bytes),
 		Requests: per(begin.served, end.served), Failed: per(begin.failed, end.failed),
 		Polls: per(begin.polls, end.polls), Calls: make(map[string]float64),
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -116,6 +116,7 @@
 	n.meter.Publish("invariants", func() any { return n.inv.Counts() })
 	n.meter.Publish("open-requests", func() any { return n.front.Open() })
 	n.meter.Publish("configuration-version", func() any { return n.records.rollout.Version() })
+	n.meter.Publish("members", func() any { return len(n.fleet.peers.Members()) })
 	n.meter.Publish("heartbeats-sent", func() any {
 		datagrams, bytes := n.fleet.members.Traffic()
 		return map[string]int64{"datagrams": datagrams, "bytes": bytes}
