--- a/internal/bench/slope/fleet.go
+++ b/internal/bench/slope/fleet.go
@@ -114,7 +114,7 @@
 			Host: quetzalhook.HostID(fmt.Sprintf("host-%03d", i)), Zone: quetzalhook.Zone(f.zone(i)),
 			Listen: "127.0.0.1:0", PeerListen: ports[i], Seeds: ports[:1], Hosts: f.settings.Hosts,
 			Platform: f.address, PeerSecret: peerSecret, OperatorKey: operatorKey, Policy: setting.PolicyOwn,
-			HostsLifetime: hostsLifetime,
+			HostsLifetime: hostsLifetime, BillingWindow: time.Hour,
 		}, nil)
 		if err == nil {
 			err = n.Start(ctx)
--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -207,6 +207,13 @@
 	b.apply(b.policy.SetLimits(b.now(), limits))
 }
 
+// Do runs f between two calls of the policy, to change a part of it.
+func (b *Broker) Do(f func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f()
+}
+
 // Demand returns the policy's demand.
 func (b *Broker) Demand() quetzalhook.Demand {
 	b.mu.Lock()
--- a/internal/entry/node/follow.go
+++ b/internal/entry/node/follow.go
@@ -43,7 +43,7 @@
 }
 
 func (n *Node) apply(doc *configuration.Document) {
-	n.region.Store(doc.Region(n.settings.Zone))
+	n.setRegion(doc.Region(n.settings.Zone))
 	n.broker.SetLimits(doc.Limits())
 	n.records.keys.registry.SetLimits(doc.Keys.CurrencyLimit, doc.Keys.UnknownRetention)
 	n.applyUpstreams(doc)
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -28,6 +28,7 @@
 	"quetzalhook/internal/state/boottime"
 	"quetzalhook/internal/state/chart"
 	"quetzalhook/internal/state/invariant"
+	"quetzalhook/internal/traffic/placement"
 )
 
 const (
@@ -48,6 +49,7 @@
 	machine  *chart.Machine
 	platform *object.Client
 	broker   *broker.Broker
+	planner  *placement.Planner // nil with the baseline policy
 	pool     *relay.Pool
 	relay    *relay.Relay
 	prober   *probe.Prober
--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -337,6 +337,7 @@
 		demand := p.demand.snapshot(now)
 		for tier := range quetzalhook.TierCount {
 			demand.Waiting[tier], demand.Running[tier] = float64(b.Waiting[tier]), float64(b.Running[tier])
+			demand.Requests[tier] = int(b.Requests[tier])
 		}
 		age := b.StoreAge.duration()
 		if p.seen.IsZero() {
--- a/internal/fleet/member/gossip_test.go
+++ b/internal/fleet/member/gossip_test.go
@@ -123,7 +123,10 @@
 	for i := range 60 {
 		inFlight[quetzalhook.UpstreamID(fmt.Sprintf("sellers-chat-ljubljana-%d", i))] = i + 1
 	}
-	demand := quetzalhook.Demand{InFlight: inFlight, Used: map[quetzalhook.CustomerID]float64{"seller": 7}}
+	demand := quetzalhook.Demand{
+		Requests: [quetzalhook.TierCount]int{3, 0, 2, 1}, InFlight: inFlight,
+		Used: map[quetzalhook.CustomerID]float64{"seller": 7},
+	}
 	w.report = func(int) Report { return Report{ConfigVersion: 3, WithdrawnHash: 9, Demand: demand} }
 	w.run(12 * time.Second)
 	for i := 1; i < 8; i++ {
@@ -131,7 +134,7 @@
 		if !ok || m.Silent > beatInterval || m.ConfigVersion != 3 || m.WithdrawnHash != 9 || m.PeerAddress != "10.1.2.3:7001" {
 			t.Errorf("host %d: got %+v, %t", i, m, ok)
 		}
-		if got, want := fmt.Sprint(m.Demand.InFlight, m.Demand.Used), fmt.Sprint(inFlight, demand.Used); got != want {
+		if got, want := fmt.Sprint(m.Demand.Requests, m.Demand.InFlight, m.Demand.Used), fmt.Sprint(demand.Requests, inFlight, demand.Used); got != want {
 			t.Errorf("host %d: demand: got %s, want %s", i, got, want)
 		}
 	}
--- a/internal/fleet/member/message.go
+++ b/internal/fleet/member/message.go
@@ -55,6 +55,7 @@
 	StoreAge       milliseconds                  `cbor:"6,keyasint,omitempty"`
 	Waiting        [quetzalhook.TierCount]uint64 `cbor:"7,keyasint"`
 	Running        [quetzalhook.TierCount]uint64 `cbor:"8,keyasint"`
+	Requests       [quetzalhook.TierCount]uint32 `cbor:"9,keyasint"`
 }
 
 // inFlight is the number of a host's requests on one upstream.
--- a/internal/fleet/member/send.go
+++ b/internal/fleet/member/send.go
@@ -215,7 +215,8 @@
 		return true
 	}
 	for tier := range quetzalhook.TierCount {
-		if changed(b.Waiting[tier], told.Waiting[tier]) || changed(b.Running[tier], told.Running[tier]) {
+		if changed(b.Waiting[tier], told.Waiting[tier]) || changed(b.Running[tier], told.Running[tier]) ||
+			changed(uint64(b.Requests[tier]), uint64(told.Requests[tier])) {
 			return true
 		}
 	}
@@ -233,6 +234,7 @@
 	for tier := range quetzalhook.TierCount {
 		b.Waiting[tier] = uint64(max(r.Demand.Waiting[tier], 0))
 		b.Running[tier] = uint64(max(r.Demand.Running[tier], 0))
+		b.Requests[tier] = uint32(max(r.Demand.Requests[tier], 0))
 	}
 	return b
 }
--- a/internal/fleet/member/summary.go
+++ b/internal/fleet/member/summary.go
@@ -45,6 +45,7 @@
 		for tier := range quetzalhook.TierCount {
 			s.Beat.Waiting[tier] += p.beat.Waiting[tier]
 			s.Beat.Running[tier] += p.beat.Running[tier]
+			s.Beat.Requests[tier] += p.beat.Requests[tier]
 		}
 	}
 	s.Beat.FreePercent = uint8(free / n)
@@ -199,6 +200,7 @@
 	FreeCapacity float64 // mean over the hosts
 	Waiting      [quetzalhook.TierCount]float64
 	Running      [quetzalhook.TierCount]float64
+	Requests     [quetzalhook.TierCount]int
 }
 
 func (g *gossip) cellSummaries(now time.Time) []CellSummary {
@@ -210,6 +212,7 @@
 		for tier := range quetzalhook.TierCount {
 			s.Waiting[tier] = float64(v.summary.Beat.Waiting[tier])
 			s.Running[tier] = float64(v.summary.Beat.Running[tier])
+			s.Requests[tier] = int(v.summary.Beat.Requests[tier])
 		}
 		list = append(list, s)
 	}
--- a/internal/traffic/placement/planner.go
+++ b/internal/traffic/placement/planner.go
@@ -150,6 +150,9 @@
 
 var _ quetzalhook.Placer = (*Planner)(nil)
 
+// SetRegion sets this host's region; it holds from the next SetUpstreams on.
+func (p *Planner) SetRegion(r quetzalhook.Region) { p.region = r }
+
 // SetUpstreams implements quetzalhook.Placer.
 func (p *Planner) SetUpstreams(now time.Time, upstreams []quetzalhook.Upstream) {
 	p.monitor.SetUpstreams(upstreams)
