--- a/internal/record/billing/reporter.go
+++ b/internal/record/billing/reporter.go
@@ -15,6 +15,7 @@
 	"crypto/sha256"
 	"encoding/json"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -76,6 +77,9 @@
 	sent    map[usage.Window][sha256.Size]byte // what this process has sent
 	missing map[usage.Source]time.Time         // when a source was first missing
 
+	mu     sync.Mutex
+	status Status
+
 	stop context.CancelFunc
 	done chan struct{}
 }
@@ -176,6 +180,7 @@
 	if err != nil {
 		return err
 	}
+	r.noteReported(s.Reported)
 	if err := r.resolve(ctx, s.Reported); err != nil {
 		return err
 	}
@@ -184,7 +189,7 @@
 		if err != nil {
 			return err
 		}
-		body, err := r.close(ctx, s.First, w)
+		body, err := r.frozenReport(ctx, s.First, w)
 		if err != nil || body == nil {
 			return err
 		}
@@ -195,6 +200,7 @@
 		if version, err = r.saveState(ctx, s, version); err != nil {
 			return err
 		}
+		r.noteReported(w)
 		r.cleanUp(ctx, w)
 	}
 }
--- a/internal/record/billing/window.go
+++ b/internal/record/billing/window.go
@@ -10,9 +10,9 @@
 	"quetzalhook/internal/record/usage"
 )
 
-// close returns the frozen report of a window. It freezes the window if it
+// frozenReport returns the frozen report of a window. It freezes the window if it
 // can be closed, and returns nil if it cannot.
-func (r *Reporter) close(ctx context.Context, first, w usage.Window) ([]byte, error) {
+func (r *Reporter) frozenReport(ctx context.Context, first, w usage.Window) ([]byte, error) {
 	end, err := r.schedule.End(w)
 	if err != nil || r.calendar.Now().Sub(end) < r.grace {
 		return nil, err
@@ -57,7 +57,7 @@
 		present[usage.Source{Host: h.Host, Incarnation: h.Incarnation}] = true
 	}
 	missing := make(map[usage.Source]time.Time)
-	closed := true
+	var waiting []usage.Source
 	for s, t := range totals {
 		if t.Final {
 			continue
@@ -68,11 +68,13 @@
 				missing[s] = since
 			}
 		}
-		since, isMissing := missing[s]
-		closed = closed && isMissing && now.Sub(since) >= r.gone
+		if since, ok := missing[s]; !ok || now.Sub(since) < r.gone {
+			waiting = append(waiting, s)
+		}
 	}
 	r.missing = missing
-	return closed, nil
+	r.noteWaiting(waiting)
+	return len(waiting) == 0, nil
 }
 
 // late returns what became known of earlier windows after they were frozen.
--- a/internal/record/journal/forward.go
+++ b/internal/record/journal/forward.go
@@ -90,6 +90,7 @@
 			rest = append(rest, p)
 			continue
 		}
+		l.j.counters.forwarded.Add(1)
 		p.answer <- answers[i]
 	}
 	return rest
--- a/internal/record/journal/journal.go
+++ b/internal/record/journal/journal.go
@@ -111,6 +111,8 @@
 	newNonce  func() digest
 	dead      func(quetzalhook.HostID, quetzalhook.Incarnation) bool
 
+	counters counters
+
 	lanes  []*lane
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -192,6 +194,9 @@
 		Action: actionClaim, Key: key, Nonce: claim.nonce, Fingerprint: sum(c.Fingerprint),
 		Host: j.host, Incarnation: j.incarnation,
 	})
+	if int(a.Verdict) < len(j.counters.verdicts) {
+		j.counters.verdicts[a.Verdict].Add(1)
+	}
 	switch a.Verdict {
 	case verdictDone:
 		j.note(claim)
--- a/internal/record/journal/lane.go
+++ b/internal/record/journal/lane.go
@@ -282,6 +282,8 @@
 	}
 	if err == nil {
 		l.version, l.newest = version, version
+		l.j.counters.writes.Add(1)
+		l.j.counters.operation.Add(int64(len(written)))
 		l.observeEpoch()
 		return nil
 	}
--- a/internal/record/usage/record.go
+++ b/internal/record/usage/record.go
@@ -17,8 +17,8 @@
 
 // Source is the incarnation of a host that counted.
 type Source struct {
-	Host        quetzalhook.HostID      `cbor:"host"`
-	Incarnation quetzalhook.Incarnation `cbor:"incarnation"`
+	Host        quetzalhook.HostID      `cbor:"host" json:"host"`
+	Incarnation quetzalhook.Incarnation `cbor:"incarnation" json:"incarnation"`
 }
 
 // record is the format of an object below usage/open/WINDOW/ and of a replica.
