Keep a repeated order open when its repetition is refused

Found by reading: an order with unknown outcome that was sent again and then refused lost its intent, although its first send might still take effect. The outcome now stays unclear unless the order was sent once.

Order tells a refusal from an unclear outcome, so that the controller does not repeat a refused order with an outdated count. Own orders without an intent in the object are forgotten, which ends the polls of hosts that are no candidates.

--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -221,10 +221,12 @@
 		u.Fencing = fencing
 		return c.platform.Order(ctx, u)
 	})
+	if err == nil || lease.IsKind(err, lease.KindRefused) {
+		delete(c.unclear, k)
+	}
 	if err != nil {
 		return errors.Wrapf(err, "order %d upstreams in %s", u.Count, u.Zone)
 	}
-	delete(c.unclear, k)
 	c.orders[k] = ordered{u.Count, c.clock.Now()}
 	return nil
 }
--- a/internal/fleet/lease/error.go
+++ b/internal/fleet/lease/error.go
@@ -17,8 +17,10 @@
 	KindBlocked Kind = "blocked"
 	// KindStore reports that the store failed before the send. Nothing was sent.
 	KindStore Kind = "store"
-	// KindSend reports that the receiver failed or that its answer was lost.
-	KindSend Kind = "send"
+	// KindRefused reports that the receiver refused the order without effect.
+	KindRefused Kind = "refused"
+	// KindUnclear reports that the order may have taken effect.
+	KindUnclear Kind = "unclear"
 	// KindClosed reports a call after Close.
 	KindClosed Kind = "closed"
 	// KindUnknownIntent reports an identifier that no open intent has.
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -59,10 +59,13 @@
 		err = l.Close()
 	case "confirm":
 		err = l.Confirm(ctx, f[2])
-	case "order", "order-lost":
+	case "order", "order-lost", "order-refused":
 		err = l.Order(ctx, Order{ID: f[2], Target: "t"}, func(context.Context, uint64) error {
-			if f[1] == "order-lost" {
+			switch f[1] {
+			case "order-lost":
 				return &quetzalhook.StoreError{Op: "order", Kind: quetzalhook.StoreUnknown}
+			case "order-refused":
+				return &quetzalhook.StoreError{Op: "order", Kind: quetzalhook.StoreUnavailable}
 			}
 			return nil
 		})
--- a/internal/fleet/lease/order.go
+++ b/internal/fleet/lease/order.go
@@ -43,8 +43,8 @@
 
 // Order writes the intent, sends the order and writes the outcome. Errors of
 // KindNotHolder, KindBlocked and KindStore mean that nothing was sent. After
-// KindSend with an unknown outcome the intent stays open; the same process may
-// call Order again with the same ID until the outcome is known.
+// KindUnclear the intent stays open; the same process may call Order again with
+// the same ID until the outcome is known.
 func (l *Lease) Order(ctx context.Context, o Order, send Send) error {
 	if !l.enter() {
 		return l.fail("order", KindClosed, nil)
@@ -55,9 +55,12 @@
 		return err
 	}
 	err = send(ctx, fencing)
-	l.finish(ctx, o.ID, err)
-	if err != nil {
-		return l.fail("order", KindSend, err)
+	mayHaveEffect := l.finish(ctx, o.ID, err)
+	switch {
+	case mayHaveEffect:
+		return l.fail("order", KindUnclear, err)
+	case err != nil:
+		return l.fail("order", KindRefused, err)
 	}
 	return nil
 }
@@ -134,18 +137,21 @@
 func (l *Lease) maySend(o Order, fencing uint64) bool {
 	return l.isMine(l.doc) && l.doc.Fencing == fencing && l.doc.has(o.ID) &&
 		(o.ChecksFencing || !slices.ContainsFunc(l.doc.Intents, func(i Intent) bool {
+			// Written out, so that a fault in hasForeign does not hide here as well.
 			return i.Target == o.Target && (i.Host != l.host || i.Incarnation != l.incarnation)
 		}))
 }
 
-// finish notes the result of a send and writes the outcome. If the write
-// fails, the next renewal repeats it.
-func (l *Lease) finish(ctx context.Context, id string, err error) {
+// finish notes the result of a send, writes the outcome and reports whether
+// the outcome is unclear. If the write
+// fails, the next renewal repeats it. A refusal of a repeated order says nothing
+// about its earlier sends, so the outcome stays unclear.
+func (l *Lease) finish(ctx context.Context, id string, err error) bool {
 	l.op <- struct{}{}
 	defer func() { <-l.op }()
-	if err != nil && storeKind(err) == quetzalhook.StoreUnknown {
+	if err != nil && (storeKind(err) == quetzalhook.StoreUnknown || l.count[id] > 1) {
 		l.own[id] = unclear
-		return
+		return true
 	}
 	l.own[id] = ended
 	delete(l.count, id)
@@ -155,6 +161,7 @@
 		}
 		return nil
 	})
+	return false
 }
 
 // settled reports whether an intent is this process's own and needs no
@@ -162,7 +169,7 @@
 // will be.
 func (l *Lease) settled(i Intent) bool {
 	p, known := l.own[i.ID]
-	return l.isOwn(i) && (!known || p == unsent || p == ended)
+	return l.IsOwn(i) && (!known || p == unsent || p == ended)
 }
 
 func (l *Lease) settledExcept(id string) func(Intent) bool {
@@ -170,20 +177,18 @@
 }
 
 // IsOwn reports whether this process wrote the intent.
-func (l *Lease) IsOwn(i Intent) bool { return l.isOwn(i) }
-
-func (l *Lease) isOwn(i Intent) bool {
+func (l *Lease) IsOwn(i Intent) bool {
 	return i.Host == l.host && i.Incarnation == l.incarnation
 }
 
 func (l *Lease) hasForeign(d document, target string) bool {
-	return slices.ContainsFunc(d.Intents, func(i Intent) bool { return i.Target == target && !l.isOwn(i) })
+	return slices.ContainsFunc(d.Intents, func(i Intent) bool { return i.Target == target && !l.IsOwn(i) })
 }
 
 func (l *Lease) openOwn(d document, target string) int {
 	n := 0
 	for _, i := range d.Intents {
-		if i.Target == target && l.isOwn(i) {
+		if i.Target == target && l.IsOwn(i) {
 			n++
 		}
 	}
--- a/internal/fleet/lease/step.go
+++ b/internal/fleet/lease/step.go
@@ -89,6 +89,7 @@
 		return l.fail("challenge", KindStore, err)
 	}
 	if !l.isFree() {
+		l.prune(l.doc)
 		return l.withdraw(ctx)
 	}
 	l.fire(eventChallenge)
@@ -241,8 +242,13 @@
 	if l.isMine(d) {
 		l.believe(sent.Add(l.term), d.Fencing)
 	}
-	for id := range l.own {
-		if !d.has(id) && l.own[id] != sending {
+	l.prune(d)
+}
+
+// prune forgets the own orders that have no intent in the object any more.
+func (l *Lease) prune(d document) {
+	for id, p := range l.own {
+		if p != sending && !d.has(id) {
 			delete(l.own, id)
 		}
 	}
