Tell other cells of planned stops

Cause: only the own cell heard the announcement, so that hosts of other cells counted a stopped host as missing until the platform's list dropped it, and would refuse requests under the currency rule if the store was down meanwhile. The test fails on a version that ignores the entry.

--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -23,8 +23,9 @@
 	goneAfter = 3 * time.Second
 	// replyInterval bounds the answers to greetings of one host.
 	replyInterval = 200 * time.Millisecond
-	// leftRetention is how long a planned stop is remembered and passed on.
-	leftRetention = time.Minute
+	// leftRetention is how long a planned stop is remembered and passed on; the
+	// platform's list may show the host for as long.
+	leftRetention = 5 * time.Minute
 	// removeAfter is how long a host must be silent, and missing in the
 	// platform's list, before it is forgotten.
 	removeAfter = 30 * time.Second
--- a/internal/fleet/member/gossip_test.go
+++ b/internal/fleet/member/gossip_test.go
@@ -230,6 +230,19 @@
 	if limit := 10 * time.Second; worst > limit {
 		t.Errorf("longest silence: got %s, want at most %s", worst, limit)
 	}
+	out, err := w.hosts[address(7)].farewell(w.now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stopped := w.hosts[address(7)]
+	w.deliver(address(7), out)
+	w.lose = func(from, to *gossip) bool { return from == stopped || to == stopped }
+	w.run(8 * time.Second)
+	for i := range cellFleet {
+		if _, ok := w.member(i, 7); ok && i != 7 {
+			t.Errorf("host %d: planned stop of host 7 is not known", i)
+		}
+	}
 }
 
 func FuzzReceive(f *testing.F) {
@@ -265,7 +278,7 @@
 			}
 			w.report = func(int) Report { return Report{ConfigVersion: 77, Demand: quetzalhook.Demand{InFlight: inFlight}} }
 			w.list()
-			w.run(60 * time.Second)
+			w.run(120 * time.Second)
 			for b.Loop() {
 				clear(w.sent)
 				w.total = 0
@@ -295,7 +308,8 @@
 	}
 }
 
-// BenchmarkReceive measures one heartbeat, with its HMAC.
+// BenchmarkReceive measures making one heartbeat for 15 hosts and taking it on
+// one of them.
 func BenchmarkReceive(b *testing.B) {
 	w := newWorld(b, 16, 1)
 	w.list()
@@ -347,3 +361,20 @@
 		})
 	}
 }
+
+// BenchmarkMembers measures the list that a host makes at most four times a
+// second.
+func BenchmarkMembers(b *testing.B) {
+	for _, n := range []int{16, 300, 2800} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			w := newWorld(b, n, zones)
+			w.list()
+			g := w.hosts[address(0)]
+			for b.Loop() {
+				if got, want := len(g.members(w.now)), n-1; got != want {
+					b.Fatalf("members: got %d, want %d", got, want)
+				}
+			}
+		})
+	}
+}
--- a/internal/fleet/member/message.go
+++ b/internal/fleet/member/message.go
@@ -93,6 +93,9 @@
 	// Beat holds the versions and digest of Origin, the smallest store age of
 	// the cell, its mean free capacity and its total work.
 	Beat beat `cbor:"5,keyasint"`
+	// Left holds eight bytes for each host that stopped as planned: its hash
+	// and the low half of its incarnation.
+	Left []byte `cbor:"6,keyasint,omitempty"`
 }
 
 // milliseconds is a duration on the wire. The largest value stands for longer.
--- a/internal/fleet/member/summary.go
+++ b/internal/fleet/member/summary.go
@@ -21,6 +21,13 @@
 // silence in 15 cells was 17 s, because a summary then spreads along chains.
 const maxRelays = 3
 
+const (
+	// maxLeft bounds the planned stops in a summary.
+	maxLeft = 16
+	// leftSize is the length of one entry of summary.Left.
+	leftSize = 8
+)
+
 // farCell is another cell and its hosts.
 type farCell struct {
 	peers []*peer
@@ -48,6 +55,12 @@
 		}
 	}
 	s.Beat.FreePercent = uint8(free / n)
+	for _, p := range g.peers {
+		if !p.left.IsZero() && p.cell == g.cell && len(s.Left) < maxLeft*leftSize {
+			s.Left = binary.BigEndian.AppendUint32(s.Left, hostHash(p.profile.Host))
+			s.Left = binary.BigEndian.AppendUint32(s.Left, uint32(p.profile.Incarnation))
+		}
+	}
 	return s
 }
 
@@ -177,6 +190,12 @@
 		g.regions[s.Cell] = v
 	}
 	v.summary, v.at, v.relays = s, at, 0
+	for i := 0; i+leftSize <= len(s.Left); i += leftSize {
+		p := g.byHash[binary.BigEndian.Uint32(s.Left[i:])]
+		if p != nil && p.left.IsZero() && uint32(p.profile.Incarnation) == binary.BigEndian.Uint32(s.Left[i+4:]) {
+			p.left, g.stale = now, true
+		}
+	}
 	for i := 0; i+4 <= len(s.Alive); i += 4 {
 		p := g.byHash[binary.BigEndian.Uint32(s.Alive[i:])]
 		if p == nil || p.cell == g.cell || !at.After(p.seen) {
