--- a/internal/fleet/member/bench_test.go
+++ b/internal/fleet/member/bench_test.go
@@ -50,31 +50,6 @@
 	return false
 }
 
-// BenchmarkMembers measures the list of members, which is made again every
-// 250 ms.
-func BenchmarkMembers(b *testing.B) {
-	for _, n := range []int{16, 300, 2800} {
-		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
-			var list []quetzalhook.HostStatus
-			for i := range n {
-				list = append(list, quetzalhook.HostStatus{
-					Host: quetzalhook.HostID(fmt.Sprintf("host-%04d", i)), Incarnation: 1,
-					Zone: quetzalhook.Zone(fmt.Sprint("zone-", i%zones)), HeartbeatAddress: address(i), PeerAddress: address(i),
-				})
-			}
-			now := time.Unix(1, 0)
-			g := newGossip(Self{Host: "self", Incarnation: 1, Zone: "zone-1"}, nil, nil)
-			g.observeList(now, list)
-			b.ReportAllocs()
-			for b.Loop() {
-				if got := len(g.members(now)); got != n {
-					b.Fatalf("got %d members, want %d", got, n)
-				}
-			}
-		})
-	}
-}
-
 // BenchmarkDuties counts the hosts that find themselves among the two of their
 // zone for a duty, as the watchers of a zone do: by silence alone (as before
 // Member.IsHeard) and as members are judged now. Two in each zone are wanted.
