Order engines to load the configured models

The holder of the controller's role looks at the engines in turn and orders models that they lack, with the intent in the lease object first. An engine that ignores old fencing numbers gets nothing while another live process's intent is open for it.

--- /dev/null
+++ b/engines.go
@@ -0,0 +1,21 @@
+package quetzalhook
+
+import "context"
+
+// ModelOrder tells an engine to load a model.
+type ModelOrder struct {
+	ID      string // nonce of the order, chosen by the sender
+	Model   Model
+	Fencing uint64
+}
+
+// Engines carries orders to model engines.
+type Engines interface {
+	// Models returns the models that an engine has loaded.
+	Models(ctx context.Context, u UpstreamID) ([]Model, error)
+	// Orders returns the identifiers of orders that reached an engine.
+	Orders(ctx context.Context, u UpstreamID) ([]string, error)
+	// Load sends an order. Its error is a *StoreError whose kind tells whether
+	// the order may have taken effect.
+	Load(ctx context.Context, u UpstreamID, o ModelOrder) error
+}
--- a/internal/entry/node/records.go
+++ b/internal/entry/node/records.go
@@ -11,6 +11,8 @@
 	"quetzalhook/internal/entry/operator"
 	"quetzalhook/internal/fleet/controller"
 	"quetzalhook/internal/fleet/lease"
+	"quetzalhook/internal/fleet/loader"
+	"quetzalhook/internal/platform/engine"
 	"quetzalhook/internal/record/billing"
 	"quetzalhook/internal/record/configuration"
 	"quetzalhook/internal/record/credential"
@@ -40,6 +42,7 @@
 	leases  map[string]*lease.Lease
 
 	controller *controller.Controller
+	loader     *loader.Loader
 	reporter   *billing.Reporter
 }
 
@@ -73,6 +76,7 @@
 		return err
 	}
 	r.controller = controller.New(control, n.platform, n.platform, &capacityPlanner{node: n}, n.clock, controller.WithLog(n.log))
+	r.loader = loader.New(control, engine.New(n.pool), n.platform, n.pool.Upstreams, n.clock, loader.WithLog(n.log))
 	report, err := r.newLease(lease.RoleReporter)
 	if err != nil {
 		return err
@@ -102,6 +106,7 @@
 		l.Start()
 	}
 	r.controller.Start()
+	r.loader.Start()
 	r.reporter.Start()
 	r.usage.Start()
 	r.journal.journal.Start()
@@ -115,6 +120,7 @@
 		r.node.log.WithError(err).Warn("usage not stored; peers hold the last replica")
 	}
 	_ = r.reporter.Close()
+	_ = r.loader.Close()
 	_ = r.controller.Close()
 	for _, l := range r.leases {
 		_ = l.Close()
--- a/internal/standin/engine/control.go
+++ b/internal/standin/engine/control.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -40,6 +41,9 @@
 	accepted := !e.checksFencing || fencing >= highest
 	e.fencing = max(highest, fencing)
 	e.orders = append(e.orders, Order{Fencing: fencing, Body: body, Accepted: accepted, At: time.Now()})
+	if accepted {
+		e.loadModel(body)
+	}
 	e.mu.Unlock()
 	if !accepted {
 		writeError(w, http.StatusConflict, fmt.Sprintf("fencing number %d is older than %d", fencing, highest))
@@ -48,6 +52,34 @@
 	writeJSON(w, http.StatusOK, map[string]bool{"accepted": true})
 }
 
+// loadModel carries out an order that names a model. The caller holds e.mu.
+func (e *Engine) loadModel(body []byte) {
+	var order struct {
+		Model string `json:"load-model"`
+	}
+	if json.Unmarshal(body, &order) != nil || order.Model == "" || slices.Contains(e.loaded, order.Model) {
+		return
+	}
+	e.loaded = append(e.loaded, order.Model)
+}
+
+type modelItem struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+}
+
+// serveModels lists the models from the start and those loaded by orders.
+func (e *Engine) serveModels(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	names := append(slices.Clone(e.models), e.loaded...)
+	e.mu.Unlock()
+	items := make([]modelItem, 0, len(names))
+	for _, name := range names {
+		items = append(items, modelItem{ID: name, Object: "model"})
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"object": "list", "data": items})
+}
+
 func (e *Engine) serveOrders(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, map[string]any{"orders": e.Orders()})
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -54,6 +54,7 @@
 	left      time.Time // when the engine began to leave
 	late      []time.Time
 	orders    []Order
+	loaded    []string // models loaded by orders
 	fencing   uint64
 	reports   []report
 	recent    rateWindow
@@ -114,6 +115,7 @@
 	mux.HandleFunc("GET /cache-events", e.serveCacheEvents)
 	mux.HandleFunc("POST /orders", e.serveOrder)
 	mux.HandleFunc("GET /orders", e.serveOrders)
+	mux.HandleFunc("GET /v1/models", e.serveModels)
 	mux.HandleFunc("GET /records", e.serveRecords)
 	mux.HandleFunc("POST /faults", e.serveFaults)
 	e.socket = socket.New(mux)
