Give up a role that another live process's intent blocks

The random runs of the controller now end with a check that orders flow again after all faults.

A holder that has been blocked for three terms gives the role up. The process whose intent is open takes it at once and can repeat its order; the others wait. Asking the other process over the network was ruled out: the store shows the intent already, and the lease needs no second way to agree.

A lost answer to an old renewal could have revived the belief of a host that was giving its role up; such renewals are forgotten first.

--- a/internal/fleet/controller/controller_test.go
+++ b/internal/fleet/controller/controller_test.go
@@ -41,7 +41,6 @@
 	hosts    []quetzalhook.HostStatus
 	effects  []string
 	fencing  uint64
-	byHost   map[quetzalhook.HostID]int
 	backward []string
 }
 
@@ -56,7 +55,6 @@
 	}
 	r.fencing = max(r.fencing, o.Fencing)
 	r.effects = append(r.effects, o.ID)
-	r.byHost[host]++
 	if r.lose > 0 {
 		r.lose--
 		return &quetzalhook.StoreError{Op: "order", Kind: quetzalhook.StoreUnknown}
@@ -64,6 +62,12 @@
 	return nil
 }
 
+func (r *receiver) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.effects)
+}
+
 // testHost is one host's lease and controller behind a gate.
 type testHost struct {
 	host  quetzalhook.HostID
@@ -138,7 +142,7 @@
 	ctx := context.Background()
 	inv := invariant.New(nil)
 	s := memory.New()
-	to := &receiver{checks: checks, lose: lose, byHost: make(map[quetzalhook.HostID]int)}
+	to := &receiver{checks: checks, lose: lose}
 	a, b := start(t, "a", 1, s, to, inv), start(t, "b", 1, s, to, inv)
 	a.gate.PauseAt(pass)
 	done := make(chan struct{})
@@ -167,10 +171,10 @@
 	if got := inv.Violations(); got > 0 {
 		t.Errorf("pass %d, pause %v: got violations %v, want none", pass, pause, inv.Details())
 	}
-	before := to.byHost["a"] + to.byHost["b"]
+	before := to.count()
 	a.step(ctx)
 	b.step(ctx)
-	if got := to.byHost["a"] + to.byHost["b"]; got == before {
+	if to.count() == before {
 		t.Errorf("pass %d, pause %v: got no order after the resume, want some", pass, pause)
 	}
 	return reached
@@ -196,7 +200,8 @@
 }
 
 // Guards against combinations of pauses, kills, outages, lost and late writes
-// and lost receiver answers that let two commanders through.
+// and lost receiver answers that let two commanders through, and against orders
+// that stay blocked when the faults have ended.
 func TestControllersUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) { rapid.SyncTest(t, runFaults) })
 }
@@ -204,7 +209,7 @@
 func runFaults(t *rapid.T) {
 	inv := invariant.New(nil)
 	s := memory.New()
-	to := &receiver{byHost: make(map[quetzalhook.HostID]int)}
+	to := &receiver{}
 	live := make([]*testHost, 3)
 	inc := quetzalhook.Incarnation(0)
 	launch := func(i int) {
@@ -253,6 +258,14 @@
 	s.SetFaults(memory.Faults{})
 	for _, p := range append(ended, live...) {
 		p.gate.Resume()
+	}
+	time.Sleep(10 * term)
+	before := to.count()
+	time.Sleep(term)
+	if got := to.count(); got == before {
+		t.Errorf("orders after all faults ended: got none in %v, want some; open intents %v", term, live[0].lease.Open())
+	}
+	for _, p := range append(ended, live...) {
 		_ = p.ctl.Close()
 		_ = p.lease.Close()
 	}
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -37,6 +37,10 @@
 	pollsPerTerm = 4
 	// maxOwnIntents bounds a holder's orders with unknown outcome to one target.
 	maxOwnIntents = 64
+	// termsBlocked is the number of terms after which a holder that may not send
+	// orders gives up the role, so that the process whose intent is open can
+	// take it and finish.
+	termsBlocked = 3
 	// maxAttempts bounds the repetitions of one conditional write.
 	maxAttempts = 6
 )
@@ -70,6 +74,9 @@
 	own     map[string]progress  // intents of this incarnation
 	count   map[string]int       // sends of orders without a known outcome
 
+	blockedAt time.Time // since when orders are blocked, or zero
+	yieldedAt time.Time // when the role was last given up for that reason
+
 	mu      sync.Mutex
 	until   time.Time // end of the term that this host believes in
 	fencing uint64
--- a/internal/fleet/lease/order.go
+++ b/internal/fleet/lease/order.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -92,6 +93,7 @@
 	err := l.write(ctx, func(d *document) error { return l.addIntent(d, o) })
 	switch {
 	case errors.Is(err, errBlocked), errors.Is(err, errTooMany):
+		l.noteBlocked(err)
 		return 0, l.fail("order", KindBlocked, err)
 	case err != nil:
 		return 0, l.lost("order", err)
@@ -102,11 +104,18 @@
 	}
 	l.inv.Check(invariant.SingleCommander, l.maySend(o, fencing), "role", l.role, "host", l.host,
 		"order", o.ID, "target", o.Target, "fencing", fencing, "intents", l.doc.Intents)
+	l.blockedAt = time.Time{}
 	l.own[o.ID] = sending
 	l.count[o.ID]++
 	return fencing, nil
 }
 
+func (l *Lease) noteBlocked(err error) {
+	if errors.Is(err, errBlocked) && l.blockedAt.IsZero() {
+		l.blockedAt = l.clock.Now()
+	}
+}
+
 func (l *Lease) addIntent(d *document, o Order) error {
 	if !l.isMine(*d) {
 		return errNotHolder
--- a/internal/fleet/lease/step.go
+++ b/internal/fleet/lease/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +18,7 @@
 	eventRenew     chart.Event = "renew"
 	eventLose      chart.Event = "lose"
 	eventExpire    chart.Event = "expire"
+	eventYield     chart.Event = "yield"
 	eventRelease   chart.Event = "release"
 	eventClose     chart.Event = "close"
 
@@ -39,6 +41,9 @@
 	}
 	l.expire()
 	if l.machine.State() == stateHolding {
+		if !l.blockedAt.IsZero() && l.clock.Now().Sub(l.blockedAt) >= termsBlocked*l.term {
+			return l.yield(ctx)
+		}
 		return l.renew(ctx)
 	}
 	if !l.candidate() && len(l.own) == 0 {
@@ -102,13 +107,24 @@
 }
 
 // isFree reports whether the object may be taken: it was released, its holder
-// is this process, or its version has not changed for term + margin.
+// is this process, or its version has not changed for term + margin. A released
+// object with open intents is left to the process that wrote them for a while,
+// longer by a host that has just given it up for their sake.
 func (l *Lease) isFree() bool {
-	if l.doc.Holder == "" || l.isMine(l.doc) {
+	now := l.clock.Now()
+	unchanged := now.Sub(l.seenAt)
+	term := time.Duration(l.doc.TermMS) * time.Millisecond
+	switch {
+	case l.isMine(l.doc):
+		return true
+	case l.doc.Holder != "":
+		return unchanged >= term+l.margin
+	case len(l.doc.Intents) == 0 || slices.ContainsFunc(l.doc.Intents, l.IsOwn):
 		return true
+	case now.Sub(l.yieldedAt) < termsBlocked*l.term:
+		return unchanged >= 2*(term+l.margin)
 	}
-	term := time.Duration(l.doc.TermMS) * time.Millisecond
-	return l.clock.Now().Sub(l.seenAt) >= term+l.margin
+	return unchanged >= term+l.margin
 }
 
 // take writes this host as the holder over the version that was found free.
@@ -164,11 +180,32 @@
 		l.fire(eventClose)
 		return nil
 	}
-	// The belief ends before the write leaves, because a challenger may take a
-	// released object at once.
-	l.believe(time.Time{}, 0)
 	l.fire(eventRelease)
-	err := l.write(ctx, func(d *document) error {
+	err := l.giveUp(ctx)
+	l.fire(eventClose)
+	if err != nil {
+		return l.fail("release", KindStore, err)
+	}
+	return nil
+}
+
+// yield gives the role up because another process's open intent blocks it.
+func (l *Lease) yield(ctx context.Context) error {
+	l.blockedAt, l.yieldedAt = time.Time{}, l.clock.Now()
+	l.fire(eventYield)
+	if err := l.giveUp(ctx); err != nil {
+		return l.fail("yield", KindStore, err)
+	}
+	return nil
+}
+
+// giveUp removes this host as the holder. The belief ends before the write
+// leaves, because a challenger may take a released object at once.
+// Earlier renewals whose answers were lost must not revive it.
+func (l *Lease) giveUp(ctx context.Context) error {
+	l.believe(time.Time{}, 0)
+	clear(l.sent)
+	return l.write(ctx, func(d *document) error {
 		if !l.isMine(*d) {
 			return errNoChange
 		}
@@ -176,11 +213,6 @@
 		d.remove(l.settled)
 		return nil
 	})
-	l.fire(eventClose)
-	if err != nil {
-		return l.fail("release", KindStore, err)
-	}
-	return nil
 }
 
 func (l *Lease) isMine(d document) bool {
