Share the checking receiver of orders and reports

The tests of the controller and of the reporter each had a platform of their own that noted decreasing fencing numbers. One receiver beside the in-memory store replaces both, checks the same, and can serve the stand-in platform.

Before and after: both tests were seen to fail with the block rule off and with intents dropped at a takeover, the reporter's with the frozen object overwritten, the controller's with the yield of a blocked holder off.

--- a/internal/fleet/controller/controller_test.go
+++ b/internal/fleet/controller/controller_test.go
@@ -5,8 +5,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"slices"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -32,54 +30,18 @@
 	os.Exit(m.Run())
 }
 
-// receiver is the platform. It checks that fencing numbers never decrease in
-// the orders that it takes, which is what two commanders would look like.
-type receiver struct {
-	mu       sync.Mutex
-	checks   bool // refuses old fencing numbers
-	lose     int  // answers to lose
-	hosts    []quetzalhook.HostStatus
-	effects  []string
-	fencing  uint64
-	backward []string
-}
-
-func (r *receiver) take(host quetzalhook.HostID, o quetzalhook.UpstreamOrder) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if o.Fencing < r.fencing {
-		if r.checks {
-			return &quetzalhook.StoreError{Op: "order", Kind: quetzalhook.StoreConflict}
-		}
-		r.backward = append(r.backward, fmt.Sprintf("%s: %d after %d", host, o.Fencing, r.fencing))
-	}
-	r.fencing = max(r.fencing, o.Fencing)
-	r.effects = append(r.effects, o.ID)
-	if r.lose > 0 {
-		r.lose--
-		return &quetzalhook.StoreError{Op: "order", Kind: quetzalhook.StoreUnknown}
-	}
-	return nil
-}
-
-func (r *receiver) count() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.effects)
-}
-
 // testHost is one host's lease and controller behind a gate.
 type testHost struct {
 	host  quetzalhook.HostID
 	gate  *memory.Gate
-	to    *receiver
+	to    *memory.Receiver
 	lease *lease.Lease
 	ctl   *Controller
 	need  int
 }
 
 func start(t interface{ Fatal(...any) }, host quetzalhook.HostID, inc quetzalhook.Incarnation,
-	s *memory.Store, to *receiver, inv quetzalhook.Invariants,
+	s *memory.Store, to *memory.Receiver, checks bool, inv quetzalhook.Invariants,
 ) *testHost {
 	p := &testHost{host: host, gate: &memory.Gate{}, to: to}
 	clock := p.gate.Clock(quetzalhook.ClockFunc(time.Now))
@@ -91,7 +53,7 @@
 		t.Fatal(err)
 	}
 	opts := []Option{WithIDs(id), WithSettle(term), WithPatience(term)}
-	if to.checks {
+	if checks {
 		opts = append(opts, WithFencing())
 	}
 	p.lease, p.ctl = l, New(l, p, p, p, clock, opts...)
@@ -102,7 +64,7 @@
 	if p.gate.Pass() != nil {
 		return &quetzalhook.StoreError{Op: "order", Kind: quetzalhook.StoreUnavailable}
 	}
-	err := p.to.take(p.host, o)
+	err := p.to.Order(p.host, o)
 	_ = p.gate.Pass()
 	return err
 }
@@ -113,16 +75,12 @@
 
 func (p *testHost) Orders(context.Context) ([]string, error) {
 	err := p.gate.Pass()
-	p.to.mu.Lock()
-	defer p.to.mu.Unlock()
-	return slices.Clone(p.to.effects), err
+	return p.to.Effects(), err
 }
 
 func (p *testHost) Hosts(context.Context) ([]quetzalhook.HostStatus, error) {
 	err := p.gate.Pass()
-	p.to.mu.Lock()
-	defer p.to.mu.Unlock()
-	return slices.Clone(p.to.hosts), err
+	return p.to.Hosts(), err
 }
 
 func (p *testHost) Plan(time.Time, []quetzalhook.Upstream) []Need {
@@ -142,8 +100,9 @@
 	ctx := context.Background()
 	inv := invariant.New(nil)
 	s := memory.New()
-	to := &receiver{checks: checks, lose: lose}
-	a, b := start(t, "a", 1, s, to, inv), start(t, "b", 1, s, to, inv)
+	to := memory.NewReceiver(checks)
+	to.SetFaults(lose, false)
+	a, b := start(t, "a", 1, s, to, checks, inv), start(t, "b", 1, s, to, checks, inv)
 	a.gate.PauseAt(pass)
 	done := make(chan struct{})
 	go func() {
@@ -165,16 +124,16 @@
 		b.step(ctx)
 		time.Sleep(term / 4)
 	}
-	if got := to.backward; len(got) > 0 {
+	if got := to.Findings(); len(got) > 0 {
 		t.Errorf("pass %d, pause %v: got old commander %v, want none", pass, pause, got)
 	}
 	if got := inv.Violations(); got > 0 {
 		t.Errorf("pass %d, pause %v: got violations %v, want none", pass, pause, inv.Details())
 	}
-	before := to.count()
+	before := len(to.Effects())
 	a.step(ctx)
 	b.step(ctx)
-	if to.count() == before {
+	if len(to.Effects()) == before {
 		t.Errorf("pass %d, pause %v: got no order after the resume, want some", pass, pause)
 	}
 	return reached
@@ -209,16 +168,14 @@
 func runFaults(t *rapid.T) {
 	inv := invariant.New(nil)
 	s := memory.New()
-	to := &receiver{}
+	to := memory.NewReceiver(false)
 	live := make([]*testHost, 3)
 	inc := quetzalhook.Incarnation(0)
 	launch := func(i int) {
 		inc++
 		host := quetzalhook.HostID(fmt.Sprint("host-", i))
-		to.mu.Lock()
-		to.hosts = append(to.hosts, quetzalhook.HostStatus{Host: host, Incarnation: inc})
-		to.mu.Unlock()
-		live[i] = start(t, host, inc, s, to, inv)
+		to.SetHost(quetzalhook.HostStatus{Host: host, Incarnation: inc})
+		live[i] = start(t, host, inc, s, to, false, inv)
 		live[i].lease.Start()
 		live[i].ctl.Start()
 	}
@@ -245,13 +202,11 @@
 			})
 		},
 		"heal":        func(*rapid.T) { s.SetFaults(memory.Faults{}) },
-		"lose-orders": func(t *rapid.T) { to.mu.Lock(); to.lose = 2; to.mu.Unlock() },
+		"lose-orders": func(*rapid.T) { to.SetFaults(2, false) },
 		"run":         func(t *rapid.T) { time.Sleep(sleep.Draw(t, "time")) },
 		"": func(t *rapid.T) {
-			to.mu.Lock()
-			defer to.mu.Unlock()
-			if len(to.backward) > 0 || inv.Violations() > 0 {
-				t.Fatalf("got %v %v, want no second commander", to.backward, inv.Details())
+			if got := to.Findings(); len(got) > 0 || inv.Violations() > 0 {
+				t.Fatalf("got %v %v, want no second commander", got, inv.Details())
 			}
 		},
 	})
@@ -260,9 +215,9 @@
 		p.gate.Resume()
 	}
 	time.Sleep(10 * term)
-	before := to.count()
+	before := len(to.Effects())
 	time.Sleep(term)
-	if got := to.count(); got == before {
+	if len(to.Effects()) == before {
 		t.Errorf("orders after all faults ended: got none in %v, want some; open intents %v", term, live[0].lease.Open())
 	}
 	for _, p := range append(ended, live...) {
--- a/internal/record/billing/bench_test.go
+++ b/internal/record/billing/bench_test.go
@@ -26,8 +26,7 @@
 	now := time.Unix(1e9, 0)
 	clock := quetzalhook.ClockFunc(func() time.Time { return now })
 	store, net := memory.New(), memory.NewNetwork()
-	to := &sink{bodies: make(map[string]string)}
-	h := &testHost{gate: &memory.Gate{}, to: to}
+	h := &testHost{gate: &memory.Gate{}, to: memory.NewReceiver(false)}
 	inv := invariant.New(nil)
 	l, err := lease.New(lease.RoleReporter, "host", 1, store, clock, inv)
 	if err != nil {
--- a/internal/record/billing/billing_test.go
+++ b/internal/record/billing/billing_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"runtime"
 	"slices"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,46 +36,10 @@
 
 var schedule = usage.NewSchedule(time.Minute)
 
-// sink is the platform. It takes note of reports that differ from an earlier
-// one of the same window and of reports with an older fencing number.
-type sink struct {
-	mu      sync.Mutex
-	hosts   []quetzalhook.HostStatus
-	bodies  map[string]string
-	fencing uint64
-	lose    int
-	refuse  bool
-	wrong   []string
-	repeats int
-}
-
-func (s *sink) take(window string, fencing uint64, body []byte) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.refuse {
-		return &quetzalhook.StoreError{Op: "report", Kind: quetzalhook.StoreUnavailable}
-	}
-	if before, ok := s.bodies[window]; ok {
-		s.repeats++
-		if before != string(body) {
-			s.wrong = append(s.wrong, fmt.Sprintf("%s: %s after %s", window, body, before))
-		}
-	}
-	if fencing < s.fencing {
-		s.wrong = append(s.wrong, fmt.Sprintf("%s: fencing number %d after %d", window, fencing, s.fencing))
-	}
-	s.bodies[window], s.fencing = string(body), max(s.fencing, fencing)
-	if s.lose > 0 {
-		s.lose--
-		return &quetzalhook.StoreError{Op: "report", Kind: quetzalhook.StoreUnknown}
-	}
-	return nil
-}
-
 // billed sums the lines of all reports.
-func (s *sink) billed(t fataler) map[usage.Key]usage.Amount {
+func billed(t fataler, reports map[string]string) map[usage.Key]usage.Amount {
 	sum := make(map[usage.Key]usage.Amount)
-	for _, body := range s.bodies {
+	for _, body := range reports {
 		var r Report
 		if err := json.Unmarshal([]byte(body), &r); err != nil {
 			t.Fatal(err)
@@ -99,7 +62,7 @@
 type testHost struct {
 	id       quetzalhook.HostStatus
 	gate     *memory.Gate
-	to       *sink
+	to       *memory.Receiver
 	meter    *usage.Meter
 	lease    *lease.Lease
 	reporter *Reporter
@@ -109,23 +72,21 @@
 	if h.gate.Pass() != nil {
 		return &quetzalhook.StoreError{Op: "report", Kind: quetzalhook.StoreUnavailable}
 	}
-	err := h.to.take(window, fencing, slices.Clone(body))
+	err := h.to.Report(h.id.Host, window, fencing, body)
 	_ = h.gate.Pass()
 	return err
 }
 
 func (h *testHost) Hosts(context.Context) ([]quetzalhook.HostStatus, error) {
 	err := h.gate.Pass()
-	h.to.mu.Lock()
-	defer h.to.mu.Unlock()
-	return slices.Clone(h.to.hosts), err
+	return h.to.Hosts(), err
 }
 
 // fleet is a set of hosts and what they counted.
 type fleet struct {
 	store *memory.Store
 	net   *memory.Network
-	to    *sink
+	to    *memory.Receiver
 	inv   *invariant.Registry
 	hosts []*testHost
 	ended []*testHost
@@ -135,7 +96,7 @@
 func newFleet() *fleet {
 	return &fleet{
 		store: memory.New(), net: memory.NewNetwork(), inv: invariant.New(nil),
-		to: &sink{bodies: make(map[string]string)}, hosts: make([]*testHost, 3),
+		to: memory.NewReceiver(false), hosts: make([]*testHost, 3),
 	}
 }
 
@@ -165,13 +126,10 @@
 	h.reporter = New(l, store, h, h, f.inv, clock, wall, schedule, WithGrace(45*time.Second),
 		WithGone(30*time.Second), WithSettle(20*time.Second), WithLookback(120))
 	f.hosts[i] = h
-	f.to.mu.Lock()
-	f.to.hosts = slices.DeleteFunc(f.to.hosts, func(s quetzalhook.HostStatus) bool { return s.Host == h.id.Host })
-	f.to.hosts = append(f.to.hosts, h.id)
-	f.to.mu.Unlock()
+	f.to.SetHost(h.id)
 }
 
-func (f *fleet) kill(t *rapid.T, i int) {
+func (f *fleet) kill(t fataler, i int) {
 	f.hosts[i].gate.Kill()
 	f.ended = append(f.ended, f.hosts[i])
 	f.launch(t, i)
@@ -186,11 +144,9 @@
 	time.Sleep(3 * time.Minute) // late changes end
 }
 
-func (f *fleet) check(t *rapid.T) {
-	f.to.mu.Lock()
-	defer f.to.mu.Unlock()
-	if len(f.to.wrong) > 0 || f.inv.Violations() > 0 {
-		t.Fatalf("got %v %v, want one report of each window by one reporter", f.to.wrong, f.inv.Details())
+func (f *fleet) check(t fataler) {
+	if got := f.to.Findings(); len(got) > 0 || f.inv.Violations() > 0 {
+		t.Errorf("got %v %v, want one report of each window by one reporter", got, f.inv.Details())
 	}
 }
 
@@ -226,17 +182,13 @@
 		},
 		"heal": func(*rapid.T) { f.store.SetFaults(memory.Faults{}) },
 		"sink": func(t *rapid.T) {
-			f.to.mu.Lock()
-			f.to.lose, f.to.refuse = rapid.IntRange(0, 3).Draw(t, "lose"), rapid.Bool().Draw(t, "refuse")
-			f.to.mu.Unlock()
+			f.to.SetFaults(rapid.IntRange(0, 3).Draw(t, "lose"), rapid.Bool().Draw(t, "refuse"))
 		},
 		"run": func(t *rapid.T) { time.Sleep(sleep.Draw(t, "time")) },
-		"":    f.check,
+		"":    func(t *rapid.T) { f.check(t) },
 	})
 	f.store.SetFaults(memory.Faults{})
-	f.to.mu.Lock()
-	f.to.lose, f.to.refuse = 0, false
-	f.to.mu.Unlock()
+	f.to.SetFaults(0, false)
 	for _, h := range append(f.ended, f.hosts...) {
 		h.gate.Resume()
 	}
@@ -248,10 +200,9 @@
 
 // checkBilled compares the reports with the usage in the store.
 func (f *fleet) checkBilled(t fataler) {
-	f.to.mu.Lock()
-	defer f.to.mu.Unlock()
+	reports := f.to.Reports()
 	want := make(map[usage.Key]usage.Amount)
-	for w := range f.to.bodies {
+	for w := range reports {
 		all, err := usage.Collect(context.Background(), f.store, usage.Window(w))
 		if err != nil {
 			t.Fatal(err)
@@ -261,10 +212,10 @@
 		}
 	}
 	f.checkFrozen(t)
-	if got := f.to.billed(t); fmt.Sprint(got) != fmt.Sprint(want) {
+	if got := billed(t, reports); fmt.Sprint(got) != fmt.Sprint(want) {
 		t.Errorf("billed: got %v, want %v as counted", got, want)
 	}
-	newest := slices.Max(slices.Collect(maps.Keys(f.to.bodies)))
+	newest := slices.Max(slices.Collect(maps.Keys(reports)))
 	if end, _ := schedule.End(usage.Window(newest)); time.Since(end) > 4*time.Minute {
 		t.Errorf("newest report: got %s at %s, want one of the last minutes", newest, time.Now())
 	}
@@ -272,7 +223,7 @@
 
 // checkFrozen compares the reports with the frozen figures in the store.
 func (f *fleet) checkFrozen(t fataler) {
-	for w, got := range f.to.bodies {
+	for w, got := range f.to.Reports() {
 		r := &Reporter{store: f.store, bodies: make(map[usage.Window][]byte)}
 		want, err := r.frozen(context.Background(), usage.Window(w))
 		if err != nil || got != string(want) {
@@ -332,9 +283,7 @@
 		step(b)
 		time.Sleep(3 * time.Second)
 	}
-	if len(f.to.wrong) > 0 || f.inv.Violations() > 0 {
-		t.Errorf("pass %d: got %v %v, want one report by one reporter", pass, f.to.wrong, f.inv.Details())
-	}
+	f.check(t)
 	f.checkBilled(t)
 	return reached
 }
