Bound the memory of usage and billing over time

Found by reading: the meter kept the version of every object that it ever wrote and a mark for every peer incarnation that it ever sent to, and a host that had been reporter kept the figures of 48 windows.

Versions now belong to the totals of their window and go with them, marks of peers are dropped above 16, and the figures go when the role does. Dropping marks costs one full replica for each peer.

--- a/internal/record/billing/reporter.go
+++ b/internal/record/billing/reporter.go
@@ -174,6 +174,7 @@
 // role is held.
 func (r *Reporter) Step(ctx context.Context) error {
 	if !r.lease.Held() {
+		clear(r.bodies) // up to 48 windows of figures that this host may not need again
 		return nil
 	}
 	s, version, err := r.loadState(ctx)
--- a/internal/record/usage/flush.go
+++ b/internal/record/usage/flush.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode usage")
 	}
-	base := m.version(o.key)
+	base := m.version(o)
 	version, err := m.store.Put(ctx, o.key, value, base)
 	if k := storeKind(err); k == quetzalhook.StoreConflict || k == quetzalhook.StoreUnknown {
 		current, readErr := m.store.Get(ctx, o.key)
@@ -139,14 +139,19 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.versions[o.key] = version
+	if l := m.ledger(o.value.Source, o.value.Window); l != nil {
+		l.versions[o.key] = version
+	}
 	return nil
 }
 
-func (m *Meter) version(key string) quetzalhook.Version {
+func (m *Meter) version(o object) quetzalhook.Version {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.versions[key]
+	if l := m.ledger(o.value.Source, o.value.Window); l != nil {
+		return l.versions[o.key]
+	}
+	return 0
 }
 
 // flushOrphans writes the replicas whose sources may not have written them,
--- a/internal/record/usage/ledger.go
+++ b/internal/record/usage/ledger.go
@@ -1,5 +1,7 @@
 package usage
 
+import "quetzalhook"
+
 // linesPerPart bounds the lines of one object. At up to 120 bytes a line it
 // stays under the store's limit of 1 MB.
 const linesPerPart = 5000
@@ -15,6 +17,8 @@
 	stored      uint64
 	finalStored bool
 	announced   bool // a flush has passed since finalStored
+	// versions holds the versions of the ledger's objects in the store.
+	versions map[string]quetzalhook.Version
 }
 
 type cell struct {
@@ -22,7 +26,9 @@
 	changed uint64 // sequence of the last change
 }
 
-func newLedger() *ledger { return &ledger{used: make(map[Key]*cell)} }
+func newLedger() *ledger {
+	return &ledger{used: make(map[Key]*cell), versions: make(map[string]quetzalhook.Version)}
+}
 
 func (l *ledger) cell(k Key) *cell {
 	c := l.used[k]
--- a/internal/record/usage/meter.go
+++ b/internal/record/usage/meter.go
@@ -58,7 +58,6 @@
 	windows  map[Window]*ledger
 	acked    map[Source]uint64 // sequence up to which a peer has the changes
 	replicas map[Source]*replica
-	versions map[string]quetzalhook.Version
 
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -94,7 +93,6 @@
 		orphanAfter: defaultOrphan, forgetAfter: defaultForget,
 		flushing: make(chan struct{}, 1), windows: make(map[Window]*ledger),
 		acked: make(map[Source]uint64), replicas: make(map[Source]*replica),
-		versions: make(map[string]quetzalhook.Version),
 	}
 	for _, opt := range opts {
 		opt(m)
--- a/internal/record/usage/replicate.go
+++ b/internal/record/usage/replicate.go
@@ -18,6 +18,8 @@
 	replicas = 2
 	// maxSilence is how long a peer may be silent and still be chosen.
 	maxSilence = 3 * time.Second
+	// maxAcked bounds the peers whose state is remembered.
+	maxAcked = 16
 	// linesPerCall bounds a call to about 100 KB.
 	linesPerCall = 2000
 )
@@ -80,6 +82,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if len(m.acked) > maxAcked {
+		clear(m.acked) // peers that came and went; the others get all once more
+	}
 	m.acked[peer] = seq
 	return nil
 }
