--- a/internal/fleet/member/gossip_test.go
+++ b/internal/fleet/member/gossip_test.go
@@ -362,9 +362,9 @@
 	}
 }
 
-// BenchmarkMembers measures the list that a host makes at most four times a
+// BenchmarkMemberList measures the list that a host makes at most four times a
 // second.
-func BenchmarkMembers(b *testing.B) {
+func BenchmarkMemberList(b *testing.B) {
 	for _, n := range []int{16, 300, 2800} {
 		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
 			w := newWorld(b, n, zones)
