--- a/internal/bench/client/client.go
+++ b/internal/bench/client/client.go
@@ -16,6 +16,7 @@
 	"quetzalhook"
 	"quetzalhook/internal/bench/measure"
 	"quetzalhook/internal/bench/workload"
+	"quetzalhook/internal/state/invariant"
 )
 
 const (
@@ -127,6 +128,9 @@
 		InTarget: status == measure.Served && (a.Class.Target == 0 || r.first <= a.Class.Target),
 		Order:    !a.Class.IsRepeatable(),
 	}
+	if a.Class.MustFinish && status != measure.Abandoned {
+		r.check(invariant.NoStarvation, status == measure.Served, "class", a.Class.Name, "after", time.Since(r.start))
+	}
 	if result.Order {
 		c.mu.Lock()
 		c.orders = append(c.orders, order{id: a.ID, status: status, broken: r.broken})
