--- a/internal/bench/client/client.go
+++ b/internal/bench/client/client.go
@@ -128,7 +128,7 @@
 		InTarget: status == measure.Served && (a.Class.Target == 0 || r.first <= a.Class.Target),
 		Order:    !a.Class.IsRepeatable(),
 	}
-	if a.Class.MustFinish && status != measure.Abandoned {
+	if a.Class.MustFinish && status != measure.Abandoned && !r.invalid {
 		r.check(invariant.NoStarvation, status == measure.Served, "class", a.Class.Name, "after", time.Since(r.start))
 	}
 	if result.Order {
--- a/internal/bench/client/request.go
+++ b/internal/bench/client/request.go
@@ -25,7 +25,9 @@
 
 	first  time.Duration // from start to the first token or whole response
 	tokens int
-	broken bool
+	broken bool // a connection broke
+	// invalid marks a wrong answer, which counts as a violation of its own.
+	invalid bool
 }
 
 // ending tells how one send ended.
@@ -75,6 +77,7 @@
 		case endAbandoned:
 			return measure.Abandoned
 		case endInvalid:
+			r.invalid = true
 			return measure.Unknown
 		case endNotRun:
 			if !r.retryRefused() || !wait(ctx, retryAfter(detail)) {
