--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -28,6 +28,7 @@
 	"quetzalhook/internal/state/boottime"
 	"quetzalhook/internal/state/chart"
 	"quetzalhook/internal/state/invariant"
+	"quetzalhook/internal/traffic/placement"
 )
 
 const (
@@ -48,6 +49,7 @@
 	machine  *chart.Machine
 	platform *object.Client
 	broker   *broker.Broker
+	planner  *placement.Planner // nil with the baseline policy
 	pool     *relay.Pool
 	relay    *relay.Relay
 	prober   *probe.Prober
@@ -62,6 +64,9 @@
 	listed   atomic.Pointer[[]quetzalhook.Upstream] // the platform's list
 	free     atomic.Uint64                          // free share of slots, as float64 bits
 
+	applying sync.Mutex
+	applied  []quetzalhook.Upstream // the upstreams in use, guarded by applying
+
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	stopped sync.Once
@@ -113,6 +118,11 @@
 	n.meter.Publish("invariants", func() any { return n.inv.Counts() })
 	n.meter.Publish("open-requests", func() any { return n.front.Open() })
 	n.meter.Publish("configuration-version", func() any { return n.records.rollout.Version() })
+	n.meter.Publish("members", func() any { return len(n.fleet.peers.Members()) })
+	n.meter.Publish("heartbeats-sent", func() any {
+		datagrams, bytes := n.fleet.members.Traffic()
+		return map[string]int64{"datagrams": datagrams, "bytes": bytes}
+	})
 	n.meter.Publish("platform-calls", func() any {
 		reads, writes, watches := n.platform.Calls()
 		return map[string]int64{"reads": reads, "writes": writes, "watches": watches}
--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -23,8 +23,9 @@
 	goneAfter = 3 * time.Second
 	// replyInterval bounds the answers to greetings of one host.
 	replyInterval = 200 * time.Millisecond
-	// leftRetention is how long a planned stop is remembered and passed on.
-	leftRetention = time.Minute
+	// leftRetention is how long a planned stop is remembered and passed on; the
+	// platform's list may show the host for as long.
+	leftRetention = 5 * time.Minute
 	// removeAfter is how long a host must be silent, and missing in the
 	// platform's list, before it is forgotten.
 	removeAfter = 30 * time.Second
@@ -327,6 +328,7 @@
 
 // members returns the other hosts that have not stopped, by name.
 func (g *gossip) members(now time.Time) []quetzalhook.Member {
+	g.arrange()
 	list := make([]quetzalhook.Member, 0, len(g.peers))
 	for host, p := range g.peers {
 		if !p.left.IsZero() {
@@ -336,6 +338,7 @@
 		demand := p.demand.snapshot(now)
 		for tier := range quetzalhook.TierCount {
 			demand.Waiting[tier], demand.Running[tier] = float64(b.Waiting[tier]), float64(b.Running[tier])
+			demand.Requests[tier] = int(b.Requests[tier])
 		}
 		age := b.StoreAge.duration()
 		if p.seen.IsZero() {
@@ -343,8 +346,8 @@
 		}
 		list = append(list, quetzalhook.Member{
 			Host: host, Incarnation: p.profile.Incarnation, Zone: p.profile.Zone, Region: p.profile.Region,
-			Address: p.profile.Address, PeerAddress: p.profile.Peer, Draining: b.Draining, Silent: p.silent(now), Direct: p.cell == g.cell,
-			FreeCapacity: float64(b.FreePercent) / 100, ConfigVersion: b.ConfigVersion, StoreAge: age,
+			Address: p.profile.Address, PeerAddress: p.profile.Peer, Draining: b.Draining, Silent: p.silent(now),
+			Distant: p.cell != g.cell, FreeCapacity: float64(b.FreePercent) / 100, ConfigVersion: b.ConfigVersion, StoreAge: age,
 			WithdrawnCount: b.WithdrawnCount, WithdrawnHash: b.WithdrawnHash, Demand: demand,
 		})
 	}
--- a/internal/fleet/member/message.go
+++ b/internal/fleet/member/message.go
@@ -55,6 +55,7 @@
 	StoreAge       milliseconds                  `cbor:"6,keyasint,omitempty"`
 	Waiting        [quetzalhook.TierCount]uint64 `cbor:"7,keyasint"`
 	Running        [quetzalhook.TierCount]uint64 `cbor:"8,keyasint"`
+	Requests       [quetzalhook.TierCount]uint32 `cbor:"9,keyasint"`
 }
 
 // inFlight is the number of a host's requests on one upstream.
@@ -93,6 +94,9 @@
 	// Beat holds the versions and digest of Origin, the smallest store age of
 	// the cell, its mean free capacity and its total work.
 	Beat beat `cbor:"5,keyasint"`
+	// Left holds eight bytes for each host that stopped as planned: its hash
+	// and the low half of its incarnation.
+	Left []byte `cbor:"6,keyasint,omitempty"`
 }
 
 // milliseconds is a duration on the wire. The largest value stands for longer.
--- a/internal/record/configuration/rollout.go
+++ b/internal/record/configuration/rollout.go
@@ -25,11 +25,9 @@
 	// silence is how long a watch may deliver nothing before it is reopened.
 	// A change that a silent watch missed has to be in force within 8 s.
 	silence = 3 * time.Second
-	// aliveLimit and farLimit are the longest silences of members of the own
-	// and of other cells that count for the choice of watchers. If those of
-	// other cells did not count, every cell would have its own watchers.
+	// aliveLimit is the longest silence of members of the own cell that count
+	// for the choice of watchers.
 	aliveLimit = 3 * time.Second
-	farLimit   = 2 * time.Minute
 	// slowPoll is the interval at which hosts without a watch read the head:
 	// 9 reads/s from 2,800 hosts.
 	slowPoll = 5 * time.Minute
@@ -115,8 +113,7 @@
 func (r *Rollout) IsWatcher() bool {
 	own, ahead := watchScore(r.host), 0
 	for _, m := range r.peers.Members() {
-		alive := m.Silent < aliveLimit || !m.Direct && m.Silent < farLimit
-		if m.Zone == r.zone && !m.Draining && alive && watchScore(m.Host) > own {
+		if m.Zone == r.zone && !m.Draining && m.IsHeard(aliveLimit) && watchScore(m.Host) > own {
 			ahead++
 		}
 	}
--- a/internal/record/credential/persist.go
+++ b/internal/record/credential/persist.go
@@ -24,10 +24,9 @@
 	dutyHosts = 2
 	// watchersPerZone is the number of hosts of a zone that watch the store.
 	watchersPerZone = 2
-	// aliveLimit and farLimit are the longest silences of members of the own
-	// and of other cells that count for duties.
+	// aliveLimit is the longest silence of members of the own cell that count
+	// for duties.
 	aliveLimit = 3 * time.Second
-	farLimit   = 2 * time.Minute
 	// interval is the time between two looks at the digests of other hosts, at
 	// withdrawals that are not persisted, and at a store that failed.
 	interval = time.Second
@@ -183,17 +182,13 @@
 func (r *Registry) isAmong(name string, n int, members []quetzalhook.Member, eligible func(quetzalhook.Member) bool) bool {
 	mine, ahead := rank(name, r.self.Host), 0
 	for _, m := range members {
-		if isAlive(m) && !m.Draining && eligible(m) && rank(name, m.Host) > mine {
+		if m.IsHeard(aliveLimit) && !m.Draining && eligible(m) && rank(name, m.Host) > mine {
 			ahead++
 		}
 	}
 	return ahead < n
 }
 
-func isAlive(m quetzalhook.Member) bool {
-	return m.Silent < aliveLimit || !m.Direct && m.Silent < farLimit
-}
-
 func (r *Registry) isWatcher() bool {
 	return r.isAmong("key", watchersPerZone, r.peers.Members(), func(m quetzalhook.Member) bool { return m.Zone == r.self.Zone })
 }
