Take the length of the answers as a setting of cmd/slopes

Cause: the cost of a token could not be told from that of a request. Before: all answers had 20 tokens.

--- a/cmd/slopes/main.go
+++ b/cmd/slopes/main.go
@@ -42,6 +42,7 @@
 			&cli.DurationFlag{Name: "settle", Value: 3 * time.Second, Usage: "time before the first measurement"},
 			&cli.DurationFlag{Name: "window", Value: 8 * time.Second, Usage: "length of each measurement"},
 			&cli.FloatFlag{Name: "rate", Value: 2, Usage: "requests/s to each host under load; 0 measures idle hosts only"},
+			&cli.IntSliceFlag{Name: "tokens", Value: []int{20}, Usage: "lengths of the answers, one run for each"},
 			&cli.BoolFlag{Name: "json", Usage: "print one JSON object a line instead of a table"},
 		},
 		Action: run,
@@ -49,19 +50,14 @@
 }
 
 func run(ctx context.Context, cmd *cli.Command) error {
-	w := cmd.Root().Writer
 	for _, hosts := range cmd.IntSlice("hosts") {
 		for _, upstreams := range cmd.IntSlice("upstreams") {
 			for _, customers := range cmd.IntSlice("customers") {
-				rows, err := slope.Run(ctx, slope.Settings{
-					Hosts: hosts, Zones: min(cmd.Int("zones"), hosts), Upstreams: upstreams, Customers: customers,
-					Settle: cmd.Duration("settle"), Window: cmd.Duration("window"), Rate: cmd.Float("rate"),
-				})
-				if err != nil {
-					return err
-				}
-				if err := write(w, rows, cmd.Bool("json")); err != nil {
-					return err
+				for _, tokens := range cmd.IntSlice("tokens") {
+					err := measure(ctx, cmd, slope.Settings{Hosts: hosts, Upstreams: upstreams, Customers: customers, Tokens: tokens})
+					if err != nil {
+						return err
+					}
 				}
 			}
 		}
@@ -69,6 +65,17 @@
 	return nil
 }
 
+// measure makes one run and prints it.
+func measure(ctx context.Context, cmd *cli.Command, s slope.Settings) error {
+	s.Zones = min(cmd.Int("zones"), s.Hosts)
+	s.Settle, s.Window, s.Rate = cmd.Duration("settle"), cmd.Duration("window"), cmd.Float("rate")
+	rows, err := slope.Run(ctx, s)
+	if err != nil {
+		return err
+	}
+	return write(cmd.Root().Writer, rows, cmd.Bool("json"))
+}
+
 func write(w io.Writer, rows []slope.Row, asJSON bool) error {
 	if asJSON {
 		for _, r := range rows {
@@ -79,10 +86,10 @@
 		return nil
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "phase\thosts\tupstreams\tcustomers\tcpu-%\theap-MB\tgoroutines\tmembers\tdatagrams/s\tB/s\tpolls/s\tchat/s\tfailed/s\tplatform-B/s\twatches")
+	fmt.Fprintln(t, "phase\thosts\tupstreams\tcustomers\ttokens\tcpu-%\theap-MB\tgoroutines\tmembers\tdatagrams/s\tB/s\tpolls/s\tchat/s\tfailed/s\tplatform-B/s\twatches")
 	for _, r := range rows {
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%.2f\t%.2f\t%.0f\t%.1f\t%.1f\t%.0f\t%.1f\t%.1f\t%.2f\t%.0f\t%.2f\n",
-			r.Phase, r.Hosts, r.Upstreams, r.Customers, r.CPU, r.Heap, r.Routines, r.Members, r.Datagrams, r.Bytes, r.Polls,
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.0f\t%.1f\t%.1f\t%.0f\t%.1f\t%.1f\t%.2f\t%.0f\t%.2f\n",
+			r.Phase, r.Hosts, r.Upstreams, r.Customers, r.Tokens, r.CPU, r.Heap, r.Routines, r.Members, r.Datagrams, r.Bytes, r.Polls,
 			r.Requests, r.Failed, r.PlatformBytes, r.Watches)
 	}
 	for _, r := range rows {
--- a/internal/bench/slope/slope.go
+++ b/internal/bench/slope/slope.go
@@ -23,6 +23,7 @@
 	maxCustomers = 17_000
 	maxWindow    = time.Minute
 	maxRate      = 100.0
+	maxTokens    = 2000
 	startTimeout = 60 * time.Second
 )
 
@@ -39,6 +40,8 @@
 	// Rate is the requests/s sent to each host in the second measurement; 0
 	// leaves it out.
 	Rate float64
+	// Tokens is the length of an answer.
+	Tokens int
 }
 
 // Validate returns an error that names a wrong setting, or nil.
@@ -54,19 +57,22 @@
 		return errors.Errorf("customers %d is not from 1 to %d", s.Customers, maxCustomers)
 	case s.Window < time.Second || s.Window > maxWindow || s.Settle < 0 || s.Settle > maxWindow:
 		return errors.Errorf("window %s and settle time %s are not up to %s", s.Window, s.Settle, maxWindow)
+	case s.Tokens < 1 || s.Tokens > maxTokens:
+		return errors.Errorf("tokens %d is not from 1 to %d", s.Tokens, maxTokens)
 	case s.Rate < 0 || s.Rate > maxRate:
 		return errors.Errorf("rate %g is not from 0 to %g", s.Rate, maxRate)
 	}
 	return nil
 }
 
-// Row is one measurement; all figures but the first five are for one host.
+// Row is one measurement; all figures but the first six are for one host.
 type Row struct {
 	Phase     string  `json:"phase"`
 	Hosts     int     `json:"hosts"`
 	Zones     int     `json:"zones"`
 	Upstreams int     `json:"upstreams"`
 	Customers int     `json:"customers"`
+	Tokens    int     `json:"tokens"`      // of an answer
 	CPU       float64 `json:"cpu-percent"` // of a core, with the stand-ins' part
 	Heap      float64 `json:"heap-mb"`     // after a collection, over that before the hosts started
 	Routines  float64 `json:"goroutines"`
@@ -128,7 +134,7 @@
 	per := func(a, b int64) float64 { return float64(b-a) / seconds / hosts }
 	row := Row{
 		Phase: phase, Hosts: f.settings.Hosts, Zones: f.settings.Zones,
-		Upstreams: f.settings.Upstreams, Customers: f.settings.Customers,
+		Upstreams: f.settings.Upstreams, Customers: f.settings.Customers, Tokens: f.settings.Tokens,
 		CPU:       100 * (end.cpu - begin.cpu).Seconds() / seconds / hosts,
 		Routines:  float64(runtime.NumGoroutine()) / hosts,
 		Members:   float64(end.members) / hosts,
