--- a/internal/entry/node/fleet.go
+++ b/internal/entry/node/fleet.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,7 @@
 	incarnation quetzalhook.Incarnation
 	members     *member.Service
 	peers       *peer.Service
+	closed      sync.Once
 }
 
 // newFleet returns the fleet of a host. A restarted host, which may run on
@@ -94,7 +96,9 @@
 	n := f.node
 	count, hash := n.records.keys.registry.Digest()
 	return member.Report{
-		Draining: n.draining.Load(), FreeCapacity: math.Float64frombits(n.free.Load()),
+		// A host that cannot serve yet, or no longer, is avoided like one that
+		// stops.
+		Draining: n.draining.Load() || !n.serves(), FreeCapacity: math.Float64frombits(n.free.Load()),
 		ConfigVersion: n.Version(), StoreAge: n.records.storeAge(),
 		WithdrawnCount: count, WithdrawnHash: hash, Demand: n.broker.Demand(),
 	}
@@ -105,8 +109,11 @@
 
 // Close ends all traffic with other hosts.
 func (f *fleet) Close() error {
-	_ = f.members.Close()
-	return f.peers.Close()
+	f.closed.Do(func() {
+		_ = f.members.Close()
+		_ = f.peers.Close()
+	})
+	return nil
 }
 
 // live returns the other hosts that were heard from lately.
--- a/internal/fleet/lease/order.go
+++ b/internal/fleet/lease/order.go
@@ -36,15 +36,15 @@
 type Send func(ctx context.Context, fencing uint64) error
 
 var (
-	errBlocked  = errors.New("an intent of another process is open")
-	errRepeated = errors.New("the order was sent before under this identifier")
-	errTooMany  = errors.New("too many orders with unknown outcome")
+	errBlocked = errors.New("an intent of another process is open")
+	errSending = errors.New("the order is being sent")
+	errTooMany = errors.New("too many orders with unknown outcome")
 )
 
 // Order writes the intent, sends the order and writes the outcome. Errors of
 // KindNotHolder, KindBlocked and KindStore mean that nothing was sent. After
-// KindSend with an unknown outcome the intent stays open; a repetition needs
-// another Order with another ID.
+// KindUnclear the intent stays open; the same process may call Order again with
+// the same ID until the outcome is known.
 func (l *Lease) Order(ctx context.Context, o Order, send Send) error {
 	if !l.enter() {
 		return l.fail("order", KindClosed, nil)
@@ -55,9 +55,12 @@
 		return err
 	}
 	err = send(ctx, fencing)
-	l.finish(ctx, o.ID, err)
-	if err != nil {
-		return l.fail("order", KindSend, err)
+	mayHaveEffect := l.finish(ctx, o.ID, err)
+	switch {
+	case mayHaveEffect:
+		return l.fail("order", KindUnclear, err)
+	case err != nil:
+		return l.fail("order", KindRefused, err)
 	}
 	return nil
 }
@@ -80,14 +83,15 @@
 	if l.machine.State() != stateHolding {
 		return 0, l.fail("order", KindNotHolder, nil)
 	}
-	if l.own[o.ID] != unsent {
-		return 0, l.fail("order", KindBlocked, errRepeated)
+	if l.own[o.ID] == sending {
+		return 0, l.fail("order", KindBlocked, errSending)
+	}
+	if l.own[o.ID] != unclear {
+		l.own[o.ID] = unsent
 	}
-	l.own[o.ID] = unsent
 	err := l.write(ctx, func(d *document) error { return l.addIntent(d, o) })
 	switch {
 	case errors.Is(err, errBlocked), errors.Is(err, errTooMany):
-		delete(l.own, o.ID)
 		return 0, l.fail("order", KindBlocked, err)
 	case err != nil:
 		return 0, l.lost("order", err)
@@ -99,6 +103,7 @@
 	l.inv.Check(invariant.SingleCommander, l.maySend(o, fencing), "role", l.role, "host", l.host,
 		"order", o.ID, "target", o.Target, "fencing", fencing, "intents", l.doc.Intents)
 	l.own[o.ID] = sending
+	l.count[o.ID]++
 	return fencing, nil
 }
 
@@ -110,15 +115,19 @@
 	if !o.ChecksFencing && l.hasForeign(*d, o.Target) {
 		return errBlocked
 	}
-	if d.has(o.ID) {
-		return nil // an earlier attempt took effect, its answer was lost
+	sends := l.count[o.ID] + 1
+	for n := range d.Intents {
+		if d.Intents[n].ID == o.ID {
+			d.Intents[n].Sends = sends
+			return nil
+		}
 	}
 	if l.openOwn(*d, o.Target) >= maxOwnIntents {
 		return errTooMany
 	}
 	d.Intents = append(d.Intents, Intent{
 		ID: o.ID, Target: o.Target, Fencing: d.Fencing,
-		Host: l.host, Incarnation: l.incarnation,
+		Host: l.host, Incarnation: l.incarnation, Sends: sends,
 	})
 	return nil
 }
@@ -128,26 +137,31 @@
 func (l *Lease) maySend(o Order, fencing uint64) bool {
 	return l.isMine(l.doc) && l.doc.Fencing == fencing && l.doc.has(o.ID) &&
 		(o.ChecksFencing || !slices.ContainsFunc(l.doc.Intents, func(i Intent) bool {
+			// Written out, so that a fault in hasForeign does not hide here as well.
 			return i.Target == o.Target && (i.Host != l.host || i.Incarnation != l.incarnation)
 		}))
 }
 
-// finish notes the result of a send and writes the outcome. If the write
-// fails, the next renewal repeats it.
-func (l *Lease) finish(ctx context.Context, id string, err error) {
+// finish notes the result of a send, writes the outcome and reports whether
+// the outcome is unclear. If the write
+// fails, the next renewal repeats it. A refusal of a repeated order says nothing
+// about its earlier sends, so the outcome stays unclear.
+func (l *Lease) finish(ctx context.Context, id string, err error) bool {
 	l.op <- struct{}{}
 	defer func() { <-l.op }()
-	if err != nil && storeKind(err) == quetzalhook.StoreUnknown {
+	if err != nil && (storeKind(err) == quetzalhook.StoreUnknown || l.count[id] > 1) {
 		l.own[id] = unclear
-		return
+		return true
 	}
 	l.own[id] = ended
+	delete(l.count, id)
 	_ = l.write(ctx, func(d *document) error {
 		if !d.remove(l.settled) {
 			return errNoChange
 		}
 		return nil
 	})
+	return false
 }
 
 // settled reports whether an intent is this process's own and needs no
@@ -155,25 +169,26 @@
 // will be.
 func (l *Lease) settled(i Intent) bool {
 	p, known := l.own[i.ID]
-	return l.isOwn(i) && (!known || p == unsent || p == ended)
+	return l.IsOwn(i) && (!known || p == unsent || p == ended)
 }
 
 func (l *Lease) settledExcept(id string) func(Intent) bool {
 	return func(i Intent) bool { return i.ID != id && l.settled(i) }
 }
 
-func (l *Lease) isOwn(i Intent) bool {
+// IsOwn reports whether this process wrote the intent.
+func (l *Lease) IsOwn(i Intent) bool {
 	return i.Host == l.host && i.Incarnation == l.incarnation
 }
 
 func (l *Lease) hasForeign(d document, target string) bool {
-	return slices.ContainsFunc(d.Intents, func(i Intent) bool { return i.Target == target && !l.isOwn(i) })
+	return slices.ContainsFunc(d.Intents, func(i Intent) bool { return i.Target == target && !l.IsOwn(i) })
 }
 
 func (l *Lease) openOwn(d document, target string) int {
 	n := 0
 	for _, i := range d.Intents {
-		if i.Target == target && l.isOwn(i) {
+		if i.Target == target && l.IsOwn(i) {
 			n++
 		}
 	}
--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -23,8 +23,9 @@
 	goneAfter = 3 * time.Second
 	// replyInterval bounds the answers to greetings of one host.
 	replyInterval = 200 * time.Millisecond
-	// leftRetention is how long a planned stop is remembered and passed on.
-	leftRetention = time.Minute
+	// leftRetention is how long a planned stop is remembered and passed on; the
+	// platform's list may show the host for as long.
+	leftRetention = 5 * time.Minute
 	// removeAfter is how long a host must be silent, and missing in the
 	// platform's list, before it is forgotten.
 	removeAfter = 30 * time.Second
@@ -95,7 +96,8 @@
 	sequence uint64
 	beats    int
 	outgoing demandQueue
-	told     beat // last own beat sent
+	latest   beat // the own beat now
+	told     beat // the own beat last sent to the cell
 	regions  map[cellID]*cellView
 	random   uint64
 	blocked  func(quetzalhook.HostID) bool
@@ -336,6 +338,7 @@
 		demand := p.demand.snapshot(now)
 		for tier := range quetzalhook.TierCount {
 			demand.Waiting[tier], demand.Running[tier] = float64(b.Waiting[tier]), float64(b.Running[tier])
+			demand.Requests[tier] = int(b.Requests[tier])
 		}
 		age := b.StoreAge.duration()
 		if p.seen.IsZero() {
--- a/internal/fleet/member/gossip_test.go
+++ b/internal/fleet/member/gossip_test.go
@@ -123,7 +123,10 @@
 	for i := range 60 {
 		inFlight[quetzalhook.UpstreamID(fmt.Sprintf("sellers-chat-ljubljana-%d", i))] = i + 1
 	}
-	demand := quetzalhook.Demand{InFlight: inFlight, Used: map[quetzalhook.CustomerID]float64{"seller": 7}}
+	demand := quetzalhook.Demand{
+		Requests: [quetzalhook.TierCount]int{3, 0, 2, 1}, InFlight: inFlight,
+		Used: map[quetzalhook.CustomerID]float64{"seller": 7},
+	}
 	w.report = func(int) Report { return Report{ConfigVersion: 3, WithdrawnHash: 9, Demand: demand} }
 	w.run(12 * time.Second)
 	for i := 1; i < 8; i++ {
@@ -131,7 +134,7 @@
 		if !ok || m.Silent > beatInterval || m.ConfigVersion != 3 || m.WithdrawnHash != 9 || m.PeerAddress != "10.1.2.3:7001" {
 			t.Errorf("host %d: got %+v, %t", i, m, ok)
 		}
-		if got, want := fmt.Sprint(m.Demand.InFlight, m.Demand.Used), fmt.Sprint(inFlight, demand.Used); got != want {
+		if got, want := fmt.Sprint(m.Demand.Requests, m.Demand.InFlight, m.Demand.Used), fmt.Sprint(demand.Requests, inFlight, demand.Used); got != want {
 			t.Errorf("host %d: demand: got %s, want %s", i, got, want)
 		}
 	}
@@ -230,6 +233,19 @@
 	if limit := 10 * time.Second; worst > limit {
 		t.Errorf("longest silence: got %s, want at most %s", worst, limit)
 	}
+	out, err := w.hosts[address(7)].farewell(w.now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stopped := w.hosts[address(7)]
+	w.deliver(address(7), out)
+	w.lose = func(from, to *gossip) bool { return from == stopped || to == stopped }
+	w.run(8 * time.Second)
+	for i := range cellFleet {
+		if _, ok := w.member(i, 7); ok && i != 7 {
+			t.Errorf("host %d: planned stop of host 7 is not known", i)
+		}
+	}
 }
 
 func FuzzReceive(f *testing.F) {
@@ -265,7 +281,7 @@
 			}
 			w.report = func(int) Report { return Report{ConfigVersion: 77, Demand: quetzalhook.Demand{InFlight: inFlight}} }
 			w.list()
-			w.run(60 * time.Second)
+			w.run(120 * time.Second)
 			for b.Loop() {
 				clear(w.sent)
 				w.total = 0
@@ -295,7 +311,8 @@
 	}
 }
 
-// BenchmarkReceive measures one heartbeat, with its HMAC.
+// BenchmarkReceive measures making one heartbeat for 15 hosts and taking it on
+// one of them.
 func BenchmarkReceive(b *testing.B) {
 	w := newWorld(b, 16, 1)
 	w.list()
@@ -347,3 +364,20 @@
 		})
 	}
 }
+
+// BenchmarkMembers measures the list that a host makes at most four times a
+// second.
+func BenchmarkMembers(b *testing.B) {
+	for _, n := range []int{16, 300, 2800} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			w := newWorld(b, n, zones)
+			w.list()
+			g := w.hosts[address(0)]
+			for b.Loop() {
+				if got, want := len(g.members(w.now)), n-1; got != want {
+					b.Fatalf("members: got %d, want %d", got, want)
+				}
+			}
+		})
+	}
+}
--- a/internal/fleet/member/summary.go
+++ b/internal/fleet/member/summary.go
@@ -21,6 +21,13 @@
 // silence in 15 cells was 17 s, because a summary then spreads along chains.
 const maxRelays = 3
 
+const (
+	// maxLeft bounds the planned stops in a summary.
+	maxLeft = 16
+	// leftSize is the length of one entry of summary.Left.
+	leftSize = 8
+)
+
 // farCell is another cell and its hosts.
 type farCell struct {
 	peers []*peer
@@ -31,8 +38,8 @@
 const cellRetention = 5 * time.Minute
 
 // summaryOf describes the own cell.
-func (g *gossip) summaryOf(now time.Time, own beat) summary {
-	s := summary{Cell: g.cell, Origin: g.self.Host, Beat: own}
+func (g *gossip) summaryOf(now time.Time) summary {
+	s := summary{Cell: g.cell, Origin: g.self.Host, Beat: g.latest}
 	s.Alive = binary.BigEndian.AppendUint32(s.Alive, hostHash(g.self.Host))
 	free, n := int(s.Beat.FreePercent), 1
 	for _, p := range g.near {
@@ -45,9 +52,16 @@
 		for tier := range quetzalhook.TierCount {
 			s.Beat.Waiting[tier] += p.beat.Waiting[tier]
 			s.Beat.Running[tier] += p.beat.Running[tier]
+			s.Beat.Requests[tier] += p.beat.Requests[tier]
 		}
 	}
 	s.Beat.FreePercent = uint8(free / n)
+	for _, p := range g.peers {
+		if !p.left.IsZero() && p.cell == g.cell && len(s.Left) < maxLeft*leftSize {
+			s.Left = binary.BigEndian.AppendUint32(s.Left, hostHash(p.profile.Host))
+			s.Left = binary.BigEndian.AppendUint32(s.Left, uint32(p.profile.Incarnation))
+		}
+	}
 	return s
 }
 
@@ -55,11 +69,11 @@
 // one, and one of the cell that this host has heard of least recently, which
 // is asked for its summary. With random hosts only, the worst silence in 60
 // cells was 84 s.
-func (g *gossip) summaries(now time.Time, r Report) ([]datagram, error) {
+func (g *gossip) summaries(now time.Time) ([]datagram, error) {
 	if g.cells.single {
 		return nil, nil
 	}
-	own := g.summaryOf(now, toBeat(r))
+	own := g.summaryOf(now)
 	asked := g.pickStalest(now)
 	random := g.pick(func(p *peer) bool { return p.cell != g.cell && p != asked && g.isReachable(p) })
 	var out []datagram
@@ -106,17 +120,11 @@
 	return p
 }
 
-// summaryAnswer returns the own summary for a host that asked for it.
+// summaryAnswer returns summaries for a host that asked for them.
 func (g *gossip) summaryAnswer(now time.Time, p *peer) (*datagram, error) {
 	g.arrange()
-	m := g.packet()
-	m.Summaries = []summary{g.summaryOf(now, g.told)}
-	f, err := newFiller(m, maxBody)
-	if err != nil {
-		return nil, err
-	}
-	body, err := f.encode()
-	return &datagram{to: p.profile.Heartbeat, data: g.seal.seal(p.profile.Incarnation, body)}, err
+	d, err := g.summaryFor(now, p, g.summaryOf(now), false)
+	return &d, err
 }
 
 // summaryFor returns a datagram with the own summary and, as far as they fit,
@@ -183,6 +191,12 @@
 		g.regions[s.Cell] = v
 	}
 	v.summary, v.at, v.relays = s, at, 0
+	for i := 0; i+leftSize <= len(s.Left); i += leftSize {
+		p := g.byHash[binary.BigEndian.Uint32(s.Left[i:])]
+		if p != nil && p.left.IsZero() && uint32(p.profile.Incarnation) == binary.BigEndian.Uint32(s.Left[i+4:]) {
+			p.left, g.stale = now, true
+		}
+	}
 	for i := 0; i+4 <= len(s.Alive); i += 4 {
 		p := g.byHash[binary.BigEndian.Uint32(s.Alive[i:])]
 		if p == nil || p.cell == g.cell || !at.After(p.seen) {
@@ -205,6 +219,7 @@
 	FreeCapacity float64 // mean over the hosts
 	Waiting      [quetzalhook.TierCount]float64
 	Running      [quetzalhook.TierCount]float64
+	Requests     [quetzalhook.TierCount]int
 }
 
 func (g *gossip) cellSummaries(now time.Time) []CellSummary {
@@ -216,6 +231,7 @@
 		for tier := range quetzalhook.TierCount {
 			s.Waiting[tier] = float64(v.summary.Beat.Waiting[tier])
 			s.Running[tier] = float64(v.summary.Beat.Running[tier])
+			s.Requests[tier] = int(v.summary.Beat.Requests[tier])
 		}
 		list = append(list, s)
 	}
--- a/internal/record/configuration/rollout.go
+++ b/internal/record/configuration/rollout.go
@@ -1,7 +1,9 @@
 package configuration
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"quetzalhook"
 	"quetzalhook/internal/state/invariant"
@@ -22,14 +25,16 @@
 	// silence is how long a watch may deliver nothing before it is reopened.
 	// A change that a silent watch missed has to be in force within 8 s.
 	silence = 3 * time.Second
-	// aliveLimit is the longest silence of a member that counts for the choice
-	// of watchers.
+	// aliveLimit is the longest silence of members of the own cell that count
+	// for the choice of watchers.
 	aliveLimit = 3 * time.Second
 	// slowPoll is the interval at which hosts without a watch read the head:
 	// 9 reads/s from 2,800 hosts.
 	slowPoll = 5 * time.Minute
 	// callTimeout bounds each call to the store and to a peer.
 	callTimeout = 2 * time.Second
+	// parallelReads bounds the reads of shards that a host has open at once.
+	parallelReads = 8
 )
 
 // Rollout follows the confirmed versions on one host, only forward.
@@ -119,7 +124,7 @@
 	return xxhash.Sum64String("configuration\x00" + string(h))
 }
 
-// source reads shards.
+// source reads shards. With an error it returns those that it has.
 type source func(ctx context.Context, wanted []Hash) (map[Hash][]byte, error)
 
 // advance puts a newer head in force after fetching what it lacks. It ignores
@@ -131,14 +136,31 @@
 	r.mu.Lock()
 	missing := r.cache.missing(head.Manifest)
 	r.mu.Unlock()
-	fetched := make(map[Hash][]byte)
+	var fetched map[Hash][]byte
+	var err error
 	if len(missing) > 0 {
-		var err error
-		if fetched, err = from(ctx, missing); err != nil {
+		fetched, err = from(ctx, missing)
+	}
+	// What came before a failure is kept: with a slow store no single attempt
+	// may bring all shards.
+	if addErr := r.addShards(fetched); err == nil {
+		err = addErr
+	}
+	if err != nil {
+		return err
+	}
+	return r.install(head)
+}
+
+func (r *Rollout) addShards(shards map[Hash][]byte) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for h, value := range shards {
+		if err := r.cache.add(h, value); err != nil {
 			return err
 		}
 	}
-	return r.install(head, fetched)
+	return nil
 }
 
 // isNews reports whether head is newer than the version in force. One number
@@ -152,17 +174,12 @@
 	return head.Number > r.head.Number
 }
 
-func (r *Rollout) install(head Head, fetched map[Hash][]byte) error {
+func (r *Rollout) install(head Head) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if head.Number <= r.head.Number { // the other source was faster
 		return nil
 	}
-	for h, value := range fetched {
-		if err := r.cache.add(h, value); err != nil {
-			return err
-		}
-	}
 	d, err := r.cache.assemble(head.Manifest)
 	if err != nil {
 		return err
@@ -173,7 +190,7 @@
 	r.head, r.document = head, d
 	close(r.changed)
 	r.changed = make(chan struct{})
-	r.log.WithFields(logrus.Fields{"version": head.Number, "shards": len(fetched)}).Info("configuration in force")
+	r.log.WithField("version", head.Number).Info("configuration in force")
 	return nil
 }
 
@@ -284,15 +301,24 @@
 }
 
 func (r *Rollout) fromStore(ctx context.Context, wanted []Hash) (map[Hash][]byte, error) {
+	var mu sync.Mutex
 	shards := make(map[Hash][]byte, len(wanted))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelReads)
 	for _, h := range wanted {
-		o, err := r.store.Get(ctx, shardPrefix+h.String())
-		if err != nil {
-			return nil, storeFailure("read shard", err)
-		}
-		shards[h] = o.Value
+		group.Go(func() error {
+			o, err := r.store.Get(ctx, shardPrefix+h.String())
+			if err != nil {
+				return storeFailure("read shard", err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			shards[h] = o.Value
+			return nil
+		})
 	}
-	return shards, nil
+	err := group.Wait()
+	return shards, err
 }
 
 // followPeers pulls newer versions that members show in their heartbeats.
@@ -310,42 +336,37 @@
 const pullAttempts = 3
 
 // ahead returns members with a newer version, those of the own zone first and
-// otherwise in an order that differs between hosts, which spreads the load.
+// otherwise in an order that differs between hosts, which spreads the load,
+// and changes with time, so that a member that does not answer is not asked
+// first every time.
 func (r *Rollout) ahead() []quetzalhook.HostID {
-	current := r.Version()
-	members := slices.DeleteFunc(slices.Clone(r.peers.Members()), func(m quetzalhook.Member) bool {
-		return m.ConfigVersion <= current
-	})
-	slices.SortFunc(members, func(a, b quetzalhook.Member) int {
-		if (a.Zone == r.zone) != (b.Zone == r.zone) {
-			if a.Zone == r.zone {
-				return -1
-			}
-			return 1
+	type candidate struct {
+		host  quetzalhook.HostID
+		far   int
+		score uint64
+	}
+	current, round := r.Version(), r.clock.Now().Unix()
+	var list []candidate
+	for _, m := range r.peers.Members() {
+		if m.ConfigVersion <= current {
+			continue
 		}
-		sa, sb := r.pullScore(a.Host), r.pullScore(b.Host)
-		switch {
-		case sa < sb:
-			return -1
-		case sa > sb:
-			return 1
+		c := candidate{host: m.Host, score: xxhash.Sum64String(fmt.Sprint(r.host, m.Host, round))}
+		if m.Zone != r.zone {
+			c.far = 1
 		}
-		return 0
+		list = append(list, c)
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.far, b.far), cmp.Compare(a.score, b.score))
 	})
 	hosts := make([]quetzalhook.HostID, 0, pullAttempts)
-	for _, m := range members[:min(len(members), pullAttempts)] {
-		hosts = append(hosts, m.Host)
+	for _, c := range list[:min(len(list), pullAttempts)] {
+		hosts = append(hosts, c.host)
 	}
 	return hosts
 }
 
-// pullScore changes with time, so that a member that does not answer is not
-// asked first every time.
-func (r *Rollout) pullScore(h quetzalhook.HostID) uint64 {
-	round := r.clock.Now().Unix()
-	return xxhash.Sum64String(string(r.host)+"\x00"+string(h)) * uint64(round|1)
-}
-
 // sleep waits for d and reports whether ctx is still open.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/record/credential/persist.go
+++ b/internal/record/credential/persist.go
@@ -24,7 +24,8 @@
 	dutyHosts = 2
 	// watchersPerZone is the number of hosts of a zone that watch the store.
 	watchersPerZone = 2
-	// aliveLimit is the longest silence of a member that counts for duties.
+	// aliveLimit is the longest silence of members of the own cell that count
+	// for duties.
 	aliveLimit = 3 * time.Second
 	// interval is the time between two looks at the digests of other hosts, at
 	// withdrawals that are not persisted, and at a store that failed.
--- a/platform.go
+++ b/platform.go
@@ -133,7 +133,7 @@
 	Address     string // for callers, host:port
 	PeerAddress string // for other hosts, host:port
 	Draining    bool
-	Silent      time.Duration // time since the last heartbeat
+	Silent      time.Duration // time since the last sign of life
 	// Distant marks a host of another cell, which is heard of through summaries
 	// only.
 	Distant bool
