Count demand and place replicas over all cells

Cause: the controller added up the demand of hosts heard within 2 s, which in a fleet of several cells is its own cell; the peers for usage replicas were chosen among hosts heard within 3 s, while hosts of other zones are in other cells and heard of up to 65 s ago (BenchmarkFleet, 2,800 hosts). Ruled out: a longer limit for all hosts, which would delay the detection of a dead host of the own cell. Before: TestDemandOfAllCells and TestPeersInOtherCells did not exist. After: demand comes from the summaries of the other cells, up to 2 min old; replicas go to hosts of other cells heard of within 2 min. Fleets of one cell behave as before.

--- a/internal/entry/node/capacity.go
+++ b/internal/entry/node/capacity.go
@@ -6,6 +6,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/fleet/controller"
+	"quetzalhook/internal/fleet/member"
 	"quetzalhook/internal/record/configuration"
 	"quetzalhook/internal/traffic/capacity"
 )
@@ -106,16 +107,31 @@
 
 // slotDemand returns the slots in use and asked for by all hosts, by tier.
 func (n *Node) slotDemand() [quetzalhook.TierCount]float64 {
-	demands := []quetzalhook.Demand{n.broker.Demand()}
-	for _, m := range n.fleet.peers.Members() {
-		if m.Silent < aliveLimit {
-			demands = append(demands, m.Demand)
+	return sumDemand(n.broker.Demand(), n.fleet.peers.Members(), n.fleet.members.Cells())
+}
+
+// oldestSummary is the age up to which the summary of a cell counts. In 180
+// cells the oldest were 65 s old.
+const oldestSummary = 2 * time.Minute
+
+// sumDemand adds up the requests of this host, of the others of its cell, and
+// of the other cells, whose hosts are known by their sum only.
+func sumDemand(own quetzalhook.Demand, members []quetzalhook.Member, cells []member.CellSummary) [quetzalhook.TierCount]float64 {
+	var sum [quetzalhook.TierCount]float64
+	add := func(requests [quetzalhook.TierCount]int) {
+		for tier, r := range requests {
+			sum[tier] += float64(r)
 		}
 	}
-	var sum [quetzalhook.TierCount]float64
-	for _, d := range demands {
-		for tier, requests := range d.Requests {
-			sum[tier] += float64(requests)
+	add(own.Requests)
+	for _, m := range members {
+		if !m.Distant && m.Silent < aliveLimit {
+			add(m.Demand.Requests)
+		}
+	}
+	for _, c := range cells {
+		if c.Age < oldestSummary {
+			add(c.Requests)
 		}
 	}
 	return sum
--- a/internal/entry/node/follow_test.go
+++ b/internal/entry/node/follow_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quetzalhook"
+	"quetzalhook/internal/fleet/member"
 )
 
 // Guards against a fleet whose reads of the list of upstreams use up the
@@ -60,3 +61,20 @@
 		}
 	}
 }
+
+// Guards against capacity that is planned for one cell of a large fleet, and
+// against hosts of other cells that are counted twice.
+func TestDemandOfAllCells(t *testing.T) {
+	requests := func(n int) (d quetzalhook.Demand) {
+		d.Requests[0] = n
+		return d
+	}
+	got := sumDemand(requests(1), []quetzalhook.Member{
+		{Demand: requests(2)}, {Silent: time.Minute, Demand: requests(4)}, {Distant: true, Demand: requests(8)},
+	}, []member.CellSummary{
+		{Age: time.Minute, Requests: requests(16).Requests}, {Age: time.Hour, Requests: requests(32).Requests},
+	})
+	if want := 19.0; got[0] != want {
+		t.Errorf("got %g requests, want %g", got[0], want)
+	}
+}
--- /dev/null
+++ b/internal/record/usage/peers_test.go
@@ -0,0 +1,41 @@
+package usage
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"quetzalhook"
+)
+
+// listedPeers is a fixed list of members.
+type listedPeers []quetzalhook.Member
+
+func (l listedPeers) Members() []quetzalhook.Member { return l }
+
+func (listedPeers) Call(context.Context, quetzalhook.HostID, string, []byte) ([]byte, error) {
+	return nil, nil
+}
+
+func (listedPeers) Handle(string, quetzalhook.PeerHandler) {}
+
+// Guards against replicas that stay in the own zone of a large fleet because
+// hosts of other cells are heard of less often.
+func TestPeersInOtherCells(t *testing.T) {
+	peers := listedPeers{
+		{Host: "near", Zone: "z"},
+		{Host: "far", Zone: "y", Distant: true, Silent: time.Minute},
+		{Host: "farther", Zone: "x", Distant: true, Silent: 40 * time.Second},
+		{Host: "gone", Zone: "w", Distant: true, Silent: time.Hour},
+	}
+	clock := quetzalhook.ClockFunc(time.Now)
+	m := New(Source{Host: "a"}, "z", nil, clock, clock, peers, NewSchedule(time.Hour))
+	for _, got := range m.choose() {
+		if got.Host != "far" && got.Host != "farther" {
+			t.Errorf("got a replica on %s, want far and farther", got.Host)
+		}
+	}
+	if got, want := len(m.choose()), replicas; got != want {
+		t.Errorf("got %d peers, want %d", got, want)
+	}
+}
--- a/internal/record/usage/replicate.go
+++ b/internal/record/usage/replicate.go
@@ -16,7 +16,10 @@
 	peerKind = "usage-replica"
 	// replicas is the number of peers that hold a host's totals.
 	replicas = 2
-	// maxSilence is how long a peer may be silent and still be chosen.
+	// maxSilence is how long a peer may be silent and still be chosen. In a
+	// large fleet the hosts of other zones are in other cells, heard of less
+	// often: chosen by this limit alone, the peers changed from second to second,
+	// and each new peer gets all totals.
 	maxSilence = 3 * time.Second
 	// linesPerCall bounds a call to about 100 KB.
 	linesPerCall = 2000
@@ -40,7 +43,7 @@
 	members := make(map[quetzalhook.HostID]quetzalhook.Member)
 	var far, near []quetzalhook.HostID
 	for _, p := range m.peers.Members() {
-		if p.Draining || p.Silent > maxSilence {
+		if p.Draining || !p.IsHeard(maxSilence) {
 			continue
 		}
 		members[p.Host] = p
