Compare billed tokens with what callers received

The demo adds up the output tokens of all usage reports and prints what a customer was billed beyond the tokens of its whole answers.

--- a/internal/bench/measure/measure.go
+++ b/internal/bench/measure/measure.go
@@ -49,6 +49,7 @@
 
 type tally struct {
 	sent, served, inTarget, refused int
+	tokens                          int64 // of whole answers
 	firstToken                      *hdrhistogram.Histogram
 }
 
@@ -134,6 +135,7 @@
 	switch r.Status {
 	case Served:
 		t.served++
+		t.tokens += int64(r.Tokens)
 		_ = t.firstToken.RecordValue(min(max(r.FirstToken.Microseconds(), 1), maxLatency))
 	case Refused:
 		t.refused++
@@ -158,6 +160,8 @@
 type CustomerReport struct {
 	Sent       int     `json:"sent"`
 	Attainment float64 `json:"attainment"`
+	// Tokens are those of whole answers.
+	Tokens int64 `json:"tokens"`
 	// Gap is the largest shortfall of the customer's attainment in a class
 	// from the mean of that class, over classes with enough requests.
 	Gap float64 `json:"class-gap"`
@@ -180,7 +184,12 @@
 	WastedTokens int64   `json:"wasted-tokens"`
 	Spending     float64 `json:"spending"`
 	CheapShare   float64 `json:"cheap-share"`
-	Orders       Orders  `json:"orders"`
+	// BilledTokens are the output tokens in the usage reports of all windows
+	// that were reported; OverbilledTokens those of them beyond what the
+	// callers of a customer received in whole answers.
+	BilledTokens     int64  `json:"billed-tokens"`
+	OverbilledTokens int64  `json:"overbilled-tokens"`
+	Orders           Orders `json:"orders"`
 	// Violations and Checks are counts by invariant name.
 	Violations map[string]int64 `json:"violations"`
 	Checks     map[string]int64 `json:"checks"`
@@ -202,7 +211,9 @@
 		}
 	}
 	for name, t := range c.customers {
-		r.Customers[string(name)] = CustomerReport{Sent: t.sent, Attainment: t.attainment(), Gap: c.gap(name)}
+		r.Customers[string(name)] = CustomerReport{
+			Sent: t.sent, Attainment: t.attainment(), Tokens: t.tokens, Gap: c.gap(name),
+		}
 		r.WorstCustomer = min(r.WorstCustomer, t.attainment())
 	}
 	return r
@@ -222,6 +233,19 @@
 	return worst
 }
 
+// AddBilled compares the output tokens billed to each customer with what its
+// callers received.
+func (r *Report) AddBilled(billed map[string]int64) {
+	for name, n := range billed {
+		c, ok := r.Customers[name]
+		if !ok {
+			continue // no customer of the workloads
+		}
+		r.BilledTokens += n
+		r.OverbilledTokens += max(n-c.Tokens, 0)
+	}
+}
+
 // keys returns the keys of m in order.
 func keys[V any](m map[string]V) []string {
 	list := make([]string, 0, len(m))
--- a/internal/bench/measure/table.go
+++ b/internal/bench/measure/table.go
@@ -33,8 +33,9 @@
 func (r Report) writeTotals(w io.Writer) error {
 	fmt.Fprintf(w, "\nworst customer %.1f%%  goodput %d tokens  served %d  wasted %d (%.2f%%)  spending %.4f  cheap share %.1f%%\n",
 		100*r.WorstCustomer, r.GoodputTokens, r.ServedTokens, r.WastedTokens, 100*r.wasted(), r.Spending, 100*r.CheapShare)
-	fmt.Fprintf(w, "orders: sent %d  run %d  run twice %d  unknown %d\n\n",
+	fmt.Fprintf(w, "orders: sent %d  run %d  run twice %d  unknown %d\n",
 		r.Orders.Sent, r.Orders.Run, r.Orders.RunTwice, r.Orders.Unknown)
+	fmt.Fprintf(w, "billed %d tokens  more than received %d\n\n", r.BilledTokens, r.OverbilledTokens)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "invariant\tchecked\tviolated\t")
 	for _, name := range keys(r.Violations) {
--- a/internal/bench/scenario/check.go
+++ b/internal/bench/scenario/check.go
@@ -1,10 +1,12 @@
 package scenario
 
 import (
+	"encoding/json"
 	"time"
 
 	"quetzalhook"
 	"quetzalhook/internal/bench/client"
+	"quetzalhook/internal/record/billing"
 	"quetzalhook/internal/state/invariant"
 )
 
@@ -43,6 +45,7 @@
 	if total > 0 {
 		report.CheapShare = float64(cheap) / float64(total)
 	}
+	report.AddBilled(s.billed())
 	report.AddCounts(s.checks.Counts())
 	details := s.checks.Details()
 	for _, h := range s.hosts {
@@ -53,6 +56,23 @@
 	return Result{Report: report, Details: details, Errors: s.client.Errors()}
 }
 
+// billed returns the output tokens of each customer in the usage reports that
+// the platform received.
+func (s *system) billed() map[string]int64 {
+	tokens := make(map[string]int64)
+	for window, body := range s.backend.cloud.ReportBodies() {
+		var report billing.Report
+		if err := json.Unmarshal(body, &report); err != nil {
+			s.log.WithError(err).WithField("window", window).Error("usage report not read")
+			continue
+		}
+		for _, line := range report.Lines {
+			tokens[string(line.Customer)] += line.Output
+		}
+	}
+	return tokens
+}
+
 func (s *system) records() client.Records {
 	var all client.Records
 	for _, e := range s.backend.engines {
--- a/internal/standin/cloud/cloud.go
+++ b/internal/standin/cloud/cloud.go
@@ -9,6 +9,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -170,6 +171,13 @@
 	return c.reportCount, c.conflicting
 }
 
+// ReportBodies returns the first report of each window.
+func (c *Cloud) ReportBodies() map[string][]byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.reports)
+}
+
 func (c *Cloud) read(h http.HandlerFunc) http.HandlerFunc  { return c.limit(c.reads, h) }
 func (c *Cloud) write(h http.HandlerFunc) http.HandlerFunc { return c.limit(c.writes, h) }
 
