--- a/internal/record/usage/replicate.go
+++ b/internal/record/usage/replicate.go
@@ -16,8 +16,13 @@
 	peerKind = "usage-replica"
 	// replicas is the number of peers that hold a host's totals.
 	replicas = 2
-	// maxSilence is how long a peer may be silent and still be chosen.
+	// maxSilence is how long a peer may be silent and still be chosen. In a
+	// large fleet the hosts of other zones are in other cells, heard of less
+	// often: chosen by this limit alone, the peers changed from second to second,
+	// and each new peer gets all totals.
 	maxSilence = 3 * time.Second
+	// maxAcked bounds the peers whose state is remembered.
+	maxAcked = 16
 	// linesPerCall bounds a call to about 100 KB.
 	linesPerCall = 2000
 )
@@ -40,7 +45,7 @@
 	members := make(map[quetzalhook.HostID]quetzalhook.Member)
 	var far, near []quetzalhook.HostID
 	for _, p := range m.peers.Members() {
-		if p.Draining || p.Silent > maxSilence {
+		if p.Draining || !p.IsHeard(maxSilence) {
 			continue
 		}
 		members[p.Host] = p
@@ -80,6 +85,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if len(m.acked) > maxAcked {
+		clear(m.acked) // peers that came and went; the others get all once more
+	}
 	m.acked[peer] = seq
 	return nil
 }
