Print the steps of faults that did not happen as scripted

Cause: a step that fails was only logged, so that a run could pass without its fault. Before: visible at log level error only; after: in the demo's output.

--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -100,6 +100,9 @@
 	for _, kind := range kinds {
 		fmt.Fprintf(w, "error answers: %s: %d\n", kind, result.Errors[kind])
 	}
+	for _, f := range result.Failed {
+		fmt.Fprintln(w, "fault not as scripted:", f)
+	}
 	for _, d := range result.Details {
 		fmt.Fprintln(w, "violation:", d)
 	}
--- a/internal/bench/scenario/check.go
+++ b/internal/bench/scenario/check.go
@@ -53,7 +53,7 @@
 		report.AddCounts(counts)
 		details = append(details, found...)
 	}
-	return Result{Report: report, Details: details, Errors: s.client.Errors()}
+	return Result{Report: report, Details: details, Errors: s.client.Errors(), Failed: s.failed}
 }
 
 // billed returns the output tokens of each customer in the usage reports that
--- a/internal/bench/scenario/fault.go
+++ b/internal/bench/scenario/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sort"
 	"sync"
 	"time"
@@ -125,6 +126,9 @@
 				log := s.log.WithFields(logrus.Fields{"fault": name, "at": at})
 				if err := next.do(ctx, s); err != nil {
 					log.WithError(err).Error("step failed")
+					s.mu.Lock()
+					s.failed = append(s.failed, fmt.Sprintf("%s at %s: %v", name, at, err))
+					s.mu.Unlock()
 					return
 				}
 				log.Info("step done")
--- a/internal/bench/scenario/run.go
+++ b/internal/bench/scenario/run.go
@@ -41,8 +41,9 @@
 	client    *client.Client
 	probed    atomic.Int64 // tokens that the probes of faults received
 
-	mu       sync.Mutex // guards variants and changes of faults
+	mu       sync.Mutex // guards variants, failed and changes of faults
 	variants int
+	failed   []string // steps of faults that failed
 }
 
 // Result is what a run gives.
@@ -52,6 +53,9 @@
 	Details []string
 	// Errors counts the error answers that callers got, by kind and outcome.
 	Errors map[string]int
+	// Failed describes the steps of faults that did not happen as scripted,
+	// because of another fault or one of the product.
+	Failed []string
 }
 
 // Run starts the system, sends both workloads through the faults, and stops
