--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -56,23 +55,21 @@
 
 // Controller sends orders for one host. Step and Start must not be mixed.
 type Controller struct {
-	lease     *lease.Lease
-	platform  quetzalhook.Provisioner
-	planner   Planner
-	clock     quetzalhook.Clock
-	log       logrus.FieldLogger
-	interval  time.Duration
-	patience  time.Duration
-	settle    time.Duration
-	fencing   bool
-	newID     func() string
-	deaths    *lease.Deaths
-	orders    map[kind]ordered                   // what this term of the role has ordered
-	unclear   map[kind]quetzalhook.UpstreamOrder // sent without an answer
-	term      uint64                             // fencing number that orders belongs to
-	stop      context.CancelFunc
-	done      chan struct{}
-	closeOnce sync.Once
+	lease    *lease.Lease
+	platform quetzalhook.Provisioner
+	planner  Planner
+	clock    quetzalhook.Clock
+	log      logrus.FieldLogger
+	interval time.Duration
+	patience time.Duration
+	settle   time.Duration
+	fencing  bool
+	newID    func() string
+	deaths   *lease.Deaths
+	orders   map[kind]ordered                   // what this term of the role has ordered
+	unclear  map[kind]quetzalhook.UpstreamOrder // sent without an answer
+	term     uint64                             // fencing number that orders belongs to
+	rounds   *lease.Rounds
 }
 
 // Option sets an optional property of a Controller.
@@ -112,49 +109,21 @@
 		opt(c)
 	}
 	c.deaths = lease.NewDeaths(hosts, clock, c.settle)
+	c.rounds = lease.NewRounds(c.interval, c.Step, c.failed)
 	return c
 }
 
 // Start runs rounds in the background until Close.
-func (c *Controller) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	c.stop, c.done = cancel, make(chan struct{})
-	go func() {
-		defer close(c.done)
-		c.run(ctx)
-	}()
-}
-
-func (c *Controller) run(ctx context.Context) {
-	ticker := time.NewTicker(c.interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		// An order that has begun is completed even while the host stops:
-		// cancelling it would leave an intent with unknown outcome.
-		round, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.interval)
-		err := c.Step(round)
-		cancel()
-		if err != nil && c.log != nil {
-			c.log.WithError(err).Warn("controller round failed")
-		}
-	}
-}
+func (c *Controller) Start() { c.rounds.Start() }
 
 // Close stops the background work and waits for an order that is under way.
 // The role itself is released by closing the lease afterwards.
-func (c *Controller) Close() error {
-	c.closeOnce.Do(func() {
-		if c.stop != nil {
-			c.stop()
-			<-c.done
-		}
-	})
-	return nil
+func (c *Controller) Close() error { return c.rounds.Close() }
+
+func (c *Controller) failed(err error) {
+	if c.log != nil {
+		c.log.WithError(err).Warn("controller round failed")
+	}
 }
 
 // Step does one round. It does nothing unless the role is held.
--- a/internal/record/billing/reporter.go
+++ b/internal/record/billing/reporter.go
@@ -80,8 +80,7 @@
 	mu     sync.Mutex
 	status Status
 
-	stop context.CancelFunc
-	done chan struct{}
+	rounds *lease.Rounds
 }
 
 // Option sets an optional property of a Reporter.
@@ -128,46 +127,20 @@
 		opt(r)
 	}
 	r.deaths = lease.NewDeaths(hosts, clock, r.settle)
+	r.rounds = lease.NewRounds(r.interval, r.Step, r.failed)
 	return r
 }
 
 // Start runs rounds in the background until Close.
-func (r *Reporter) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	r.stop, r.done = cancel, make(chan struct{})
-	go func() {
-		defer close(r.done)
-		r.run(ctx)
-	}()
-}
-
-func (r *Reporter) run(ctx context.Context) {
-	ticker := time.NewTicker(r.interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		// A report that has begun is completed even while the host stops:
-		// cancelling it would leave an intent with unknown outcome.
-		round, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.interval)
-		err := r.Step(round)
-		cancel()
-		if err != nil && r.log != nil {
-			r.log.WithError(err).Warn("reporter round failed")
-		}
-	}
-}
+func (r *Reporter) Start() { r.rounds.Start() }
 
 // Close stops the background work and waits for a report that is under way.
-func (r *Reporter) Close() error {
-	if r.stop != nil {
-		r.stop()
-		<-r.done
+func (r *Reporter) Close() error { return r.rounds.Close() }
+
+func (r *Reporter) failed(err error) {
+	if r.log != nil {
+		r.log.WithError(err).Warn("reporter round failed")
 	}
-	return nil
 }
 
 // Step reports the windows that can be reported. It does nothing unless the
