Hand out each port of a demo run once

Other runs on the machine can still take a port between the choice and its use. After: the end-to-end test passes.

--- a/internal/bench/scenario/host.go
+++ b/internal/bench/scenario/host.go
@@ -43,12 +43,13 @@
 func newHosts(s *system, workloads []workload.Workload) ([]*host, error) {
 	var hosts []*host
 	var seeds []string
+	free := make(ports)
 	for i := range zones * hostsPerZone {
-		callers, err := freePort("tcp", 1)
+		callers, err := free.take("tcp", 1)
 		if err != nil {
 			return nil, err
 		}
-		peers, err := freePort("udp", 2)
+		peers, err := free.take("udp", 2)
 		if err != nil {
 			return nil, err
 		}
@@ -195,18 +196,33 @@
 	lastPort  = 32000
 )
 
-// freePort returns a loopback address with n free ports in a row.
-func freePort(network string, n int) (string, error) {
+// ports hands out each port at most once in a run.
+type ports map[int]bool
+
+// take returns a loopback address with n free ports in a row.
+func (p ports) take(network string, n int) (string, error) {
 	const attempts = 200
 	for range attempts {
 		port := firstPort + rand.IntN(lastPort-firstPort)
-		if portsFree(network, port, n) {
+		if p.unused(port, n) && portsFree(network, port, n) {
+			for i := range n {
+				p[port+i] = true
+			}
 			return address(port), nil
 		}
 	}
 	return "", errors.Errorf("no %d free %s ports in a row", n, network)
 }
 
+func (p ports) unused(port, n int) bool {
+	for i := range n {
+		if p[port+i] {
+			return false
+		}
+	}
+	return true
+}
+
 func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
 func portsFree(network string, port, n int) bool {
