--- a/internal/entry/node/follow.go
+++ b/internal/entry/node/follow.go
@@ -18,10 +18,10 @@
 	// The platform's list of upstreams is read every platformPerHost for each
 	// known host, so that all hosts together make at most 200 reads/s, but not
 	// more often than every platformMin. With an upper bound of 5 s, 2,800 hosts
-	// made 560 reads/s. An upstream takes about 115 bytes of the list, which
-	// took 80 KB/s of a host with 700 upstreams at one read a second; every
-	// platformPerUpstream for each of them is under 12 KB/s. Engines announce in
-	// their load reports that they leave, which hosts poll more often.
+	// made 560 reads/s. An upstream takes about 74 bytes of the list, which
+	// took 52 KB/s of a host with 700 upstreams at one read a second; every
+	// platformPerUpstream for each of them is 7.4 KB/s. Engines announce in their
+	// load reports that they leave, which hosts poll more often.
 	platformPerHost     = 5 * time.Millisecond
 	platformPerUpstream = 10 * time.Millisecond
 	platformMin         = time.Second
--- a/internal/entry/node/follow_test.go
+++ b/internal/entry/node/follow_test.go
@@ -22,7 +22,7 @@
 	if got, want := platformWait(8, 21), time.Second; got != want {
 		t.Errorf("8 hosts and 21 upstreams: got %s, want %s", got, want)
 	}
-	const itemBytes, share = 115, 12_000 // of 20 KB/s for all control traffic
+	const itemBytes, share = 74, 8_000 // of 20 KB/s for all control traffic
 	for _, upstreams := range []int{21, 700, 10_000} {
 		if got := float64(itemBytes*upstreams) / platformWait(8, upstreams).Seconds(); got > share {
 			t.Errorf("%d upstreams: got %.0f bytes/s, want at most %d", upstreams, got, share)
