Check refusals and resumes against independent evidence

Cause: the check of true-refusal compared the outcome with the flag from which the outcome is derived, and the check of whole-answer compared only the counts of one upstream, so an answer begun anew passed. Ruled out: counting tokens over all upstreams; an event may hold several. Before: with 'sent' never noted, or with the outcome not corrected after a send, the tests of front passed; a resume without the partial answer failed only the comparison of texts, with no violation counted. After: both faults fail TestWithdrawalEndsStream with one violation of true-refusal; the resume fails TestChatResumesMidStream with one violation of whole-answer. A resumed request is decoded once more for its check.

--- a/internal/entry/front/chat.go
+++ b/internal/entry/front/chat.go
@@ -41,7 +41,7 @@
 }
 
 func (x *exchange) guard() relay.Guard {
-	return relay.Guard{Secret: x.secret, Key: x.owner.Key, Sent: &x.sent}
+	return relay.Guard{Secret: x.secret, Key: x.owner.Key, Sent: &x.sent, Written: &x.written}
 }
 
 func (x *exchange) request(c *relay.ChatRequest) quetzalhook.Request {
--- a/internal/entry/front/error.go
+++ b/internal/entry/front/error.go
@@ -116,7 +116,7 @@
 func (x *exchange) fail(err error) {
 	e := x.describe(err)
 	f := x.front
-	f.deps.Invariants.Check(invariant.TrueRefusal, e.Outcome != quetzalhook.OutcomeNotRun || !x.sent.Load(), "request", x.id, "kind", e.Kind)
+	f.deps.Invariants.Check(invariant.TrueRefusal, e.Outcome != quetzalhook.OutcomeNotRun || !x.written.Load(), "request", x.id, "kind", e.Kind)
 	body := ErrorBody{Error: ErrorDetail{
 		Kind: e.Kind, Message: e.Message, Outcome: e.Outcome, RetryAfterMS: e.RetryAfter.Milliseconds(), RequestID: x.id,
 	}}
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -141,7 +141,9 @@
 	doc    *configuration.Document
 	route  configuration.Route
 	sent   atomic.Bool
-	ctx    context.Context
+	// written is set on the way of the first byte, later than sent.
+	written atomic.Bool
+	ctx     context.Context
 }
 
 // route serves every path that the configuration names.
--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -265,7 +265,8 @@
 	})
 }
 
-// Guards against a stream that goes on after its key was withdrawn.
+// Guards against a stream that goes on after its key was withdrawn, and
+// against a caller who is told that the request did not run.
 func TestWithdrawalEndsStream(t *testing.T) {
 	s := newSystem(t)
 	body := `{"model":"m","stream":true,"messages":[{"role":"user","content":"x"}],"metadata":{"output_tokens":5000}}`
@@ -291,6 +292,12 @@
 	if got, want := strings.Contains(string(rest), `"kind":"withdrawn-key"`), true; got != want {
 		t.Errorf("error event: got %v, want %v", got, want)
 	}
+	if got, want := strings.Contains(string(rest), `"outcome":"unknown"`), true; got != want {
+		t.Errorf("outcome unknown after the send: got %v, want %v in %q", got, want, rest)
+	}
+	if got, want := s.inv.Violations(), int64(0); got != want {
+		t.Errorf("violations: got %d, want %d: %v", got, want, s.inv.Details())
+	}
 }
 
 // Guards against a slot that stays taken after its caller went away.
--- a/internal/entry/relay/answer.go
+++ b/internal/entry/relay/answer.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -57,6 +58,7 @@
 	model    string
 	opened   bool
 	text     strings.Builder
+	passed   xxhash.Digest // of the text, kept apart from it to check resumes
 	tokens   int
 	finish   *string
 	first    time.Time
@@ -68,7 +70,9 @@
 
 // NewAnswer returns an answer to the request id.
 func NewAnswer(w http.ResponseWriter, id string, stream bool, now func() time.Time) *Answer {
-	return &Answer{w: w, control: http.NewResponseController(w), id: id, stream: stream, now: now, created: time.Now().Unix()}
+	a := &Answer{w: w, control: http.NewResponseController(w), id: id, stream: stream, now: now, created: time.Now().Unix()}
+	a.passed.Reset()
+	return a
 }
 
 // Tokens returns the number of tokens received.
@@ -121,6 +125,7 @@
 	}
 	a.tokens++
 	a.text.WriteString(content)
+	_, _ = a.passed.WriteString(content)
 }
 
 // event writes one server-sent event.
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -115,6 +115,9 @@
 	Key quetzalhook.KeyID
 	// Sent is set before the first byte of a request may leave the host.
 	Sent *atomic.Bool
+	// Written is set when net/http has written the headers of a request. It
+	// serves only to check what callers are told by Sent.
+	Written *atomic.Bool
 }
 
 // Chat runs a submitted chat request to its end.
@@ -262,6 +265,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.checkResume(call, attempt.Upstream, body)
 	var connected atomic.Bool
 	ctx = call.trace(ctx, &connected)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/chat/completions", bytes.NewReader(body))
@@ -286,12 +290,19 @@
 
 // trace notes when a connection is at hand, from where on bytes may leave.
 func (g Guard) trace(ctx context.Context, connected *atomic.Bool) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
-		connected.Store(true)
-		if g.Sent != nil {
-			g.Sent.Store(true)
-		}
-	}})
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) {
+			connected.Store(true)
+			if g.Sent != nil {
+				g.Sent.Store(true)
+			}
+		},
+		WroteHeaders: func() {
+			if g.Written != nil {
+				g.Written.Store(true)
+			}
+		},
+	})
 }
 
 // check runs right before a send: the key must still belong to the customer,
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -37,6 +37,8 @@
 	relay   *relay.Relay
 	inv     *invariant.Registry
 	sent    atomic.Bool
+
+	onAnswer func(*relay.Answer) // nil calls nothing
 }
 
 // harnessOption changes how a harness is built.
@@ -88,6 +90,9 @@
 		Answer:  relay.NewAnswer(w, "r1", chat.Stream(), time.Now),
 		Guard:   relay.Guard{Secret: testSecret, Sent: &h.sent},
 	}
+	if h.onAnswer != nil {
+		h.onAnswer(call.Answer)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	ticket, err := h.broker.Submit(ctx, call.Request)
--- /dev/null
+++ b/internal/entry/relay/resume.go
@@ -0,0 +1,37 @@
+package relay
+
+import (
+	"encoding/json"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quetzalhook"
+	"quetzalhook/internal/state/invariant"
+)
+
+// resumeBody is what matters of a request that continues an answer.
+type resumeBody struct {
+	Messages []struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	} `json:"messages"`
+	Continue bool `json:"continue_final_message"`
+}
+
+// checkResume checks that an upstream that takes over an answer continues
+// after exactly the text that the caller has. Otherwise tokens would be missing
+// or come twice, which the counts of the upstreams do not show.
+func (r *Relay) checkResume(call Call, id quetzalhook.UpstreamID, body []byte) {
+	a := call.Answer
+	if a.tokens == 0 {
+		return
+	}
+	var sent resumeBody
+	var text string
+	ok := json.Unmarshal(body, &sent) == nil && sent.Continue && len(sent.Messages) > 0
+	if ok {
+		last := sent.Messages[len(sent.Messages)-1]
+		ok = json.Unmarshal(last.Content, &text) == nil && last.Role == "assistant" && xxhash.Sum64String(text) == a.passed.Sum64()
+	}
+	r.invariants.Check(invariant.WholeAnswer, ok, "request", call.Request.ID, "upstream", id, "resumed-with", len(text), "passed-on", a.text.Len())
+}
