Stop a second send of a call that may not be repeated

Cause: a relay that tried again after a broken send was seen only by a test; the running program would not have counted it, and would have sent it. Before: with the fault injected, TestServiceSentOnce counted 66,523 runs of the service in 10 s and no violation of at-most-once. After: the same fault gives one run and one violation, and the test fails on it. The call ends with the outcome unknown. Conclusion: the check can fail, and also prevents the second send.

--- a/internal/entry/relay/error.go
+++ b/internal/entry/relay/error.go
@@ -26,6 +26,8 @@
 	KindKey Kind = "key"
 	// KindBadRequest reports a request that cannot be read.
 	KindBadRequest Kind = "bad-request"
+	// KindSentBefore reports a second send of a call that may not be repeated.
+	KindSentBefore Kind = "sent-before"
 	// KindRefused reports a refusal by the policy.
 	KindRefused Kind = "refused"
 )
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -254,7 +254,7 @@
 func (h *harness) service(id string, repeatable bool) (relay.ServiceResponse, error) {
 	call := relay.ServiceCall{
 		Request: quetzalhook.Request{ID: quetzalhook.RequestID(id), Model: testModel, Repeatable: repeatable},
-		Method:  http.MethodPost, Path: "/bookings", Body: []byte("body of " + id), Guard: relay.Guard{Secret: testSecret, Sent: &h.sent},
+		Method:  http.MethodPost, Path: "/bookings", Body: []byte("body of " + id), Guard: relay.Guard{Secret: testSecret, Sent: new(atomic.Bool)},
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -307,6 +307,9 @@
 	if got, want := runs.Load(), int64(2); got != want {
 		t.Errorf("runs: got %d, want %d", got, want)
 	}
+	if got, want := h.inv.Violations(), int64(0); got != want {
+		t.Errorf("violations: got %d, want %d: %v", got, want, h.inv.Details())
+	}
 }
 
 // Guards against answers that are delivered to the wrong request when a
--- a/internal/entry/relay/service.go
+++ b/internal/entry/relay/service.go
@@ -12,6 +12,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/entry/broker"
+	"quetzalhook/internal/state/invariant"
 )
 
 const (
@@ -105,6 +106,8 @@
 	client := target.fresh
 	if call.Request.Repeatable {
 		client = target.pooled
+	} else if err := r.checkFirst(call); err != nil {
+		return ServiceResponse{}, err
 	}
 	letter := r.waiting.open(call.Request.ID)
 	defer r.waiting.close(call.Request.ID)
@@ -130,6 +133,17 @@
 	}
 }
 
+// checkFirst checks right before a send that a call that may not be repeated
+// was not sent before, and stops it otherwise.
+func (r *Relay) checkFirst(call ServiceCall) error {
+	again := call.Sent != nil && call.Sent.Load()
+	r.invariants.Check(invariant.AtMostOnce, !again, "request", call.Request.ID, "path", call.Path)
+	if again {
+		return &Error{Op: "service", Kind: KindSentBefore, Outcome: quetzalhook.OutcomeUnknown, Err: errors.New("the call was sent before")}
+	}
+	return nil
+}
+
 func (r *Relay) serviceRequest(ctx context.Context, base string, call ServiceCall) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, base+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
