Let flags override the seeds of random tests

Before: a run with -rapid.checks=600 made the 50 checks of the default. After: the flags hold; without them the seeds and counts are the same. Conclusion: longer runs need no change of the tests.

--- a/internal/fleet/controller/controller_test.go
+++ b/internal/fleet/controller/controller_test.go
@@ -26,7 +26,6 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
 	_ = flag.Set("rapid.seed", "7")
 	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
--- a/internal/record/journal/faults_test.go
+++ b/internal/record/journal/faults_test.go
@@ -18,7 +18,6 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
 	_ = flag.Set("rapid.seed", "7")
 	_ = flag.Set("rapid.nofailfile", "true")
 	_ = flag.Set("rapid.steps", "80")
--- a/internal/record/usage/usage_test.go
+++ b/internal/record/usage/usage_test.go
@@ -20,7 +20,6 @@
 	// With several threads, timers in a synctest bubble sometimes crash the race
 	// detector's own runtime (a failed check in tsan_rtl.cpp).
 	runtime.GOMAXPROCS(1)
-	flag.Parse()
 	_ = flag.Set("rapid.seed", "7")
 	_ = flag.Set("rapid.nofailfile", "true")
 	_ = flag.Set("rapid.steps", "60")
