--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -64,6 +65,9 @@
 	s.mux.HandleFunc("POST /operator/roles/{role}/intents/{id}/settle", s.settle)
 	s.mux.HandleFunc("GET /operator/status", s.status)
 	s.mux.Handle("GET /debug/vars", deps.Vars)
+	s.mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	s.mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	s.mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 	return s
 }
 
