Do not call a key unknown before the store was asked for it

Cause: a host reads the store for keys that it has not seen at 2 a second, 10 at once; a good key beyond that was refused as unknown-key with status 401, after which callers do not try again.

Such a key is now refused as keys-not-current with a time to try again.

Before: the host had no way to tell the two cases apart. The case itself depends on timing and was not reproduced.

--- a/internal/entry/node/follow.go
+++ b/internal/entry/node/follow.go
@@ -206,7 +206,7 @@
 
 // hosts returns the hosts that callers in a region should use, the best
 // first: in the region, then by free capacity. Without any other, a host
-// that is stopping or cannot serve still names itself.
+// that is stopping still names itself; one that cannot serve never does.
 func (n *Node) hosts(region quetzalhook.Region) []front.HostAddress {
 	var list []front.HostAddress
 	self := front.HostAddress{
@@ -221,7 +221,7 @@
 		}
 		list = append(list, front.HostAddress{Address: m.Address, Zone: m.Zone, Region: n.regionOf(m), Free: m.FreeCapacity})
 	}
-	if len(list) == 0 {
+	if len(list) == 0 && n.serves() {
 		list = append(list, self)
 	}
 	slices.SortStableFunc(list, func(a, b front.HostAddress) int { return compareHosts(region, a, b) })
--- a/internal/entry/node/keys.go
+++ b/internal/entry/node/keys.go
@@ -22,6 +22,9 @@
 		return quetzalhook.Identity{}, &quetzalhook.KeyError{Kind: quetzalhook.KeyNotCurrent}
 	}
 	customer, id, ok := k.registry.Lookup(secret)
+	if !ok && k.registry.IsUnread(id) {
+		return quetzalhook.Identity{}, &quetzalhook.KeyError{Kind: quetzalhook.KeyNotCurrent}
+	}
 	if !ok {
 		return quetzalhook.Identity{}, &quetzalhook.KeyError{Kind: quetzalhook.KeyUnknown}
 	}
--- a/internal/record/credential/registry.go
+++ b/internal/record/credential/registry.go
@@ -177,6 +177,11 @@
 	return quetzalhook.CustomerID(rec.Customer), id, ok
 }
 
+// IsUnread reports whether this host cannot tell yet whether a key exists,
+// because its reads for unknown keys are used up or failed. A key that Lookup
+// did not find may then be good.
+func (r *Registry) IsUnread(id ID) bool { return r.table.isUnread(r.clock.Now(), id) }
+
 // lookupStored reads the key's shard and looks again.
 func (r *Registry) lookupStored(hash [sha256.Size]byte) (record, finding) {
 	id := ID(hash[:len(ID{})])
--- a/internal/record/credential/table.go
+++ b/internal/record/credential/table.go
@@ -93,6 +93,15 @@
 	return ok
 }
 
+// isUnread reports whether a key is neither known nor known not to exist.
+func (t *table) isUnread(now time.Time, id ID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, withdrawn := t.withdrawn[id]
+	_, issued := t.records[id]
+	return !withdrawn && !issued && !now.Before(t.unknown[id])
+}
+
 // refuse remembers an unknown key until the given time.
 func (t *table) refuse(id ID, now, until time.Time) {
 	t.mu.Lock()
