--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -95,7 +95,7 @@
 	f.mux.HandleFunc("/", f.route)
 	if deps.Operator != nil {
 		f.mux.Handle("/operator/", deps.Operator)
-		f.mux.Handle("GET /debug/vars", deps.Operator)
+		f.mux.Handle("GET /debug/", deps.Operator)
 	}
 	return f
 }
@@ -141,7 +141,9 @@
 	doc    *configuration.Document
 	route  configuration.Route
 	sent   atomic.Bool
-	ctx    context.Context
+	// written is set on the way of the first byte, later than sent.
+	written atomic.Bool
+	ctx     context.Context
 }
 
 // route serves every path that the configuration names.
--- a/internal/record/usage/replicate.go
+++ b/internal/record/usage/replicate.go
@@ -21,6 +21,8 @@
 	// often: chosen by this limit alone, the peers changed from second to second,
 	// and each new peer gets all totals.
 	maxSilence = 3 * time.Second
+	// maxAcked bounds the peers whose state is remembered.
+	maxAcked = 16
 	// linesPerCall bounds a call to about 100 KB.
 	linesPerCall = 2000
 )
@@ -83,6 +85,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if len(m.acked) > maxAcked {
+		clear(m.acked) // peers that came and went; the others get all once more
+	}
 	m.acked[peer] = seq
 	return nil
 }
