Wait in the test of a slow reader until the host waits

Cause: the sockets between host and caller took about 17,000 events, some 4 MB, so after a fixed pause the host had waited for less than the stall timeout, or not at all. Ruled out: a longer fixed pause; how much the sockets take differs. Before: with the pause of the stall timer taken out of the relay, the test passed. After: the test waits until the engine has stood still for 1.5 s; with the same fault it fails with 8 requests at the engine in place of 1. Conclusion: the test sees a reader that is taken for a silent engine.

--- a/internal/entry/node/serve_test.go
+++ b/internal/entry/node/serve_test.go
@@ -172,13 +172,21 @@
 	w.configure(n)
 	before := w.engine.Stats().Requests
 	w.client = &http.Client{Transport: smallWindow()}
-	const length = 40_000 // more bytes than the sockets between host and caller hold
+	const length = 22_000 // about 5 MB; the sockets between host and caller held about 4 MB
 	resp := w.chat(n, length)
 	if resp == nil {
 		t.Fatal("no response")
 	}
 	defer resp.Body.Close()
-	<-time.After(2500 * time.Millisecond) // longer than the stall timeout of 1 s
+	// The engine stands still for longer than the stall timeout of 1 s once
+	// the sockets are full.
+	last, since := int64(0), time.Now()
+	w.await("a writer that waits for the reader", func() bool {
+		if now := w.engine.Stats().GeneratedTokens; now != last {
+			last, since = now, time.Now()
+		}
+		return time.Since(since) > 1500*time.Millisecond
+	})
 	if got := n.front.Open(); got == 0 {
 		t.Error("the whole answer fits the sockets, want a writer that waits for the reader")
 	}
