Test the check of open streams against withdrawals

Cause: no test called CheckOpen, neither the relay's call as tokens arrive nor the check itself. Before: with either of them taken out, no test of the two packages could fail, since none called it. After: a relay that does not call it fails with 0 checks, want at least 5; a check that is blind fails with 0 violations, want 1. Conclusion: the check can fail and is reached.

--- a/internal/entry/relay/check_test.go
+++ b/internal/entry/relay/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,16 +16,32 @@
 	"quetzalhook/internal/traffic/baseline"
 )
 
-// ring gives every key to one customer.
-type ring quetzalhook.CustomerID
+// ring gives every key to one customer and counts the checks of open streams.
+type ring struct {
+	customer quetzalhook.CustomerID
+	checks   atomic.Int64
+}
 
-func (r ring) Lookup(context.Context, string) (quetzalhook.Identity, error) {
-	return quetzalhook.Identity{Customer: quetzalhook.CustomerID(r)}, nil
+func (r *ring) Lookup(context.Context, string) (quetzalhook.Identity, error) {
+	return quetzalhook.Identity{Customer: r.customer}, nil
 }
 
-func (ring) Withdrawn(quetzalhook.KeyID) (<-chan struct{}, func()) { return nil, func() {} }
+func (*ring) Withdrawn(quetzalhook.KeyID) (<-chan struct{}, func()) { return nil, func() {} }
+
+func (r *ring) CheckOpen(quetzalhook.KeyID) { r.checks.Add(1) }
 
-func (ring) CheckOpen(quetzalhook.KeyID) {}
+// Guards against a stream that is not checked against withdrawals while its
+// tokens arrive.
+func TestOpenStreamIsChecked(t *testing.T) {
+	keys := &ring{customer: "c"}
+	h := newHarness(t, []quetzalhook.Upstream{engineUpstream(t, engine.New(engine.WithTokenRate(2000)), "a")}, withRelay(relay.WithKeys(keys)))
+	if err := h.chat(chatBody(true, 40), &onToken{ResponseRecorder: httptest.NewRecorder()}); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := keys.checks.Load(), int64(5); got < want {
+		t.Errorf("checks during 40 tokens: got %d, want at least %d", got, want)
+	}
+}
 
 func (h *harness) violations(name string) int64 {
 	for _, c := range h.inv.Counts() {
@@ -39,7 +56,7 @@
 // belong, whatever the parts before the relay took the customer from.
 func TestOwnerCheckedBeforeSend(t *testing.T) {
 	e := engine.New()
-	h := newHarness(t, []quetzalhook.Upstream{engineUpstream(t, e, "a")}, withRelay(relay.WithKeys(ring("other"))))
+	h := newHarness(t, []quetzalhook.Upstream{engineUpstream(t, e, "a")}, withRelay(relay.WithKeys(&ring{customer: "other"})))
 	err := h.chat(chatBody(true, 3), httptest.NewRecorder())
 	var e2 *relay.Error
 	if !errors.As(err, &e2) || e2.Kind != relay.KindKey || e2.Outcome != quetzalhook.OutcomeNotRun {
--- /dev/null
+++ b/internal/record/credential/open_test.go
@@ -0,0 +1,27 @@
+package credential
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against a check of open streams that cannot fail, and against one
+// that counts a stream which is about to end.
+func TestOpenStreamIsChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		r := f.hosts["host-0"]
+		f.issue("host-0")
+		k := f.keys[0]
+		f.withdraw("host-0", k)
+		for after, want := range []int64{0, 1} {
+			r.CheckOpen(k.id)
+			if got := f.inv.Violations(); got != want {
+				t.Errorf("step %d: got %d violations, want %d", after, got, want)
+			}
+			time.Sleep(openGrace + time.Second) // virtual
+		}
+		f.stop("host-0")
+	})
+}
