--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"quetzalhook"
+	"quetzalhook/internal/state/chart"
 )
 
 // tickInterval is the time between two calls of Policy.Tick.
@@ -75,6 +76,7 @@
 // Ticket is a submitted request.
 type Ticket struct {
 	id      quetzalhook.RequestID
+	machine *chart.Machine // nil without a chart
 	ctx     context.Context
 	turns   chan turn
 	current *Attempt
@@ -94,6 +96,14 @@
 	}
 }
 
+// fire moves the request's state chart. An illegal transition is counted by
+// the machine and changes nothing else.
+func (t *Ticket) fire(e chart.Event) {
+	if t.machine != nil {
+		_ = t.machine.Fire(e)
+	}
+}
+
 // Observer sees every request's decisions, for metrics and state charts.
 type Observer interface {
 	// Acted is called for each action, in order, under the broker's lock.
@@ -104,6 +114,8 @@
 type Broker struct {
 	clock    quetzalhook.Clock
 	observer Observer
+	chart    *chart.Chart
+	inv      quetzalhook.Invariants
 
 	mu      sync.Mutex
 	policy  quetzalhook.Policy
@@ -124,6 +136,12 @@
 	return func(b *Broker) { b.observer = o }
 }
 
+// WithChart makes every request follow a state chart, the one named
+// chart.Request, and counts its transitions.
+func WithChart(c *chart.Chart, inv quetzalhook.Invariants) Option {
+	return func(b *Broker) { b.chart, b.inv = c, inv }
+}
+
 // New returns a running broker.
 func New(policy quetzalhook.Policy, clock quetzalhook.Clock, opts ...Option) *Broker {
 	b := &Broker{
@@ -150,7 +168,11 @@
 	if b.closed {
 		return nil, ErrClosed
 	}
+	if b.chart != nil {
+		t.machine = b.chart.NewMachine(string(r.ID), b.inv)
+	}
 	b.tickets[r.ID] = t
+	t.fire(eventSubmit)
 	b.apply(b.policy.Submit(b.now(), r))
 	return t, nil
 }
@@ -173,6 +195,7 @@
 		t.current.cancel(nil)
 		t.current = nil
 	}
+	t.fire(endEvents[end])
 	if end == quetzalhook.EndFinished || end == quetzalhook.EndCallerGone {
 		b.forget(t.id)
 	}
@@ -295,6 +318,7 @@
 		case quetzalhook.ActionCancel:
 			b.cancel(t, a)
 		case quetzalhook.ActionRefuse:
+			t.fire(eventRefuse)
 			b.forget(t.id)
 			t.turns <- turn{refusal: &Refusal{Kind: a.Refusal, Outcome: a.Outcome, RetryAfter: a.RetryAfter}}
 		}
@@ -302,12 +326,14 @@
 }
 
 func (b *Broker) start(t *Ticket, a quetzalhook.Action) {
+	t.fire(eventStart)
 	ctx, cancel := context.WithCancelCause(t.ctx)
 	t.current = &Attempt{Upstream: a.Upstream, Offset: a.Offset, ctx: ctx, cancel: cancel}
 	t.turns <- turn{attempt: t.current}
 }
 
 func (b *Broker) cancel(t *Ticket, a quetzalhook.Action) {
+	t.fire(cancelEvents[a.Cause])
 	if t.current != nil {
 		t.current.cancel(&CancelError{Cause: a.Cause})
 	}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -107,7 +107,11 @@
 	if n.records, err = n.newRecords(); err != nil {
 		return err
 	}
-	n.broker = broker.New(n.newPolicy(), n.clock)
+	requests, err := chart.Load(chart.Request)
+	if err != nil {
+		return err
+	}
+	n.broker = broker.New(n.newPolicy(), n.clock, broker.WithChart(requests, n.inv))
 	n.relay = relay.New(n.broker, n.pool, n.inv, relay.WithKeys(n.records.keys))
 	n.prober = probe.New(n.pool, n.broker.ObserveLoad)
 	n.front = front.New(front.Deps{
