Let the health of upstreams follow its state chart

The chart of an upstream was interpreted by tests only. Two paths made a transition after the upstream had gone: failures of its streams (TestFailuresAfterGone) and a stream given up later, which only the random test of the placement saw after a first fix.

--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"quetzalhook"
+	"quetzalhook/internal/state/chart"
+	"quetzalhook/internal/state/invariant"
 	"quetzalhook/internal/traffic/baseline"
 )
 
@@ -120,6 +122,28 @@
 	}
 }
 
+// Guards against a policy that starts a request twice and goes unnoticed.
+func TestIllegalTransitionIsCounted(t *testing.T) {
+	requests, err := chart.Load(chart.Request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	inv, p := invariant.New(nil), &scripted{Policy: baseline.New(1)}
+	b := New(p, quetzalhook.ClockFunc(time.Now), WithChart(requests, inv))
+	t.Cleanup(func() { _ = b.Close() })
+	b.SetUpstreams(upstreams(1))
+	ticket := submit(t.Context(), t, b, "r1")
+	next(t, ticket)
+	if got, want := inv.Violations(), int64(0); got != want {
+		t.Errorf("violations of one start: got %d, want %d: %v", got, want, inv.Details())
+	}
+	p.do(quetzalhook.Action{Kind: quetzalhook.ActionStart, Request: "r1", Upstream: "u"})
+	next(t, ticket)
+	if got, want := inv.Violations(), int64(1); got != want {
+		t.Errorf("violations of a second start: got %d, want %d", got, want)
+	}
+}
+
 // Guards against requests that are lost or never end when many of them start,
 // break and lose their callers at once.
 func TestConcurrentRequests(t *testing.T) {
--- a/internal/traffic/health/health.go
+++ b/internal/traffic/health/health.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"quetzalhook"
+	"quetzalhook/internal/state/chart"
 )
 
 // State is the health of one upstream as seen by this host.
@@ -27,6 +28,8 @@
 	// Probing upstreams take one request at a time, which decides whether they
 	// return.
 	Probing
+	// Gone upstreams are not in the platform's list any more.
+	Gone
 )
 
 const (
@@ -57,6 +60,7 @@
 	ejection   time.Duration
 	stall      time.Duration
 	stallScale float64
+	invariants quetzalhook.Invariants
 }
 
 // Option sets a threshold of a Monitor.
@@ -77,6 +81,11 @@
 // failed probe.
 func WithEjection(d time.Duration) Option { return func(s *settings) { s.ejection = d } }
 
+// WithInvariants sets where transitions are counted.
+func WithInvariants(i quetzalhook.Invariants) Option {
+	return func(s *settings) { s.invariants = i }
+}
+
 // Monitor judges upstreams. It is pure: no I/O, goroutine or clock.
 type Monitor struct {
 	settings
@@ -85,6 +94,7 @@
 	order   []*Target
 	checked time.Time
 	medians map[string]float64
+	chart   *chart.Chart
 }
 
 // group is the set of upstreams over which the ejected fraction is capped.
@@ -138,6 +148,7 @@
 		},
 		targets: make(map[quetzalhook.UpstreamID]*Target),
 		medians: make(map[string]float64),
+		chart:   upstreamChart(),
 	}
 	for _, opt := range opts {
 		opt(&m.settings)
@@ -169,6 +180,11 @@
 		m.targets[u.ID] = t
 		m.order = append(m.order, t)
 	}
+	for id, t := range old {
+		if m.targets[id] == nil {
+			m.move(t, eventLose)
+		}
+	}
 	m.recap()
 }
 
@@ -188,7 +204,7 @@
 func (m *Monitor) recap() {
 	for _, t := range m.order {
 		if t.isOut() && !m.takeOut(t) {
-			t.state = Suspect
+			m.move(t, eventSuspect)
 		}
 	}
 }
@@ -330,14 +346,15 @@
 	t.failures = 0
 	switch t.state {
 	case Suspect:
-		t.state = Healthy
+		m.move(t, eventRecover)
 	case Probing:
 		m.restore(t)
 	}
 }
 
 func (m *Monitor) restore(t *Target) {
-	t.state, t.failures, t.ejections = Healthy, 0, 0
+	m.move(t, eventRecover)
+	t.failures, t.ejections = 0, 0
 	for _, g := range t.groups {
 		g.out--
 	}
@@ -353,15 +370,19 @@
 
 // eject takes t out of service, or marks it Suspect if the cap is reached.
 func (m *Monitor) eject(now time.Time, t *Target) {
+	if t.state == Gone {
+		return // streams may end after their upstream has gone
+	}
 	if !t.isOut() && !m.takeOut(t) {
-		t.state = Suspect
+		m.move(t, eventSuspect)
 		return
 	}
 	if t.state == Ejected {
 		return
 	}
 	d := min(m.ejection<<min(t.ejections, 10), maxEjection)
-	t.state, t.until = Ejected, now.Add(d)
+	m.move(t, eventEject)
+	t.until = now.Add(d)
 	t.ejections++
 	t.samples = 0
 }
@@ -410,7 +431,7 @@
 func (m *Monitor) judge(now time.Time, t *Target) {
 	if t.state == Ejected {
 		if !now.Before(t.until) && len(t.streams) == 0 {
-			t.state = Probing
+			m.move(t, eventProbe)
 		}
 		return
 	}
--- a/internal/traffic/placement/planner.go
+++ b/internal/traffic/placement/planner.go
@@ -143,7 +143,7 @@
 	for _, opt := range opts {
 		opt(p)
 	}
-	p.monitor = health.New(p.healthOpt...)
+	p.monitor = health.New(append([]health.Option{health.WithInvariants(p.checks)}, p.healthOpt...)...)
 	p.table = share.Equal(p.host, p.hosts)
 	return p
 }
