--- a/internal/bench/scenario/backend.go
+++ b/internal/bench/scenario/backend.go
@@ -111,7 +111,7 @@
 	return list
 }
 
-// inZone returns the cheap engines of zone number i.
+// cheapIn returns the cheap engines of zone number i.
 func (b *backend) cheapIn(i int) []engineUnit {
 	var list []engineUnit
 	for _, e := range b.engines[i*enginesPerZone : (i+1)*enginesPerZone] {
--- a/internal/bench/scenario/check.go
+++ b/internal/bench/scenario/check.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"time"
 
-	"quetzalhook"
 	"quetzalhook/internal/bench/client"
 	"quetzalhook/internal/record/billing"
 	"quetzalhook/internal/state/invariant"
@@ -14,8 +13,6 @@
 // work.
 const leavingGrace = 3 * time.Second
 
-func hostID(name string) quetzalhook.HostID { return quetzalhook.HostID(name) }
-
 // generated returns the tokens that each engine has generated.
 func (s *system) generated() []int64 {
 	var list []int64
--- a/internal/bench/scenario/document.go
+++ b/internal/bench/scenario/document.go
@@ -11,10 +11,11 @@
 	"quetzalhook/internal/record/configuration"
 )
 
-// Service is the name of the service that takes bookings and orders.
+// serviceName names the service that takes bookings and orders.
 const serviceName = "desk"
 
-// weights by share of the traffic: large customers pay for more.
+// largeShare is the share of the traffic from which a customer is large: it has
+// that weight in place of 1.
 const largeShare = 5.0
 
 // document returns the operator's configuration of the deployment, with the
--- a/internal/bench/scenario/host.go
+++ b/internal/bench/scenario/host.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"quetzalhook"
 	"quetzalhook/internal/bench/workload"
 	"quetzalhook/internal/entry/node"
 	"quetzalhook/internal/entry/setting"
@@ -56,7 +57,7 @@
 		seeds = append(seeds, peers)
 		name := fmt.Sprintf("host-%d", i+1)
 		hosts = append(hosts, &host{name: name, system: s, settings: setting.Settings{
-			Host: hostID(name), Zone: zoneName(workloads[0].Regions[i/hostsPerZone]),
+			Host: quetzalhook.HostID(name), Zone: zoneName(workloads[0].Regions[i/hostsPerZone]),
 			Listen: callers, PeerListen: peers, Hosts: zones * hostsPerZone, Platform: s.backend.address,
 			PeerSecret: peerSecret, OperatorKey: operatorKey, Policy: s.settings.Policy, HostsLifetime: hostsLifetime, BillingWindow: billingWindow,
 		}})
