--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -9,20 +9,14 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/tmaxmax/go-sse"
 
 	"quetzalhook"
 	"quetzalhook/internal/entry/broker"
-	"quetzalhook/internal/state/invariant"
 )
 
 const (
@@ -107,19 +101,6 @@
 	Guard
 }
 
-// Guard carries what is checked right before a request is sent.
-type Guard struct {
-	// Secret is the caller's key, which must not reach an upstream.
-	Secret string
-	// Key identifies the secret.
-	Key quetzalhook.KeyID
-	// Sent is set before the first byte of a request may leave the host.
-	Sent *atomic.Bool
-	// Written is set when net/http has written the headers of a request. It
-	// serves only to check what callers are told by Sent.
-	Written *atomic.Bool
-}
-
 // Chat runs a submitted chat request to its end.
 func (r *Relay) Chat(t *broker.Ticket, call Call) error {
 	for tries := 1; ; tries++ {
@@ -213,144 +194,6 @@
 	return r.classify(ctx, attempt, err)
 }
 
-// firstTimeout bounds the time to the first token. The first tries of an
-// urgent request get half of its target and the time to read the prompt: a
-// silent connection or a straggler shows only by its silence, and another
-// upstream can then still answer in time.
-func (r *Relay) firstTimeout(call Call, id quetzalhook.UpstreamID, tries int) time.Duration {
-	tokens := time.Duration(call.Request.PromptTokens)
-	timeout := r.firstStall + tokens*time.Second/promptStallRate
-	target := call.Request.Class.TTFTTarget()
-	if !call.Request.Class.IsUrgent() || target == 0 || tries > urgentTries || call.Answer.tokens > 0 {
-		return timeout
-	}
-	early := target / 2
-	if t := r.pool.get(id); t != nil && t.upstream.PrefillRate > 0 {
-		early += time.Duration(float64(tokens) / t.upstream.PrefillRate * float64(time.Second))
-	}
-	return min(early, timeout)
-}
-
-// closeSilent closes the idle connections to an upstream that has stalled,
-// since they may be silent as well.
-func (r *Relay) closeSilent(ctx context.Context, id quetzalhook.UpstreamID) {
-	if !errors.Is(context.Cause(ctx), errStalled) {
-		return
-	}
-	if client, _, ok := r.pool.Client(id); ok {
-		client.CloseIdleConnections()
-	}
-}
-
-// namesRequest reports whether a response belongs to the request; an upstream
-// that does not name one is believed.
-func namesRequest(resp *http.Response, id quetzalhook.RequestID) bool {
-	named := resp.Header.Get(HeaderRequestID)
-	return named == "" || named == string(id)
-}
-
-func errCrossed(id quetzalhook.RequestID, resp *http.Response) error {
-	return &Error{
-		Op: "answer", Kind: KindBroken, Outcome: quetzalhook.OutcomeUnknown,
-		Err: errors.Errorf("the upstream answered request %s with the answer to %q", id, resp.Header.Get(HeaderRequestID)),
-	}
-}
-
-func (r *Relay) send(ctx context.Context, attempt *broker.Attempt, call Call) (*http.Response, error) {
-	client, base, ok := r.pool.Client(attempt.Upstream)
-	if !ok {
-		return nil, &Error{Op: "send", Kind: KindNotSent, Outcome: quetzalhook.OutcomeNotRun, Err: errors.New("upstream is not configured")}
-	}
-	body, err := call.Chat.body(call.Request.Class.Tier(), call.Answer.text.String(), call.Answer.tokens)
-	if err != nil {
-		return nil, err
-	}
-	r.checkResume(call, attempt.Upstream, body)
-	var connected atomic.Bool
-	ctx = call.trace(ctx, &connected)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/chat/completions", bytes.NewReader(body))
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	req.GetBody = nil
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(HeaderRequestID, string(call.Request.ID))
-	if err := r.check(call.Guard, call.Request.Customer, req, body); err != nil {
-		return nil, err
-	}
-	resp, err := client.Do(req)
-	if err != nil && !connected.Load() {
-		return nil, &Error{Op: "send", Kind: KindNotSent, Outcome: quetzalhook.OutcomeNotRun, Err: err}
-	}
-	if err != nil {
-		client.CloseIdleConnections()
-	}
-	return resp, errors.WithStack(err)
-}
-
-// trace notes when a connection is at hand, from where on bytes may leave.
-func (g Guard) trace(ctx context.Context, connected *atomic.Bool) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
-			connected.Store(true)
-			if g.Sent != nil {
-				g.Sent.Store(true)
-			}
-		},
-		WroteHeaders: func() {
-			if g.Written != nil {
-				g.Written.Store(true)
-			}
-		},
-	})
-}
-
-// check runs right before a send: the key must still belong to the customer,
-// and must be in no part of the request. A request that fails is not sent.
-func (r *Relay) check(g Guard, customer quetzalhook.CustomerID, req *http.Request, body []byte) error {
-	if err := r.checkOwner(req.Context(), g, customer); err != nil {
-		return err
-	}
-	found := ContainsSecret(g.Secret, req.URL.String(), string(body))
-	for _, values := range req.Header {
-		found = found || ContainsSecret(g.Secret, values...)
-	}
-	r.invariants.Check(invariant.KeyNotForwarded, !found, "path", req.URL.Path)
-	if found {
-		return &Error{Op: "send", Kind: KindSecret, Outcome: quetzalhook.OutcomeNotRun}
-	}
-	return nil
-}
-
-func (r *Relay) checkOwner(ctx context.Context, g Guard, customer quetzalhook.CustomerID) error {
-	if r.keys == nil {
-		return nil
-	}
-	owner, err := r.keys.Lookup(ctx, g.Secret)
-	if err != nil {
-		return &Error{Op: "send", Kind: KindKey, Outcome: quetzalhook.OutcomeNotRun, Err: err}
-	}
-	same := owner.Customer == customer
-	r.invariants.Check(invariant.KeyOwner, same, "customer", customer, "owner", owner.Customer)
-	if !same {
-		return &Error{Op: "send", Kind: KindKey, Outcome: quetzalhook.OutcomeNotRun, Err: errors.New("the key belongs to another customer")}
-	}
-	return nil
-}
-
-// ContainsSecret reports whether any text holds the secret.
-func ContainsSecret(secret string, texts ...string) bool {
-	if secret == "" {
-		return false
-	}
-	for _, text := range texts {
-		if strings.Contains(text, secret) {
-			return true
-		}
-	}
-	return false
-}
-
 // classify turns a transport error into an Error; errors that already are
 // one, and nil, stay.
 func (r *Relay) classify(ctx context.Context, attempt *broker.Attempt, err error) error {
@@ -379,110 +222,3 @@
 		Err: errors.Errorf("upstream status %d: %s", resp.StatusCode, bytes.TrimSpace(body)),
 	}
 }
-
-func (r *Relay) copyWhole(resp *http.Response, call Call) error {
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	var parsed struct {
-		Usage Usage `json:"usage"`
-	}
-	if err := json.Unmarshal(body, &parsed); err != nil {
-		return errors.WithStack(err)
-	}
-	call.Answer.tokens = parsed.Usage.CompletionTokens
-	call.Answer.first = call.Answer.now()
-	return callerGone(call.Answer.whole(body))
-}
-
-// copyEvents passes the events of one attempt on until the answer is
-// complete.
-func (r *Relay) copyEvents(t *broker.Ticket, attempt *broker.Attempt, resp *http.Response, call Call, stall *stall) error {
-	answer, before, id := call.Answer, call.Answer.tokens, ""
-	var usage *Usage
-	for event, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxEvent}) {
-		if err != nil {
-			return errors.WithStack(err)
-		}
-		if event.Data == "[DONE]" {
-			return r.complete(call, attempt, answer.tokens-before, usage)
-		}
-		var c chunk
-		if err := json.Unmarshal([]byte(event.Data), &c); err != nil {
-			return errors.Wrap(err, "event of the upstream")
-		}
-		if c.Error != nil {
-			return errors.Errorf("the upstream reports an error: %s", c.Error)
-		}
-		if id == "" {
-			id = c.ID
-		}
-		if c.ID != id {
-			return errors.Errorf("the upstream mixed answers %q and %q", id, c.ID)
-		}
-		if c.Usage != nil {
-			usage = c.Usage
-		}
-		// The time that a slow reader takes is not the upstream's.
-		stall.pause()
-		if err := callerGone(answer.take(c)); err != nil {
-			return err
-		}
-		stall.extend(r.nextStall)
-		r.report(t, call, before)
-	}
-	return errIncomplete
-}
-
-// hasAllTokens reports whether the answer cannot grow, since the upstream
-// gave the reason of its end or the caller's bound is reached. A resume would
-// then add a token that is not part of the answer.
-func (c Call) hasAllTokens() bool {
-	if c.Chat.opaque || c.Answer.tokens == 0 {
-		return false
-	}
-	return c.Answer.finish != nil || c.Chat.maxTokens > 0 && c.Answer.tokens >= c.Chat.maxTokens
-}
-
-// finish ends an answer that has all tokens in place of its upstream.
-func (c Call) finish() error {
-	if c.Answer.finish == nil {
-		reason := "length"
-		if err := c.Answer.take(chunk{Choices: []choice{{FinishReason: &reason}}}); err != nil {
-			return err
-		}
-	}
-	return c.Answer.finished(c.Request.PromptTokens)
-}
-
-// report tells the policy of the first token and then of every few.
-func (r *Relay) report(t *broker.Ticket, call Call, before int) {
-	if n := call.Answer.tokens - before; n != 1 && n%progressTokens != 0 {
-		return
-	}
-	r.broker.Progress(t, call.Answer.tokens)
-	if r.keys != nil {
-		r.keys.CheckOpen(call.Key)
-	}
-}
-
-// complete checks that every token that the upstream counted has arrived and
-// writes the end of the answer.
-func (r *Relay) complete(call Call, attempt *broker.Attempt, received int, usage *Usage) error {
-	answer := call.Answer
-	if answer.finish == nil {
-		return errIncomplete
-	}
-	// An event may hold several tokens, but never less than one.
-	whole := usage == nil || received <= usage.CompletionTokens
-	r.invariants.Check(invariant.WholeAnswer, whole, "request", call.Request.ID, "upstream", attempt.Upstream, "received", received, "usage", usage)
-	return callerGone(answer.finished(call.Request.PromptTokens))
-}
-
-func callerGone(err error) error {
-	if err == nil {
-		return nil
-	}
-	return &Error{Op: "answer", Kind: KindCallerGone, Outcome: quetzalhook.OutcomeUnknown, Err: err}
-}
