--- a/internal/entry/relay/chat.go
+++ b/internal/entry/relay/chat.go
@@ -15,15 +15,14 @@
 	bytesPerToken = 4
 	// prefixTokens is the length of the prompt pieces whose hashes identify
 	// cached prefixes.
-	prefixTokens = 64
+	prefixTokens = 128
 	// maxPrefixes bounds the prefix hashes of one prompt.
-	maxPrefixes = 256
+	maxPrefixes = 128
 )
 
-// message is one entry of a chat's messages; only text content is read.
+// message is what is read of one entry of a chat's messages.
 type message struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content,omitempty"`
+	Role string `json:"role"`
 }
 
 // ChatRequest is a caller's chat-completions request.
@@ -127,29 +126,19 @@
 		if err := json.Unmarshal(raw, &m); err != nil || m.Role == "" {
 			return errors.Errorf("messages[%d] is not a message with a role", i)
 		}
-		c.hashPrefixes(digest, m.text())
+		c.hashPrefixes(digest, raw)
 	}
 	c.prompt = max(c.prompt/bytesPerToken, 1)
 	return nil
 }
 
-// text returns the message as engines lay it out for their prefix cache.
-// Content that is not one string counts as it is written.
-func (m message) text() string {
-	var content string
-	if json.Unmarshal(m.Content, &content) != nil {
-		content = string(m.Content)
-	}
-	return m.Role + "\n" + content + "\n"
-}
-
-// hashPrefixes adds text to the digest and takes a hash after every full
-// piece; c.prompt counts the bytes so far.
-func (c *ChatRequest) hashPrefixes(digest *xxhash.Digest, text string) {
+// hashPrefixes adds a message as it goes to the engine to the digest and takes
+// a hash after every full piece; c.prompt counts the bytes so far.
+func (c *ChatRequest) hashPrefixes(digest *xxhash.Digest, text []byte) {
 	const piece = prefixTokens * bytesPerToken
 	for len(text) > 0 {
 		n := min(piece-c.prompt%piece, len(text))
-		_, _ = digest.WriteString(text[:n])
+		_, _ = digest.Write(text[:n])
 		text = text[n:]
 		c.prompt += n
 		if c.prompt%piece == 0 && len(c.prefixes) < maxPrefixes {
