--- a/internal/entry/node/fleet.go
+++ b/internal/entry/node/fleet.go
@@ -98,7 +98,7 @@
 	return member.Report{
 		// A host that cannot serve yet, or no longer, is avoided like one that
 		// stops.
-		Draining: n.draining.Load() || !n.serves(), FreeCapacity: math.Float64frombits(n.free.Load()),
+		Draining: n.draining.Load(), Unready: !n.serves(), FreeCapacity: math.Float64frombits(n.free.Load()),
 		ConfigVersion: n.Version(), StoreAge: n.records.storeAge(),
 		WithdrawnCount: count, WithdrawnHash: hash, Demand: n.broker.Demand(),
 	}
--- a/internal/entry/node/follow.go
+++ b/internal/entry/node/follow.go
@@ -216,7 +216,7 @@
 		list = append(list, self)
 	}
 	for _, m := range n.fleet.peers.Members() {
-		if m.Draining || m.Silent > aliveLimit || m.Address == "" {
+		if m.Draining || m.Unready || m.Silent > aliveLimit || m.Address == "" {
 			continue
 		}
 		list = append(list, front.HostAddress{Address: m.Address, Zone: m.Zone, Region: n.regionOf(m), Free: m.FreeCapacity})
--- a/internal/entry/node/serve_test.go
+++ b/internal/entry/node/serve_test.go
@@ -212,3 +212,29 @@
 	w.await("service without the platform", func() bool { return w.status(second) == http.StatusOK })
 	w.checkCounts(second, invariant.ConfigForward)
 }
+
+// Guards against hosts that take each other for stopping while none of them
+// can serve, as before the first configuration or when keys are not current:
+// each would then take all duties of the fleet, such as watching the store.
+func TestUnreadyHostsKeepDuties(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1000)
+	first, second := w.start("a"), w.start("b")
+	w.await("the other host", func() bool {
+		members := first.fleet.peers.Members()
+		return len(members) == 1 && members[0].Unready
+	})
+	if got, want := len(first.fleet.live()), 1; got != want {
+		t.Errorf("hosts for duties: got %d, want %d", got, want)
+	}
+	if got, want := len(first.hosts("")), 0; got != want {
+		t.Errorf("hosts for callers: got %d, want %d", got, want)
+	}
+	for _, h := range first.Status(t.Context()).Hosts {
+		if got, want := h.State, "starting"; got != want {
+			t.Errorf("state of %s: got %q, want %q", h.Host, got, want)
+		}
+	}
+	w.configure(first)
+	w.await("a list of both hosts", func() bool { return len(second.hosts("")) == 2 })
+}
--- a/internal/entry/node/status.go
+++ b/internal/entry/node/status.go
@@ -32,13 +32,13 @@
 func (n *Node) hostRows(members []quetzalhook.Member) []operator.HostRow {
 	rows := []operator.HostRow{{
 		Host: n.settings.Host, Incarnation: n.fleet.incarnation, Zone: n.settings.Zone, Address: n.Address(),
-		State: stateOf(n.draining.Load(), false), Version: n.Version(), StoreAgeMS: n.records.storeAge().Milliseconds(),
+		State: stateOf(quetzalhook.Member{Draining: n.draining.Load(), Unready: !n.serves()}), Version: n.Version(), StoreAgeMS: n.records.storeAge().Milliseconds(),
 		Free: math.Float64frombits(n.free.Load()),
 	}}
 	for _, m := range members {
 		rows = append(rows, operator.HostRow{
 			Host: m.Host, Incarnation: m.Incarnation, Zone: m.Zone, Address: m.Address,
-			State: stateOf(m.Draining, m.Silent > aliveLimit), SilentMS: m.Silent.Milliseconds(),
+			State: stateOf(m), SilentMS: m.Silent.Milliseconds(),
 			Version: m.ConfigVersion, StoreAgeMS: m.StoreAge.Milliseconds(), Free: m.FreeCapacity,
 		})
 	}
@@ -46,12 +46,14 @@
 	return rows
 }
 
-func stateOf(draining, silent bool) string {
+func stateOf(m quetzalhook.Member) string {
 	switch {
-	case silent:
+	case m.Silent > aliveLimit:
 		return "silent"
-	case draining:
+	case m.Draining:
 		return "draining"
+	case m.Unready:
+		return "starting"
 	}
 	return "serving"
 }
--- a/internal/entry/operator/status.go
+++ b/internal/entry/operator/status.go
@@ -22,7 +22,7 @@
 	Incarnation quetzalhook.Incarnation `json:"incarnation"`
 	Zone        quetzalhook.Zone        `json:"zone"`
 	Address     string                  `json:"address"`
-	State       string                  `json:"state"` // "serving", "draining" or "silent"
+	State       string                  `json:"state"` // "starting", "serving", "draining" or "silent"
 	SilentMS    int64                   `json:"silent-ms"`
 	Version     int64                   `json:"configuration-version"`
 	StoreAgeMS  int64                   `json:"store-age-ms"`
--- a/internal/fleet/member/message.go
+++ b/internal/fleet/member/message.go
@@ -56,6 +56,7 @@
 	Waiting        [quetzalhook.TierCount]uint64 `cbor:"7,keyasint"`
 	Running        [quetzalhook.TierCount]uint64 `cbor:"8,keyasint"`
 	Requests       [quetzalhook.TierCount]uint32 `cbor:"9,keyasint"`
+	Unready        bool                          `cbor:"10,keyasint,omitempty"`
 }
 
 // inFlight is the number of a host's requests on one upstream.
--- a/internal/fleet/member/summary.go
+++ b/internal/fleet/member/summary.go
@@ -207,7 +207,7 @@
 		p.beat.WithdrawnCount, p.beat.WithdrawnHash = s.Beat.WithdrawnCount, s.Beat.WithdrawnHash
 		p.beat.StoreAge = s.Beat.StoreAge
 		if p.profile.Host == s.Origin {
-			p.beat.ConfigVersion, p.beat.Draining = s.Beat.ConfigVersion, s.Beat.Draining
+			p.beat.ConfigVersion, p.beat.Draining, p.beat.Unready = s.Beat.ConfigVersion, s.Beat.Draining, s.Beat.Unready
 		}
 	}
 }
--- a/platform.go
+++ b/platform.go
@@ -132,8 +132,11 @@
 	Region      Region
 	Address     string // for callers, host:port
 	PeerAddress string // for other hosts, host:port
-	Draining    bool
-	Silent      time.Duration // time since the last sign of life
+	Draining    bool   // stops as planned
+	// Unready reports that the host cannot serve callers at present: it has no
+	// configuration, or cannot show that its keys are current.
+	Unready bool
+	Silent  time.Duration // time since the last sign of life
 	// Distant marks a host of another cell, which is heard of through summaries
 	// only.
 	Distant bool
