--- a/internal/bench/scenario/document.go
+++ b/internal/bench/scenario/document.go
@@ -29,7 +29,7 @@
 			{Path: string(workload.RouteOrders), Kind: configuration.KindService, Service: serviceName, Class: "grate-order"},
 		},
 		Keys:      configuration.Keys{CurrencyLimit: 10 * time.Second, UnknownRetention: 10 * time.Second},
-		Retention: configuration.Retention{Journal: 24 * time.Hour, Usage: 24 * time.Hour},
+		Retention: configuration.Retention{Journal: 24 * time.Hour},
 	}
 	addRegions(&d, workloads[0].Regions)
 	for _, w := range workloads {
--- a/internal/bench/slope/load.go
+++ b/internal/bench/slope/load.go
@@ -36,7 +36,7 @@
 			From: "region", To: "region", Delay: time.Millisecond,
 		}},
 		Keys:      configuration.Keys{CurrencyLimit: 10 * time.Second, UnknownRetention: 10 * time.Second},
-		Retention: configuration.Retention{Journal: time.Hour, Usage: time.Hour},
+		Retention: configuration.Retention{Journal: time.Hour},
 	}
 	for i := range f.settings.Zones {
 		d.Zones = append(d.Zones, configuration.Zone{Name: f.zone(i), Region: "region"})
--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -44,7 +44,7 @@
   - {path: /v1/chat/completions, kind: chat, repeatable: true}
   - {path: /orders, kind: service, service: orders, class: order, open: true}
 keys: {currency-limit: 10s}
-retention: {journal: 1h, usage: 1h}
+retention: {journal: 1h}
 `
 
 // ring is a KeyRing in memory.
--- a/internal/entry/node/follow.go
+++ b/internal/entry/node/follow.go
@@ -49,6 +49,7 @@
 	n.setRegion(doc.Region(n.settings.Zone))
 	n.broker.SetLimits(doc.Limits())
 	n.records.keys.registry.SetLimits(doc.Keys.CurrencyLimit, doc.Keys.UnknownRetention)
+	n.records.journal.journal.SetRetention(doc.Retention.Journal)
 	n.applyUpstreams(doc)
 }
 
--- a/internal/entry/node/world_test.go
+++ b/internal/entry/node/world_test.go
@@ -31,7 +31,7 @@
   - {name: e, kind: engine, address: %s, zone: z, models: [m], slots: 8, token-rate: 100, prefill-rate: 8000}
 routes: [{path: /v1/chat/completions, kind: chat, repeatable: true}]
 keys: {currency-limit: 10s}
-retention: {journal: 1h, usage: 1h}
+retention: {journal: 1h}
 `
 )
 
--- a/internal/record/configuration/document.go
+++ b/internal/record/configuration/document.go
@@ -126,8 +126,9 @@
 }
 
 // Retention says how long records are kept. Old versions of the configuration
-// are kept by number, see WithKeptVersions.
+// are kept by number, see WithKeptVersions; frozen usage is kept for good.
 type Retention struct {
+	// Journal is how long a finished call that may not be repeated is
+	// remembered at least.
 	Journal time.Duration `yaml:"journal" cbor:"1,keyasint,omitempty"`
-	Usage   time.Duration `yaml:"usage" cbor:"2,keyasint,omitempty"`
 }
--- a/internal/record/configuration/validate.go
+++ b/internal/record/configuration/validate.go
@@ -43,7 +43,7 @@
 		"currency-limit": d.Keys.CurrencyLimit, "unknown-retention": d.Keys.UnknownRetention,
 	})
 	v.checkDurations("retention.", map[string]time.Duration{
-		"journal": d.Retention.Journal, "usage": d.Retention.Usage,
+		"journal": d.Retention.Journal,
 	})
 	return v.list
 }
--- a/internal/record/journal/journal.go
+++ b/internal/record/journal/journal.go
@@ -20,6 +20,7 @@
 	"encoding/hex"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -105,7 +106,7 @@
 	shards    int
 	interval  time.Duration
 	timeout   time.Duration
-	retention time.Duration
+	retention atomic.Int64 // nanoseconds
 	inline    int
 	batch     int
 	newNonce  func() digest
@@ -138,7 +139,7 @@
 func WithTimeout(d time.Duration) Option { return func(j *Journal) { j.timeout = d } }
 
 // WithRetention sets how long a finished key is remembered at least.
-func WithRetention(d time.Duration) Option { return func(j *Journal) { j.retention = d } }
+func WithRetention(d time.Duration) Option { return func(j *Journal) { j.SetRetention(d) } }
 
 // WithInline sets the size in bytes above which a response gets an object of
 // its own.
@@ -162,10 +163,11 @@
 	j := &Journal{
 		store: store, clock: clock, peers: peers, inv: inv, host: host, incarnation: incarnation,
 		shards: defaultShards, interval: defaultInterval, timeout: defaultTimeout,
-		retention: defaultRetention, inline: defaultInline, batch: defaultBatch,
+		inline: defaultInline, batch: defaultBatch,
 		newNonce: randomNonce, dead: func(quetzalhook.HostID, quetzalhook.Incarnation) bool { return false },
 		open: make(map[digest]digest),
 	}
+	j.SetRetention(defaultRetention)
 	for _, opt := range opts {
 		opt(j)
 	}
@@ -179,6 +181,18 @@
 	return j
 }
 
+// SetRetention sets how long a finished key is remembered at least. A shorter
+// retention holds for the keys that are remembered already too; 0 leaves the
+// value as it is.
+func (j *Journal) SetRetention(d time.Duration) {
+	if d > 0 {
+		j.retention.Store(int64(d))
+	}
+}
+
+// part returns the length of one epoch.
+func (j *Journal) part() time.Duration { return time.Duration(j.retention.Load()) / retentionParts }
+
 func randomNonce() digest {
 	var d digest
 	_, _ = rand.Read(d[:]) // never fails, see crypto/rand
--- a/internal/record/journal/lane.go
+++ b/internal/record/journal/lane.go
@@ -334,7 +334,7 @@
 // last longer than its part, never shorter.
 func (l *lane) advance() bool {
 	l.observeEpoch()
-	if l.j.clock.Now().Sub(l.epochAt) < l.j.retention/retentionParts {
+	if l.j.clock.Now().Sub(l.epochAt) < l.j.part() {
 		return false
 	}
 	l.doc.Epoch++
--- a/internal/record/journal/outcome.go
+++ b/internal/record/journal/outcome.go
@@ -14,6 +14,10 @@
 // retryDelay is the pause between two tries to store an outcome.
 const retryDelay = 100 * time.Millisecond
 
+// compactInterval is the longest time between two looks for expired keys, so
+// that a shorter retention takes effect soon.
+const compactInterval = 10 * time.Minute
+
 func responseKey(nonce digest) string {
 	return "journal/response/" + hex.EncodeToString(nonce[:])
 }
@@ -138,15 +142,8 @@
 // Start runs Compact in the background until Close.
 func (j *Journal) Start() {
 	j.wg.Go(func() {
-		ticker := time.NewTicker(j.retention / retentionParts)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-j.ctx.Done():
-				return
-			case <-ticker.C:
-				_ = j.Compact(j.ctx) // the next round repeats what failed
-			}
+		for sleep(j.ctx, min(j.part(), compactInterval)) {
+			_ = j.Compact(j.ctx) // the next round repeats what failed
 		}
 	})
 }
