Give every setting of the configuration an effect

price-per-gb was read and had no effect: the placer used one fixed price of traffic. It now scales the cost of cross-region bytes; without a price the reference of the comparison counts. context-tokens bounds the predicted length of an answer. max-price is gone: each zone has one price of each kind, and min, max and cheap-max say what may be ordered.

--- a/internal/bench/scenario/document.go
+++ b/internal/bench/scenario/document.go
@@ -62,7 +62,7 @@
 			})
 		}
 		d.Capacity = append(d.Capacity, configuration.CapacityBound{
-			Zone: zone, Min: 2, Max: enginesPerZone, CheapMax: cheapPerZone, MaxPrice: 2 * enginePrice,
+			Zone: zone, Min: 2, Max: enginesPerZone, CheapMax: cheapPerZone,
 		})
 	}
 }
--- a/internal/entry/front/chat.go
+++ b/internal/entry/front/chat.go
@@ -48,11 +48,26 @@
 func (x *exchange) request(c *relay.ChatRequest) quetzalhook.Request {
 	return quetzalhook.Request{
 		ID: x.id, Customer: x.owner.Customer, Class: x.class, Model: c.Model(), PromptTokens: c.PromptTokens(),
-		MaxTokens: c.MaxTokens(), Prefixes: c.Prefixes(), PrefixTokens: c.PrefixTokens(),
+		MaxTokens: x.outputBound(c), Prefixes: c.Prefixes(), PrefixTokens: c.PrefixTokens(),
 		Region: x.front.deps.Region(), Repeatable: true,
 	}
 }
 
+// outputBound returns the longest output in tokens that the caller or the
+// model's context allows; 0 means no bound.
+func (x *exchange) outputBound(c *relay.ChatRequest) int {
+	bound := c.MaxTokens()
+	for _, m := range x.doc.Models {
+		if m.Name != string(c.Model()) || m.ContextTokens == 0 {
+			continue
+		}
+		if room := max(m.ContextTokens-c.PromptTokens(), 1); bound == 0 || room < bound {
+			bound = room
+		}
+	}
+	return bound
+}
+
 // account records metrics and usage of a chat request.
 func (x *exchange) account(call relay.Call, answer *relay.Answer, err error) {
 	usage := Usage{
--- a/internal/record/configuration/convert.go
+++ b/internal/record/configuration/convert.go
@@ -129,7 +129,7 @@
 	for _, u := range d.Upstreams {
 		c := u.convert()
 		c.Region = d.Region(c.Zone)
-		c.Distance, _ = d.Between(from, c.Zone)
+		c.Distance, c.TrafficPrice = d.Between(from, c.Zone)
 		list = append(list, c)
 	}
 	return list
--- a/internal/record/configuration/document.go
+++ b/internal/record/configuration/document.go
@@ -69,7 +69,8 @@
 // Model is a language model that callers may name.
 type Model struct {
 	Name string `yaml:"name" cbor:"1,keyasint"`
-	// ContextTokens bounds prompt and output together; 0 means unknown.
+	// ContextTokens bounds prompt and output together, and with it the
+	// predicted length of an answer; 0 means unknown.
 	ContextTokens int `yaml:"context-tokens" cbor:"2,keyasint,omitempty"`
 }
 
@@ -109,11 +110,10 @@
 
 // CapacityBound limits the upstreams that may be ordered in a zone.
 type CapacityBound struct {
-	Zone     string  `yaml:"zone" cbor:"1,keyasint"`
-	Min      int     `yaml:"min" cbor:"2,keyasint,omitempty"`
-	Max      int     `yaml:"max" cbor:"3,keyasint,omitempty"`
-	CheapMax int     `yaml:"cheap-max" cbor:"4,keyasint,omitempty"`
-	MaxPrice float64 `yaml:"max-price" cbor:"5,keyasint,omitempty"` // of one upstream, for one hour; 0 means no limit
+	Zone     string `yaml:"zone" cbor:"1,keyasint"`
+	Min      int    `yaml:"min" cbor:"2,keyasint,omitempty"`
+	Max      int    `yaml:"max" cbor:"3,keyasint,omitempty"`
+	CheapMax int    `yaml:"cheap-max" cbor:"4,keyasint,omitempty"`
 }
 
 // Keys holds the settings of customer keys.
--- a/internal/record/configuration/validate.go
+++ b/internal/record/configuration/validate.go
@@ -215,7 +215,6 @@
 		seen[b.Zone] = true
 		v.check(b.Min >= 0 && b.Min <= b.Max, path+".min", "must be from 0 to max")
 		v.check(b.CheapMax >= 0, path+".cheap-max", "must not be negative")
-		v.check(b.MaxPrice >= 0, path+".max-price", "must not be negative")
 	}
 }
 
--- a/internal/traffic/placement/cost.go
+++ b/internal/traffic/placement/cost.go
@@ -38,7 +38,8 @@
 
 // Weights convert the parts of a cost to seconds of waiting.
 type Weights struct {
-	// CrossRegionByte is the cost of one byte between regions, in seconds.
+	// CrossRegionByte is the cost of one byte between regions, in seconds, at
+	// the price of referencePrice.
 	CrossRegionByte float64
 	// CheapRiskUrgent and CheapRisk are the cost of a reclaimable upstream for
 	// urgent and other requests, in seconds. A negative cost prefers it: work
@@ -179,13 +180,26 @@
 	return p.load(u) + doubt*float64(u.Slots)
 }
 
+// referencePrice is the price of 10^9 bytes between regions at which weights
+// were compared.
+const referencePrice = 0.02
+
+// trafficFactor returns the price of traffic to u as a multiple of the
+// reference price; an unknown price counts as that.
+func trafficFactor(u *upstream) float64 {
+	if u.TrafficPrice <= 0 {
+		return 1
+	}
+	return u.TrafficPrice / referencePrice
+}
+
 // cost returns the cost of running r on u, in seconds.
 func (p *Planner) cost(now time.Time, r quetzalhook.Request, u *upstream, found *matches) float64 {
 	t := p.firstToken(now, r, u, found, p.doubtfulLoad(now, u))
 	t += p.weights.Crowding * p.load(u) / float64(max(u.Slots, 1))
 	if u.Region != r.Region && u.Region != p.region {
 		size := r.PromptTokens*promptTokenBytes + meanOutput*streamTokenBytes
-		t += p.weights.CrossRegionByte * float64(size)
+		t += p.weights.CrossRegionByte * float64(size) * trafficFactor(u)
 	}
 	if u.Cheap {
 		if r.Class.IsUrgent() {
--- a/upstream.go
+++ b/upstream.go
@@ -48,6 +48,9 @@
 	ChecksFencing bool
 	// Distance is the one-way network delay from this host.
 	Distance time.Duration
+	// TrafficPrice is the price of 10^9 bytes between the upstream and this
+	// host, in the operator's currency; 0 means that it is not known.
+	TrafficPrice float64
 }
 
 // Load is one load report of an upstream, taken at the upstream Age before
