--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -104,18 +104,11 @@
 	}
 }
 
-// Observer sees every request's decisions, for metrics and state charts.
-type Observer interface {
-	// Acted is called for each action, in order, under the broker's lock.
-	Acted(a quetzalhook.Action)
-}
-
 // Broker runs one policy. It is safe for concurrent use.
 type Broker struct {
-	clock    quetzalhook.Clock
-	observer Observer
-	chart    *chart.Chart
-	inv      quetzalhook.Invariants
+	clock quetzalhook.Clock
+	chart *chart.Chart
+	inv   quetzalhook.Invariants
 
 	mu      sync.Mutex
 	policy  quetzalhook.Policy
@@ -131,11 +124,6 @@
 // Option sets one property of a Broker.
 type Option func(*Broker)
 
-// WithObserver sets an observer of all actions.
-func WithObserver(o Observer) Option {
-	return func(b *Broker) { b.observer = o }
-}
-
 // WithChart makes every request follow a state chart, the one named
 // chart.Request, and counts its transitions.
 func WithChart(c *chart.Chart, inv quetzalhook.Invariants) Option {
@@ -305,9 +293,6 @@
 // apply carries out actions. The caller holds b.mu.
 func (b *Broker) apply(actions []quetzalhook.Action) {
 	for _, a := range actions {
-		if b.observer != nil {
-			b.observer.Acted(a)
-		}
 		t := b.tickets[a.Request]
 		if t == nil {
 			continue
--- a/internal/entry/relay/answer.go
+++ b/internal/entry/relay/answer.go
@@ -63,7 +63,6 @@
 	finish   *string
 	first    time.Time
 	last     time.Time
-	complete bool
 	noResume bool
 	buffer   bytes.Buffer
 }
@@ -87,9 +86,6 @@
 // LastToken returns when the latest token arrived.
 func (a *Answer) LastToken() time.Time { return a.last }
 
-// Complete reports whether the whole answer was written.
-func (a *Answer) Complete() bool { return a.complete }
-
 // take passes one event of an upstream on.
 func (a *Answer) take(c chunk) error {
 	if len(c.Choices) == 0 {
@@ -172,11 +168,7 @@
 	}
 	a.buffer.Reset()
 	a.buffer.WriteString("data: [DONE]\n\n")
-	if err := a.flush(); err != nil {
-		return err
-	}
-	a.complete = true
-	return nil
+	return a.flush()
 }
 
 // completion is an answer as one JSON object.
@@ -219,11 +211,7 @@
 	a.open("application/json")
 	a.buffer.Reset()
 	a.buffer.Write(body)
-	if err := a.flush(); err != nil {
-		return err
-	}
-	a.complete = true
-	return nil
+	return a.flush()
 }
 
 // Fail tells the caller of a streamed answer that has begun that it ends with
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -47,7 +47,6 @@
 	invariants quetzalhook.Invariants
 	firstStall time.Duration
 	nextStall  time.Duration
-	wasted     func(Call, int)
 	keys       quetzalhook.KeyRing
 	waiting    *mailbox
 }
@@ -66,11 +65,6 @@
 	return func(r *Relay) { r.keys = k }
 }
 
-// WithWasted sets a function that learns of tokens generated in vain.
-func WithWasted(f func(call Call, tokens int)) Option {
-	return func(r *Relay) { r.wasted = f }
-}
-
 const (
 	defaultFirstStall = 3 * time.Second
 	// defaultNextStall is about 20 times the gap between two tokens that callers
@@ -85,7 +79,7 @@
 func New(b *broker.Broker, pool *Pool, inv quetzalhook.Invariants, opts ...Option) *Relay {
 	r := &Relay{
 		broker: b, pool: pool, invariants: inv, firstStall: defaultFirstStall, nextStall: defaultNextStall,
-		wasted: func(Call, int) {}, waiting: newMailbox(),
+		waiting: newMailbox(),
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -135,16 +129,8 @@
 
 // ended reports the end of a failed attempt and whether to wait for another.
 func (r *Relay) ended(t *broker.Ticket, attempt *broker.Attempt, call Call, err error) (retry bool, final error) {
-	if cause, ok := attempt.Cancelled(); ok && cause == quetzalhook.CauseDoomed {
-		r.wasted(call, call.Answer.Tokens())
-		return false, &Error{Op: "chat", Kind: KindRefused, Outcome: quetzalhook.OutcomeUnknown, Refusal: quetzalhook.RefuseLate, Err: err}
-	} else if ok {
-		if call.Answer.noResume {
-			r.broker.End(t, quetzalhook.EndCallerGone)
-			return false, &Error{Op: "chat", Kind: KindBroken, Outcome: quetzalhook.OutcomeUnknown, Err: err}
-		}
-		r.broker.End(t, quetzalhook.EndCancelled)
-		return true, nil
+	if cause, ok := attempt.Cancelled(); ok {
+		return r.cancelled(t, call, cause, err)
 	}
 	var e *Error
 	if !errors.As(err, &e) {
@@ -157,16 +143,29 @@
 	case e.Kind == KindBroken && !call.Answer.noResume:
 		r.broker.End(t, quetzalhook.EndBroken)
 		return true, nil
+	case e.Kind == KindBroken, e.Kind == KindCallerGone:
+		r.broker.End(t, quetzalhook.EndCallerGone)
+	default:
+		r.broker.End(t, quetzalhook.EndFinished) // the upstream answered
 	}
-	if e.Kind != KindCallerGone {
-		r.broker.End(t, quetzalhook.EndFinished)
-		return false, e
-	}
-	r.wasted(call, call.Answer.Tokens())
-	r.broker.End(t, quetzalhook.EndCallerGone)
 	return false, e
 }
 
+// cancelled handles the end of an attempt that the policy cancelled.
+func (r *Relay) cancelled(t *broker.Ticket, call Call, cause quetzalhook.CancelCause, err error) (retry bool, final error) {
+	switch {
+	case cause == quetzalhook.CauseDoomed:
+		return false, &Error{
+			Op: "chat", Kind: KindRefused, Outcome: quetzalhook.OutcomeUnknown, Refusal: quetzalhook.RefuseLate, Err: err,
+		}
+	case call.Answer.noResume:
+		r.broker.End(t, quetzalhook.EndCallerGone)
+		return false, &Error{Op: "chat", Kind: KindBroken, Outcome: quetzalhook.OutcomeUnknown, Err: err}
+	}
+	r.broker.End(t, quetzalhook.EndCancelled)
+	return true, nil
+}
+
 // attempt sends the request to one upstream and passes its answer on.
 func (r *Relay) attempt(t *broker.Ticket, attempt *broker.Attempt, call Call, tries int) error {
 	ctx, stall := withStall(attempt.Context(), r.firstTimeout(call, attempt.Upstream, tries))
