--- a/internal/entry/front/chat.go
+++ b/internal/entry/front/chat.go
@@ -29,7 +29,7 @@
 	if !x.hasModel(request.Model()) {
 		return notRun(http.StatusNotFound, "unknown-model", "the model is not configured: "+string(request.Model()), 0)
 	}
-	answer := relay.NewAnswer(x.w, string(x.id), request.Stream(), x.front.deps.Clock.Now)
+	answer := relay.NewAnswer(x.w, string(x.id), request, x.front.deps.Clock.Now)
 	x.w = &streamWriter{ResponseWriter: x.w, answer: answer}
 	call := relay.Call{Request: x.request(request), Chat: request, Answer: answer, Guard: x.guard()}
 	ticket, err := x.front.deps.Broker.Submit(x.ctx, call.Request)
--- a/internal/entry/relay/answer.go
+++ b/internal/entry/relay/answer.go
@@ -52,6 +52,7 @@
 	control *http.ResponseController
 	id      string
 	stream  bool
+	usage   bool // whether the caller wants an event with the usage
 	now     func() time.Time
 
 	created  int64
@@ -67,9 +68,9 @@
 	buffer   bytes.Buffer
 }
 
-// NewAnswer returns an answer to the request id.
-func NewAnswer(w http.ResponseWriter, id string, stream bool, now func() time.Time) *Answer {
-	a := &Answer{w: w, control: http.NewResponseController(w), id: id, stream: stream, now: now, created: time.Now().Unix()}
+// NewAnswer returns the answer to a request with an identifier.
+func NewAnswer(w http.ResponseWriter, id string, chat *ChatRequest, now func() time.Time) *Answer {
+	a := &Answer{w: w, control: http.NewResponseController(w), id: id, stream: chat.stream, usage: chat.usage, now: now, created: time.Now().Unix()}
 	a.passed.Reset()
 	return a
 }
@@ -160,11 +161,13 @@
 	if !a.stream {
 		return a.object(usage)
 	}
-	err := a.event(chunk{
-		ID: a.id, Object: "chat.completion.chunk", Created: a.created, Model: a.model, Choices: []choice{}, Usage: &usage,
-	})
-	if err != nil {
-		return err
+	if a.usage {
+		err := a.event(chunk{
+			ID: a.id, Object: "chat.completion.chunk", Created: a.created, Model: a.model, Choices: []choice{}, Usage: &usage,
+		})
+		if err != nil {
+			return err
+		}
 	}
 	a.buffer.Reset()
 	a.buffer.WriteString("data: [DONE]\n\n")
@@ -213,11 +216,3 @@
 	a.buffer.Write(body)
 	return a.flush()
 }
-
-// Fail tells the caller of a streamed answer that has begun that it ends with
-// an error. Before that the caller of Fail writes an ordinary response.
-func (a *Answer) Fail(v any) {
-	if a.opened && a.stream {
-		_ = a.event(v)
-	}
-}
--- a/internal/entry/relay/chat.go
+++ b/internal/entry/relay/chat.go
@@ -31,6 +31,7 @@
 	messages  []json.RawMessage
 	model     quetzalhook.Model
 	stream    bool
+	usage     bool // the caller wants the usage as an event
 	opaque    bool
 	maxTokens int
 	prompt    int
@@ -89,6 +90,13 @@
 	if err := c.field("stream", &c.stream); err != nil {
 		return err
 	}
+	var options struct {
+		IncludeUsage bool `json:"include_usage"`
+	}
+	if err := c.field("stream_options", &options); err != nil {
+		return err
+	}
+	c.usage = options.IncludeUsage
 	if err := c.readBound(); err != nil {
 		return err
 	}
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -87,7 +87,7 @@
 	call := relay.Call{
 		Request: quetzalhook.Request{ID: "r1", Customer: "c", Model: chat.Model(), PromptTokens: chat.PromptTokens(), Repeatable: true},
 		Chat:    chat,
-		Answer:  relay.NewAnswer(w, "r1", chat.Stream(), time.Now),
+		Answer:  relay.NewAnswer(w, "r1", chat, time.Now),
 		Guard:   relay.Guard{Secret: testSecret, Sent: &h.sent},
 	}
 	if h.onAnswer != nil {
@@ -218,6 +218,22 @@
 	}
 }
 
+// Guards against a usage event that the caller did not ask for, which some
+// clients take for a broken event, and against one that is missing.
+func TestChatUsageEvent(t *testing.T) {
+	h := newHarness(t, []quetzalhook.Upstream{engineUpstream(t, engine.New(engine.WithTokenRate(2000)), "a")})
+	for _, asked := range []bool{false, true} {
+		body := strings.Replace(chatBody(true, 3), "{", fmt.Sprintf(`{"stream_options":{"include_usage":%v},`, asked), 1)
+		w := &onToken{ResponseRecorder: httptest.NewRecorder()}
+		if err := h.chat(body, w); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := strings.Contains(w.Body.String(), `"completion_tokens":3`), asked; got != want {
+			t.Errorf("usage event with include_usage %v: got %v, want %v", asked, got, want)
+		}
+	}
+}
+
 // Guards against an answer assembled wrongly for callers that do not stream.
 func TestChatWhole(t *testing.T) {
 	h := newHarness(t, []quetzalhook.Upstream{engineUpstream(t, engine.New(engine.WithTokenRate(2000)), "a")})
--- a/internal/entry/relay/urgent_test.go
+++ b/internal/entry/relay/urgent_test.go
@@ -29,7 +29,7 @@
 		w := &onToken{ResponseRecorder: httptest.NewRecorder()}
 		call := relay.Call{
 			Request: quetzalhook.Request{ID: quetzalhook.RequestID(rune('a' + i)), Class: class, Model: testModel, Repeatable: true},
-			Chat:    chat, Answer: relay.NewAnswer(w, "r1", true, time.Now), Guard: relay.Guard{Sent: &h.sent},
+			Chat:    chat, Answer: relay.NewAnswer(w, "r1", chat, time.Now), Guard: relay.Guard{Sent: &h.sent},
 		}
 		begin := time.Now()
 		ticket, err := h.broker.Submit(context.Background(), call.Request)
