Allow the streams of one lost upstream to be resumed at once

The host's budget allowed 10 retries in 10 s besides a tenth of the traffic, less than an upstream of 16 or 32 slots can hold. The default of the decision core, 32, was chosen for that and now holds on hosts too.

--- a/internal/entry/node/policy.go
+++ b/internal/entry/node/policy.go
@@ -15,8 +15,9 @@
 	// retryRatio is the share of traffic that may be retries, so that retries
 	// do not multiply the load of upstreams that fail.
 	retryRatio = 0.1
-	// retryMinimum lets single failures of a quiet host be retried.
-	retryMinimum = 10
+	// retryMinimum lets the streams of one lost upstream be resumed, also on a
+	// quiet host.
+	retryMinimum = 32
 )
 
 // newPolicy returns the policy that the settings name.
--- a/internal/traffic/queue/class.go
+++ b/internal/traffic/queue/class.go
@@ -32,7 +32,7 @@
 type class struct {
 	def     quetzalhook.Class
 	resumed list // lost their slots, served before the flows
-	worn    list // lost their slots so often that they keep the next one
+	keepers list // lost their slots so often that they keep the next one
 	flows   map[quetzalhook.CustomerID]*flow
 	ready   flowHeap // flows with waiting work that may start
 	lengths lengths
@@ -66,7 +66,7 @@
 }
 
 // eligible reports whether the class has work that may start.
-func (c *class) eligible() bool { return c.worn.n > 0 || c.resumed.n > 0 || len(c.ready) > 0 }
+func (c *class) eligible() bool { return c.keepers.n > 0 || c.resumed.n > 0 || len(c.ready) > 0 }
 
 // allowance tells which items may start.
 type allowance struct {
@@ -76,8 +76,8 @@
 
 // head returns the next item of the class that may start, or nil.
 func (c *class) head(now time.Time, a allowance) *Item {
-	if a.keepers && c.worn.n > 0 {
-		return c.worn.head
+	if a.keepers && c.keepers.n > 0 {
+		return c.keepers.head
 	}
 	if a.resumed && c.resumed.n > 0 {
 		return c.resumed.head
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -219,7 +219,7 @@
 	q.wait(it.class)
 	it.resumed = true
 	if it.Preemptions >= MaxPreemptions {
-		it.class.worn.pushBack(it)
+		it.class.keepers.pushBack(it)
 	} else {
 		it.class.resumed.pushBack(it)
 	}
