Follow watches of the store in one place

Configuration and keys each had the same loop over one watch; both now use platform/watch. The one difference, that the key watch also ends after its time when events arrive, because the index is read at each reopening, is a named setting. Behaviour is unchanged.

--- a/internal/record/configuration/rollout.go
+++ b/internal/record/configuration/rollout.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"quetzalhook"
+	"quetzalhook/internal/platform/watch"
 	"quetzalhook/internal/state/invariant"
 )
 
@@ -253,36 +254,8 @@
 // watch applies the events of one watch until it ends or is silent, and
 // returns the last store version seen.
 func (r *Rollout) watch(ctx context.Context, after quetzalhook.Version) quetzalhook.Version {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	opening := time.AfterFunc(callTimeout, cancel)
-	w, err := r.store.Watch(ctx, headKey, after)
-	if err != nil {
-		return after
-	}
-	defer func() { _ = w.Close() }()
-	if !opening.Stop() {
-		return after
-	}
-	timer := time.NewTimer(silence)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return after
-		case <-timer.C:
-			return after
-		case o, open := <-w.Events():
-			if !open {
-				return after
-			}
-			timer.Reset(silence)
-			if !r.take(ctx, o) {
-				return after
-			}
-			after = max(after, o.Version)
-		}
-	}
+	settings := watch.Settings{Prefix: headKey, Opening: callTimeout, Silence: silence}
+	return watch.Follow(ctx, r.store, settings, after, r.take)
 }
 
 // take applies one watch event and reports whether it was complete.
--- a/internal/record/credential/persist.go
+++ b/internal/record/credential/persist.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"quetzalhook"
+	"quetzalhook/internal/platform/watch"
 )
 
 const (
@@ -269,33 +270,11 @@
 // watch merges the events of one watch until it ends or is silent, and
 // returns the last store version seen.
 func (r *Registry) watch(ctx context.Context, after quetzalhook.Version) quetzalhook.Version {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	opening := time.AfterFunc(callTimeout, cancel)
-	w, err := r.store.Watch(ctx, storePrefix, after)
-	if err != nil {
-		return after
-	}
-	defer func() { _ = w.Close() }()
-	if !opening.Stop() {
-		return after
-	}
-	timer := time.NewTimer(silence)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return after
-		case <-timer.C:
-			return after
-		case o, open := <-w.Events():
-			if !open {
-				return after
-			}
-			r.take(o)
-			after = max(after, o.Version)
-		}
-	}
+	settings := watch.Settings{Prefix: storePrefix, Opening: callTimeout, Silence: silence, Fixed: true}
+	return watch.Follow(ctx, r.store, settings, after, func(_ context.Context, o quetzalhook.Object) bool {
+		r.take(o)
+		return true
+	})
 }
 
 // take merges one object.
