--- a/internal/platform/memory/gate.go
+++ b/internal/platform/memory/gate.go
@@ -126,8 +126,8 @@
 	return through(s.gate, "get", key, func() (quetzalhook.Object, error) { return s.store.Get(ctx, key) })
 }
 
-func (s gated) List(ctx context.Context, prefix string) ([]quetzalhook.Object, error) {
-	return through(s.gate, "list", prefix, func() ([]quetzalhook.Object, error) { return s.store.List(ctx, prefix) })
+func (s gated) List(ctx context.Context, prefix string) (quetzalhook.Listing, error) {
+	return through(s.gate, "list", prefix, func() (quetzalhook.Listing, error) { return s.store.List(ctx, prefix) })
 }
 
 func (s gated) Put(ctx context.Context, key string, value []byte, base quetzalhook.Version) (quetzalhook.Version, error) {
--- a/internal/platform/memory/memory.go
+++ b/internal/platform/memory/memory.go
@@ -63,9 +63,9 @@
 }
 
 // List returns all objects whose key starts with prefix.
-func (s *Store) List(ctx context.Context, prefix string) ([]quetzalhook.Object, error) {
+func (s *Store) List(ctx context.Context, prefix string) (quetzalhook.Listing, error) {
 	if err := s.before(ctx, "list", prefix, false); err != nil {
-		return nil, err
+		return quetzalhook.Listing{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -77,7 +77,7 @@
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
-	return list, nil
+	return quetzalhook.Listing{Objects: list, Version: s.version}, nil
 }
 
 // Put writes value if the object's version is base.
--- a/internal/platform/object/client.go
+++ b/internal/platform/object/client.go
@@ -91,15 +91,15 @@
 }
 
 // List implements quetzalhook.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]quetzalhook.Object, error) {
-	var items []Item
+func (c *Client) List(ctx context.Context, prefix string) (quetzalhook.Listing, error) {
+	var item ListItem
 	path := PathList + "?prefix=" + url.QueryEscape(prefix)
-	if err := c.read(ctx, "list", prefix, path, &items); err != nil {
-		return nil, err
+	if err := c.read(ctx, "list", prefix, path, &item); err != nil {
+		return quetzalhook.Listing{}, err
 	}
-	list := make([]quetzalhook.Object, len(items))
-	for i, item := range items {
-		list[i] = item.Object()
+	list := quetzalhook.Listing{Version: quetzalhook.Version(item.Version)}
+	for _, i := range item.Items {
+		list.Objects = append(list.Objects, i.Object())
 	}
 	return list, nil
 }
--- a/internal/platform/object/wire.go
+++ b/internal/platform/object/wire.go
@@ -26,6 +26,12 @@
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
+// ListItem is the JSON form of a list of objects.
+type ListItem struct {
+	Items   []Item `json:"items"`
+	Version int64  `json:"version"`
+}
+
 // Object converts an Item.
 func (i Item) Object() quetzalhook.Object {
 	return quetzalhook.Object{
--- a/internal/record/billing/window.go
+++ b/internal/record/billing/window.go
@@ -167,7 +167,7 @@
 	if err != nil {
 		return
 	}
-	for _, o := range list {
+	for _, o := range list.Objects {
 		_ = r.store.Delete(ctx, o.Key, o.Version)
 	}
 }
--- a/internal/record/configuration/clean.go
+++ b/internal/record/configuration/clean.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	for _, o := range shards {
+	for _, o := range shards.Objects {
 		if o.Version < since && !used[strings.TrimPrefix(o.Key, shardPrefix)] {
 			if err := p.remove(ctx, o); err != nil {
 				return err
@@ -110,7 +110,7 @@
 	if err != nil {
 		return storeFailure("clean", err)
 	}
-	for _, o := range objects {
+	for _, o := range objects.Objects {
 		if isOld(o) {
 			if err := p.remove(ctx, o); err != nil {
 				return err
--- a/internal/record/credential/persist.go
+++ b/internal/record/credential/persist.go
@@ -233,7 +233,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
 	begin := r.clock.Now()
-	objects, err := r.store.List(ctx, storePrefix)
+	list, err := r.store.List(ctx, storePrefix)
 	if err != nil {
 		if err := r.pullAll(ctx); err != nil {
 			return 0, err
@@ -242,7 +242,7 @@
 		return 0, nil
 	}
 	var version quetzalhook.Version
-	for _, o := range objects {
+	for _, o := range list.Objects {
 		r.take(o)
 		version = max(version, o.Version)
 	}
--- a/internal/record/journal/journal_test.go
+++ b/internal/record/journal/journal_test.go
@@ -90,7 +90,7 @@
 		return fmt.Sprint(j.Compact(ctx))
 	case "objects":
 		list, _ := s.store.List(ctx, "journal/response/")
-		return fmt.Sprint(len(list), " responses")
+		return fmt.Sprint(len(list.Objects), " responses")
 	case "lose":
 		s.store.SetFaults(memory.Faults{LoseAnswers: 1})
 	case "late":
--- a/internal/record/usage/record.go
+++ b/internal/record/usage/record.go
@@ -50,7 +50,7 @@
 		return nil, errors.Wrapf(err, "list usage of %s", w)
 	}
 	all := make(map[Source]*Totals)
-	for _, o := range list {
+	for _, o := range list.Objects {
 		var r record
 		if err := cbor.Unmarshal(o.Value, &r); err != nil {
 			return nil, errors.Wrapf(err, "decode %s", o.Key)
--- a/internal/standin/cloud/handlers.go
+++ b/internal/standin/cloud/handlers.go
@@ -30,11 +30,11 @@
 		writeError(w, err)
 		return
 	}
-	items := make([]object.Item, len(list))
-	for i, o := range list {
-		items[i] = object.NewItem(o)
+	answer := object.ListItem{Items: make([]object.Item, len(list.Objects)), Version: int64(list.Version)}
+	for i, o := range list.Objects {
+		answer.Items[i] = object.NewItem(o)
 	}
-	writeJSON(w, items)
+	writeJSON(w, answer)
 }
 
 func (c *Cloud) putObject(w http.ResponseWriter, r *http.Request) {
--- a/platform.go
+++ b/platform.go
@@ -20,6 +20,14 @@
 	Deleted bool // set in watch events only
 }
 
+// Listing is the answer of Store.List.
+type Listing struct {
+	Objects []Object
+	// Version is the store's position when the list was made; a watch that
+	// starts after it misses no change.
+	Version Version
+}
+
 // StoreErrorKind classifies the failures of a Store.
 type StoreErrorKind string
 
@@ -35,6 +43,9 @@
 	// StoreUnavailable reports that the store did not take the call; it had no
 	// effect.
 	StoreUnavailable StoreErrorKind = "unavailable"
+	// StoreHistoryGone reports that a watch starts before the changes that the
+	// store remembers; the caller lists again.
+	StoreHistoryGone StoreErrorKind = "history-gone"
 	// StoreUnknown reports a lost answer: the change may have taken effect.
 	StoreUnknown StoreErrorKind = "unknown"
 )
@@ -65,7 +76,7 @@
 	// Get returns an object, or StoreNotFound.
 	Get(ctx context.Context, key string) (Object, error)
 	// List returns all objects whose key starts with prefix, in key order.
-	List(ctx context.Context, prefix string) ([]Object, error)
+	List(ctx context.Context, prefix string) (Listing, error)
 	// Put writes value if the current version is base; base 0 creates only.
 	Put(ctx context.Context, key string, value []byte, base Version) (Version, error)
 	// Delete removes the object if its current version is base.
