--- /dev/null
+++ b/cmd/quetzalhook/host.go
@@ -0,0 +1,71 @@
+package main
+
+import "C" // the platform runs programs that are linked to the C library
+
+import (
+	"context"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"quetzalhook/internal/entry/host"
+	"quetzalhook/internal/entry/setting"
+	"quetzalhook/internal/state/eventlog"
+	"quetzalhook/platform"
+)
+
+func hostCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "host",
+		Usage: "run an entry host on the users' platform until it is told to stop",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name: "settings", Usage: "`FILE` with the settings of the host", Required: true,
+				Sources: cli.EnvVars(platform.SettingsVariable),
+			},
+			&cli.StringFlag{
+				Name: "peer-secret", Usage: "`SECRET` that hosts authenticate each other with", Required: true,
+				Sources: cli.EnvVars("QUETZALHOOK_PEER_SECRET"),
+			},
+			&cli.StringFlag{
+				Name: "log-level", Value: "info", Usage: "`LEVEL`: debug, info, warn or error", Sources: cli.EnvVars("QUETZALHOOK_LOG_LEVEL"),
+			},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return runHost(ctx, cmd.String("settings"), cmd.String("peer-secret"), cmd.String("log-level"))
+		},
+	}
+}
+
+func runHost(ctx context.Context, path, secret, level string) error {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return errors.Errorf("--log-level %q is not debug, info, warn or error", level)
+	}
+	out := eventlog.New(os.Stdout)
+	defer out.Close()
+	log := logrus.New()
+	log.SetOutput(out)
+	log.SetLevel(parsed)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "15:04:05.000"})
+	settings, err := setting.LoadHost(path)
+	if err != nil {
+		return err
+	}
+	store := platform.NewStore(settings.Store)
+	defer store.Close()
+	h, err := host.New(settings, secret, host.Adapter{
+		Store: store, Protocol: platform.Headers{}, Records: platform.Records(settings.Zones),
+		Directory: platform.DirectoryHandler, Ready: platform.ReadyHandler,
+	}, log)
+	if err != nil {
+		return err
+	}
+	if err := h.Start(ctx); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return h.Stop(context.WithoutCancel(ctx))
+}
--- /dev/null
+++ b/internal/entry/host/host.go
@@ -0,0 +1,218 @@
+// Package host assembles an entry host on the users' platform: it serves
+// callers, tells them which hosts to use, follows the configuration, and
+// shares the control work with the other hosts.
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"quetzalhook"
+	"quetzalhook/internal/entry/connection"
+	"quetzalhook/internal/entry/gateway"
+	"quetzalhook/internal/entry/meter"
+	"quetzalhook/internal/entry/setting"
+	"quetzalhook/internal/fleet/member"
+	"quetzalhook/internal/fleet/peer"
+	"quetzalhook/internal/fleet/registration"
+	"quetzalhook/internal/record/routing"
+	"quetzalhook/internal/state/boottime"
+	"quetzalhook/internal/state/invariant"
+	"quetzalhook/internal/traffic/balance"
+	"quetzalhook/internal/traffic/retry"
+)
+
+// Adapter is how a host reaches its platform.
+type Adapter struct {
+	Store    quetzalhook.Store
+	Protocol quetzalhook.Protocol
+	Records  routing.Source
+	// Directory answers callers that ask which hosts to use.
+	Directory func(hosts func(quetzalhook.Region, quetzalhook.Zone) []string, life time.Duration) http.Handler
+	// Ready answers the platform's question whether the host takes requests.
+	Ready func(ready func() bool) http.Handler
+}
+
+// Host is one entry host.
+type Host struct {
+	settings setting.Host
+	adapter  Adapter
+	clock    boottime.Clock
+	log      logrus.FieldLogger
+	inv      *invariant.Registry
+	meter    *meter.Meter
+
+	members  *member.Service
+	peers    *peer.Service
+	registry *registration.Registry
+	follower *routing.Follower
+	pool     *connection.Pool
+	services *balance.Dispatcher
+	gateway  *gateway.Gateway
+
+	servers  []*http.Server
+	callers  *http.Server
+	draining atomic.Bool
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+}
+
+// New returns a host that is not started.
+func New(settings setting.Host, secret string, adapter Adapter, log logrus.FieldLogger) (*Host, error) {
+	clock, err := boottime.New()
+	if err != nil {
+		return nil, err
+	}
+	log = log.WithField("host", settings.Host)
+	h := &Host{settings: settings, adapter: adapter, clock: clock, log: log, inv: invariant.New(log), meter: meter.New()}
+	if err := h.assembleFleet(secret); err != nil {
+		return nil, err
+	}
+	h.follower = routing.New(settings.Host, adapter.Store, h.peers, adapter.Records, clock, log, h.inv)
+	h.pool = connection.NewPool(clock)
+	budget := retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount)
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	h.services = balance.NewDispatcher(balance.New(settings.Region, random), budget, clock)
+	h.gateway = gateway.New(gateway.Deps{
+		Tables: h.follower, Protocol: adapter.Protocol, Dispatcher: h.services, Pool: h.pool, Hosts: h.hostCount,
+		Began: func(quetzalhook.CustomerID) {}, Observer: observer{h.meter}, Region: settings.Region, Clock: clock, Log: log,
+	})
+	return h, nil
+}
+
+// assembleFleet makes the parts that talk to other hosts. A restarted host
+// needs a larger incarnation, which only wall-clock time gives without a place
+// to keep the last one.
+func (h *Host) assembleFleet(secret string) error {
+	s := h.settings
+	incarnation := quetzalhook.Incarnation(time.Now().UnixNano())
+	heartbeat, calls := s.Heartbeat(s.IP()), s.Peer(s.IP())
+	h.registry = registration.New(h.adapter.Store, quetzalhook.HostStatus{
+		Host: s.Host, Incarnation: incarnation, Zone: s.Zone, HeartbeatAddress: heartbeat, PeerAddress: calls,
+	}, h.log)
+	h.members = member.NewService(member.Settings{
+		Self: member.Self{
+			Host: s.Host, Incarnation: incarnation, Zone: s.Zone, Region: s.Region,
+			Address: s.Listen.Callers, Heartbeat: heartbeat, Peer: calls,
+		},
+		Listen: heartbeat, Secret: []byte(secret), Seeds: s.SeedHeartbeats(), Report: h.report, Hosts: h.registry,
+	}, h.clock, h.log)
+	var err error
+	h.peers, err = peer.NewService(peer.Settings{
+		Host: s.Host, Listen: calls, Secret: []byte(secret), Directory: h.members,
+	}, h.clock, h.log)
+	return err
+}
+
+// Start opens all listeners and begins to serve.
+func (h *Host) Start(ctx context.Context) error {
+	ctx, h.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	if err := h.peers.Start(ctx); err != nil {
+		return err
+	}
+	if err := h.members.Start(ctx); err != nil {
+		return err
+	}
+	h.registry.Start()
+	h.follower.Start()
+	h.wg.Go(func() { h.followUpstreams(ctx) })
+	h.callers = &http.Server{
+		Handler: h.gateway, ConnState: h.gateway.ConnState, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: nil,
+	}
+	control := h.adapter.Directory(h.hosts, answerLife(h.settings))
+	for address, server := range map[string]*http.Server{
+		h.settings.Listen.Callers:           h.callers,
+		h.settings.Listen.Ready:             {Handler: h.adapter.Ready(h.ready), ReadHeaderTimeout: headerTimeout},
+		h.settings.Listen.Directory:         {Handler: control, ReadHeaderTimeout: headerTimeout},
+		h.settings.Metrics(h.settings.IP()): {Handler: h.meter.Handler(), ReadHeaderTimeout: headerTimeout},
+	} {
+		if err := h.serve(address, server); err != nil {
+			return err
+		}
+	}
+	h.log.WithField("zone", h.settings.Zone).WithField("callers", h.settings.Listen.Callers).Info("host started")
+	return nil
+}
+
+const (
+	// headerTimeout bounds how long a caller may take to send the header.
+	headerTimeout = 10 * time.Second
+	// maxHeader bounds a header in bytes; the table may set a smaller limit.
+	maxHeader = 64 << 10
+)
+
+func (h *Host) serve(address string, server *http.Server) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	h.servers = append(h.servers, server)
+	h.wg.Go(func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			h.log.WithError(err).WithField("address", address).Error("listener failed")
+		}
+	})
+	return nil
+}
+
+// followUpstreams hands every new list of upstreams to the dispatchers.
+func (h *Host) followUpstreams(ctx context.Context) {
+	for {
+		_, changed := h.follower.Table()
+		h.services.SetUpstreams(h.follower.Upstreams())
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// report returns what the heartbeats tell of this host.
+func (h *Host) report() member.Report {
+	return member.Report{
+		Draining: h.draining.Load(), Unready: !h.hasTable(), ConfigVersion: h.follower.Latest(), StoreAge: h.follower.StoreAge(),
+	}
+}
+
+func (h *Host) hasTable() bool {
+	t, _ := h.follower.Table()
+	return t != nil
+}
+
+// ready reports whether this host takes requests.
+func (h *Host) ready() bool { return h.hasTable() && !h.draining.Load() }
+
+// hostCount returns the number of hosts that are alive, this one included.
+func (h *Host) hostCount() int {
+	n := 1
+	for _, m := range h.members.Members() {
+		if m.IsHeard(forgetLimit) {
+			n++
+		}
+	}
+	return n
+}
+
+// observer passes results on to the metrics.
+type observer struct{ meter *meter.Meter }
+
+// Served implements gateway.Observer.
+func (o observer) Served(class quetzalhook.Class, customer quetzalhook.CustomerID, first, gap time.Duration, tokens int) {
+	o.meter.Served(meter.Result{Customer: customer, Class: class, FirstToken: first, Gap: gap, Tokens: tokens})
+}
+
+// Failed implements gateway.Observer.
+func (o observer) Failed(class quetzalhook.Class, customer quetzalhook.CustomerID, kind string) {
+	o.meter.Refused(customer, class.Name())
+	o.meter.Add("errors-"+kind, 1)
+}
--- /dev/null
+++ b/internal/fleet/registration/registration.go
@@ -0,0 +1,186 @@
+// Package registration keeps the list of hosts in the platform's store, so
+// that hosts find each other whose seeds are stale. Liveness is not part of it:
+// that is told by heartbeats, without calls to the store.
+package registration
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"quetzalhook"
+)
+
+// prefix is that of the objects of hosts.
+const prefix = "hosts/"
+
+const (
+	// retryFirst and retryLast bound the pause before a failed registration is
+	// repeated; it doubles in between.
+	retryFirst = 250 * time.Millisecond
+	retryLast  = 5 * time.Second
+	// leaveTimeout bounds the removal of the entry at a planned stop.
+	leaveTimeout = 2 * time.Second
+)
+
+// entry is the value of the object of a host.
+type entry struct {
+	Host        quetzalhook.HostID      `json:"host"`
+	Incarnation quetzalhook.Incarnation `json:"incarnation"`
+	Zone        quetzalhook.Zone        `json:"zone"`
+	Heartbeat   string                  `json:"heartbeat"`
+	Peer        string                  `json:"peer"`
+}
+
+// Registry lists the hosts in the store and registers this one. It implements
+// quetzalhook.HostLister.
+type Registry struct {
+	store quetzalhook.Store
+	self  quetzalhook.HostStatus
+	log   logrus.FieldLogger
+
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New returns a registry for one host.
+func New(store quetzalhook.Store, self quetzalhook.HostStatus, log logrus.FieldLogger) *Registry {
+	return &Registry{store: store, self: self, log: log}
+}
+
+// Start registers this host in the background, until it succeeds or Close is
+// called.
+func (r *Registry) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel, r.done = cancel, make(chan struct{})
+	go func() {
+		defer close(r.done)
+		for pause := retryFirst; ctx.Err() == nil; pause = min(2*pause, retryLast) {
+			err := r.register(ctx)
+			if err == nil {
+				r.log.WithField("incarnation", r.self.Incarnation).Info("host registered")
+				return
+			}
+			r.log.WithError(err).Warn("host not registered")
+			timer := time.NewTimer(pause)
+			select {
+			case <-ctx.Done():
+			case <-timer.C:
+			}
+			timer.Stop()
+		}
+	}()
+}
+
+// Close stops the registration and waits.
+func (r *Registry) Close() error {
+	if r.cancel != nil {
+		r.cancel()
+		<-r.done
+	}
+	return nil
+}
+
+func (r *Registry) key() string { return prefix + string(r.self.Host) }
+
+// register writes this host's entry over that of an earlier incarnation.
+func (r *Registry) register(ctx context.Context) error {
+	value, err := json.Marshal(entry{
+		Host: r.self.Host, Incarnation: r.self.Incarnation, Zone: r.self.Zone,
+		Heartbeat: r.self.HeartbeatAddress, Peer: r.self.PeerAddress,
+	})
+	if err != nil {
+		return &Error{Op: "register", Kind: ErrorCorrupt, Err: err}
+	}
+	_, err = r.store.Put(ctx, r.key(), value, 0)
+	if storeKind(err) != quetzalhook.StoreConflict {
+		return wrap("register", err)
+	}
+	o, err := r.store.Get(ctx, r.key())
+	if err != nil {
+		return wrap("register", err)
+	}
+	_, err = r.store.Put(ctx, r.key(), value, o.Version)
+	return wrap("register", err)
+}
+
+// Leave removes this host's entry before a planned stop.
+func (r *Registry) Leave(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	o, err := r.store.Get(ctx, r.key())
+	if storeKind(err) == quetzalhook.StoreNotFound {
+		return nil
+	}
+	if err != nil {
+		return wrap("leave", err)
+	}
+	var e entry
+	if json.Unmarshal(o.Value, &e) == nil && e.Incarnation != r.self.Incarnation {
+		return nil // a later incarnation has registered
+	}
+	return wrap("leave", r.store.Delete(ctx, r.key(), o.Version))
+}
+
+// Hosts implements quetzalhook.HostLister.
+func (r *Registry) Hosts(ctx context.Context) ([]quetzalhook.HostStatus, error) {
+	list, err := r.store.List(ctx, prefix)
+	if err != nil {
+		return nil, wrap("list", err)
+	}
+	var hosts []quetzalhook.HostStatus
+	for _, o := range list.Objects {
+		var e entry
+		if err := json.Unmarshal(o.Value, &e); err != nil || e.Host == "" {
+			r.log.WithField("key", o.Key).Warn("entry of a host cannot be read")
+			continue
+		}
+		hosts = append(hosts, quetzalhook.HostStatus{
+			Host: e.Host, Incarnation: e.Incarnation, Zone: e.Zone, HeartbeatAddress: e.Heartbeat, PeerAddress: e.Peer,
+		})
+	}
+	return hosts, nil
+}
+
+// ErrorKind classifies the failures of this package.
+type ErrorKind string
+
+const (
+	// ErrorCorrupt reports a value that does not encode.
+	ErrorCorrupt ErrorKind = "corrupt"
+	// ErrorStore reports a failure of the store.
+	ErrorStore ErrorKind = "store"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind ErrorKind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return "registration: " + e.Op + ": " + string(e.Kind) + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+func wrap(op string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &Error{Op: op, Kind: ErrorStore, Err: err}
+}
+
+func storeKind(err error) quetzalhook.StoreErrorKind {
+	var e *quetzalhook.StoreError
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
--- a/internal/platform/memory/watch.go
+++ b/internal/platform/memory/watch.go
@@ -70,6 +70,11 @@
 // Events returns the changes.
 func (w *watch) Events() <-chan quetzalhook.Object { return w.events }
 
+// Err returns why the watch ended.
+func (w *watch) Err() error {
+	return storeError("watch", w.prefix, quetzalhook.StoreUnavailable)
+}
+
 // Close ends the watch.
 func (w *watch) Close() error {
 	w.stop()
--- a/internal/platform/object/watch.go
+++ b/internal/platform/object/watch.go
@@ -70,6 +70,12 @@
 // Events implements quetzalhook.Watch.
 func (w *watch) Events() <-chan quetzalhook.Object { return w.events }
 
+// Err implements quetzalhook.Watch.
+func (w *watch) Err() error {
+	<-w.done
+	return &quetzalhook.StoreError{Op: "watch", Kind: quetzalhook.StoreUnavailable}
+}
+
 // Close implements quetzalhook.Watch.
 func (w *watch) Close() error {
 	w.cancel()
--- /dev/null
+++ b/internal/record/routing/follower.go
@@ -0,0 +1,424 @@
+package routing
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"quetzalhook"
+	"quetzalhook/internal/state/invariant"
+)
+
+const (
+	// retryFirst and retryLast bound the pause before the store is asked again
+	// after a failure; it doubles in between.
+	retryFirst = 100 * time.Millisecond
+	retryLast  = time.Second
+	// lapseGrace is how long an upstream stays listed whose entry is missing
+	// after an outage of the store. Upstreams register again within two seconds
+	// of its return.
+	lapseGrace = 2500 * time.Millisecond
+	// outageLimit is how long the store must have been away for entries to have
+	// lapsed: three registration intervals are several seconds.
+	outageLimit = time.Second
+	// tombstoneLife is how long a removed upstream is remembered for hosts that
+	// ask for changes.
+	tombstoneLife = time.Minute
+	// tick is the interval of the follower's periodic work; it is that of the
+	// heartbeats that carry versions.
+	tick = 250 * time.Millisecond
+)
+
+// Source tells where the records are kept in the store and how they are
+// decoded.
+type Source struct {
+	TableKey       string
+	UpstreamPrefix string
+	DecodeTable    func(value []byte) (*Table, error)
+	DecodeUpstream func(id quetzalhook.UpstreamID, value []byte) (quetzalhook.Upstream, error)
+}
+
+// entry is the newest known record of an upstream.
+type entry struct {
+	upstream quetzalhook.Upstream
+	version  quetzalhook.Version
+	removed  time.Time // zero while the upstream is registered
+	// lapsing is set while a missing entry may still come back.
+	lapsing time.Time
+}
+
+// Follower keeps the routing table and the upstreams of one host current. It
+// is safe for concurrent use.
+type Follower struct {
+	host   quetzalhook.HostID
+	store  quetzalhook.Store
+	peers  quetzalhook.Peers
+	source Source
+	clock  quetzalhook.Clock
+	log    logrus.FieldLogger
+	inv    quetzalhook.Invariants
+
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu           sync.Mutex
+	table        *Table
+	tableVersion quetzalhook.Version
+	entries      map[quetzalhook.UpstreamID]*entry
+	upstreams    []quetzalhook.Upstream // what Upstreams returns; never changed
+	latest       quetzalhook.Version    // of the newest change that is known
+	complete     quetzalhook.Version    // all upstream changes up to it are known
+	purged       quetzalhook.Version    // newest tombstone that was forgotten
+	contact      time.Time              // when the store last answered
+	away         bool                   // the last call of the store failed
+	awaySince    time.Time
+	back         time.Time // when the store returned after an outage
+	changed      chan struct{}
+}
+
+// New returns a follower that is not started. It registers a handler with
+// peers.
+func New(host quetzalhook.HostID, store quetzalhook.Store, peers quetzalhook.Peers, source Source,
+	clock quetzalhook.Clock, log logrus.FieldLogger, inv quetzalhook.Invariants,
+) *Follower {
+	f := &Follower{
+		host: host, store: store, peers: peers, source: source, clock: clock, log: log, inv: inv,
+		entries: make(map[quetzalhook.UpstreamID]*entry), changed: make(chan struct{}), contact: clock.Now(),
+	}
+	peers.Handle(pullKind, f.handlePull)
+	return f
+}
+
+// Start follows the store and the other hosts until Close.
+func (f *Follower) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	f.wg.Go(func() { f.follow(ctx, f.source.TableKey, f.takeTables) })
+	f.wg.Go(func() { f.follow(ctx, f.source.UpstreamPrefix, f.takeUpstreams) })
+	f.wg.Go(func() { f.followPeers(ctx) })
+}
+
+// Close stops and waits.
+func (f *Follower) Close() error {
+	if f.cancel != nil {
+		f.cancel()
+	}
+	f.wg.Wait()
+	return nil
+}
+
+// Table returns the table in force, nil before the first, and a channel that
+// is closed at the next change of table or upstreams.
+func (f *Follower) Table() (*Table, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table, f.changed
+}
+
+// Upstreams returns the registered upstreams by ID. The caller must not change
+// the list.
+func (f *Follower) Upstreams() []quetzalhook.Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.upstreams
+}
+
+// Latest returns the store's version of the newest change that this host
+// knows, for the heartbeats.
+func (f *Follower) Latest() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return int64(f.latest)
+}
+
+// StoreAge returns how long the store has not answered; 0 while a watch is
+// open.
+func (f *Follower) StoreAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.away {
+		return 0
+	}
+	return f.clock.Now().Sub(f.contact)
+}
+
+// listing is what follow hands over after a list.
+type listing struct {
+	quetzalhook.Listing
+	afterOutage bool
+}
+
+// follow lists the records under a prefix and watches them, again and again.
+// A watch that starts before the history of the store is followed by a list.
+func (f *Follower) follow(ctx context.Context, prefix string, take func(list *listing, event *quetzalhook.Object)) {
+	var after quetzalhook.Version
+	pause := retryFirst
+	for ctx.Err() == nil {
+		err := f.list(ctx, prefix, take, &after)
+		for err == nil {
+			pause = retryFirst
+			err = f.watch(ctx, prefix, take, &after)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if storeKind(err) == quetzalhook.StoreHistoryGone {
+			f.log.WithField("prefix", prefix).WithField("position", after).Info("watch history gone; listing again")
+			continue
+		}
+		f.noteAway(prefix, err)
+		if !sleep(ctx, pause) {
+			return
+		}
+		pause = min(2*pause, retryLast)
+	}
+}
+
+func (f *Follower) list(ctx context.Context, prefix string, take func(*listing, *quetzalhook.Object), after *quetzalhook.Version) error {
+	list, err := f.store.List(ctx, strings.TrimSuffix(prefix, tableName(prefix)))
+	if err != nil {
+		return err
+	}
+	outage := f.noteContact(prefix)
+	take(&listing{Listing: list, afterOutage: outage}, nil)
+	*after = list.Version
+	return nil
+}
+
+// tableName returns the part of a prefix after its last slash: a list covers
+// all records of one kind.
+func tableName(prefix string) string { return prefix[strings.LastIndexByte(prefix, '/')+1:] }
+
+// watch takes the events of one watch until it ends.
+func (f *Follower) watch(ctx context.Context, prefix string, take func(*listing, *quetzalhook.Object), after *quetzalhook.Version) error {
+	w, err := f.store.Watch(ctx, prefix, *after)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = w.Close() }()
+	for o := range w.Events() {
+		f.noteContact(prefix)
+		take(nil, &o)
+		*after = max(*after, o.Version)
+	}
+	return w.Err()
+}
+
+// noteContact records that the store answered and reports whether entries may
+// have lapsed while it did not.
+func (f *Follower) noteContact(prefix string) bool {
+	now := f.clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.contact = now
+	if f.away {
+		gap := now.Sub(f.awaySince)
+		f.away = false
+		if gap >= outageLimit {
+			f.back = now
+		}
+		f.log.WithField("prefix", prefix).WithField("away-ms", gap.Milliseconds()).Info("store answers again")
+	}
+	return !f.back.IsZero() && now.Sub(f.back) < lapseGrace
+}
+
+func (f *Follower) noteAway(prefix string, err error) {
+	now := f.clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.away {
+		f.away, f.awaySince = true, now
+		f.log.WithField("prefix", prefix).WithError(err).Warn("store does not answer")
+	}
+}
+
+// takeTables applies a list or an event of tables.
+func (f *Follower) takeTables(list *listing, event *quetzalhook.Object) {
+	if event != nil {
+		f.takeTable(*event)
+		return
+	}
+	for _, o := range list.Objects {
+		f.takeTable(o)
+	}
+}
+
+func (f *Follower) takeTable(o quetzalhook.Object) {
+	if o.Key != f.source.TableKey || o.Deleted {
+		return
+	}
+	t, err := f.source.DecodeTable(o.Value)
+	if err != nil {
+		f.log.WithError(err).WithField("revision", o.Version).Error("routing table not decoded; the last one stays in force")
+		return
+	}
+	f.install(t, o.Version, "store")
+}
+
+// install puts a table in force if it is newer.
+func (f *Follower) install(t *Table, version quetzalhook.Version, from string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.latest = max(f.latest, version)
+	if version <= f.tableVersion || f.table != nil && t.Version <= f.table.Version {
+		return
+	}
+	t.Index()
+	before := int64(0)
+	if f.table != nil {
+		before = f.table.Version
+	}
+	f.inv.Check(invariant.ConfigForward, t.Version > before, "host", f.host, "version", t.Version, "after", before)
+	f.table, f.tableVersion = t, version
+	f.log.WithFields(logrus.Fields{
+		"version": t.Version, "revision": version, "from": from, "routes": len(t.Routes), "customers": len(t.Customers),
+	}).Info("routing table in force")
+	f.announce()
+}
+
+// announce wakes those that wait for a change. The caller holds f.mu.
+func (f *Follower) announce() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// takeUpstreams applies a list or an event of upstreams.
+func (f *Follower) takeUpstreams(list *listing, event *quetzalhook.Object) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	if event != nil {
+		f.takeUpstream(now, *event)
+		f.publish()
+		return
+	}
+	listed := make(map[quetzalhook.UpstreamID]bool, len(list.Objects))
+	for _, o := range list.Objects {
+		listed[f.idOf(o)] = true
+		f.takeUpstream(now, o)
+	}
+	for id, e := range f.entries {
+		if !listed[id] && e.version <= list.Version && e.removed.IsZero() {
+			f.remove(now, id, e, list.Version, list.afterOutage)
+		}
+	}
+	f.complete = max(f.complete, list.Version)
+	f.publish()
+}
+
+func (f *Follower) idOf(o quetzalhook.Object) quetzalhook.UpstreamID {
+	return quetzalhook.UpstreamID(strings.TrimPrefix(o.Key, f.source.UpstreamPrefix))
+}
+
+// takeUpstream applies one record of an upstream. The caller holds f.mu.
+func (f *Follower) takeUpstream(now time.Time, o quetzalhook.Object) {
+	id := f.idOf(o)
+	e := f.entries[id]
+	if o.Deleted {
+		if e != nil && e.removed.IsZero() && o.Version >= e.version {
+			afterOutage := f.away || !f.back.IsZero() && now.Sub(f.back) < lapseGrace
+			f.remove(now, id, e, o.Version, afterOutage)
+		}
+		f.complete = max(f.complete, o.Version)
+		return
+	}
+	if e != nil && o.Version <= e.version {
+		return
+	}
+	f.complete = max(f.complete, o.Version)
+	u, err := f.source.DecodeUpstream(id, o.Value)
+	if err != nil {
+		f.log.WithError(err).WithField("revision", o.Version).Warn("record of an upstream not usable")
+		if e != nil && e.removed.IsZero() {
+			f.remove(now, id, e, o.Version, false)
+		}
+		return
+	}
+	f.set(u, o.Version)
+}
+
+// set makes u the record of its upstream. The caller holds f.mu.
+func (f *Follower) set(u quetzalhook.Upstream, version quetzalhook.Version) {
+	e := f.entries[u.ID]
+	if e == nil || !e.removed.IsZero() || e.upstream.State != u.State || e.upstream.Started != u.Started {
+		f.log.WithFields(logrus.Fields{
+			"upstream": u.ID, "service": u.Service, "zone": u.Zone, "state": u.State, "cheap": u.Cheap, "revision": version,
+			"leaves-in-ms": u.LeavesIn.Milliseconds(),
+		}).Info("upstream registered")
+	}
+	f.entries[u.ID] = &entry{upstream: u, version: version}
+	f.latest = max(f.latest, version)
+}
+
+// remove marks an upstream as gone, or as lapsing if it may come back. The
+// caller holds f.mu.
+func (f *Follower) remove(now time.Time, id quetzalhook.UpstreamID, e *entry, version quetzalhook.Version, mayReturn bool) {
+	if mayReturn && e.upstream.State == quetzalhook.UpstreamReady {
+		if e.lapsing.IsZero() {
+			e.lapsing = now
+			f.log.WithField("upstream", id).WithField("revision", version).Info("upstream missing after an outage of the store")
+		}
+		return
+	}
+	e.removed, e.version = now, max(e.version, version)
+	e.lapsing = time.Time{}
+	f.latest = max(f.latest, e.version)
+	f.log.WithField("upstream", id).WithField("revision", version).Info("upstream removed")
+}
+
+// expire removes upstreams that did not come back, and old tombstones.
+func (f *Follower) expire() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	before := len(f.upstreams)
+	for id, e := range f.entries {
+		switch {
+		case !e.removed.IsZero() && now.Sub(e.removed) > tombstoneLife:
+			f.purged = max(f.purged, e.version)
+			delete(f.entries, id)
+		case !e.lapsing.IsZero() && !f.away && now.Sub(maxTime(e.lapsing, f.back)) > lapseGrace:
+			f.remove(now, id, e, max(f.complete, e.version), false)
+			before = -1
+		}
+	}
+	if before < 0 {
+		f.publish()
+	}
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// publish makes a new list of the registered upstreams. The caller holds f.mu.
+func (f *Follower) publish() {
+	list := make([]quetzalhook.Upstream, 0, len(f.entries))
+	for _, e := range f.entries {
+		if e.removed.IsZero() {
+			list = append(list, e.upstream)
+		}
+	}
+	slices.SortFunc(list, func(a, b quetzalhook.Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	f.upstreams = list
+	f.announce()
+}
+
+// sleep waits for d and reports whether ctx is still open.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/platform.go
+++ b/platform.go
@@ -90,6 +90,8 @@
 type Watch interface {
 	// Events is closed when the watch ends.
 	Events() <-chan Object
+	// Err waits for the end of the watch and returns its cause.
+	Err() error
 	// Close ends the watch and waits for it.
 	Close() error
 }
--- a/policy.go
+++ b/policy.go
@@ -20,6 +20,19 @@
 	Region Region
 	// Repeatable reports whether the request may be sent more than once.
 	Repeatable bool
+	// Service is the service that runs the request; empty where Model selects
+	// the upstreams.
+	Service string
+	// Parts lists the parts of the prompt in order.
+	Parts []PromptPart
+	// LengthHint is the caller's estimate of the output in tokens; 0 for none.
+	LengthHint int
+	// Patience is how long the caller waits, counted from the submission; 0 means
+	// that it is not known.
+	Patience time.Duration
+	// Attempts is the largest number of upstreams that may run the request; 0
+	// means no bound.
+	Attempts int
 }
 
 // ActionKind selects what the host does for an Action.
--- a/upstream.go
+++ b/upstream.go
@@ -48,6 +48,12 @@
 	ChecksFencing bool
 	// Distance is the one-way network delay from this host.
 	Distance time.Duration
+	// Started is when the upstream started, in ms since 1970 by its own clock; a
+	// restart under the same ID has another value and starts with empty memory.
+	Started int64
+	// LeavesIn is how long a leaving upstream still serves, counted from its
+	// announcement; 0 means that it is not known.
+	LeavesIn time.Duration
 	// TrafficPrice is the price of 10^9 bytes between the upstream and this
 	// host, in the operator's currency; 0 means that it is not known.
 	TrafficPrice float64
