Place requests to engines on one host for all

One host, the leader, now runs a scheduler that models each engine's reading, memory and held prompt parts.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -20,9 +20,11 @@
 	"quetzalhook/internal/entry/gateway"
 	"quetzalhook/internal/entry/meter"
 	"quetzalhook/internal/entry/setting"
+	"quetzalhook/internal/fleet/dispatcher"
 	"quetzalhook/internal/fleet/member"
 	"quetzalhook/internal/fleet/peer"
 	"quetzalhook/internal/fleet/registration"
+	"quetzalhook/internal/fleet/rendezvous"
 	"quetzalhook/internal/record/routing"
 	"quetzalhook/internal/state/boottime"
 	"quetzalhook/internal/state/invariant"
@@ -56,6 +58,7 @@
 	follower *routing.Follower
 	pool     *connection.Pool
 	services *balance.Dispatcher
+	engines  *dispatcher.Dispatcher
 	gateway  *gateway.Gateway
 
 	servers  []*http.Server
@@ -81,8 +84,12 @@
 	budget := retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	h.services = balance.NewDispatcher(balance.New(settings.Region, random), budget, clock)
+	h.engines = dispatcher.New(dispatcher.Settings{
+		Host: settings.Host, Leader: h.leader, Usable: h.follower.IsUsable,
+		Budget: retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount),
+	}, h.peers, clock, log)
 	h.gateway = gateway.New(gateway.Deps{
-		Tables: h.follower, Protocol: adapter.Protocol, Dispatcher: h.services, Pool: h.pool, Hosts: h.hostCount,
+		Tables: h.follower, Protocol: adapter.Protocol, Dispatcher: h, Pool: h.pool, Hosts: h.hostCount,
 		Began: func(quetzalhook.CustomerID) {}, Observer: observer{h.meter}, Region: settings.Region, Clock: clock, Log: log,
 	})
 	return h, nil
@@ -101,7 +108,7 @@
 	h.members = member.NewService(member.Settings{
 		Self: member.Self{
 			Host: s.Host, Incarnation: incarnation, Zone: s.Zone, Region: s.Region,
-			Address: s.Listen.Callers, Heartbeat: heartbeat, Peer: calls,
+			Address: s.Listen.Callers, Heartbeat: heartbeat, Peer: calls, Processors: s.ProcessorShare * s.Processors,
 		},
 		Listen: heartbeat, Secret: []byte(secret), Seeds: s.SeedHeartbeats(), Report: h.report, Hosts: h.registry,
 	}, h.clock, h.log)
@@ -123,6 +130,7 @@
 	}
 	h.registry.Start()
 	h.follower.Start()
+	h.engines.Start()
 	h.wg.Go(func() { h.followUpstreams(ctx) })
 	h.callers = &http.Server{
 		Handler: h.gateway, ConnState: h.gateway.ConnState, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
@@ -167,8 +175,12 @@
 // followUpstreams hands every new list of upstreams to the dispatchers.
 func (h *Host) followUpstreams(ctx context.Context) {
 	for {
-		_, changed := h.follower.Table()
-		h.services.SetUpstreams(h.follower.Upstreams())
+		table, changed := h.follower.Table()
+		if table != nil {
+			engines, services := divide(table, h.follower.Upstreams())
+			h.services.SetUpstreams(services)
+			h.engines.SetUpstreams(engines)
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -177,6 +189,60 @@
 	}
 }
 
+// divide returns the engines, with what the table says of them, and the
+// upstreams of plain services.
+func divide(table *routing.Table, list []quetzalhook.Upstream) (engines, services []quetzalhook.Upstream) {
+	for _, u := range list {
+		s := table.Service(u.Service)
+		if s == nil || s.Engine == nil {
+			u.Kind = quetzalhook.KindService
+			services = append(services, u)
+			continue
+		}
+		u.Kind, u.MemoryTokens, u.EventTokens = quetzalhook.KindEngine, s.Engine.MemoryTokens, s.Engine.EventTokens
+		engines = append(engines, u)
+	}
+	return engines, services
+}
+
+// Submit implements quetzalhook.Dispatcher: requests to engines are placed for
+// all hosts together, those to plain services by each host.
+func (h *Host) Submit(ctx context.Context, r quetzalhook.Request) quetzalhook.Ticket {
+	if t, _ := h.follower.Table(); t != nil {
+		if s := t.Service(r.Service); s != nil && s.Engine != nil {
+			return h.engines.Submit(ctx, r)
+		}
+	}
+	return h.services.Submit(ctx, r)
+}
+
+// leader returns the host that places requests to engines: of those that are
+// alive the one with the largest processor, then by rendezvous hash.
+func (h *Host) leader() quetzalhook.HostID {
+	most := 0.0
+	var hosts []quetzalhook.HostID
+	add := func(id quetzalhook.HostID, processors float64) {
+		if processors > most {
+			most, hosts = processors, hosts[:0]
+		}
+		if processors == most {
+			hosts = append(hosts, id)
+		}
+	}
+	if h.ready() {
+		add(h.settings.Host, h.settings.ProcessorShare*h.settings.Processors)
+	}
+	for _, m := range h.members.Members() {
+		if !m.Draining && !m.Unready && m.IsHeard(silenceLimit) {
+			add(m.Host, m.Processors)
+		}
+	}
+	if len(hosts) == 0 {
+		return h.settings.Host
+	}
+	return rendezvous.First("dispatcher", hosts)
+}
+
 // report returns what the heartbeats tell of this host.
 func (h *Host) report() member.Report {
 	return member.Report{
--- a/internal/entry/host/stop.go
+++ b/internal/entry/host/stop.go
@@ -45,6 +45,7 @@
 	}
 	_ = h.registry.Close()
 	_ = h.follower.Close()
+	_ = h.engines.Close()
 	_ = h.members.Close()
 	_ = h.peers.Close()
 	_ = h.pool.Close()
--- /dev/null
+++ b/internal/fleet/dispatcher/message.go
@@ -0,0 +1,90 @@
+package dispatcher
+
+import (
+	"time"
+
+	"quetzalhook"
+)
+
+// Kinds of the calls between hosts.
+const (
+	assignKind = "dispatch-assign"
+	reportKind = "dispatch-report"
+	syncKind   = "dispatch-sync"
+	adoptKind  = "dispatch-adopt"
+)
+
+// wireRequest is a request between hosts.
+type wireRequest struct {
+	ID           quetzalhook.RequestID    `cbor:"1,keyasint"`
+	Customer     quetzalhook.CustomerID   `cbor:"2,keyasint,omitempty"`
+	Class        quetzalhook.ClassName    `cbor:"3,keyasint"`
+	Tier         quetzalhook.Tier         `cbor:"4,keyasint,omitempty"`
+	Target       time.Duration            `cbor:"5,keyasint,omitempty"`
+	GapTarget    time.Duration            `cbor:"6,keyasint,omitempty"`
+	Model        quetzalhook.Model        `cbor:"7,keyasint,omitempty"`
+	Service      string                   `cbor:"8,keyasint,omitempty"`
+	PromptTokens int                      `cbor:"9,keyasint,omitempty"`
+	MaxTokens    int                      `cbor:"10,keyasint,omitempty"`
+	LengthHint   int                      `cbor:"11,keyasint,omitempty"`
+	Hashes       []uint64                 `cbor:"12,keyasint,omitempty"`
+	Tokens       []int                    `cbor:"13,keyasint,omitempty"` // of the parts in Hashes
+	Region       quetzalhook.Region       `cbor:"14,keyasint,omitempty"`
+	Patience     time.Duration            `cbor:"15,keyasint,omitempty"`
+	Tried        []quetzalhook.UpstreamID `cbor:"16,keyasint,omitempty"`
+	Repeatable   bool                     `cbor:"17,keyasint,omitempty"`
+}
+
+func toWire(r quetzalhook.Request) wireRequest {
+	w := wireRequest{
+		ID: r.ID, Customer: r.Customer, Class: r.Class.Name(), Tier: r.Class.Tier(), Target: r.Class.TTFTTarget(),
+		GapTarget: r.Class.GapTarget(), Model: r.Model, Service: r.Service, PromptTokens: r.PromptTokens,
+		MaxTokens: r.MaxTokens, LengthHint: r.LengthHint, Region: r.Region, Patience: r.Patience, Tried: r.Tried,
+		Repeatable: r.Repeatable,
+	}
+	for _, p := range r.Parts {
+		w.Hashes, w.Tokens = append(w.Hashes, p.Hash), append(w.Tokens, p.Tokens)
+	}
+	return w
+}
+
+func (w wireRequest) request() quetzalhook.Request {
+	r := quetzalhook.Request{
+		ID: w.ID, Customer: w.Customer, Model: w.Model, Service: w.Service, PromptTokens: w.PromptTokens,
+		Class:     quetzalhook.NewClass(w.Class, w.Tier, quetzalhook.WithTTFTTarget(w.Target), quetzalhook.WithGapTarget(w.GapTarget)),
+		MaxTokens: w.MaxTokens, LengthHint: w.LengthHint, Region: w.Region, Patience: w.Patience, Tried: w.Tried,
+		Repeatable: w.Repeatable,
+	}
+	for i := range min(len(w.Hashes), len(w.Tokens)) {
+		r.Parts = append(r.Parts, quetzalhook.PromptPart{Hash: w.Hashes[i], Tokens: w.Tokens[i]})
+	}
+	return r
+}
+
+// assignAnswer is the decision on a request, or nothing if it still waits.
+type assignAnswer struct {
+	Upstream   *quetzalhook.Upstream  `cbor:"1,keyasint,omitempty"`
+	Urgency    int                    `cbor:"2,keyasint,omitempty"`
+	Refusal    quetzalhook.RefuseKind `cbor:"3,keyasint,omitempty"`
+	RetryAfter time.Duration          `cbor:"4,keyasint,omitempty"`
+}
+
+// event tells what became of a request.
+type event struct {
+	ID     quetzalhook.RequestID `cbor:"1,keyasint"`
+	Tokens int                   `cbor:"2,keyasint,omitempty"`
+	// End is 0 while the request runs.
+	End    quetzalhook.End `cbor:"3,keyasint,omitempty"`
+	NotRun bool            `cbor:"4,keyasint,omitempty"`
+}
+
+func (e event) end() quetzalhook.AttemptEnd {
+	return quetzalhook.AttemptEnd{End: e.End, Tokens: e.Tokens, Verdict: quetzalhook.Verdict{NotRun: e.NotRun}}
+}
+
+// adoption is a request that runs already.
+type adoption struct {
+	Request  wireRequest            `cbor:"1,keyasint"`
+	Upstream quetzalhook.UpstreamID `cbor:"2,keyasint"`
+	Tokens   int                    `cbor:"3,keyasint,omitempty"`
+}
--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -40,6 +40,8 @@
 	Address     string // for callers
 	Heartbeat   string // for heartbeats
 	Peer        string // for calls of other hosts
+	// Processors is the processor time that the host may use, in cores.
+	Processors float64
 }
 
 // Report is what a host tells the others of itself.
@@ -116,7 +118,7 @@
 func (g *gossip) profile() profile {
 	return profile{
 		Host: g.self.Host, Incarnation: g.self.Incarnation, Zone: g.self.Zone, Region: g.self.Region,
-		Address: g.self.Address, Heartbeat: g.self.Heartbeat, Peer: g.self.Peer,
+		Address: g.self.Address, Heartbeat: g.self.Heartbeat, Peer: g.self.Peer, Processors: g.self.Processors,
 	}
 }
 
@@ -201,6 +203,9 @@
 	f.Address = first(f.Address, old.Address)
 	f.Heartbeat = first(f.Heartbeat, old.Heartbeat)
 	f.Peer = first(f.Peer, old.Peer)
+	if f.Processors == 0 {
+		f.Processors = old.Processors
+	}
 	return f
 }
 
@@ -350,6 +355,7 @@
 			Address: p.profile.Address, PeerAddress: p.profile.Peer, Draining: b.Draining, Unready: b.Unready, Silent: p.silent(now),
 			Distant: p.cell != g.cell, FreeCapacity: float64(b.FreePercent) / 100, ConfigVersion: b.ConfigVersion, StoreAge: age,
 			WithdrawnCount: b.WithdrawnCount, WithdrawnHash: b.WithdrawnHash, Demand: demand,
+			Processors: p.profile.Processors,
 		})
 	}
 	slices.SortFunc(list, func(a, b quetzalhook.Member) int { return strings.Compare(string(a.Host), string(b.Host)) })
--- a/internal/fleet/member/message.go
+++ b/internal/fleet/member/message.go
@@ -83,6 +83,7 @@
 	Heartbeat   string                  `cbor:"6,keyasint,omitempty"`
 	Peer        string                  `cbor:"7,keyasint,omitempty"`
 	Left        bool                    `cbor:"8,keyasint,omitempty"` // stopped as planned
+	Processors  float64                 `cbor:"9,keyasint,omitempty"` // cores
 }
 
 // summary describes a cell as its host Origin saw it Age ago.
--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -127,6 +127,19 @@
 	return f.upstreams
 }
 
+// IsUsable reports whether requests may be sent to an upstream: it is
+// registered as ready, or not known yet. One that was removed or started again
+// since is not.
+func (f *Follower) IsUsable(u quetzalhook.Upstream) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.entries[u.ID]
+	if e == nil {
+		return true
+	}
+	return e.removed.IsZero() && e.upstream.State == quetzalhook.UpstreamReady && e.upstream.Started == u.Started
+}
+
 // Latest returns the store's version of the newest change that this host
 // knows, for the heartbeats.
 func (f *Follower) Latest() int64 {
--- /dev/null
+++ b/internal/traffic/schedule/demand.go
@@ -0,0 +1,64 @@
+package schedule
+
+import (
+	"math"
+	"time"
+
+	"quetzalhook"
+)
+
+// demandMemory is the time constant of the smoothed demand.
+const demandMemory = 3 * time.Second
+
+// demand is the offered load, as engines that are busy at the same time.
+type demand struct {
+	at   time.Time
+	rate float64 // ms of reading for each ms
+}
+
+// add counts a request.
+func (d *demand) add(now time.Time, r *run) {
+	d.decay(now)
+	unshared := r.request.PromptTokens
+	for i, p := range r.request.Parts {
+		if i < len(r.request.Parts)-1 {
+			unshared -= p.Tokens
+		}
+	}
+	work := readTime(max(unshared, minRead), r.request.PromptTokens) + float64(predictedOutput(r.request))*slotTime
+	d.rate += work / milliseconds(demandMemory)
+}
+
+func (d *demand) decay(now time.Time) {
+	if !d.at.IsZero() {
+		d.rate *= math.Exp(-float64(now.Sub(d.at)) / float64(demandMemory))
+	}
+	d.at = now
+}
+
+// Load describes the demand on the engines and what there is of them.
+type Load struct {
+	// Busy is the number of engines that the offered work keeps busy.
+	Busy float64
+	// Waiting is the number of requests that wait.
+	Waiting int
+	// Memory is the part of the engines' memory that running requests use.
+	Memory float64
+}
+
+// Load returns the present load.
+func (s *Scheduler) Load(now time.Time) Load {
+	s.demand.decay(now)
+	used, have := 0, 0
+	for _, e := range s.engines {
+		if e.info.State == quetzalhook.UpstreamReady {
+			used += e.memory
+			have += e.info.MemoryTokens
+		}
+	}
+	l := Load{Busy: s.demand.rate, Waiting: len(s.waiting)}
+	if have > 0 {
+		l.Memory = float64(used) / float64(have)
+	}
+	return l
+}
--- /dev/null
+++ b/internal/traffic/schedule/engine.go
@@ -0,0 +1,217 @@
+package schedule
+
+import (
+	"time"
+
+	"quetzalhook"
+)
+
+// Costs of an engine's work before anything is learned. They are those of a
+// large model on two accelerators; speed corrects them for each engine.
+const (
+	// readRate is the number of prompt tokens that are read in one ms.
+	readRate = 34.0
+	// pairCost is the time in ms for a million pairs of a token that is read and
+	// a token before it.
+	pairCost = 0.25
+	// stepTime is the time in ms of one step of a batch, and slotTime what each
+	// running request adds to it.
+	stepTime = 4.7
+	slotTime = 0.155
+	// chunkTokens is the number of prompt tokens that an engine reads in one
+	// step, beside a token of each running request.
+	chunkTokens = 2048
+	// firstTime is the time in ms from the end of reading to the first event.
+	firstTime = 20.0
+)
+
+// run is a request that waits or runs.
+type run struct {
+	request   quetzalhook.Request
+	submitted time.Time
+	sequence  uint64
+
+	engine   *engine // nil while it waits
+	started  time.Time
+	expected float64 // predicted time to the first token, in ms from started
+	work     float64 // time to read what is not held, in ms
+	left     float64 // part of work that is not done, as far as is known
+	memory   int     // tokens of prompt and predicted output
+	first    bool    // the first token has come
+	tokens   int
+}
+
+// urgent reports whether r goes before o at an engine.
+func (r *run) before(o *run) bool {
+	if r.request.Class.Tier() != o.request.Class.Tier() {
+		return r.request.Class.Tier() < o.request.Class.Tier()
+	}
+	return r.sequence < o.sequence
+}
+
+// predictedOutput returns the number of output tokens that are expected.
+func predictedOutput(r quetzalhook.Request) int {
+	switch {
+	case r.LengthHint > 0 && (r.MaxTokens == 0 || r.LengthHint < r.MaxTokens):
+		return r.LengthHint
+	case r.MaxTokens > 0:
+		return r.MaxTokens
+	}
+	return defaultOutput
+}
+
+// defaultOutput is assumed if neither hint nor bound is known, in tokens.
+const defaultOutput = 256
+
+// engine is what is known of one engine.
+type engine struct {
+	info   quetzalhook.Upstream
+	runs   map[quetzalhook.RequestID]*run
+	reads  []*run // without a first token, in the order in which they are read
+	at     time.Time
+	memory int // tokens of all runs
+	cache  cache
+	// slowness is the smoothed ratio of observed to expected times.
+	slowness float64
+	sign     time.Time // last sign of life
+	health   health
+}
+
+func newEngine(info quetzalhook.Upstream, now time.Time) *engine {
+	return &engine{info: info, runs: make(map[quetzalhook.RequestID]*run), at: now, sign: now, cache: newCache(), slowness: 1}
+}
+
+// readTime returns the time in ms to read the last tokens of a prompt.
+func readTime(tokens, prompt int) float64 {
+	pairs := float64(tokens) * (float64(prompt) - float64(tokens)/2)
+	return float64(tokens)/readRate + pairs/1e6*pairCost
+}
+
+// unread returns how many tokens of a prompt the engine has to read.
+func (e *engine) unread(r quetzalhook.Request) int {
+	return max(r.PromptTokens-e.cache.held(r.Parts), minRead)
+}
+
+// minRead is the least that is read of a prompt, in tokens.
+const minRead = 16
+
+// advance lets the time since the last call reduce the work that is left.
+func (e *engine) advance(now time.Time) {
+	elapsed := float64(now.Sub(e.at)) / float64(time.Millisecond) / e.slowness
+	e.at = now
+	for _, r := range e.reads {
+		done := min(r.left, elapsed)
+		r.left -= done
+		elapsed -= done
+		if elapsed <= 0 {
+			return
+		}
+	}
+}
+
+// ahead returns the work in ms that the engine does before it reads for r.
+func (e *engine) ahead(r *run) float64 {
+	sum := 0.0
+	for _, o := range e.reads {
+		if o.before(r) {
+			sum += o.left
+		}
+	}
+	return sum
+}
+
+// backlog returns all work that is left, in ms.
+func (e *engine) backlog() float64 {
+	sum := 0.0
+	for _, o := range e.reads {
+		sum += o.left
+	}
+	return sum
+}
+
+// start adds a run.
+func (e *engine) start(now time.Time, r *run) {
+	r.engine, r.started = e, now
+	r.work = readTime(e.unread(r.request), r.request.PromptTokens)
+	r.left = r.work
+	e.place(r)
+	e.cache.use(r.request.Parts)
+	e.shrink()
+}
+
+// place puts a run without a first token in the order of reading.
+func (e *engine) place(r *run) {
+	e.runs[r.request.ID] = r
+	e.memory += r.memory
+	i := len(e.reads)
+	for i > 0 && r.before(e.reads[i-1]) {
+		i--
+	}
+	e.reads = append(e.reads, nil)
+	copy(e.reads[i+1:], e.reads[i:])
+	e.reads[i] = r
+}
+
+// shrink lets held parts yield to running requests.
+func (e *engine) shrink() {
+	if e.info.MemoryTokens > 0 {
+		e.cache.shrink(e.info.MemoryTokens - e.memory)
+	}
+}
+
+// began notes the first token of a run.
+func (e *engine) began(now time.Time, r *run) {
+	r.first, r.left = true, 0
+	for i, o := range e.reads {
+		if o == r {
+			e.reads = append(e.reads[:i], e.reads[i+1:]...)
+			break
+		}
+	}
+	observed := float64(now.Sub(r.started)) / float64(time.Millisecond)
+	if r.expected > 0 {
+		ratio := min(max(observed/r.expected, 1/maxRatio), maxRatio)
+		e.slowness = max(e.slowness+slownessGain*(ratio-e.slowness), 1)
+	}
+}
+
+const (
+	// slownessGain is the weight of one observation of the time to the first
+	// token, maxRatio the bound on one observation.
+	slownessGain = 0.15
+	maxRatio     = 8
+)
+
+// remove takes a run off the engine.
+func (e *engine) remove(r *run) {
+	if e.runs[r.request.ID] != r {
+		return
+	}
+	delete(e.runs, r.request.ID)
+	e.memory -= r.memory
+	if !r.first {
+		for i, o := range e.reads {
+			if o == r {
+				e.reads = append(e.reads[:i], e.reads[i+1:]...)
+				break
+			}
+		}
+	}
+}
+
+// hasRoom reports whether the engine can take a request without displacing
+// one that runs.
+func (e *engine) hasRoom(memory int) bool {
+	if e.info.Slots > 0 && len(e.runs) >= e.info.Slots {
+		return false
+	}
+	return e.info.MemoryTokens == 0 || len(e.runs) == 0 ||
+		float64(e.memory+memory) <= memoryLimit*float64(e.info.MemoryTokens)
+}
+
+// memoryLimit is the part of an engine's memory that predicted requests may
+// fill. The rest covers outputs that are longer than predicted.
+const memoryLimit = 0.9
+
+// streams returns the number of runs that produce tokens.
+func (e *engine) streams() int { return len(e.runs) - len(e.reads) }
--- /dev/null
+++ b/internal/traffic/schedule/place.go
@@ -0,0 +1,153 @@
+package schedule
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quetzalhook"
+)
+
+// Weights of the cost of a placement. Costs are in ms of the first token of an
+// urgent request.
+const (
+	// workWeight is what a ms of an engine's reading costs: it delays requests
+	// that come later.
+	workWeight = 1.0
+	// pauseCost is what a stream costs whose pause grows beyond its target.
+	pauseCost = 400.0
+	// lateCost is what it costs to miss the target for the first token.
+	lateCost = 600.0
+	// streamWeight is what each stream beside the request costs: it makes every
+	// token slower.
+	streamWeight = 1.5
+	// suspectCost puts suspect engines behind all others.
+	suspectCost = 1e6
+	// comparedTarget is the target at which the weight of the time to the first
+	// token is 1; longer targets weigh less.
+	comparedTarget = 500.0
+	// spread is what the preference of a prompt for certain engines weighs when
+	// nothing else tells them apart, so that its parts stay on few engines.
+	spread = 30.0
+	// pauseMargin is the part of a target for pauses that predictions may use.
+	pauseMargin = 0.85
+)
+
+// choice is a placement with what it is expected to do.
+type choice struct {
+	engine *engine
+	cost   float64
+	first  float64 // ms to the first token
+}
+
+// best returns the cheapest engine for a run, or false if none has room.
+func (s *Scheduler) best(now time.Time, r *run) (choice, bool) {
+	best := choice{cost: math.Inf(1)}
+	for _, e := range s.pools[pool(r.request)] {
+		if isTried(r.request, e.info.ID) || !e.hasRoom(r.memory) {
+			continue
+		}
+		if c := s.evaluate(now, r, e); c.cost < best.cost {
+			best = c
+		}
+	}
+	return best, best.engine != nil
+}
+
+func isTried(r quetzalhook.Request, id quetzalhook.UpstreamID) bool {
+	for _, t := range r.Tried {
+		if t == id {
+			return true
+		}
+	}
+	return false
+}
+
+// evaluate predicts what a run on an engine does to itself and to others.
+func (s *Scheduler) evaluate(now time.Time, r *run, e *engine) choice {
+	e.advance(now)
+	class := r.request.Class
+	unread := e.unread(r.request)
+	work := readTime(unread, r.request.PromptTokens) * e.slowness
+	first := e.ahead(r)*e.slowness + work + firstTime + stepTime + float64(e.streams())*slotTime + s.roundTrip(r.request.Region, e)
+	target := milliseconds(class.TTFTTarget())
+	waited := milliseconds(now.Sub(r.submitted))
+	cost := first
+	if target > 0 {
+		cost *= comparedTarget / target
+		cost += lateCost * chance(waited+first, target)
+	}
+	cost += work * workWeight
+	cost += streamWeight * float64(e.streams())
+	cost += s.pauses(r, e, unread)
+	cost += spread * preference(r.request, e.info.ID)
+	if e.isSuspect(now) {
+		cost += suspectCost
+	}
+	return choice{engine: e, cost: cost, first: first}
+}
+
+// chance returns the probability that a predicted time misses a target. The
+// prediction is uncertain by a part of the target.
+func chance(predicted, target float64) float64 {
+	const sharpness = 8.0
+	return 1 / (1 + math.Exp(-sharpness*(predicted/target-0.85)))
+}
+
+// pauses returns the cost of pauses beyond the target of streams: of those on
+// the engine while the prompt is read, and of the request while the engine
+// reads other long prompts.
+func (s *Scheduler) pauses(r *run, e *engine, unread int) float64 {
+	own := s.longestPause(e, unread, r.request.PromptTokens)
+	others, cost := 0.0, 0.0
+	for _, o := range e.runs {
+		if !o.first {
+			others = max(others, s.longestPause(e, int(o.left*readRate), o.request.PromptTokens))
+		}
+		if gap := milliseconds(o.request.Class.GapTarget()); gap > 0 && own > gap*pauseMargin {
+			cost += pauseCost
+		}
+	}
+	if gap := milliseconds(r.request.Class.GapTarget()); gap > 0 && others > gap*pauseMargin {
+		cost += pauseCost
+	}
+	return cost
+}
+
+// longestPause returns the longest pause in ms between two events of a stream
+// while an engine reads tokens of a prompt: an event holds several tokens, and
+// between two of them the engine reads one chunk.
+func (s *Scheduler) longestPause(e *engine, tokens, prompt int) float64 {
+	chunks := min(float64(max(e.info.EventTokens, 1)), float64(tokens)/chunkTokens)
+	return chunks*readTime(min(tokens, chunkTokens), prompt)*e.slowness + float64(max(e.info.EventTokens, 1))*stepTime
+}
+
+// preference returns a number from 0 to 1 that orders the engines for a
+// prompt's first part, the same on every host.
+func preference(r quetzalhook.Request, id quetzalhook.UpstreamID) float64 {
+	if len(r.Parts) == 0 {
+		return 0
+	}
+	var d xxhash.Digest
+	d.ResetWithSeed(r.Parts[0].Hash)
+	_, _ = d.WriteString(string(id))
+	return float64(d.Sum64()>>11) / (1 << 53)
+}
+
+// roundTrip returns the delay in ms between a caller's region and an engine.
+func (s *Scheduler) roundTrip(from quetzalhook.Region, e *engine) float64 {
+	if from == e.info.Region {
+		return nearRoundTrip
+	}
+	return farRoundTrip
+}
+
+const (
+	// nearRoundTrip and farRoundTrip are the delays in ms to an engine in the
+	// same and in another region, there and back.
+	nearRoundTrip = 2.0
+	farRoundTrip  = 25.0
+)
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/platform.go
+++ b/platform.go
@@ -164,6 +164,9 @@
 	WithdrawnCount int
 	WithdrawnHash  uint64
 	Demand         Demand
+	// Processors is the processor time that the host may use, in cores; 0 means
+	// that it is not known.
+	Processors float64
 }
 
 // distantLimit is the longest silence of a live host of another cell. In 180
--- a/policy.go
+++ b/policy.go
@@ -30,6 +30,8 @@
 	// Patience is how long the caller waits, counted from the submission; 0 means
 	// that it is not known.
 	Patience time.Duration
+	// Tried lists the upstreams that have failed or refused the request.
+	Tried []UpstreamID
 	// Attempts is the largest number of upstreams that may run the request; 0
 	// means no bound.
 	Attempts int
--- a/upstream.go
+++ b/upstream.go
@@ -48,6 +48,11 @@
 	ChecksFencing bool
 	// Distance is the one-way network delay from this host.
 	Distance time.Duration
+	// MemoryTokens is the size of an engine's KV cache in tokens; 0 means that
+	// it is not known.
+	MemoryTokens int
+	// EventTokens is the number of tokens in one event of a stream.
+	EventTokens int
 	// Started is when the upstream started, in ms since 1970 by its own clock; a
 	// restart under the same ID has another value and starts with empty memory.
 	Started int64
