Report usage and order engines under one lease

Usage is counted where requests begin, copied to two hosts, collected and frozen in the store before it is reported.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -21,12 +21,17 @@
 	"quetzalhook/internal/entry/meter"
 	"quetzalhook/internal/entry/setting"
 	"quetzalhook/internal/fleet/dispatcher"
+	"quetzalhook/internal/fleet/lease"
 	"quetzalhook/internal/fleet/member"
 	"quetzalhook/internal/fleet/peer"
+	"quetzalhook/internal/fleet/provisioner"
 	"quetzalhook/internal/fleet/registration"
 	"quetzalhook/internal/fleet/rendezvous"
+	"quetzalhook/internal/record/invoice"
 	"quetzalhook/internal/record/routing"
+	"quetzalhook/internal/record/tally"
 	"quetzalhook/internal/state/boottime"
+	"quetzalhook/internal/state/calendar"
 	"quetzalhook/internal/state/invariant"
 	"quetzalhook/internal/traffic/balance"
 	"quetzalhook/internal/traffic/retry"
@@ -39,10 +44,17 @@
 	Records  routing.Source
 	// Directory answers callers that ask which hosts to use.
 	Directory func(hosts func(quetzalhook.Region, quetzalhook.Zone) []string, life time.Duration) http.Handler
+	Duties    Duties
 	// Ready answers the platform's question whether the host takes requests.
 	Ready func(ready func() bool) http.Handler
 }
 
+// Duties makes the calls of which the platform expects one sender at a time.
+type Duties interface {
+	invoice.Sink
+	provisioner.Platform
+}
+
 // Host is one entry host.
 type Host struct {
 	settings setting.Host
@@ -52,14 +64,20 @@
 	inv      *invariant.Registry
 	meter    *meter.Meter
 
-	members  *member.Service
-	peers    *peer.Service
-	registry *registration.Registry
-	follower *routing.Follower
-	pool     *connection.Pool
-	services *balance.Dispatcher
-	engines  *dispatcher.Dispatcher
-	gateway  *gateway.Gateway
+	incarnation quetzalhook.Incarnation
+	members     *member.Service
+	peers       *peer.Service
+	registry    *registration.Registry
+	follower    *routing.Follower
+	pool        *connection.Pool
+	services    *balance.Dispatcher
+	engines     *dispatcher.Dispatcher
+	calendar    *calendar.Clock
+	counter     *tally.Counter
+	duty        *lease.Lease
+	reporter    *invoice.Reporter
+	orders      *provisioner.Provisioner
+	gateway     *gateway.Gateway
 
 	servers  []*http.Server
 	callers  *http.Server
@@ -88,9 +106,12 @@
 		Host: settings.Host, Leader: h.leader, Usable: h.follower.IsUsable,
 		Budget: retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount),
 	}, h.peers, clock, log)
+	if err := h.assembleDuties(); err != nil {
+		return nil, err
+	}
 	h.gateway = gateway.New(gateway.Deps{
 		Tables: h.follower, Protocol: adapter.Protocol, Dispatcher: h, Pool: h.pool, Hosts: h.hostCount,
-		Began: func(quetzalhook.CustomerID) {}, Observer: observer{h.meter}, Region: settings.Region, Clock: clock, Log: log,
+		Began: h.counter.Add, Observer: observer{h.meter}, Region: settings.Region, Clock: clock, Log: log,
 	})
 	return h, nil
 }
@@ -101,6 +122,7 @@
 func (h *Host) assembleFleet(secret string) error {
 	s := h.settings
 	incarnation := quetzalhook.Incarnation(time.Now().UnixNano())
+	h.incarnation = incarnation
 	heartbeat, calls := s.Heartbeat(s.IP()), s.Peer(s.IP())
 	h.registry = registration.New(h.adapter.Store, quetzalhook.HostStatus{
 		Host: s.Host, Incarnation: incarnation, Zone: s.Zone, HeartbeatAddress: heartbeat, PeerAddress: calls,
@@ -131,6 +153,9 @@
 	h.registry.Start()
 	h.follower.Start()
 	h.engines.Start()
+	h.counter.Start()
+	h.duty.Start()
+	h.wg.Go(func() { h.runDuties(ctx) })
 	h.wg.Go(func() { h.followUpstreams(ctx) })
 	h.callers = &http.Server{
 		Handler: h.gateway, ConnState: h.gateway.ConnState, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
--- a/internal/entry/host/stop.go
+++ b/internal/entry/host/stop.go
@@ -27,6 +27,9 @@
 	h.log.WithField("open", h.gateway.Open()).WithField("limit-ms", limit.Milliseconds()).Info("host stops; callers are sent elsewhere")
 	// Callers go on to use this host until their answers have expired.
 	sleep(ctx, min(keptAnswers*answerLife(h.settings), limit/2))
+	if err := h.duty.Close(); err != nil {
+		h.log.WithError(err).Warn("duty not released; its lease ends with its term")
+	}
 	if err := h.registry.Leave(ctx); err != nil {
 		h.log.WithError(err).Warn("host stays registered")
 	}
@@ -46,6 +49,7 @@
 	_ = h.registry.Close()
 	_ = h.follower.Close()
 	_ = h.engines.Close()
+	_ = h.counter.Close()
 	_ = h.members.Close()
 	_ = h.peers.Close()
 	_ = h.pool.Close()
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -80,6 +80,7 @@
 	peers.Handle(reportKind, d.handleReport)
 	peers.Handle(syncKind, d.handleSync)
 	peers.Handle(adoptKind, d.handleAdopt)
+	peers.Handle(loadKind, d.handleLoad)
 	return d
 }
 
@@ -117,9 +118,28 @@
 // SetUpstreams replaces the engines.
 func (d *Dispatcher) SetUpstreams(list []quetzalhook.Upstream) { d.desk.setUpstreams(list) }
 
-// Load returns the load of all hosts if this one is the leader, or of what it
-// has placed itself.
-func (d *Dispatcher) Load() schedule.Load { return d.desk.load() }
+// Load returns the load of all hosts, from the leader.
+func (d *Dispatcher) Load(ctx context.Context) (schedule.Load, error) {
+	leader := d.target()
+	if leader == "" {
+		return d.desk.load(), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportLimit)
+	defer cancel()
+	reply, err := d.peers.Call(ctx, leader, loadKind, nil)
+	if err != nil {
+		return schedule.Load{}, &Error{Op: "load", Kind: ErrorUnreachable, Err: err}
+	}
+	var load schedule.Load
+	if err := cbor.Unmarshal(reply, &load); err != nil {
+		return load, &Error{Op: "load", Kind: ErrorProtocol, Err: err}
+	}
+	return load, nil
+}
+
+func (d *Dispatcher) handleLoad(context.Context, quetzalhook.HostID, []byte) ([]byte, error) {
+	return cbor.Marshal(d.desk.load())
+}
 
 // target returns the leader to ask, or "" if this host decides itself.
 func (d *Dispatcher) target() quetzalhook.HostID {
--- a/internal/fleet/dispatcher/message.go
+++ b/internal/fleet/dispatcher/message.go
@@ -12,6 +12,7 @@
 	reportKind = "dispatch-report"
 	syncKind   = "dispatch-sync"
 	adoptKind  = "dispatch-adopt"
+	loadKind   = "dispatch-load"
 )
 
 // wireRequest is a request between hosts.
--- /dev/null
+++ b/internal/fleet/provisioner/provisioner.go
@@ -0,0 +1,160 @@
+// Package provisioner orders engines from the platform while its host holds
+// the duty. What to order is decided by package supply.
+package provisioner
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"quetzalhook"
+	"quetzalhook/internal/record/routing"
+	"quetzalhook/internal/traffic/supply"
+)
+
+// callLimit bounds one order.
+const callLimit = 700 * time.Millisecond
+
+// Duty tells whether this host holds the duty, with its epoch number.
+type Duty interface {
+	Fencing() (uint64, bool)
+}
+
+// Platform takes orders.
+type Platform interface {
+	OrderUpstreams(ctx context.Context, fencing uint64, service string, o quetzalhook.UpstreamOrder) error
+}
+
+// Records tells the services and their upstreams.
+type Records interface {
+	Table() (*routing.Table, <-chan struct{})
+	Upstreams() []quetzalhook.Upstream
+}
+
+// Provisioner orders engines. Its methods are called by one goroutine.
+type Provisioner struct {
+	duty     Duty
+	platform Platform
+	records  Records
+	// busy returns how many engines the load keeps busy.
+	busy  func(context.Context) (float64, error)
+	clock quetzalhook.Clock
+	log   logrus.FieldLogger
+
+	fencing  uint64
+	planners map[string]*supply.Planner // by service
+}
+
+// New returns a provisioner.
+func New(duty Duty, platform Platform, records Records, busy func(context.Context) (float64, error),
+	clock quetzalhook.Clock, log logrus.FieldLogger,
+) *Provisioner {
+	return &Provisioner{
+		duty: duty, platform: platform, records: records, busy: busy, clock: clock, log: log,
+		planners: make(map[string]*supply.Planner),
+	}
+}
+
+// Step sends the orders that are due. It does nothing unless the duty is held.
+func (p *Provisioner) Step(ctx context.Context) {
+	fencing, held := p.duty.Fencing()
+	table, _ := p.records.Table()
+	if !held || table == nil {
+		return
+	}
+	if fencing != p.fencing {
+		p.fencing = fencing
+		clear(p.planners) // the last holder's orders are not known
+	}
+	busy, err := p.busy(ctx)
+	if err != nil {
+		p.log.WithError(err).Warn("load of the engines not known; nothing ordered")
+		return
+	}
+	for i := range table.Services {
+		if s := &table.Services[i]; s.Scaling != nil {
+			p.plan(ctx, s, busy)
+		}
+	}
+}
+
+func (p *Provisioner) plan(ctx context.Context, s *routing.Service, busy float64) {
+	planner := p.planners[s.Name]
+	if planner == nil {
+		planner = supply.New()
+		p.planners[s.Name] = planner
+	}
+	in := input(s, p.records.Upstreams())
+	in.Busy = busy
+	for _, o := range planner.Plan(p.clock.Now(), in) {
+		log := p.log.WithFields(logrus.Fields{
+			"service": s.Name, "zone": o.Zone, "cheap": o.Cheap, "count": o.Count, "have": o.Have, "reason": o.Reason,
+			"busy": busy, "fencing": p.fencing,
+		})
+		err := p.order(ctx, s.Name, o)
+		switch {
+		case err == nil:
+			log.Info("upstreams ordered")
+		case isConflict(err):
+			planner.Refused(p.clock.Now(), o)
+			log.Info("platform has no such upstreams at present")
+		default:
+			planner.Failed(o)
+			log.WithError(err).Warn("upstreams not ordered")
+			return
+		}
+	}
+}
+
+// order sends one order, after a last check that the duty is held.
+func (p *Provisioner) order(ctx context.Context, service string, o supply.Order) error {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	if fencing, held := p.duty.Fencing(); !held || fencing != p.fencing {
+		return errNotHolder
+	}
+	return p.platform.OrderUpstreams(ctx, p.fencing, service, quetzalhook.UpstreamOrder{
+		Zone: o.Zone, Cheap: o.Cheap, Count: o.Count, Fencing: p.fencing,
+	})
+}
+
+var errNotHolder = errors.New("the duty has passed to another host")
+
+func isConflict(err error) bool {
+	var e *quetzalhook.StoreError
+	return errors.As(err, &e) && e.Kind == quetzalhook.StoreConflict
+}
+
+// input describes the zones of a service. Zones are those with a price.
+func input(s *routing.Service, upstreams []quetzalhook.Upstream) supply.Input {
+	in := supply.Input{Min: s.Scaling.Min, Max: s.Scaling.Max, CheapPrice: s.Scaling.CheapPrice, StartTime: s.Scaling.StartTime}
+	for _, zone := range zones(s) {
+		z := supply.Zone{Zone: zone, Price: s.Scaling.ZonePrices[zone]}
+		for _, u := range upstreams {
+			switch {
+			case u.Zone != zone || u.Service != s.Name:
+			case u.Cheap && u.State == quetzalhook.UpstreamReady:
+				z.Cheap++
+			case u.Cheap:
+				z.Leaving++
+			case u.State == quetzalhook.UpstreamReady:
+				z.Regular++
+			}
+		}
+		in.Zones = append(in.Zones, z)
+	}
+	return in
+}
+
+// zones returns the zones of a service in a fixed order.
+func zones(s *routing.Service) []quetzalhook.Zone {
+	list := make([]quetzalhook.Zone, 0, len(s.Scaling.ZonePrices))
+	for z := range s.Scaling.ZonePrices {
+		list = append(list, z)
+	}
+	slices.Sort(list)
+	return list
+}
