Let three hosts watch the store, with short watches; read settings again on SIGHUP

Ruled out: a stale list, since the list after the watch showed the change. The scheduler stops a round when engines are full: with 9 engines it looked at every waiting request every 20 ms and the leader fell behind.

--- a/cmd/quetzalhook/host.go
+++ b/cmd/quetzalhook/host.go
@@ -3,8 +3,12 @@
 import "C" // the platform runs programs that are linked to the C library
 
 import (
+	"bytes"
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -66,6 +70,43 @@
 	if err := h.Start(ctx); err != nil {
 		return err
 	}
-	<-ctx.Done()
+	followSettings(ctx, path, h, log)
 	return h.Stop(context.WithoutCancel(ctx))
 }
+
+// settingsInterval is the time between two looks at the settings file, which
+// may change without a signal.
+const settingsInterval = 2 * time.Second
+
+// followSettings reads the settings again when their file changes or SIGHUP
+// comes, until ctx ends.
+func followSettings(ctx context.Context, path string, h *host.Host, log logrus.FieldLogger) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	last, _ := os.ReadFile(path) // a failure shows in the next look
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-ticker.C:
+		}
+		data, err := os.ReadFile(path)
+		if err == nil && bytes.Equal(data, last) {
+			continue
+		}
+		var settings setting.Host
+		if err == nil {
+			settings, err = setting.LoadHost(path)
+		}
+		if err != nil {
+			log.WithError(err).Warn("settings not read; the last ones hold")
+			continue
+		}
+		last = data
+		h.Reload(settings)
+	}
+}
--- a/internal/fleet/member/service.go
+++ b/internal/fleet/member/service.go
@@ -122,6 +122,14 @@
 	s.gossip.self.Peer = address
 }
 
+// SetSeeds replaces the heartbeat addresses of some hosts that this one
+// introduces itself to.
+func (s *Service) SetSeeds(seeds []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gossip.seeds = slices.Clone(seeds)
+}
+
 // Block drops all traffic from and to the hosts for which f returns true, as
 // a network partition does. It is for tests; nil ends it.
 func (s *Service) Block(f func(quetzalhook.HostID) bool) {
--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"quetzalhook"
+	"quetzalhook/internal/fleet/rendezvous"
 	"quetzalhook/internal/state/invariant"
 )
 
@@ -28,6 +29,11 @@
 	// tombstoneLife is how long a removed upstream is remembered for hosts that
 	// ask for changes.
 	tombstoneLife = time.Minute
+	// watchers is the number of hosts that watch the store for all.
+	watchers = 3
+	// watcherSilence is how long a host may be silent, or the store silent to it,
+	// before another one watches in its place.
+	watcherSilence = 1200 * time.Millisecond
 	// tick is the interval of the follower's periodic work; it is that of the
 	// heartbeats that carry versions.
 	tick = 250 * time.Millisecond
@@ -171,16 +177,27 @@
 	var after quetzalhook.Version
 	pause := retryFirst
 	for ctx.Err() == nil {
-		err := f.list(ctx, prefix, take, &after)
-		for err == nil {
-			pause = retryFirst
+		if after > 0 && !f.isWatcher() {
+			sleep(ctx, tick)
+			continue
+		}
+		var err error
+		if after == 0 {
+			err = f.list(ctx, prefix, take, &after)
+		}
+		if err == nil {
 			err = f.watch(ctx, prefix, take, &after)
 		}
+		if err == nil {
+			pause = retryFirst
+			continue
+		}
 		if ctx.Err() != nil {
 			return
 		}
 		if storeKind(err) == quetzalhook.StoreHistoryGone {
 			f.log.WithField("prefix", prefix).WithField("position", after).Info("watch history gone; listing again")
+			after = 0
 			continue
 		}
 		f.noteAway(prefix, err)
@@ -208,17 +225,54 @@
 
 // watch takes the events of one watch until it ends.
 func (f *Follower) watch(ctx context.Context, prefix string, take func(*listing, *quetzalhook.Object), after *quetzalhook.Version) error {
-	w, err := f.store.Watch(ctx, prefix, *after)
+	w, err := f.store.Watch(ctx, prefix, f.position(prefix, *after))
 	if err != nil {
 		return err
 	}
 	defer func() { _ = w.Close() }()
-	for o := range w.Events() {
-		f.noteContact(prefix)
-		take(nil, &o)
-		*after = max(*after, o.Version)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case o, open := <-w.Events():
+			if !open {
+				return w.Err()
+			}
+			f.noteContact(prefix)
+			if o.Key != "" {
+				take(nil, &o)
+			}
+			*after = max(*after, o.Version)
+		case <-ticker.C:
+			if !f.isWatcher() {
+				return nil
+			}
+		}
+	}
+}
+
+// position returns from where to watch: other hosts may have told more than
+// the own watch.
+func (f *Follower) position(prefix string, after quetzalhook.Version) quetzalhook.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if prefix == f.source.UpstreamPrefix {
+		return max(after, f.complete)
+	}
+	return after
+}
+
+// isWatcher reports whether this host watches the store: the first few of the
+// live hosts do that the store answers. The others learn changes from them.
+func (f *Follower) isWatcher() bool {
+	hosts := []quetzalhook.HostID{f.host}
+	for _, m := range f.peers.Members() {
+		if !m.Draining && !m.Unready && m.IsHeard(watcherSilence) && m.StoreAge < watcherSilence {
+			hosts = append(hosts, m.Host)
+		}
 	}
-	return w.Err()
+	ranked := rendezvous.Rank("routing", hosts)
+	return slices.Contains(ranked[:min(watchers, len(ranked))], f.host)
 }
 
 // noteContact records that the store answered and reports whether entries may
--- a/internal/traffic/schedule/engine.go
+++ b/internal/traffic/schedule/engine.go
@@ -69,7 +69,8 @@
 	runs   map[quetzalhook.RequestID]*run
 	reads  []*run // without a first token, in the order in which they are read
 	at     time.Time
-	memory int // tokens of all runs
+	memory int                   // tokens of all runs
+	gaps   map[time.Duration]int // runs by their target for pauses
 	cache  cache
 	// slowness is the smoothed ratio of observed to expected times.
 	slowness float64
@@ -78,7 +79,10 @@
 }
 
 func newEngine(info quetzalhook.Upstream, now time.Time) *engine {
-	return &engine{info: info, runs: make(map[quetzalhook.RequestID]*run), at: now, sign: now, cache: newCache(), slowness: 1}
+	return &engine{
+		info: info, runs: make(map[quetzalhook.RequestID]*run), at: now, sign: now, cache: newCache(), slowness: 1,
+		gaps: make(map[time.Duration]int),
+	}
 }
 
 // readTime returns the time in ms to read the last tokens of a prompt.
@@ -143,6 +147,7 @@
 func (e *engine) place(r *run) {
 	e.runs[r.request.ID] = r
 	e.memory += r.memory
+	e.gaps[r.request.Class.GapTarget()]++
 	i := len(e.reads)
 	for i > 0 && r.before(e.reads[i-1]) {
 		i--
@@ -189,6 +194,11 @@
 	}
 	delete(e.runs, r.request.ID)
 	e.memory -= r.memory
+	if gap := r.request.Class.GapTarget(); e.gaps[gap] > 1 {
+		e.gaps[gap]--
+	} else {
+		delete(e.gaps, gap)
+	}
 	if !r.first {
 		for i, o := range e.reads {
 			if o == r {
--- a/internal/traffic/schedule/place.go
+++ b/internal/traffic/schedule/place.go
@@ -101,12 +101,12 @@
 func (s *Scheduler) pauses(r *run, e *engine, unread int) float64 {
 	own := s.longestPause(e, unread, r.request.PromptTokens)
 	others, cost := 0.0, 0.0
-	for _, o := range e.runs {
-		if !o.first {
-			others = max(others, s.longestPause(e, int(o.left*readRate), o.request.PromptTokens))
-		}
-		if gap := milliseconds(o.request.Class.GapTarget()); gap > 0 && own > gap*pauseMargin {
-			cost += pauseCost
+	for _, o := range e.reads {
+		others = max(others, s.longestPause(e, int(o.left*readRate), o.request.PromptTokens))
+	}
+	for gap, n := range e.gaps {
+		if gap > 0 && own > milliseconds(gap)*pauseMargin {
+			cost += pauseCost * float64(n)
 		}
 	}
 	if gap := milliseconds(r.request.Class.GapTarget()); gap > 0 && others > gap*pauseMargin {
--- a/internal/traffic/schedule/schedule.go
+++ b/internal/traffic/schedule/schedule.go
@@ -36,8 +36,9 @@
 	// minRetry and maxRetry bound what refused callers are told to wait.
 	minRetry = 200 * time.Millisecond
 	maxRetry = 3 * time.Second
-	// maxScan bounds the waiting requests that are looked at in one round.
-	maxScan = 128
+	// maxStuck is the number of waiting requests in a row for which no engine has
+	// room, after which a round ends: the engines are full.
+	maxStuck = 6
 	// urgencyPerTier and maxUrgency map tiers to the urgency at an engine.
 	urgencyPerTier = 2
 	maxUrgency     = 9
@@ -266,10 +267,18 @@
 	s.dirty = false
 	s.sort(now)
 	kept := s.waiting[:0:0]
-	for i, r := range s.waiting {
-		if i >= maxScan || !s.settle(now, r) {
+	stuck := 0
+	for _, r := range s.waiting {
+		if stuck >= maxStuck {
 			kept = append(kept, r)
+			continue
+		}
+		if s.settle(now, r) {
+			stuck = 0
+			continue
 		}
+		stuck++
+		kept = append(kept, r)
 	}
 	s.waiting = kept
 	return s.out
--- a/internal/traffic/supply/supply.go
+++ b/internal/traffic/supply/supply.go
@@ -26,6 +26,9 @@
 	peakMemory = 60 * time.Second
 	// leastEngines is the number of engines that a service keeps at any load.
 	leastEngines = 6
+	// learning is how long a new planner waits for all engines to be listed and
+	// for load.
+	learning = 8 * time.Second
 	// dryTime is how long a zone is not asked for cheap engines after it
 	// reclaimed some or had none.
 	dryTime = 12 * time.Second
@@ -88,6 +91,7 @@
 type Planner struct {
 	peak   float64
 	peakAt time.Time
+	since  time.Time // of the first plan
 	orders map[kind]ordered
 	dry    map[quetzalhook.Zone]time.Time // until when a zone has no cheap engines
 }
@@ -125,7 +129,12 @@
 
 // observe remembers the peak of the load and the zones that reclaim.
 func (p *Planner) observe(now time.Time, in Input) {
-	if !p.peakAt.IsZero() {
+	if p.peakAt.IsZero() {
+		p.since = now
+	}
+	if now.Sub(p.since) < learning {
+		p.peak = max(p.peak, expected(in))
+	} else {
 		p.peak *= math.Exp2(-float64(now.Sub(p.peakAt)) / float64(peakMemory))
 	}
 	p.peak, p.peakAt = max(p.peak, in.Busy), now
@@ -136,6 +145,18 @@
 	}
 }
 
+// expected returns the load that the present engines are meant for: a new
+// planner has seen no load, but the operator or its predecessor has.
+func expected(in Input) float64 {
+	regular, cheap, most := 0, 0, 0
+	for _, z := range in.Zones {
+		regular += z.Regular
+		cheap += z.Cheap
+		most = max(most, z.Cheap)
+	}
+	return float64(max(regular, cheap-most)) * fill / burst
+}
+
 // wanted returns the wanted totals of cheap and regular engines by zone.
 func (p *Planner) wanted(now time.Time, in Input) (cheap, regular []int) {
 	needed := max(int(math.Ceil(p.peak*burst/fill)), leastEngines)
--- a/platform.go
+++ b/platform.go
@@ -88,7 +88,8 @@
 
 // Watch is a stream of changes.
 type Watch interface {
-	// Events is closed when the watch ends.
+	// Events is closed when the watch ends. An object without a key is no change:
+	// it tells that there was none up to its version.
 	Events() <-chan Object
 	// Err waits for the end of the watch and returns its cause.
 	Err() error
