--- a/internal/traffic/schedule/schedule.go
+++ b/internal/traffic/schedule/schedule.go
@@ -5,9 +5,10 @@
 // batch requests, read prompts in chunks between the tokens of other requests,
 // and keep what they have read as long as memory lasts. A request goes where
 // reading what is missing, waiting for others, and delaying others cost least.
-// When engines are full, requests wait here and not at the engines: first those
-// of the more urgent tier, then those that can still meet their target, and
-// nobody for longer than a part of its caller's patience.
+// When engines are full, requests wait here and not at the engines: the more
+// urgent tier goes first, and in a tier those that can still meet their target.
+// A request that would wait for too much of its caller's patience is refused at
+// once.
 //
 // The package is pure: no I/O, goroutine or clock. Callers serialise the calls
 // and pass a time that never goes back.
@@ -24,9 +25,6 @@
 	// holdLimit is the work in ms ahead of a request up to which it is sent to
 	// an engine; with more, waiting here leaves the choice of engine open.
 	holdLimit = 500.0
-	// promoteAfter is the part of the patience after which a waiting request
-	// goes before all tiers.
-	promoteAfter = 0.45
 	// refuseAfter is the part of the patience that a request may be expected to
 	// wait; with more it is refused at once.
 	refuseAfter = 0.6
@@ -321,9 +319,6 @@
 	for _, r := range s.waiting {
 		k := rank{tier: int(r.request.Class.Tier()), due: r.submitted.Add(r.request.Class.TTFTTarget())}
 		k.late = now.After(k.due)
-		if p := r.request.Patience; p > 0 && now.Sub(r.submitted) > time.Duration(promoteAfter*float64(p)) {
-			k.tier, k.late = -1, false
-		}
 		ranks[r] = k
 	}
 	sort.SliceStable(s.waiting, func(i, j int) bool {
--- a/internal/traffic/supply/supply.go
+++ b/internal/traffic/supply/supply.go
@@ -203,7 +203,7 @@
 			if total == 0 {
 				break
 			}
-			if now.Before(p.dry[in.Zones[i].Zone]) || counts[i] >= in.Max {
+			if counts[i] >= p.room(now, in, in.Zones[i]) {
 				continue
 			}
 			counts[i]++
@@ -216,6 +216,15 @@
 	return counts
 }
 
+// room returns how many cheap engines a zone can have: in one that has no more
+// to give, those that it has.
+func (p *Planner) room(now time.Time, in Input, z Zone) int {
+	if now.Before(p.dry[z.Zone]) {
+		return min(z.Cheap, in.Max)
+	}
+	return in.Max
+}
+
 // byPrice returns the zones' indexes, the cheapest first.
 func byPrice(zones []Zone) []int {
 	order := make([]int, len(zones))
