Keep the version of a removal that may be a lapse

Ruled out: a lost watch event; the log shows it. A removal keeps its version, other hosts get it with the time that is left, and only what the first answers after an outage tell may be a lapse.

--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -22,7 +22,10 @@
 	// lapseGrace is how long an upstream stays listed whose entry is missing
 	// after an outage of the store. Upstreams register again within two seconds
 	// of its return.
-	lapseGrace = 2500 * time.Millisecond
+	lapseGrace = 2200 * time.Millisecond
+	// backlogTime is how long after the return of the store its answers may tell
+	// of removals during the outage; those that come later are new.
+	backlogTime = 400 * time.Millisecond
 	// outageLimit is how long the store must have been away for entries to have
 	// lapsed: three registration intervals are several seconds.
 	outageLimit = time.Second
@@ -52,9 +55,18 @@
 type entry struct {
 	upstream quetzalhook.Upstream
 	version  quetzalhook.Version
-	removed  time.Time // zero while the upstream is registered
-	// lapsing is set while a missing entry may still come back.
-	lapsing time.Time
+	removed  time.Time // zero while the upstream is listed
+	// lapses is when a missing entry counts as removed that may still come back;
+	// zero if the entry is not missing.
+	lapses time.Time
+}
+
+// contact is what is known of the store for one prefix.
+type contact struct {
+	away  bool // the last call failed
+	since time.Time
+	back  time.Time // when the store returned after an outage
+	last  time.Time // when it answered last
 }
 
 // Follower keeps the routing table and the upstreams of one host current. It
@@ -79,10 +91,7 @@
 	latest       quetzalhook.Version    // of the newest change that is known
 	complete     quetzalhook.Version    // all upstream changes up to it are known
 	purged       quetzalhook.Version    // newest tombstone that was forgotten
-	contact      time.Time              // when the store last answered
-	away         bool                   // the last call of the store failed
-	awaySince    time.Time
-	back         time.Time // when the store returned after an outage
+	contacts     map[string]*contact    // by prefix
 	changed      chan struct{}
 }
 
@@ -93,7 +102,8 @@
 ) *Follower {
 	f := &Follower{
 		host: host, store: store, peers: peers, source: source, clock: clock, log: log, inv: inv,
-		entries: make(map[quetzalhook.UpstreamID]*entry), changed: make(chan struct{}), contact: clock.Now(),
+		entries: make(map[quetzalhook.UpstreamID]*entry), changed: make(chan struct{}),
+		contacts: map[string]*contact{source.TableKey: {last: clock.Now()}, source.UpstreamPrefix: {last: clock.Now()}},
 	}
 	peers.Handle(pullKind, f.handlePull)
 	return f
@@ -154,22 +164,22 @@
 	return int64(f.latest)
 }
 
-// StoreAge returns how long the store has not answered; 0 while a watch is
-// open.
+// StoreAge returns how long the store has not answered this host; 0 if its
+// last call was answered.
 func (f *Follower) StoreAge() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.away {
-		return 0
+	age := time.Duration(0)
+	for _, c := range f.contacts {
+		if c.away {
+			age = max(age, f.clock.Now().Sub(c.last))
+		}
 	}
-	return f.clock.Now().Sub(f.contact)
+	return age
 }
 
 // listing is what follow hands over after a list.
-type listing struct {
-	quetzalhook.Listing
-	afterOutage bool
-}
+type listing struct{ quetzalhook.Listing }
 
 // follow lists the records under a prefix and watches them, again and again.
 // A watch that starts before the history of the store is followed by a list.
@@ -213,8 +223,8 @@
 	if err != nil {
 		return err
 	}
-	outage := f.noteContact(prefix)
-	take(&listing{Listing: list, afterOutage: outage}, nil)
+	f.noteContact(prefix)
+	take(&listing{list}, nil)
 	*after = list.Version
 	return nil
 }
@@ -275,34 +285,40 @@
 	return slices.Contains(ranked[:min(watchers, len(ranked))], f.host)
 }
 
-// noteContact records that the store answered and reports whether entries may
-// have lapsed while it did not.
-func (f *Follower) noteContact(prefix string) bool {
+// noteContact records that the store answered.
+func (f *Follower) noteContact(prefix string) {
 	now := f.clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.contact = now
-	if f.away {
-		gap := now.Sub(f.awaySince)
-		f.away = false
-		if gap >= outageLimit {
-			f.back = now
-		}
-		f.log.WithField("prefix", prefix).WithField("away-ms", gap.Milliseconds()).Info("store answers again")
+	c := f.contacts[prefix]
+	c.last = now
+	if !c.away {
+		return
 	}
-	return !f.back.IsZero() && now.Sub(f.back) < lapseGrace
+	gap := now.Sub(c.since)
+	c.away = false
+	if gap >= outageLimit {
+		c.back = now
+	}
+	f.log.WithField("prefix", prefix).WithField("away-ms", gap.Milliseconds()).Info("store answers again")
 }
 
 func (f *Follower) noteAway(prefix string, err error) {
-	now := f.clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.away {
-		f.away, f.awaySince = true, now
+	if c := f.contacts[prefix]; !c.away {
+		c.away, c.since = true, f.clock.Now()
 		f.log.WithField("prefix", prefix).WithError(err).Warn("store does not answer")
 	}
 }
 
+// mayLapse reports whether a removal that the store tells now may be that of
+// an entry that lapsed during an outage. The caller holds f.mu.
+func (f *Follower) mayLapse(now time.Time) bool {
+	back := f.contacts[f.source.UpstreamPrefix].back
+	return !back.IsZero() && now.Sub(back) < backlogTime
+}
+
 // takeTables applies a list or an event of tables.
 func (f *Follower) takeTables(list *listing, event *quetzalhook.Object) {
 	if event != nil {
@@ -370,7 +386,7 @@
 	}
 	for id, e := range f.entries {
 		if !listed[id] && e.version <= list.Version && e.removed.IsZero() {
-			f.remove(now, id, e, list.Version, list.afterOutage)
+			f.remove(now, id, e, list.Version, f.mayLapse(now))
 		}
 	}
 	f.complete = max(f.complete, list.Version)
@@ -387,8 +403,7 @@
 	e := f.entries[id]
 	if o.Deleted {
 		if e != nil && e.removed.IsZero() && o.Version >= e.version {
-			afterOutage := f.away || !f.back.IsZero() && now.Sub(f.back) < lapseGrace
-			f.remove(now, id, e, o.Version, afterOutage)
+			f.remove(now, id, e, o.Version, f.mayLapse(now))
 		}
 		f.complete = max(f.complete, o.Version)
 		return
@@ -424,16 +439,16 @@
 // remove marks an upstream as gone, or as lapsing if it may come back. The
 // caller holds f.mu.
 func (f *Follower) remove(now time.Time, id quetzalhook.UpstreamID, e *entry, version quetzalhook.Version, mayReturn bool) {
+	e.version = max(e.version, version)
+	f.latest = max(f.latest, e.version)
 	if mayReturn && e.upstream.State == quetzalhook.UpstreamReady {
-		if e.lapsing.IsZero() {
-			e.lapsing = now
+		if e.lapses.IsZero() {
+			e.lapses = now.Add(lapseGrace)
 			f.log.WithField("upstream", id).WithField("revision", version).Info("upstream missing after an outage of the store")
 		}
 		return
 	}
-	e.removed, e.version = now, max(e.version, version)
-	e.lapsing = time.Time{}
-	f.latest = max(f.latest, e.version)
+	e.removed, e.lapses = now, time.Time{}
 	f.log.WithField("upstream", id).WithField("revision", version).Info("upstream removed")
 }
 
@@ -442,29 +457,22 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	before := len(f.upstreams)
+	lapsed := false
 	for id, e := range f.entries {
 		switch {
 		case !e.removed.IsZero() && now.Sub(e.removed) > tombstoneLife:
 			f.purged = max(f.purged, e.version)
 			delete(f.entries, id)
-		case !e.lapsing.IsZero() && !f.away && now.Sub(maxTime(e.lapsing, f.back)) > lapseGrace:
-			f.remove(now, id, e, max(f.complete, e.version), false)
-			before = -1
+		case !e.lapses.IsZero() && now.After(e.lapses):
+			f.remove(now, id, e, e.version, false)
+			lapsed = true
 		}
 	}
-	if before < 0 {
+	if lapsed {
 		f.publish()
 	}
 }
 
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // publish makes a new list of the registered upstreams. The caller holds f.mu.
 func (f *Follower) publish() {
 	list := make([]quetzalhook.Upstream, 0, len(f.entries))
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -39,6 +39,8 @@
 	Upstream quetzalhook.Upstream `cbor:"1,keyasint"`
 	Version  quetzalhook.Version  `cbor:"2,keyasint"`
 	Removed  bool                 `cbor:"3,keyasint,omitempty"`
+	// LapsesIn is set for an upstream that is missing and may still come back.
+	LapsesIn time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 func (f *Follower) handlePull(_ context.Context, _ quetzalhook.HostID, body []byte) ([]byte, error) {
@@ -46,6 +48,7 @@
 	if err := cbor.Unmarshal(body, &req); err != nil {
 		return nil, &Error{Op: "pull", Kind: ErrorCorrupt, Err: err}
 	}
+	now := f.clock.Now()
 	f.mu.Lock()
 	answer := pullAnswer{Complete: f.complete, Full: req.Complete < f.purged}
 	if f.table != nil && f.table.Version > req.Table {
@@ -53,7 +56,11 @@
 	}
 	for _, e := range f.entries {
 		if e.version > req.Complete || answer.Full {
-			answer.Upstreams = append(answer.Upstreams, pulledUpstream{Upstream: e.upstream, Version: e.version, Removed: !e.removed.IsZero()})
+			p := pulledUpstream{Upstream: e.upstream, Version: e.version, Removed: !e.removed.IsZero()}
+			if !e.lapses.IsZero() {
+				p.LapsesIn = max(e.lapses.Sub(now), time.Millisecond)
+			}
+			answer.Upstreams = append(answer.Upstreams, p)
 		}
 	}
 	f.mu.Unlock()
@@ -125,6 +132,9 @@
 		case e != nil && p.Version <= e.version:
 		case !p.Removed:
 			f.set(p.Upstream, p.Version)
+			if p.LapsesIn > 0 {
+				f.entries[id].lapses = now.Add(p.LapsesIn)
+			}
 		case e != nil && e.removed.IsZero():
 			f.remove(now, id, e, p.Version, false)
 		}
