Announce table and upstreams apart; take only the first list after an outage for lapses

Cause, found by the new scripted test of the follower: a host whose table is newer than that of its neighbours never asked them for older changes of upstreams, since heartbeats carried the larger of the two versions. Heartbeats now carry both. After an outage a host lists first, so that later removals are known to be new.

--- /dev/null
+++ b/internal/entry/connection/connection_test.go
@@ -0,0 +1,219 @@
+package connection
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"quetzalhook"
+)
+
+// upstream is a server that answers each request with the next scripted step.
+type upstream struct {
+	listener net.Listener
+
+	mu       sync.Mutex
+	steps    []string
+	requests []string // ids in order of arrival
+	conns    int
+	wg       sync.WaitGroup
+}
+
+func newUpstream(t *testing.T) *upstream {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstream{listener: l}
+	u.wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.mu.Lock()
+			u.conns++
+			u.mu.Unlock()
+			u.wg.Go(func() { u.serve(c) })
+		}
+	})
+	return u
+}
+
+func (u *upstream) close() {
+	_ = u.listener.Close()
+	u.wg.Wait()
+}
+
+// serve answers requests until a step ends the connection.
+func (u *upstream) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		head, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		step := u.next(head.Header.Get("Id"))
+		early := strings.HasPrefix(step, "early ")
+		step = strings.TrimPrefix(step, "early ")
+		if early {
+			_, _ = io.WriteString(c, unquote(step))
+		}
+		if _, err := io.Copy(io.Discard, head.Body); err != nil {
+			return
+		}
+		if early {
+			continue
+		}
+		switch {
+		case step == "close":
+			return
+		case step == "reset":
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		case step == "silent":
+			_, _ = io.Copy(io.Discard, r)
+			return
+		case strings.HasPrefix(step, "then-close "):
+			_, _ = io.WriteString(c, unquote(strings.TrimPrefix(step, "then-close ")))
+			return
+		default:
+			_, _ = io.WriteString(c, unquote(step))
+		}
+	}
+}
+
+func unquote(s string) string {
+	text, err := strconv.Unquote(`"` + s + `"`)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+func (u *upstream) next(id string) string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.requests = append(u.requests, id)
+	if len(u.steps) == 0 {
+		return "close"
+	}
+	step := u.steps[0]
+	u.steps = u.steps[1:]
+	return step
+}
+
+// Guards against a request that is sent again without being told, against an
+// answer to another request or a cut answer that is taken for the own whole
+// one, against a connection that is used again although it cannot be, and
+// against a failure that claims that nothing was sent.
+func TestExchanges(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		u := newUpstream(t)
+		defer u.close()
+		clock := quetzalhook.ClockFunc(time.Now)
+		p := NewPool(clock)
+		defer p.Close()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			u.mu.Lock()
+			u.steps, u.requests = nil, nil
+			u.mu.Unlock()
+			var out strings.Builder
+			for line := range strings.Lines(d.Input) {
+				verb, rest, _ := strings.Cut(strings.TrimSpace(line), " ")
+				switch verb {
+				case "answer":
+					u.mu.Lock()
+					u.steps = append(u.steps, rest)
+					u.mu.Unlock()
+				case "do":
+					out.WriteString(exchangeOnce(p, u.listener.Addr().String(), strings.Fields(rest)))
+				case "await-close":
+					awaitClose(t, p)
+				case "gone":
+					_, err := p.Do(context.Background(), Target{ID: "u", Address: "127.0.0.1:1"}, &Request{Method: "GET", URI: "/", Host: "h"})
+					out.WriteString(describe(err) + "\n")
+				}
+			}
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			fmt.Fprintf(&out, "arrived: %s\n", strings.Join(u.requests, " "))
+			return out.String()
+		})
+	})
+}
+
+// exchangeOnce sends one request and describes its answer. Options: fresh,
+// body=BYTES, limit=N, timeout=MS.
+func exchangeOnce(p *Pool, address string, f []string) string {
+	r := &Request{Method: "POST", URI: "/path?q=1", Host: "h", Header: http.Header{"Id": {f[0]}}}
+	r.Answers = func(h http.Header) bool { return h.Get("Id") == "" || h.Get("Id") == f[0] }
+	t := Target{ID: "u", Address: address}
+	timeout := 2 * time.Second
+	for _, option := range f[1:] {
+		name, value, _ := strings.Cut(option, "=")
+		n, _ := strconv.Atoi(value)
+		switch name {
+		case "fresh":
+			r.Fresh = true
+		case "body":
+			r.Body = []byte(strings.Repeat("x", n))
+		case "limit":
+			t.MaxConnections = n
+		case "timeout":
+			timeout = time.Duration(n) * time.Millisecond
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	resp, err := p.Do(ctx, t, r)
+	if err != nil {
+		return f[0] + ": " + describe(err) + "\n"
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return fmt.Sprintf("%s: %d %q then %s\n", f[0], resp.Status, body, describe(err))
+	}
+	return fmt.Sprintf("%s: %d %q reused=%v\n", f[0], resp.Status, body, resp.Reused)
+}
+
+// awaitClose waits until the end of the idle connection that was used last has
+// arrived.
+func awaitClose(t *testing.T, p *Pool) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for ctx.Err() == nil {
+		p.mu.Lock()
+		for _, g := range p.groups {
+			if n := len(g.idle); n > 0 && !isIdle(g.idle[n-1].Conn) {
+				p.mu.Unlock()
+				return
+			}
+		}
+		p.mu.Unlock()
+		runtime.Gosched()
+	}
+	t.Fatal("the idle connection stays open")
+}
+
+func describe(err error) string {
+	var e *Error
+	if errors.As(err, &e) {
+		return string(e.Kind)
+	}
+	return fmt.Sprint(err)
+}
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -270,8 +270,10 @@
 
 // report returns what the heartbeats tell of this host.
 func (h *Host) report() member.Report {
+	table, upstreams := h.follower.Versions()
 	return member.Report{
-		Draining: h.draining.Load(), Unready: !h.hasTable(), ConfigVersion: h.follower.Latest(), StoreAge: h.follower.StoreAge(),
+		Draining: h.draining.Load(), Unready: !h.hasTable(), ConfigVersion: table, UpstreamVersion: upstreams,
+		StoreAge: h.follower.StoreAge(),
 	}
 }
 
--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -46,14 +46,15 @@
 
 // Report is what a host tells the others of itself.
 type Report struct {
-	Draining       bool
-	Unready        bool
-	FreeCapacity   float64
-	ConfigVersion  int64
-	StoreAge       time.Duration
-	WithdrawnCount int
-	WithdrawnHash  uint64
-	Demand         quetzalhook.Demand
+	Draining        bool
+	Unready         bool
+	FreeCapacity    float64
+	ConfigVersion   int64
+	UpstreamVersion int64
+	StoreAge        time.Duration
+	WithdrawnCount  int
+	WithdrawnHash   uint64
+	Demand          quetzalhook.Demand
 }
 
 // datagram is one message to send.
@@ -353,7 +354,7 @@
 		list = append(list, quetzalhook.Member{
 			Host: host, Incarnation: p.profile.Incarnation, Zone: p.profile.Zone, Region: p.profile.Region,
 			Address: p.profile.Address, PeerAddress: p.profile.Peer, Draining: b.Draining, Unready: b.Unready, Silent: p.silent(now),
-			Distant: p.cell != g.cell, FreeCapacity: float64(b.FreePercent) / 100, ConfigVersion: b.ConfigVersion, StoreAge: age,
+			Distant: p.cell != g.cell, FreeCapacity: float64(b.FreePercent) / 100, ConfigVersion: b.ConfigVersion, UpstreamVersion: b.UpstreamVersion, StoreAge: age,
 			WithdrawnCount: b.WithdrawnCount, WithdrawnHash: b.WithdrawnHash, Demand: demand,
 			Processors: p.profile.Processors,
 		})
--- a/internal/fleet/member/message.go
+++ b/internal/fleet/member/message.go
@@ -47,16 +47,17 @@
 
 // beat is what a host tells of itself. Work is in tokens.
 type beat struct {
-	Draining       bool                          `cbor:"1,keyasint,omitempty"`
-	FreePercent    uint8                         `cbor:"2,keyasint,omitempty"`
-	ConfigVersion  int64                         `cbor:"3,keyasint,omitempty"`
-	WithdrawnCount int                           `cbor:"4,keyasint,omitempty"`
-	WithdrawnHash  uint64                        `cbor:"5,keyasint,omitempty"`
-	StoreAge       milliseconds                  `cbor:"6,keyasint,omitempty"`
-	Waiting        [quetzalhook.TierCount]uint64 `cbor:"7,keyasint"`
-	Running        [quetzalhook.TierCount]uint64 `cbor:"8,keyasint"`
-	Requests       [quetzalhook.TierCount]uint32 `cbor:"9,keyasint"`
-	Unready        bool                          `cbor:"10,keyasint,omitempty"`
+	Draining        bool                          `cbor:"1,keyasint,omitempty"`
+	FreePercent     uint8                         `cbor:"2,keyasint,omitempty"`
+	ConfigVersion   int64                         `cbor:"3,keyasint,omitempty"`
+	WithdrawnCount  int                           `cbor:"4,keyasint,omitempty"`
+	WithdrawnHash   uint64                        `cbor:"5,keyasint,omitempty"`
+	StoreAge        milliseconds                  `cbor:"6,keyasint,omitempty"`
+	Waiting         [quetzalhook.TierCount]uint64 `cbor:"7,keyasint"`
+	Running         [quetzalhook.TierCount]uint64 `cbor:"8,keyasint"`
+	Requests        [quetzalhook.TierCount]uint32 `cbor:"9,keyasint"`
+	Unready         bool                          `cbor:"10,keyasint,omitempty"`
+	UpstreamVersion int64                         `cbor:"11,keyasint,omitempty"`
 }
 
 // inFlight is the number of a host's requests on one upstream.
--- a/internal/fleet/member/send.go
+++ b/internal/fleet/member/send.go
@@ -211,7 +211,8 @@
 // told last. Small changes of the load wait for the round, which halves the
 // traffic of an idle fleet.
 func differs(b, told beat) bool {
-	if b.Draining != told.Draining || b.Unready != told.Unready || b.ConfigVersion != told.ConfigVersion || b.WithdrawnHash != told.WithdrawnHash {
+	if b.Draining != told.Draining || b.Unready != told.Unready || b.ConfigVersion != told.ConfigVersion ||
+		b.UpstreamVersion != told.UpstreamVersion || b.WithdrawnHash != told.WithdrawnHash {
 		return true
 	}
 	for tier := range quetzalhook.TierCount {
@@ -228,7 +229,7 @@
 
 func toBeat(r Report) beat {
 	b := beat{
-		Draining: r.Draining, Unready: r.Unready, FreePercent: uint8(100 * min(max(r.FreeCapacity, 0), 1)), ConfigVersion: r.ConfigVersion,
+		Draining: r.Draining, Unready: r.Unready, FreePercent: uint8(100 * min(max(r.FreeCapacity, 0), 1)), ConfigVersion: r.ConfigVersion, UpstreamVersion: r.UpstreamVersion,
 		WithdrawnCount: r.WithdrawnCount, WithdrawnHash: r.WithdrawnHash, StoreAge: toMilliseconds(r.StoreAge),
 	}
 	for tier := range quetzalhook.TierCount {
--- a/internal/platform/memory/memory.go
+++ b/internal/platform/memory/memory.go
@@ -25,6 +25,7 @@
 	version quetzalhook.Version
 	objects map[string]quetzalhook.Object
 	history []quetzalhook.Object
+	dropped quetzalhook.Version // newest change that history does not hold
 	watches map[*watch]struct{}
 	faults  Faults
 	counts  Counts
--- a/internal/platform/memory/watch.go
+++ b/internal/platform/memory/watch.go
@@ -25,6 +25,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Watches++
+	if after < s.dropped {
+		return nil, storeError("watch", prefix, quetzalhook.StoreHistoryGone)
+	}
 	w := &watch{store: s, prefix: prefix, events: make(chan quetzalhook.Object, watchBuffer)}
 	s.watches[w] = struct{}{}
 	w.stop = context.AfterFunc(ctx, func() { w.end() })
@@ -36,6 +39,24 @@
 	return w, nil
 }
 
+// ForgetHistory drops all past changes and ends all watches: a watch that
+// starts before now fails.
+func (s *Store) ForgetHistory() {
+	s.EndWatches()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.dropped = nil, s.version
+}
+
+// EndWatches ends all open watches.
+func (s *Store) EndWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for w := range s.watches {
+		s.drop(w)
+	}
+}
+
 // notify hands a change to all watches. The caller holds s.mu.
 func (s *Store) notify(o quetzalhook.Object) {
 	for w := range s.watches {
--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -23,9 +23,6 @@
 	// after an outage of the store. Upstreams register again within two seconds
 	// of its return.
 	lapseGrace = 2200 * time.Millisecond
-	// backlogTime is how long after the return of the store its answers may tell
-	// of removals during the outage; those that come later are new.
-	backlogTime = 400 * time.Millisecond
 	// outageLimit is how long the store must have been away for entries to have
 	// lapsed: three registration intervals are several seconds.
 	outageLimit = time.Second
@@ -65,7 +62,6 @@
 type contact struct {
 	away  bool // the last call failed
 	since time.Time
-	back  time.Time // when the store returned after an outage
 	last  time.Time // when it answered last
 }
 
@@ -88,7 +84,7 @@
 	tableVersion quetzalhook.Version
 	entries      map[quetzalhook.UpstreamID]*entry
 	upstreams    []quetzalhook.Upstream // what Upstreams returns; never changed
-	latest       quetzalhook.Version    // of the newest change that is known
+	latest       quetzalhook.Version    // of the newest change of upstreams
 	complete     quetzalhook.Version    // all upstream changes up to it are known
 	purged       quetzalhook.Version    // newest tombstone that was forgotten
 	contacts     map[string]*contact    // by prefix
@@ -156,12 +152,12 @@
 	return e.removed.IsZero() && e.upstream.State == quetzalhook.UpstreamReady && e.upstream.Started == u.Started
 }
 
-// Latest returns the store's version of the newest change that this host
-// knows, for the heartbeats.
-func (f *Follower) Latest() int64 {
+// Versions returns the store's versions of the table in force and of the newest
+// change of upstreams that this host knows, for the heartbeats.
+func (f *Follower) Versions() (table, upstreams int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return int64(f.latest)
+	return int64(f.tableVersion), int64(f.latest)
 }
 
 // StoreAge returns how long the store has not answered this host; 0 if its
@@ -179,7 +175,11 @@
 }
 
 // listing is what follow hands over after a list.
-type listing struct{ quetzalhook.Listing }
+type listing struct {
+	quetzalhook.Listing
+	// afterOutage reports that entries may have lapsed since the last answer.
+	afterOutage bool
+}
 
 // follow lists the records under a prefix and watches them, again and again.
 // A watch that starts before the history of the store is followed by a list.
@@ -211,6 +211,9 @@
 			continue
 		}
 		f.noteAway(prefix, err)
+		// A list tells at once what has happened; the first events of a watch do
+		// not tell whether they are old.
+		after = 0
 		if !sleep(ctx, pause) {
 			return
 		}
@@ -223,8 +226,8 @@
 	if err != nil {
 		return err
 	}
-	f.noteContact(prefix)
-	take(&listing{list}, nil)
+	outage := f.noteContact(prefix)
+	take(&listing{Listing: list, afterOutage: outage}, nil)
 	*after = list.Version
 	return nil
 }
@@ -285,22 +288,21 @@
 	return slices.Contains(ranked[:min(watchers, len(ranked))], f.host)
 }
 
-// noteContact records that the store answered.
-func (f *Follower) noteContact(prefix string) {
+// noteContact records that the store answered, and reports whether it was away
+// for so long that entries may have lapsed.
+func (f *Follower) noteContact(prefix string) bool {
 	now := f.clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := f.contacts[prefix]
 	c.last = now
 	if !c.away {
-		return
+		return false
 	}
-	gap := now.Sub(c.since)
 	c.away = false
-	if gap >= outageLimit {
-		c.back = now
-	}
+	gap := now.Sub(c.since)
 	f.log.WithField("prefix", prefix).WithField("away-ms", gap.Milliseconds()).Info("store answers again")
+	return gap >= outageLimit
 }
 
 func (f *Follower) noteAway(prefix string, err error) {
@@ -312,13 +314,6 @@
 	}
 }
 
-// mayLapse reports whether a removal that the store tells now may be that of
-// an entry that lapsed during an outage. The caller holds f.mu.
-func (f *Follower) mayLapse(now time.Time) bool {
-	back := f.contacts[f.source.UpstreamPrefix].back
-	return !back.IsZero() && now.Sub(back) < backlogTime
-}
-
 // takeTables applies a list or an event of tables.
 func (f *Follower) takeTables(list *listing, event *quetzalhook.Object) {
 	if event != nil {
@@ -346,7 +341,6 @@
 func (f *Follower) install(t *Table, version quetzalhook.Version, from string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.latest = max(f.latest, version)
 	if version <= f.tableVersion || f.table != nil && t.Version <= f.table.Version {
 		return
 	}
@@ -386,7 +380,7 @@
 	}
 	for id, e := range f.entries {
 		if !listed[id] && e.version <= list.Version && e.removed.IsZero() {
-			f.remove(now, id, e, list.Version, f.mayLapse(now))
+			f.remove(now, id, e, list.Version, list.afterOutage)
 		}
 	}
 	f.complete = max(f.complete, list.Version)
@@ -403,7 +397,7 @@
 	e := f.entries[id]
 	if o.Deleted {
 		if e != nil && e.removed.IsZero() && o.Version >= e.version {
-			f.remove(now, id, e, o.Version, f.mayLapse(now))
+			f.remove(now, id, e, o.Version, false)
 		}
 		f.complete = max(f.complete, o.Version)
 		return
--- /dev/null
+++ b/internal/record/routing/follower_test.go
@@ -0,0 +1,211 @@
+package routing
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"quetzalhook"
+	"quetzalhook/internal/fleet/peer"
+	"quetzalhook/internal/platform/memory"
+	"quetzalhook/internal/state/invariant"
+)
+
+// TestMain runs the tests on one thread: with several, timers in a synctest
+// bubble sometimes crash the race detector's own runtime.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	runtime.GOMAXPROCS(1)
+	os.Exit(m.Run())
+}
+
+// fleet runs followers of several hosts in virtual time. Each reaches the store
+// through a gate of its own.
+type fleet struct {
+	t       *testing.T
+	clock   quetzalhook.Clock
+	store   *memory.Store
+	network *peer.Network
+	inv     *invariant.Registry
+	hosts   map[string]*Follower
+	doors   map[string]*door
+	serial  int
+}
+
+// door is a host's way to the store; a closed one refuses every call.
+type door struct {
+	quetzalhook.Store
+	closed bool
+}
+
+func (d *door) fail(op string) error {
+	return &quetzalhook.StoreError{Op: op, Kind: quetzalhook.StoreUnavailable}
+}
+
+var testSource = Source{
+	TableKey: "config/main", UpstreamPrefix: "servers/",
+	DecodeTable: func(value []byte) (*Table, error) {
+		t := &Table{}
+		_, err := fmt.Sscan(string(value), &t.Version)
+		return t, err
+	},
+	DecodeUpstream: func(id quetzalhook.UpstreamID, value []byte) (quetzalhook.Upstream, error) {
+		u := quetzalhook.Upstream{ID: id, Service: "s"}
+		switch string(value) {
+		case "ready":
+		case "leaving":
+			u.State = quetzalhook.UpstreamLeaving
+		default:
+			return u, errors.New("unknown state")
+		}
+		return u, nil
+	},
+}
+
+func newFleet(t *testing.T) *fleet {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	clock := quetzalhook.ClockFunc(time.Now)
+	f := &fleet{
+		t: t, clock: clock, store: memory.New(), network: peer.NewNetwork(clock, 1), inv: invariant.New(nil),
+		hosts: make(map[string]*Follower), doors: make(map[string]*door),
+	}
+	for i := range 5 {
+		f.start(fmt.Sprintf("h%d", i), log)
+	}
+	return f
+}
+
+func (f *fleet) start(name string, log logrus.FieldLogger) {
+	d := &door{Store: f.store}
+	end := f.network.Endpoint(quetzalhook.HostID(name))
+	follower := New(quetzalhook.HostID(name), gated{d}, end, testSource, f.clock, log, f.inv)
+	f.network.Join(end, func() quetzalhook.Member {
+		table, upstreams := follower.Versions()
+		return quetzalhook.Member{ConfigVersion: table, UpstreamVersion: upstreams, StoreAge: follower.StoreAge()}
+	})
+	f.hosts[name], f.doors[name] = follower, d
+	follower.Start()
+}
+
+func (f *fleet) close() {
+	for _, h := range f.hosts {
+		if err := h.Close(); err != nil {
+			f.t.Error(err)
+		}
+	}
+}
+
+// state describes what the hosts believe, the hosts with the same belief in
+// one line.
+func (f *fleet) state() string {
+	beliefs := make(map[string][]string)
+	for name, h := range f.hosts {
+		version := int64(0)
+		if t, _ := h.Table(); t != nil {
+			version = t.Version
+		}
+		var up []string
+		for _, u := range h.Upstreams() {
+			entry := string(u.ID)
+			if u.State == quetzalhook.UpstreamLeaving {
+				entry += "(leaving)"
+			}
+			up = append(up, entry)
+		}
+		belief := fmt.Sprintf("table %d, upstreams [%s]", version, strings.Join(up, " "))
+		beliefs[belief] = append(beliefs[belief], name)
+	}
+	var lines []string
+	for belief, names := range beliefs {
+		slices.Sort(names)
+		lines = append(lines, strings.Join(names, " ")+": "+belief)
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "\n") + "\n"
+}
+
+func (f *fleet) run(line string) {
+	w := strings.Fields(line)
+	switch w[0] {
+	case "table":
+		f.put("config/main", w[1])
+	case "upstream":
+		f.put("servers/"+w[1], w[2])
+	case "gone":
+		o, err := f.store.Get(f.t.Context(), "servers/"+w[1])
+		if err == nil {
+			err = f.store.Delete(f.t.Context(), o.Key, o.Version)
+		}
+		if err != nil {
+			f.t.Fatal(err)
+		}
+	case "store": // closed or open, for the hosts named
+		for _, name := range w[2:] {
+			f.doors[name].closed = w[1] == "closed"
+		}
+		f.store.EndWatches()
+	case "forget-history":
+		f.store.ForgetHistory()
+	case "wait":
+		d, err := time.ParseDuration(w[1])
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		time.Sleep(d) // virtual time
+		synctest.Wait()
+	default:
+		f.t.Fatalf("unknown command %q", line)
+	}
+}
+
+func (f *fleet) put(key, value string) {
+	base := quetzalhook.Version(0)
+	if o, err := f.store.Get(f.t.Context(), key); err == nil {
+		base = o.Version
+	}
+	if _, err := f.store.Put(f.t.Context(), key, []byte(value), base); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// Guards against a change that some host does not learn of in time, or never:
+// with the store away for some or all hosts, with a history that the store has
+// dropped, and for entries that lapsed during an outage and came back, or not.
+func TestFollower(t *testing.T) {
+	datadriven.Walk(t, "testdata/follower", func(t *testing.T, path string) {
+		// A bubble holds the whole script.
+		var script []*datadriven.TestData
+		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
+			copied := *d
+			script = append(script, &copied)
+			var out string
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				defer f.close()
+				f.run("wait 2s")
+				for _, step := range script {
+					for line := range strings.Lines(step.Input) {
+						f.run(strings.TrimSpace(line))
+					}
+				}
+				out = f.state()
+				if n := f.inv.Violations(); n != 0 {
+					out += fmt.Sprintf("violations: %d\n", n)
+				}
+			})
+			return out
+		})
+	})
+}
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -74,7 +74,8 @@
 		f.expire()
 		asked := 0
 		for _, m := range f.peers.Members() {
-			if m.ConfigVersion <= f.Latest() || m.Silent > time.Second {
+			table, upstreams := f.Versions()
+			if m.ConfigVersion <= table && m.UpstreamVersion <= upstreams || m.Silent > time.Second {
 				continue
 			}
 			if asked++; asked > pullAttempts {
--- a/platform.go
+++ b/platform.go
@@ -158,6 +158,9 @@
 	FreeCapacity float64
 	// ConfigVersion is the configuration in force on the host.
 	ConfigVersion int64
+	// UpstreamVersion is the version of the newest change of upstreams that the
+	// host knows.
+	UpstreamVersion int64
 	// StoreAge is the time since the host last reached the store.
 	StoreAge time.Duration
 	// WithdrawnCount and WithdrawnHash describe the withdrawn keys that the
