--- a/internal/entry/gateway/error.go
+++ b/internal/entry/gateway/error.go
@@ -41,10 +41,21 @@
 	Status     int
 	Message    string
 	RetryAfter time.Duration
+	// Err is the cause; callers are not told of it.
+	Err error
 }
 
 // Error implements error.
-func (e *Error) Error() string { return e.Op + ": " + string(e.Kind) + ": " + e.Message }
+func (e *Error) Error() string {
+	s := e.Op + ": " + string(e.Kind) + ": " + e.Message
+	if e.Err != nil {
+		s += ": " + e.Err.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
 
 // errorBody is the JSON body of a failure.
 type errorBody struct {
--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -159,7 +159,7 @@
 		return
 	}
 	e := x.describe(err)
-	fields["kind"], fields["status"], fields["error"], fields["may-run"] = e.Kind, e.Status, e.Message, x.mayRun
+	fields["kind"], fields["status"], fields["error"], fields["may-run"] = e.Kind, e.Status, e.Error(), x.mayRun
 	if e.RetryAfter > 0 {
 		fields["retry-after-ms"] = e.RetryAfter.Milliseconds()
 	}
@@ -184,13 +184,13 @@
 	case x.mayRun && errors.Is(err, errTimeout):
 		return &Error{Op: "relay", Kind: ErrorTimeout, Status: http.StatusGatewayTimeout, Message: "no complete answer in time"}
 	case x.mayRun:
-		return &Error{Op: "relay", Kind: ErrorBroken, Status: http.StatusBadGateway, Message: err.Error()}
+		return &Error{Op: "relay", Kind: ErrorBroken, Status: http.StatusBadGateway, Message: "the upstream failed after the request was sent", Err: err}
 	case errors.As(err, &refusal):
 		return &Error{Op: "dispatch", Kind: ErrorRefused, Status: http.StatusServiceUnavailable, Message: refusal.Error(), RetryAfter: refusal.RetryAfter}
 	case errors.Is(err, errTimeout):
 		return &Error{Op: "dispatch", Kind: ErrorTimeout, Status: http.StatusServiceUnavailable, Message: "no upstream was free in time"}
 	}
-	return &Error{Op: "relay", Kind: ErrorRefused, Status: http.StatusServiceUnavailable, Message: err.Error()}
+	return &Error{Op: "relay", Kind: ErrorRefused, Status: http.StatusServiceUnavailable, Message: "no upstream took the request", Err: err}
 }
 
 // statusCallerGone stands for a caller that left, in the log only.
