--- a/dispatcher.go
+++ b/dispatcher.go
@@ -20,6 +20,9 @@
 	Upstream Upstream
 	// Urgency orders the request at its engine; 0 goes first.
 	Urgency int
+	// Source is the address of an engine from which held parts of the prompt are
+	// fetched; empty for none.
+	Source string
 }
 
 // AttemptEnd tells how an attempt ended and what it showed of the upstream.
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -225,6 +225,7 @@
 			continue
 		}
 		u.Kind, u.MemoryTokens, u.EventTokens = quetzalhook.KindEngine, s.Engine.MemoryTokens, s.Engine.EventTokens
+		u.TokenTransfer = s.Engine.TokenTransfer()
 		engines = append(engines, u)
 	}
 	return engines, services
--- a/internal/fleet/dispatcher/desk.go
+++ b/internal/fleet/dispatcher/desk.go
@@ -71,9 +71,9 @@
 			w.ready <- decided{refusal: c.Refusal}
 			continue
 		}
-		fields["upstream"], fields["unread-tokens"], fields["expected-ms"] = c.Upstream.ID, c.Unread, c.First.Milliseconds()
+		fields["upstream"], fields["unread-tokens"], fields["expected-ms"], fields["source"] = c.Upstream.ID, c.Unread, c.First.Milliseconds(), c.Source
 		d.log.WithFields(fields).Info("request placed")
-		w.ready <- decided{attempt: quetzalhook.Attempt{Upstream: c.Upstream, Urgency: c.Urgency}}
+		w.ready <- decided{attempt: quetzalhook.Attempt{Upstream: c.Upstream, Urgency: c.Urgency, Source: c.Source}}
 	}
 }
 
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -202,7 +202,7 @@
 	}
 	switch {
 	case answer.Upstream != nil:
-		c.attempt = quetzalhook.Attempt{Upstream: *answer.Upstream, Urgency: answer.Urgency}
+		c.attempt = quetzalhook.Attempt{Upstream: *answer.Upstream, Urgency: answer.Urgency, Source: answer.Source}
 	case answer.Refusal != "":
 		c.refusal = &quetzalhook.Refusal{Kind: answer.Refusal, RetryAfter: answer.RetryAfter}
 	default:
@@ -225,7 +225,7 @@
 	case c.refusal != nil:
 		answer.Refusal, answer.RetryAfter = c.refusal.Kind, c.refusal.RetryAfter
 	default:
-		answer.Upstream, answer.Urgency = &c.attempt.Upstream, c.attempt.Urgency
+		answer.Upstream, answer.Urgency, answer.Source = &c.attempt.Upstream, c.attempt.Urgency, c.attempt.Source
 	}
 	return cbor.Marshal(answer)
 }
--- a/internal/fleet/dispatcher/message.go
+++ b/internal/fleet/dispatcher/message.go
@@ -68,6 +68,7 @@
 	Urgency    int                    `cbor:"2,keyasint,omitempty"`
 	Refusal    quetzalhook.RefuseKind `cbor:"3,keyasint,omitempty"`
 	RetryAfter time.Duration          `cbor:"4,keyasint,omitempty"`
+	Source     string                 `cbor:"5,keyasint,omitempty"`
 }
 
 // event tells what became of a request.
--- a/internal/record/routing/table.go
+++ b/internal/record/routing/table.go
@@ -89,6 +89,15 @@
 	CanMove bool `cbor:"6,keyasint"`
 }
 
+// TokenTransfer returns the time to copy one token of KV cache between engines;
+// 0 means that they cannot.
+func (e *Engine) TokenTransfer() time.Duration {
+	if e.LinkBits <= 0 {
+		return 0
+	}
+	return time.Duration(float64(e.TokenBytes) * 8 / e.LinkBits * float64(time.Second))
+}
+
 // Scaling bounds the upstreams of a service that may be ordered in each zone.
 type Scaling struct {
 	Min int `cbor:"1,keyasint"`
--- a/internal/traffic/schedule/cache.go
+++ b/internal/traffic/schedule/cache.go
@@ -13,6 +13,9 @@
 	parts  map[uint64]*list.Element
 	recent *list.List // of *part, the most recently used first
 	tokens int
+	// changed is called when a part is held from now on, or no longer; nil calls
+	// nothing.
+	changed func(hash uint64, held bool)
 }
 
 type part struct {
@@ -45,6 +48,9 @@
 		}
 		c.parts[p.Hash] = c.recent.PushFront(&part{hash: p.Hash, tokens: p.Tokens})
 		c.tokens += p.Tokens
+		if c.changed != nil {
+			c.changed(p.Hash, true)
+		}
 	}
 }
 
@@ -62,6 +68,9 @@
 	c.recent.Remove(e)
 	delete(c.parts, p.hash)
 	c.tokens -= p.tokens
+	if c.changed != nil {
+		c.changed(p.hash, false)
+	}
 }
 
 // shrink removes the least recently used parts until at most limit tokens are
--- a/internal/traffic/schedule/demand.go
+++ b/internal/traffic/schedule/demand.go
@@ -19,14 +19,7 @@
 // add counts a request.
 func (d *demand) add(now time.Time, r *run) {
 	d.decay(now)
-	unshared := r.request.PromptTokens
-	for i, p := range r.request.Parts {
-		if i < len(r.request.Parts)-1 {
-			unshared -= p.Tokens
-		}
-	}
-	work := readTime(max(unshared, minRead), r.request.PromptTokens) + float64(predictedOutput(r.request))*slotTime
-	d.rate += work / milliseconds(demandMemory)
+	d.rate += r.waitingWork() / milliseconds(demandMemory)
 }
 
 func (d *demand) decay(now time.Time) {
@@ -56,7 +49,7 @@
 			have += e.info.MemoryTokens
 		}
 	}
-	l := Load{Busy: s.demand.rate, Waiting: len(s.waiting)}
+	l := Load{Busy: s.demand.rate, Waiting: s.waiting}
 	if have > 0 {
 		l.Memory = float64(used) / float64(have)
 	}
--- a/internal/traffic/schedule/engine.go
+++ b/internal/traffic/schedule/engine.go
@@ -28,10 +28,12 @@
 // run is a request that waits or runs.
 type run struct {
 	request   quetzalhook.Request
+	pool      *pool
 	submitted time.Time
 	sequence  uint64
 
 	engine   *engine // nil while it waits
+	reserved *engine // kept for it because it is overdue and has no room
 	started  time.Time
 	expected float64 // predicted time to the first token, in ms from started
 	work     float64 // time to read what is not held, in ms
@@ -133,10 +135,10 @@
 	return sum
 }
 
-// start adds a run.
-func (e *engine) start(now time.Time, r *run) {
+// start adds a run whose prompt has tokens to read after a fetch.
+func (e *engine) start(now time.Time, r *run, unread int, fetch float64) {
 	r.engine, r.started = e, now
-	r.work = readTime(e.unread(r.request), r.request.PromptTokens)
+	r.work = readTime(unread, r.request.PromptTokens) + fetch
 	r.left = r.work
 	e.place(r)
 	e.cache.use(r.request.Parts)
@@ -219,9 +221,17 @@
 		float64(e.memory+memory) <= memoryLimit*float64(e.info.MemoryTokens)
 }
 
+// isOpen reports whether the engine should take a request now: it has room,
+// and little work goes before the request.
+func (e *engine) isOpen(r *run) bool {
+	return e.hasRoom(r.memory) && e.ahead(r)*e.slowness <= holdLimit
+}
+
 // memoryLimit is the part of an engine's memory that predicted requests may
-// fill. The rest covers outputs that are longer than predicted.
-const memoryLimit = 0.9
+// fill. The rest holds shared parts of prompts, so that they need not be read
+// again, and outputs that are longer than predicted. With 0.9, a burst of 2.5
+// times read a third more.
+const memoryLimit = 0.4
 
 // streams returns the number of runs that produce tokens.
 func (e *engine) streams() int { return len(e.runs) - len(e.reads) }
--- a/internal/traffic/schedule/place.go
+++ b/internal/traffic/schedule/place.go
@@ -15,6 +15,9 @@
 	// workWeight is what a ms of an engine's reading costs: it delays requests
 	// that come later.
 	workWeight = 1.0
+	// fetchWeight is what a ms of a fetch costs: the platform bills copied memory, and copies
+	// displace other parts.
+	fetchWeight = 30.0
 	// pauseCost is what a stream costs whose pause grows beyond its target.
 	pauseCost = 400.0
 	// lateCost is what it costs to miss the target for the first token.
@@ -39,16 +42,21 @@
 	engine *engine
 	cost   float64
 	first  float64 // ms to the first token
+	unread int     // prompt tokens to read
+	source *engine // from which held parts are fetched; nil for none
+	fetch  float64 // ms of the fetch
 }
 
-// best returns the cheapest engine for a run, or false if none has room.
+// best returns the cheapest engine for a run, or false if none is open.
 func (s *Scheduler) best(now time.Time, r *run) (choice, bool) {
 	best := choice{cost: math.Inf(1)}
-	for _, e := range s.pools[pool(r.request)] {
-		if isTried(r.request, e.info.ID) || !e.hasRoom(r.memory) {
+	source := s.richest(now, r.request)
+	for _, e := range r.pool.engines {
+		e.advance(now)
+		if isTried(r.request, e.info.ID) || !e.isOpen(r) {
 			continue
 		}
-		if c := s.evaluate(now, r, e); c.cost < best.cost {
+		if c := s.evaluate(now, r, e, source); c.cost < best.cost {
 			best = c
 		}
 	}
@@ -64,13 +72,62 @@
 	return false
 }
 
+// richest returns the engine that holds most of the beginning of a prompt, or
+// nil.
+func (s *Scheduler) richest(now time.Time, q quetzalhook.Request) *engine {
+	if len(q.Parts) == 0 {
+		return nil
+	}
+	var best *engine
+	most := 0
+	for e := range s.holders[q.Parts[0].Hash] {
+		if e.isSuspect(now) {
+			continue
+		}
+		held := e.cache.held(q.Parts)
+		if held > most || held == most && best != nil && e.info.ID < best.info.ID {
+			best, most = e, held
+		}
+	}
+	return best
+}
+
+// missing returns what an engine reads of a prompt, and what it fetches from
+// the source, in ms, if that is worth it.
+func (e *engine) missing(q quetzalhook.Request, source *engine) (unread int, fetch float64) {
+	held := e.cache.held(q.Parts)
+	unread = max(q.PromptTokens-held, minRead)
+	if source == nil || source == e || e.info.TokenTransfer <= 0 {
+		return unread, 0
+	}
+	more := source.cache.held(q.Parts) - held
+	if more < minFetch {
+		return unread, 0
+	}
+	fetch = fetchTime + float64(more)*milliseconds(e.info.TokenTransfer)
+	if e.info.Zone != source.info.Zone {
+		fetch += float64(more) * milliseconds(e.info.TokenTransfer)
+	}
+	return max(unread-more, minRead), fetch
+}
+
+const (
+	// minFetch is the least number of tokens that are worth a fetch.
+	minFetch = 512
+	// fetchTime is the time in ms to set a fetch up.
+	fetchTime = 10.0
+)
+
 // evaluate predicts what a run on an engine does to itself and to others.
-func (s *Scheduler) evaluate(now time.Time, r *run, e *engine) choice {
+func (s *Scheduler) evaluate(now time.Time, r *run, e, source *engine) choice {
 	e.advance(now)
 	class := r.request.Class
-	unread := e.unread(r.request)
+	unread, fetch := e.missing(r.request, source)
+	if fetch == 0 {
+		source = nil
+	}
 	work := readTime(unread, r.request.PromptTokens) * e.slowness
-	first := e.ahead(r)*e.slowness + work + firstTime + stepTime + float64(e.streams())*slotTime + s.roundTrip(r.request.Region, e)
+	first := e.ahead(r)*e.slowness + fetch + work + firstTime + stepTime + float64(e.streams())*slotTime + s.roundTrip(r.request.Region, e)
 	target := milliseconds(class.TTFTTarget())
 	waited := milliseconds(now.Sub(r.submitted))
 	cost := first
@@ -78,14 +135,14 @@
 		cost *= comparedTarget / target
 		cost += lateCost * chance(waited+first, target)
 	}
-	cost += work * workWeight
+	cost += work*workWeight + fetch*fetchWeight
 	cost += streamWeight * float64(e.streams())
 	cost += s.pauses(r, e, unread)
 	cost += spread * preference(r.request, e.info.ID)
 	if e.isSuspect(now) {
 		cost += suspectCost
 	}
-	return choice{engine: e, cost: cost, first: first}
+	return choice{engine: e, cost: cost, first: first, unread: unread, source: source, fetch: fetch}
 }
 
 // chance returns the probability that a predicted time misses a target. The
--- a/internal/traffic/schedule/schedule.go
+++ b/internal/traffic/schedule/schedule.go
@@ -15,7 +15,7 @@
 package schedule
 
 import (
-	"sort"
+	"math"
 	"time"
 
 	"quetzalhook"
@@ -23,8 +23,9 @@
 
 const (
 	// holdLimit is the work in ms ahead of a request up to which it is sent to
-	// an engine; with more, waiting here leaves the choice of engine open.
-	holdLimit = 500.0
+	// an engine; with more, waiting here leaves the choice of engine open. It
+	// covers the way of the next request between regions.
+	holdLimit = 250.0
 	// refuseAfter is the part of the patience that a request may be expected to
 	// wait; with more it is refused at once.
 	refuseAfter = 0.6
@@ -34,9 +35,6 @@
 	// minRetry and maxRetry bound what refused callers are told to wait.
 	minRetry = 200 * time.Millisecond
 	maxRetry = 3 * time.Second
-	// maxStuck is the number of waiting requests in a row for which no engine has
-	// room, after which a round ends: the engines are full.
-	maxStuck = 6
 	// urgencyPerTier and maxUrgency map tiers to the urgency at an engine.
 	urgencyPerTier = 2
 	maxUrgency     = 9
@@ -49,6 +47,9 @@
 	Upstream quetzalhook.Upstream
 	Urgency  int
 	Refusal  *quetzalhook.Refusal
+	// Source is the address of the upstream from which held parts of the prompt
+	// are fetched; empty for none.
+	Source string
 	// Unread is the number of prompt tokens to read, First the expected time to
 	// the first token, Waiting the number of requests that wait.
 	Unread  int
@@ -56,40 +57,77 @@
 	Waiting int
 }
 
+// pool is a group of engines that can run the same requests.
+type pool struct {
+	engines []*engine // that are ready
+	waiting queue
+}
+
 // Scheduler decides for one group of engines. It is not safe for concurrent
 // use.
 type Scheduler struct {
 	engines  map[quetzalhook.UpstreamID]*engine
-	pools    map[string][]*engine // ready engines by pool, see pool
+	pools    map[string]*pool
 	runs     map[quetzalhook.RequestID]*run
-	waiting  []*run
+	waiting  int
 	sequence uint64
-	dirty    bool // something changed since the last round
-	demand   demand
-	out      []Decision
+	// holders lists the engines that hold a part of a prompt.
+	holders map[uint64]map[*engine]struct{}
+	demand  demand
+	out     []Decision
 }
 
 // New returns a scheduler without engines.
 func New() *Scheduler {
 	return &Scheduler{
-		engines: make(map[quetzalhook.UpstreamID]*engine), pools: make(map[string][]*engine),
-		runs: make(map[quetzalhook.RequestID]*run),
+		engines: make(map[quetzalhook.UpstreamID]*engine), pools: make(map[string]*pool),
+		runs: make(map[quetzalhook.RequestID]*run), holders: make(map[uint64]map[*engine]struct{}),
+	}
+}
+
+// hold notes that an engine holds a part, or no longer.
+func (s *Scheduler) hold(e *engine, hash uint64, held bool) {
+	if held {
+		if s.holders[hash] == nil {
+			s.holders[hash] = make(map[*engine]struct{})
+		}
+		s.holders[hash][e] = struct{}{}
+		return
+	}
+	delete(s.holders[hash], e)
+	if len(s.holders[hash]) == 0 {
+		delete(s.holders, hash)
 	}
 }
 
-// pool names the engines that can run a request.
-func pool(r quetzalhook.Request) string { return r.Service + "\x00" + string(r.Model) }
+// poolName names the engines that run a model of a service.
+func poolName(service string, m quetzalhook.Model) string { return service + "\x00" + string(m) }
+
+func (s *Scheduler) pool(name string) *pool {
+	p := s.pools[name]
+	if p == nil {
+		p = &pool{}
+		s.pools[name] = p
+	}
+	return p
+}
 
 // SetUpstreams replaces the engines. What is known of those that stay is kept;
 // one that was started again begins with empty memory.
 func (s *Scheduler) SetUpstreams(now time.Time, list []quetzalhook.Upstream) []Decision {
 	s.begin()
 	next := make(map[quetzalhook.UpstreamID]*engine, len(list))
-	clear(s.pools)
+	for _, p := range s.pools {
+		p.engines = nil
+	}
 	for _, info := range list {
 		e := s.engines[info.ID]
 		if e == nil || e.info.Started != info.Started || e.info.Address != info.Address {
+			if e != nil {
+				e.cache.shrink(0)
+			}
 			e = newEngine(info, now)
+			e.cache.changed = func(hash uint64, held bool) { s.hold(e, hash, held) }
 		}
 		e.info = info
 		next[info.ID] = e
@@ -97,77 +135,99 @@
 			continue
 		}
 		for _, m := range info.Models {
-			name := info.Service + "\x00" + string(m)
-			s.pools[name] = append(s.pools[name], e)
+			p := s.pool(poolName(info.Service, m))
+			p.engines = append(p.engines, e)
+		}
+	}
+	for id, e := range s.engines {
+		if next[id] == nil {
+			e.cache.shrink(0)
 		}
 	}
 	s.engines = next
-	s.dirty = true
-	return s.drain(now)
+	s.drainAll(now)
+	return s.out
 }
 
 // Submit adds a request.
 func (s *Scheduler) Submit(now time.Time, q quetzalhook.Request) []Decision {
 	s.begin()
-	s.sequence++
-	r := &run{request: q, submitted: now, sequence: s.sequence, memory: q.PromptTokens + predictedOutput(q)}
-	s.demand.add(now, r)
 	if old := s.runs[q.ID]; old != nil {
 		s.forget(old) // the host has given it up; each attempt is submitted anew
 	}
-	if wait, ok := s.expectedWait(r); !ok || q.Patience > 0 && wait > time.Duration(refuseAfter*float64(q.Patience)) {
-		kind := quetzalhook.RefuseOverload
-		if !ok {
-			kind = quetzalhook.RefuseNoUpstream
-		}
-		s.refuse(r, kind, wait)
+	r := s.newRun(now, q)
+	s.demand.add(now, r)
+	p := r.pool
+	if len(p.engines) == 0 {
+		s.refuse(r, quetzalhook.RefuseNoUpstream, minRetry)
+		return s.out
+	}
+	// A request waits behind those that go before it, without a look at the
+	// engines: they are full.
+	ahead := p.waiting.ahead(q.Class.Tier())
+	if ahead == 0 && s.start(now, r) {
+		return s.out
+	}
+	wait := time.Duration(ahead / float64(len(p.engines)) * float64(time.Millisecond))
+	if q.Patience > 0 && wait > time.Duration(refuseAfter*float64(q.Patience)) {
+		s.refuse(r, quetzalhook.RefuseOverload, wait)
 		return s.out
 	}
 	s.runs[q.ID] = r
-	s.waiting = append(s.waiting, r)
-	s.dirty = true
-	return s.drain(now)
+	p.waiting.push(now, r)
+	s.waiting++
+	return s.out
 }
 
-// expectedWait returns how long the requests that wait before r keep the
-// engines busy, or false if r has no engine.
-func (s *Scheduler) expectedWait(r *run) (time.Duration, bool) {
-	engines := s.pools[pool(r.request)]
-	if len(engines) == 0 {
-		return minRetry, false
-	}
-	sum := 0.0
-	for _, o := range s.waiting {
-		if o.request.Class.Tier() <= r.request.Class.Tier() && pool(o.request) == pool(r.request) {
-			sum += readTime(o.request.PromptTokens, o.request.PromptTokens) * waitingShare
-		}
+func (s *Scheduler) newRun(now time.Time, q quetzalhook.Request) *run {
+	s.sequence++
+	return &run{
+		request: q, pool: s.pool(poolName(q.Service, q.Model)), submitted: now, sequence: s.sequence,
+		memory: q.PromptTokens + predictedOutput(q),
 	}
-	return time.Duration(sum / float64(len(engines)) * float64(time.Millisecond)), true
 }
 
-// waitingShare is the part of a waiting prompt that is expected to be read:
-// most of a prompt is shared and held.
-const waitingShare = 0.5
-
 // refuse ends a request that has not started.
 func (s *Scheduler) refuse(r *run, kind quetzalhook.RefuseKind, wait time.Duration) {
 	s.out = append(s.out, Decision{
-		Request: r.request.ID, Waiting: len(s.waiting),
+		Request: r.request.ID, Waiting: s.waiting,
 		Refusal: &quetzalhook.Refusal{Kind: kind, RetryAfter: min(max(wait/2, minRetry), maxRetry)},
 	})
 }
 
+// start sends a request to the engine that suits it best, if one is open.
+func (s *Scheduler) start(now time.Time, r *run) bool {
+	c, ok := s.best(now, r)
+	if ok {
+		s.startOn(now, r, c)
+	}
+	return ok
+}
+
+func (s *Scheduler) startOn(now time.Time, r *run, c choice) {
+	s.runs[r.request.ID] = r
+	c.engine.start(now, r, c.unread, c.fetch)
+	r.expected = c.first
+	d := Decision{
+		Request: r.request.ID, Upstream: c.engine.info, Urgency: urgency(r.request), Unread: c.unread,
+		First: time.Duration(c.first * float64(time.Millisecond)), Waiting: s.waiting,
+	}
+	if c.source != nil {
+		d.Source = c.source.info.Address
+	}
+	s.out = append(s.out, d)
+}
+
 // Adopt takes over a request that another scheduler has started.
 func (s *Scheduler) Adopt(now time.Time, q quetzalhook.Request, id quetzalhook.UpstreamID, tokens int) {
 	e := s.engines[id]
 	if e == nil || s.runs[q.ID] != nil {
 		return
 	}
-	s.sequence++
-	r := &run{request: q, submitted: now, sequence: s.sequence, memory: q.PromptTokens + predictedOutput(q)}
+	r := s.newRun(now, q)
 	s.runs[q.ID] = r
 	e.advance(now)
-	e.start(now, r)
+	e.start(now, r, e.unread(q), 0)
 	if tokens > 0 {
 		e.began(now, r)
 		r.tokens = tokens
@@ -187,10 +247,10 @@
 	e.health.worked()
 	if !r.first {
 		e.began(now, r)
-		s.dirty = true
+		s.feed(now, r.pool, e)
 	}
 	r.tokens = tokens
-	return s.drain(now)
+	return s.out
 }
 
 // End reports the end of a running or waiting request.
@@ -200,13 +260,16 @@
 	if r == nil {
 		return nil
 	}
-	if e := r.engine; e != nil {
+	e := r.engine
+	if e != nil {
 		e.advance(now)
 		s.judge(now, e, r, end)
 	}
 	s.forget(r)
-	s.dirty = true
-	return s.drain(now)
+	if e != nil {
+		s.feed(now, r.pool, e)
+	}
+	return s.out
 }
 
 // judge notes what the end of a run tells of its engine.
@@ -233,102 +296,110 @@
 		r.engine.remove(r)
 		return
 	}
-	for i, o := range s.waiting {
-		if o == r {
-			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
-			return
-		}
-	}
+	r.pool.waiting.remove(r)
+	s.waiting--
 }
 
 // Tick does the periodic work; call it every 20 ms or less often.
 func (s *Scheduler) Tick(now time.Time) []Decision {
 	s.begin()
-	s.dirty = s.dirty || len(s.waiting) > 0
-	return s.drain(now)
+	s.drainAll(now)
+	return s.out
 }
 
 func (s *Scheduler) begin() { s.out = nil }
 
 // Waiting returns the number of requests that wait.
-func (s *Scheduler) Waiting() int { return len(s.waiting) }
+func (s *Scheduler) Waiting() int { return s.waiting }
 
 // Running returns the number of requests that run.
-func (s *Scheduler) Running() int { return len(s.runs) - len(s.waiting) }
+func (s *Scheduler) Running() int { return len(s.runs) - s.waiting }
 
-// drain starts and refuses waiting requests.
-func (s *Scheduler) drain(now time.Time) []Decision {
-	if !s.dirty || len(s.waiting) == 0 {
-		s.dirty = false
-		return s.out
+// drainAll lets all engines that are open take waiting requests.
+func (s *Scheduler) drainAll(now time.Time) {
+	if s.waiting == 0 {
+		return
 	}
-	s.dirty = false
-	s.sort(now)
-	kept := s.waiting[:0:0]
-	stuck := 0
-	for _, r := range s.waiting {
-		if stuck >= maxStuck {
-			kept = append(kept, r)
-			continue
+	for _, p := range s.pools {
+		s.giveUp(now, p)
+		p.waiting.reorder(now)
+		for _, e := range p.engines {
+			if len(p.waiting.runs) == 0 {
+				break
+			}
+			s.feed(now, p, e)
 		}
-		if s.settle(now, r) {
-			stuck = 0
-			continue
+	}
+}
+
+// giveUp refuses the requests that have waited for too long.
+func (s *Scheduler) giveUp(now time.Time, p *pool) {
+	for i := len(p.waiting.runs) - 1; i >= 0; i-- {
+		r := p.waiting.runs[i]
+		patience := r.request.Patience
+		if patience > 0 && now.Sub(r.submitted) > time.Duration(giveUpAfter*float64(patience)) {
+			p.waiting.removeAt(i)
+			s.waiting--
+			delete(s.runs, r.request.ID)
+			s.refuse(r, quetzalhook.RefuseLate, 0)
 		}
-		stuck++
-		kept = append(kept, r)
 	}
-	s.waiting = kept
-	return s.out
 }
 
-// settle starts a waiting request or refuses it; it reports whether it did.
-func (s *Scheduler) settle(now time.Time, r *run) bool {
-	waited, patience := now.Sub(r.submitted), r.request.Patience
-	if patience > 0 && waited > time.Duration(giveUpAfter*float64(patience)) {
-		delete(s.runs, r.request.ID)
-		s.refuse(r, quetzalhook.RefuseLate, 0)
-		return true
+// feed lets one engine take waiting requests while it is open: of the first few
+// of the same tier the one that costs least there.
+func (s *Scheduler) feed(now time.Time, p *pool, e *engine) {
+	if e.info.State != quetzalhook.UpstreamReady || e.isSuspect(now) {
+		return
 	}
-	c, ok := s.best(now, r)
-	if !ok || c.engine.ahead(r)*c.engine.slowness > holdLimit {
-		return false
+	for len(p.waiting.runs) > 0 {
+		best, at := choice{cost: math.Inf(1)}, -1
+		first := p.waiting.runs[0]
+		if first.isOverdue(now) && !e.isOpen(first) {
+			// Without a place kept for it, a large request would wait for ever
+			// while smaller ones take what becomes free.
+			if first.reserved == nil || first.reserved.info.State != quetzalhook.UpstreamReady {
+				first.reserved = p.emptiest()
+			}
+			if first.reserved == e {
+				return
+			}
+		}
+		for i, r := range p.waiting.runs[:min(choices, len(p.waiting.runs))] {
+			if r.request.Class.Tier() != first.request.Class.Tier() {
+				break
+			}
+			if isTried(r.request, e.info.ID) || !e.isOpen(r) {
+				continue
+			}
+			if c := s.evaluate(now, r, e, s.richest(now, r.request)); c.cost < best.cost {
+				best, at = c, i
+			}
+			if r.isOverdue(now) {
+				break // it goes first, whatever it costs
+			}
+		}
+		if at < 0 {
+			return
+		}
+		r := p.waiting.runs[at]
+		p.waiting.removeAt(at)
+		s.waiting--
+		s.startOn(now, r, best)
 	}
-	unread := c.engine.unread(r.request)
-	c.engine.start(now, r)
-	r.expected = c.first
-	s.out = append(s.out, Decision{
-		Request: r.request.ID, Upstream: c.engine.info, Urgency: urgency(r.request), Unread: unread,
-		First: time.Duration(c.first * float64(time.Millisecond)), Waiting: len(s.waiting),
-	})
-	return true
 }
 
-func urgency(q quetzalhook.Request) int {
-	return min(int(q.Class.Tier())*urgencyPerTier, maxUrgency)
+// emptiest returns the engine with the least memory in use.
+func (p *pool) emptiest() *engine {
+	best := p.engines[0]
+	for _, e := range p.engines {
+		if e.memory < best.memory {
+			best = e
+		}
+	}
+	return best
 }
 
-// sort puts the waiting requests in the order in which they are served.
-func (s *Scheduler) sort(now time.Time) {
-	type rank struct {
-		tier int
-		late bool
-		due  time.Time
-	}
-	ranks := make(map[*run]rank, len(s.waiting))
-	for _, r := range s.waiting {
-		k := rank{tier: int(r.request.Class.Tier()), due: r.submitted.Add(r.request.Class.TTFTTarget())}
-		k.late = now.After(k.due)
-		ranks[r] = k
-	}
-	sort.SliceStable(s.waiting, func(i, j int) bool {
-		a, b := ranks[s.waiting[i]], ranks[s.waiting[j]]
-		switch {
-		case a.tier != b.tier:
-			return a.tier < b.tier
-		case a.late != b.late:
-			return !a.late
-		}
-		return a.due.Before(b.due)
-	})
+func urgency(q quetzalhook.Request) int {
+	return min(int(q.Class.Tier())*urgencyPerTier, maxUrgency)
 }
--- /dev/null
+++ b/internal/traffic/schedule/schedule_test.go
@@ -0,0 +1,171 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"quetzalhook"
+)
+
+// roundRobin is the plainest alternative: each request goes to the next engine
+// at once, all with the same urgency.
+type roundRobin struct {
+	list []quetzalhook.Upstream
+	next int
+}
+
+func (r *roundRobin) SetUpstreams(_ time.Time, list []quetzalhook.Upstream) []Decision {
+	r.list = list
+	return nil
+}
+
+func (r *roundRobin) Submit(_ time.Time, q quetzalhook.Request) []Decision {
+	r.next++
+	return []Decision{{Request: q.ID, Upstream: r.list[r.next%len(r.list)]}}
+}
+
+func (r *roundRobin) Progress(time.Time, quetzalhook.RequestID, int) []Decision { return nil }
+
+func (r *roundRobin) End(time.Time, quetzalhook.RequestID, quetzalhook.AttemptEnd) []Decision {
+	return nil
+}
+
+func (r *roundRobin) Tick(time.Time) []Decision { return nil }
+
+var (
+	chat = quetzalhook.NewClass("chat", 0, quetzalhook.WithTTFTTarget(500*time.Millisecond), quetzalhook.WithGapTarget(250*time.Millisecond))
+	// The draft's callers wait for less time than those of the digest.
+	draft  = quetzalhook.NewClass("draft", 1, quetzalhook.WithTTFTTarget(800*time.Millisecond), quetzalhook.WithGapTarget(400*time.Millisecond))
+	digest = quetzalhook.NewClass("digest", 2, quetzalhook.WithTTFTTarget(2500*time.Millisecond), quetzalhook.WithGapTarget(time.Second))
+)
+
+// usual is the load of an association on a busy morning.
+func usual(engines int) load {
+	return load{
+		kinds: []kindOf{
+			{class: digest, rate: 19, shared: 13300, subjects: 136, own: 3700, output: 120, patience: 12 * time.Second},
+			{class: draft, rate: 8, shared: 6300, subjects: 37, own: 2900, output: 50, patience: 6 * time.Second},
+			{class: chat, rate: 19, shared: 350, subjects: 88, own: 1100, output: 170, patience: 15 * time.Second},
+		},
+		engines: engines, length: 40 * time.Second, memory: 500_000, slots: 64,
+	}
+}
+
+func total(r map[quetzalhook.ClassName]*result, of func(*result) int) int {
+	n := 0
+	for _, k := range r {
+		n += of(k)
+	}
+	return n
+}
+
+// Guards against a scheduler that misses targets although the engines suffice:
+// nine in ten of every class must be in target on a calm day, and nothing
+// refused.
+func TestCalmDay(t *testing.T) {
+	got := newPlay(usual(18), New(), 1).run()
+	for name, r := range got {
+		if r.share() < 0.9 {
+			t.Errorf("%s: got %.3f in target, want at least 0.9", name, r.share())
+		}
+		if r.refused > 0 {
+			t.Errorf("%s: got %d refused, want none", name, r.refused)
+		}
+	}
+}
+
+// Guards against a scheduler that gains nothing over the plainest alternative:
+// the shared parts of prompts must be read half as often at most, and more
+// answers must be in target.
+func TestAgainstRoundRobin(t *testing.T) {
+	own := newPlay(usual(18), New(), 2)
+	ownResult := own.run()
+	plain := newPlay(usual(18), &roundRobin{}, 2)
+	plainResult := plain.run()
+	if got, want := own.readTokens(), plain.readTokens()/2; got > want {
+		t.Errorf("prompt tokens read: got %d, want at most %d", got, want)
+	}
+	inTarget := func(r *result) int { return r.inTarget }
+	if got, than := total(ownResult, inTarget), total(plainResult, inTarget); got <= than {
+		t.Errorf("answers in target: got %d, want more than %d", got, than)
+	}
+}
+
+// Guards against urgent requests that suffer from a burst of a lower tier: the
+// chats must be in target as often as any other class, and none refused.
+func TestBurstOfDigests(t *testing.T) {
+	l := usual(12)
+	l.bursts = []burstOf{{class: "digest", from: 5 * time.Second, to: 14 * time.Second, factor: 4}}
+	for _, seed := range []uint64{1, 2, 3} {
+		got := newPlay(l, New(), seed).run()
+		if got["chat"].share() < 0.95 {
+			t.Errorf("seed %d: chats in target: got %.3f, want at least 0.95", seed, got["chat"].share())
+		}
+		for name, r := range got {
+			if r.share() > got["chat"].share() {
+				t.Errorf("seed %d: got %s in target more often than chats: %.3f, %.3f", seed, name, r.share(), got["chat"].share())
+			}
+		}
+		if n := got["chat"].refused + got["draft"].refused; n > 0 {
+			t.Errorf("seed %d: got %d urgent requests refused, want none", seed, n)
+		}
+	}
+}
+
+// Guards against work that is refused or left waiting although it could be
+// served: of a burst that the engines can serve late, nine in ten digests must
+// be served, and of the largest ones as well.
+func TestLateWorkIsServed(t *testing.T) {
+	l := usual(10)
+	l.bursts = []burstOf{{class: "digest", from: 18 * time.Second, to: 23 * time.Second, factor: 4}}
+	got := newPlay(l, New(), 4).run()["digest"]
+	if share := float64(got.served()) / float64(got.asked); share < 0.9 {
+		t.Errorf("digests served: got %.3f, want at least 0.9 (%d refused)", share, got.refused)
+	}
+	if share := float64(got.largeServed) / float64(got.largeAsked); share < 0.8 {
+		t.Errorf("large digests served: got %.3f, want at least 0.8", share)
+	}
+}
+
+// Guards against a more urgent class that gets nothing while a less urgent one
+// is served, when the engines cannot serve all: at a load of twice what they
+// can do, no chat or draft may be refused while digests start.
+func TestOverloadFollowsTiers(t *testing.T) {
+	l := usual(4)
+	l.bursts = []burstOf{{class: "digest", from: 0, to: 40 * time.Second, factor: 3}}
+	got := newPlay(l, New(), 5).run()
+	if n := got["chat"].refused + got["draft"].refused; n > 0 {
+		t.Errorf("urgent requests refused: got %d, want none", n)
+	}
+	if got["digest"].served() == 0 {
+		t.Error("digests served: got none, want some")
+	}
+	if got["chat"].share() < 0.9 {
+		t.Errorf("chats in target: got %.3f, want at least 0.9", got["chat"].share())
+	}
+}
+
+// Guards against a slow engine that gets as much work as the others.
+func TestSlowEngine(t *testing.T) {
+	l := usual(12)
+	l.slowness = 5
+	got := newPlay(l, New(), 6).run()
+	for name, r := range got {
+		if r.share() < 0.9 {
+			t.Errorf("%s: got %.3f in target beside a slow engine, want at least 0.9", name, r.share())
+		}
+	}
+}
+
+// Guards against requests that are sent to engines that have left, and against
+// a queue that does not recover after the loss of a third of the engines.
+func TestLostZone(t *testing.T) {
+	l := usual(18)
+	l.lost, l.lostAt = 6, 15*time.Second
+	got := newPlay(l, New(), 7).run()
+	for name, r := range got {
+		if share := float64(r.served()) / float64(r.asked-r.broken); share < 0.98 {
+			t.Errorf("%s: got %.3f of what did not break served, want at least 0.98", name, share)
+		}
+	}
+}
--- a/protocol.go
+++ b/protocol.go
@@ -47,6 +47,9 @@
 	// LastEvent is the last event that the caller has, from which another
 	// upstream goes on; empty for a new stream.
 	LastEvent string
+	// Source is the address of an engine from which held parts of the prompt are
+	// fetched; empty for none.
+	Source string
 }
 
 // Verdict is what the header of an answer tells of a request.
--- a/upstream.go
+++ b/upstream.go
@@ -53,6 +53,9 @@
 	MemoryTokens int
 	// EventTokens is the number of tokens in one event of a stream.
 	EventTokens int
+	// TokenTransfer is the time to copy one token of KV cache to another engine; 0
+	// means that engines cannot.
+	TokenTransfer time.Duration
 	// Started is when the upstream started, in ms since 1970 by its own clock; a
 	// restart under the same ID has another value and starts with empty memory.
 	Started int64
