--- a/internal/traffic/schedule/engine.go
+++ b/internal/traffic/schedule/engine.go
@@ -231,7 +231,7 @@
 // fill. The rest holds shared parts of prompts, so that they need not be read
 // again, and outputs that are longer than predicted. With 0.9, a burst of 2.5
 // times read a third more.
-const memoryLimit = 0.4
+const memoryLimit = 0.35
 
 // streams returns the number of runs that produce tokens.
 func (e *engine) streams() int { return len(e.runs) - len(e.reads) }
--- a/internal/traffic/schedule/place.go
+++ b/internal/traffic/schedule/place.go
@@ -15,16 +15,22 @@
 	// workWeight is what a ms of an engine's reading costs: it delays requests
 	// that come later.
 	workWeight = 1.0
-	// fetchWeight is what a ms of a fetch costs: the platform bills copied memory, and copies
-	// displace other parts.
-	fetchWeight = 30.0
+	// rereadCost is what a token costs that has been read before and is read
+	// again, beyond the time that it takes.
+	rereadCost = 0.03
+	// fetchWeight is what a ms of a fetch costs: copied memory is billed, and
+	// copies displace other parts.
+	fetchWeight = 8.0
+	// farTokenCost is what a token of a prompt costs that is sent to another
+	// region, where traffic is billed.
+	farTokenCost = 0.003
 	// pauseCost is what a stream costs whose pause grows beyond its target.
-	pauseCost = 400.0
+	pauseCost = 50.0
 	// lateCost is what it costs to miss the target for the first token.
 	lateCost = 600.0
 	// streamWeight is what each stream beside the request costs: it makes every
 	// token slower.
-	streamWeight = 1.5
+	streamWeight = 0.5
 	// suspectCost puts suspect engines behind all others.
 	suspectCost = 1e6
 	// comparedTarget is the target at which the weight of the time to the first
@@ -135,7 +141,10 @@
 		cost *= comparedTarget / target
 		cost += lateCost * chance(waited+first, target)
 	}
-	cost += work*workWeight + fetch*fetchWeight
+	cost += work*workWeight + float64(unread-r.unshared())*rereadCost + fetch*fetchWeight
+	if r.request.Region != e.info.Region {
+		cost += float64(r.request.PromptTokens) * farTokenCost
+	}
 	cost += streamWeight * float64(e.streams())
 	cost += s.pauses(r, e, unread)
 	cost += spread * preference(r.request, e.info.ID)
@@ -145,6 +154,17 @@
 	return choice{engine: e, cost: cost, first: first, unread: unread, source: source, fetch: fetch}
 }
 
+// ownCost returns what a request costs on an engine that holds all that it
+// shares with others.
+func (r *run) ownCost(e *engine) float64 {
+	work := readTime(r.unshared(), r.request.PromptTokens) * e.slowness
+	weight := workWeight
+	if target := milliseconds(r.request.Class.TTFTTarget()); target > 0 {
+		weight += comparedTarget / target
+	}
+	return work * weight
+}
+
 // chance returns the probability that a predicted time misses a target. The
 // prediction is uncertain by a part of the target.
 func chance(predicted, target float64) float64 {
@@ -152,32 +172,36 @@
 	return 1 / (1 + math.Exp(-sharpness*(predicted/target-0.85)))
 }
 
-// pauses returns the cost of pauses beyond the target of streams: of those on
-// the engine while the prompt is read, and of the request while the engine
-// reads other long prompts.
+// pauses returns the cost of pauses beyond the target of streams, of those on
+// the engine and of the request itself: an event holds several tokens, and
+// before each of them the engine reads a chunk as long as there is something
+// to read.
 func (s *Scheduler) pauses(r *run, e *engine, unread int) float64 {
-	own := s.longestPause(e, unread, r.request.PromptTokens)
-	others, cost := 0.0, 0.0
+	tokens, longest := unread, r.request.PromptTokens
 	for _, o := range e.reads {
-		others = max(others, s.longestPause(e, int(o.left*readRate), o.request.PromptTokens))
+		tokens += int(o.left * readRate)
+		longest = max(longest, o.request.PromptTokens)
 	}
+	pause := longestPause(e, tokens, longest)
+	cost := 0.0
 	for gap, n := range e.gaps {
-		if gap > 0 && own > milliseconds(gap)*pauseMargin {
+		if gap > 0 && pause > milliseconds(gap)*pauseMargin {
 			cost += pauseCost * float64(n)
 		}
 	}
-	if gap := milliseconds(r.request.Class.GapTarget()); gap > 0 && others > gap*pauseMargin {
-		cost += pauseCost
+	if gap := milliseconds(r.request.Class.GapTarget()); gap > 0 && pause > gap*pauseMargin {
+		cost += lateCost
 	}
 	return cost
 }
 
-// longestPause returns the longest pause in ms between two events of a stream
-// while an engine reads tokens of a prompt: an event holds several tokens, and
-// between two of them the engine reads one chunk.
-func (s *Scheduler) longestPause(e *engine, tokens, prompt int) float64 {
-	chunks := min(float64(max(e.info.EventTokens, 1)), float64(tokens)/chunkTokens)
-	return chunks*readTime(min(tokens, chunkTokens), prompt)*e.slowness + float64(max(e.info.EventTokens, 1))*stepTime
+// longestPause returns the longest pause in ms between two events while an
+// engine reads tokens, of prompts up to a length.
+func longestPause(e *engine, tokens, prompt int) float64 {
+	events := float64(max(e.info.EventTokens, 1))
+	chunks := min(events, float64(tokens)/chunkTokens)
+	step := stepTime + slotTime*float64(len(e.runs))
+	return (chunks*readTime(min(tokens, chunkTokens), prompt) + events*step) * e.slowness
 }
 
 // preference returns a number from 0 to 1 that orders the engines for a
--- a/internal/traffic/schedule/queue.go
+++ b/internal/traffic/schedule/queue.go
@@ -20,9 +20,9 @@
 	// reorderInterval is how often the order is made anew, since requests become
 	// late while they wait.
 	reorderInterval = 100 * time.Millisecond
-	// choice is the number of requests at the head of a queue of which the one
+	// choices is the number of requests at the head of a queue of which the one
 	// goes to an engine that suits it best.
-	choices = 12
+	choices = 24
 )
 
 // waitingWork is the expected reading of a waiting request: most of a prompt
@@ -43,11 +43,15 @@
 }
 
 // precedes reports whether a is served before b: the more urgent tier first,
-// then those that can still meet their target, then the one that is due first.
+// then those that have waited for long, then those that can still meet their
+// target, then the one that is due first.
 func precedes(now time.Time, a, b *run) bool {
 	if ta, tb := a.request.Class.Tier(), b.request.Class.Tier(); ta != tb {
 		return ta < tb
 	}
+	if longA, longB := a.hasWaited(now, longWait), b.hasWaited(now, longWait); longA != longB {
+		return longA
+	}
 	dueA, dueB := a.due(), b.due()
 	if lateA, lateB := now.After(dueA), now.After(dueB); lateA != lateB {
 		return !lateA
@@ -55,15 +59,21 @@
 	return dueA.Before(dueB)
 }
 
-// isOverdue reports whether a request has waited for so long that it goes
-// before those that suit an engine better.
-func (r *run) isOverdue(now time.Time) bool {
-	return r.request.Patience > 0 && now.Sub(r.submitted) > time.Duration(overdueWait*float64(r.request.Patience))
+// hasWaited reports whether a request has waited for a part of its caller's
+// patience.
+func (r *run) hasWaited(now time.Time, part float64) bool {
+	return r.request.Patience > 0 && now.Sub(r.submitted) > time.Duration(part*float64(r.request.Patience))
 }
 
-// overdueWait is that time as a part of the patience.
+// overdueWait is the part of the patience after which a request goes before
+// those that suit an engine better.
 const overdueWait = 0.3
 
+// longWait is the part of the patience after which a request goes before those
+// of its tier that can still meet their target: what is left has to suffice
+// for its answer.
+const longWait = 0.65
+
 // due returns when a request misses its target.
 func (r *run) due() time.Time { return r.submitted.Add(r.request.Class.TTFTTarget()) }
 
--- a/internal/traffic/schedule/schedule.go
+++ b/internal/traffic/schedule/schedule.go
@@ -347,15 +347,19 @@
 }
 
 // feed lets one engine take waiting requests while it is open: of the first few
-// of the same tier the one that costs least there.
+// of the same tier the one that costs least there beyond what it costs anywhere.
 func (s *Scheduler) feed(now time.Time, p *pool, e *engine) {
 	if e.info.State != quetzalhook.UpstreamReady || e.isSuspect(now) {
 		return
 	}
 	for len(p.waiting.runs) > 0 {
-		best, at := choice{cost: math.Inf(1)}, -1
+		best, at, least := choice{}, -1, math.Inf(1)
 		first := p.waiting.runs[0]
-		if first.isOverdue(now) && !e.isOpen(first) {
+		if first.hasWaited(now, overdueWait) {
+			if c, ok := s.best(now, first); ok {
+				s.takeWaiting(now, p, 0, c)
+				continue
+			}
 			// Without a place kept for it, a large request would wait for ever
 			// while smaller ones take what becomes free.
 			if first.reserved == nil || first.reserved.info.State != quetzalhook.UpstreamReady {
@@ -372,23 +376,26 @@
 			if isTried(r.request, e.info.ID) || !e.isOpen(r) {
 				continue
 			}
-			if c := s.evaluate(now, r, e, s.richest(now, r.request)); c.cost < best.cost {
-				best, at = c, i
-			}
-			if r.isOverdue(now) {
-				break // it goes first, whatever it costs
+			c := s.evaluate(now, r, e, s.richest(now, r.request))
+			if excess := c.cost - r.ownCost(e); excess < least {
+				best, at, least = c, i, excess
 			}
 		}
 		if at < 0 {
 			return
 		}
-		r := p.waiting.runs[at]
-		p.waiting.removeAt(at)
-		s.waiting--
-		s.startOn(now, r, best)
+		s.takeWaiting(now, p, at, best)
 	}
 }
 
+// takeWaiting starts a waiting request.
+func (s *Scheduler) takeWaiting(now time.Time, p *pool, at int, c choice) {
+	r := p.waiting.runs[at]
+	p.waiting.removeAt(at)
+	s.waiting--
+	s.startOn(now, r, c)
+}
+
 // emptiest returns the engine with the least memory in use.
 func (p *pool) emptiest() *engine {
 	best := p.engines[0]
