Give hosts the whole list if they know less than the last list of another

Cause: a host that lists does not know what was removed before; another host that asked it for changes took its position and never learned of the removal. A pull now takes 0.4 s at most and asks other hosts first each time.

--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -86,7 +86,7 @@
 	upstreams    []quetzalhook.Upstream // what Upstreams returns; never changed
 	latest       quetzalhook.Version    // of the newest change of upstreams
 	complete     quetzalhook.Version    // all upstream changes up to it are known
-	purged       quetzalhook.Version    // newest tombstone that was forgotten
+	purged       quetzalhook.Version    // removals up to it may be unknown here
 	contacts     map[string]*contact    // by prefix
 	changed      chan struct{}
 }
@@ -383,7 +383,13 @@
 			f.remove(now, id, e, list.Version, list.afterOutage)
 		}
 	}
-	f.complete = max(f.complete, list.Version)
+	if list.Version > f.complete {
+		// Upstreams may have come and gone unseen: who knows less than this list
+		// needs all of it.
+		f.purged = max(f.purged, list.Version)
+		f.latest = max(f.latest, list.Version)
+		f.complete = list.Version
+	}
 	f.publish()
 }
 
@@ -396,9 +402,7 @@
 	id := f.idOf(o)
 	e := f.entries[id]
 	if o.Deleted {
-		if e != nil && e.removed.IsZero() && o.Version >= e.version {
-			f.remove(now, id, e, o.Version, false)
-		}
+		f.removeID(now, id, o.Version)
 		f.complete = max(f.complete, o.Version)
 		return
 	}
@@ -430,6 +434,19 @@
 	f.latest = max(f.latest, version)
 }
 
+// removeID marks an upstream as gone. One that is not known is remembered as
+// well, for hosts that know it. The caller holds f.mu.
+func (f *Follower) removeID(now time.Time, id quetzalhook.UpstreamID, version quetzalhook.Version) {
+	e := f.entries[id]
+	if e == nil {
+		e = &entry{upstream: quetzalhook.Upstream{ID: id, State: quetzalhook.UpstreamGone}}
+		f.entries[id] = e
+	}
+	if e.removed.IsZero() && version >= e.version {
+		f.remove(now, id, e, version, false)
+	}
+}
+
 // remove marks an upstream as gone, or as lapsing if it may come back. The
 // caller holds f.mu.
 func (f *Follower) remove(now time.Time, id quetzalhook.UpstreamID, e *entry, version quetzalhook.Version, mayReturn bool) {
--- a/internal/record/routing/follower_test.go
+++ b/internal/record/routing/follower_test.go
@@ -73,16 +73,20 @@
 	},
 }
 
-func newFleet(t *testing.T) *fleet {
+func quiet() logrus.FieldLogger {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	return log
+}
+
+func newFleet(t *testing.T) *fleet {
 	clock := quetzalhook.ClockFunc(time.Now)
 	f := &fleet{
 		t: t, clock: clock, store: memory.New(), network: peer.NewNetwork(clock, 1), inv: invariant.New(nil),
 		hosts: make(map[string]*Follower), doors: make(map[string]*door),
 	}
 	for i := range 5 {
-		f.start(fmt.Sprintf("h%d", i), log)
+		f.start(fmt.Sprintf("h%d", i), quiet())
 	}
 	return f
 }
@@ -156,6 +160,8 @@
 			f.doors[name].closed = w[1] == "closed"
 		}
 		f.store.EndWatches()
+	case "start":
+		f.start(w[1], quiet())
 	case "forget-history":
 		f.store.ForgetHistory()
 	case "wait":
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -3,18 +3,21 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"quetzalhook"
+	"quetzalhook/internal/fleet/rendezvous"
 )
 
 const (
 	// pullKind is the kind of the peer call that reads what has changed.
 	pullKind = "routing-pull"
-	// pullTimeout bounds one call of a peer.
-	pullTimeout = time.Second
+	// pullTimeout bounds one call of a peer: a slow round trip between regions
+	// and the making of a connection.
+	pullTimeout = 400 * time.Millisecond
 	// pullAttempts bounds the peers asked in one round.
 	pullAttempts = 3
 )
@@ -72,24 +75,31 @@
 func (f *Follower) followPeers(ctx context.Context) {
 	for sleep(ctx, tick) {
 		f.expire()
-		asked := 0
-		for _, m := range f.peers.Members() {
-			table, upstreams := f.Versions()
-			if m.ConfigVersion <= table && m.UpstreamVersion <= upstreams || m.Silent > time.Second {
-				continue
-			}
-			if asked++; asked > pullAttempts {
+		for _, m := range f.ahead() {
+			if err := f.pull(ctx, m); err == nil {
 				break
+			} else if ctx.Err() == nil {
+				f.log.WithError(err).WithField("peer", m).Info("changes not pulled")
 			}
-			if err := f.pull(ctx, m.Host); err != nil {
-				f.log.WithError(err).WithField("peer", m.Host).Debug("changes not pulled")
-				continue
-			}
-			break
 		}
 	}
 }
 
+// ahead returns some hosts that know changes that this one does not, in an
+// order that changes with time, so that one that does not answer is not asked
+// first every time.
+func (f *Follower) ahead() []quetzalhook.HostID {
+	table, upstreams := f.Versions()
+	var hosts []quetzalhook.HostID
+	for _, m := range f.peers.Members() {
+		if (m.ConfigVersion > table || m.UpstreamVersion > upstreams) && m.IsHeard(watcherSilence) {
+			hosts = append(hosts, m.Host)
+		}
+	}
+	ranked := rendezvous.Rank(fmt.Sprint(f.host, f.clock.Now().UnixNano()/int64(tick)), hosts)
+	return ranked[:min(pullAttempts, len(ranked))]
+}
+
 // pull asks one host for changes and applies them.
 func (f *Follower) pull(ctx context.Context, host quetzalhook.HostID) error {
 	f.mu.Lock()
@@ -136,8 +146,8 @@
 			if p.LapsesIn > 0 {
 				f.entries[id].lapses = now.Add(p.LapsesIn)
 			}
-		case e != nil && e.removed.IsZero():
-			f.remove(now, id, e, p.Version, false)
+		default:
+			f.removeID(now, id, p.Version)
 		}
 		f.latest = max(f.latest, p.Version)
 	}
--- a/internal/traffic/schedule/place.go
+++ b/internal/traffic/schedule/place.go
@@ -25,7 +25,7 @@
 	// region, where traffic is billed.
 	farTokenCost = 0.003
 	// pauseCost is what a stream costs whose pause grows beyond its target.
-	pauseCost = 50.0
+	pauseCost = 100.0
 	// lateCost is what it costs to miss the target for the first token.
 	lateCost = 600.0
 	// streamWeight is what each stream beside the request costs: it makes every
