--- /dev/null
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -0,0 +1,188 @@
+package dispatcher
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/sirupsen/logrus"
+
+	"quetzalhook"
+	"quetzalhook/internal/fleet/peer"
+)
+
+// TestMain runs the tests on one thread: with several, timers in a synctest
+// bubble sometimes crash the race detector's own runtime.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	runtime.GOMAXPROCS(1)
+	os.Exit(m.Run())
+}
+
+// generous allows a number of repeats.
+type generous struct{ left int }
+
+func (g *generous) Count(time.Time, string) {}
+
+func (g *generous) Take(time.Time, string) bool {
+	g.left--
+	return g.left >= 0
+}
+
+// world runs the dispatchers of some hosts in virtual time.
+type world struct {
+	t       *testing.T
+	network *peer.Network
+	hosts   map[string]*Dispatcher
+	leader  string
+	cut     map[string]bool
+	gone    map[quetzalhook.UpstreamID]bool // known to all but the leader
+	tickets map[string]quetzalhook.Ticket
+	out     strings.Builder
+}
+
+func newWorld(t *testing.T) *world {
+	clock := quetzalhook.ClockFunc(time.Now)
+	w := &world{
+		t: t, network: peer.NewNetwork(clock, 1), hosts: make(map[string]*Dispatcher), leader: "h0",
+		cut: make(map[string]bool), gone: make(map[quetzalhook.UpstreamID]bool), tickets: make(map[string]quetzalhook.Ticket),
+	}
+	w.network.SetFaults(peer.NetworkFaults{Cut: func(a, b quetzalhook.HostID) bool { return w.cut[string(a)] || w.cut[string(b)] }})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for i := range 3 {
+		name := fmt.Sprintf("h%d", i)
+		end := w.network.Endpoint(quetzalhook.HostID(name))
+		d := New(Settings{
+			Host: quetzalhook.HostID(name), Leader: func() quetzalhook.HostID { return quetzalhook.HostID(w.leader) },
+			Usable: func(u quetzalhook.Upstream) bool { return !w.gone[u.ID] }, Budget: &generous{left: 5},
+		}, end, clock, log)
+		w.network.Join(end, func() quetzalhook.Member { return quetzalhook.Member{} })
+		w.hosts[name] = d
+		d.Start()
+	}
+	return w
+}
+
+func (w *world) close() {
+	for _, d := range w.hosts {
+		if err := d.Close(); err != nil {
+			w.t.Error(err)
+		}
+	}
+}
+
+// engines gives all hosts a number of engines with the given slots.
+func (w *world) engines(n, slots int) {
+	var list []quetzalhook.Upstream
+	for i := range n {
+		list = append(list, quetzalhook.Upstream{
+			ID: quetzalhook.UpstreamID(fmt.Sprintf("e%d", i)), Service: "s", Models: []quetzalhook.Model{"m"}, Slots: slots,
+		})
+	}
+	for _, d := range w.hosts {
+		d.SetUpstreams(list)
+	}
+}
+
+// ask submits a request on a host and waits for its upstream.
+func (w *world) ask(host, id string, patience time.Duration) {
+	t := w.tickets[id]
+	if t == nil {
+		t = w.hosts[host].Submit(context.Background(), quetzalhook.Request{
+			ID: quetzalhook.RequestID(id), Service: "s", Model: "m", PromptTokens: 100, MaxTokens: 10, Patience: patience, Attempts: 2,
+			Class: quetzalhook.NewClass("c", 0, quetzalhook.WithTTFTTarget(time.Second)),
+		})
+		w.tickets[id] = t
+	}
+	begin := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	a, err := t.Next(ctx)
+	took := time.Since(begin).Round(10 * time.Millisecond)
+	if err != nil {
+		fmt.Fprintf(&w.out, "%s: %v after %v\n", id, err, took)
+		return
+	}
+	fmt.Fprintf(&w.out, "%s: placed after %v\n", id, took)
+	_ = a
+}
+
+func (w *world) run(line string) {
+	f := strings.Fields(line)
+	n := func(i int) int {
+		var v int
+		if _, err := fmt.Sscan(f[i], &v); err != nil {
+			w.t.Fatal(err)
+		}
+		return v
+	}
+	switch f[0] {
+	case "engines":
+		w.engines(n(1), n(2))
+	case "ask": // host id patience-ms
+		w.ask(f[1], f[2], time.Duration(n(3))*time.Millisecond)
+	case "end": // id end
+		ends := map[string]quetzalhook.End{"finished": quetzalhook.EndFinished, "broken": quetzalhook.EndBroken, "not-sent": quetzalhook.EndNotSent}
+		w.tickets[f[1]].End(quetzalhook.AttemptEnd{End: ends[f[2]]})
+	case "progress":
+		w.tickets[f[1]].Progress(n(2))
+	case "leader":
+		w.leader = f[1]
+	case "cut":
+		w.cut[f[1]] = true
+	case "heal":
+		delete(w.cut, f[1])
+	case "gone":
+		w.gone[quetzalhook.UpstreamID(f[1])] = true
+	case "wait":
+		d, err := time.ParseDuration(f[1])
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		time.Sleep(d) // virtual time
+		synctest.Wait()
+	case "knows": // host: the requests that its scheduler counts as running
+		d := w.hosts[f[1]].desk
+		d.mu.Lock()
+		var ids []string
+		for id := range maps.Keys(d.owners) {
+			ids = append(ids, string(id))
+		}
+		d.mu.Unlock()
+		slices.Sort(ids)
+		fmt.Fprintf(&w.out, "%s knows: %s\n", f[1], strings.Join(ids, " "))
+	default:
+		w.t.Fatalf("unknown command %q", line)
+	}
+}
+
+// Guards against a request that waits for a lost leader, against a leader that
+// does not learn of requests that run, or never forgets them, and against a
+// request that is sent again beyond what its route allows.
+func TestDispatching(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var out string
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				defer w.close()
+				for line := range strings.Lines(d.Input) {
+					w.run(strings.TrimSpace(line))
+				}
+				out = w.out.String()
+			})
+			return out
+		})
+	})
+}
--- /dev/null
+++ b/internal/record/invoice/invoice_test.go
@@ -0,0 +1,268 @@
+package invoice
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/sirupsen/logrus"
+
+	"quetzalhook"
+	"quetzalhook/internal/fleet/lease"
+	"quetzalhook/internal/fleet/peer"
+	"quetzalhook/internal/platform/memory"
+	"quetzalhook/internal/record/tally"
+	"quetzalhook/internal/state/calendar"
+	"quetzalhook/internal/state/invariant"
+)
+
+// TestMain runs the tests on one thread: with several, timers in a synctest
+// bubble sometimes crash the race detector's own runtime.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	runtime.GOMAXPROCS(1)
+	os.Exit(m.Run())
+}
+
+// receiver is the platform's end of the reports. It notes what no correct set
+// of hosts sends.
+type receiver struct {
+	reports map[int64]string
+	fencing uint64
+	faults  []string
+	lose    int // reports whose answer is lost
+	down    bool
+}
+
+func (r *receiver) report(fencing uint64, window int64, counts map[quetzalhook.CustomerID]int64) error {
+	if r.down {
+		return errors.New("down")
+	}
+	var parts []string
+	for _, c := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%s=%d", c, counts[c]))
+	}
+	text := strings.Join(parts, " ")
+	if before, ok := r.reports[window]; ok && before != text {
+		r.faults = append(r.faults, fmt.Sprintf("window %d: %q after %q", window, text, before))
+	}
+	if fencing < r.fencing {
+		r.faults = append(r.faults, fmt.Sprintf("epoch number %d after %d", fencing, r.fencing))
+	}
+	r.fencing = max(r.fencing, fencing)
+	r.reports[window] = text
+	if r.lose > 0 {
+		r.lose--
+		return errors.New("the answer is lost")
+	}
+	return nil
+}
+
+// host is one simulated host.
+type host struct {
+	name     string
+	gate     *memory.Gate
+	counter  *tally.Counter
+	duty     *lease.Lease
+	reporter *Reporter
+	stop     context.CancelFunc
+	done     chan struct{}
+}
+
+// ReportUsage implements Sink: a paused or killed process sends nothing.
+type sink struct {
+	gate     *memory.Gate
+	receiver *receiver
+}
+
+func (s sink) ReportUsage(_ context.Context, fencing uint64, window int64, counts map[quetzalhook.CustomerID]int64) error {
+	if s.gate.Pass() != nil {
+		return errors.New("killed")
+	}
+	return s.receiver.report(fencing, window, counts)
+}
+
+type world struct {
+	t        *testing.T
+	clock    quetzalhook.Clock
+	store    *memory.Store
+	network  *peer.Network
+	inv      *invariant.Registry
+	receiver *receiver
+	hosts    map[string]*host
+	truth    map[int64]map[string]int
+	serial   quetzalhook.Incarnation
+}
+
+const window = 5 * time.Second
+
+func newWorld(t *testing.T, n int) *world {
+	clock := quetzalhook.ClockFunc(time.Now)
+	w := &world{
+		t: t, clock: clock, store: memory.New(), network: peer.NewNetwork(clock, 1), inv: invariant.New(nil),
+		receiver: &receiver{reports: make(map[int64]string)}, hosts: make(map[string]*host), truth: make(map[int64]map[string]int),
+	}
+	for i := range n {
+		w.start(fmt.Sprintf("h%d", i))
+	}
+	return w
+}
+
+func (w *world) start(name string) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	w.serial++
+	h := &host{name: name, gate: &memory.Gate{}, done: make(chan struct{})}
+	id := quetzalhook.HostID(name)
+	end := w.network.Endpoint(id)
+	zone := quetzalhook.Zone("z" + name[len(name)-1:])
+	clock := h.gate.Clock(w.clock)
+	day := calendar.New(w.clock, time.Now())
+	h.counter = tally.New(tally.Source{Host: id, Incarnation: w.serial}, zone, end, day, window, log)
+	w.network.Join(end, func() quetzalhook.Member { return quetzalhook.Member{Zone: zone} })
+	store := h.gate.Store(w.store)
+	var err error
+	h.duty, err = lease.New("duty", id, w.serial, store, clock, w.inv, lease.WithTerm(3*time.Second, time.Second))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	h.reporter = New(h.duty, store, sink{h.gate, w.receiver}, h.counter, day, w.inv, log)
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = cancel
+	h.counter.Start()
+	h.duty.Start()
+	go func() {
+		defer close(h.done)
+		for ctx.Err() == nil {
+			h.reporter.Step(ctx)
+			time.Sleep(250 * time.Millisecond)
+		}
+	}()
+	w.hosts[name] = h
+}
+
+// end stops a host; a killed one has no effect any more.
+func (w *world) end(name string, kill bool) {
+	h := w.hosts[name]
+	delete(w.hosts, name)
+	if kill {
+		h.gate.Kill()
+		w.network.Leave(quetzalhook.HostID(name))
+	}
+	h.stop()
+	<-h.done
+	_ = h.duty.Close()
+	_ = h.counter.Close()
+	w.network.Leave(quetzalhook.HostID(name))
+}
+
+func (w *world) count(name, customer string, n int) {
+	at := int64(w.hosts[name].counter.At(time.Now()))
+	if w.truth[at] == nil {
+		w.truth[at] = make(map[string]int)
+	}
+	for range n {
+		w.hosts[name].counter.Add(quetzalhook.CustomerID(customer))
+	}
+	w.truth[at][customer] += n
+}
+
+// holder returns the host that holds the duty.
+func (w *world) holder() string {
+	for _, name := range slices.Sorted(maps.Keys(w.hosts)) {
+		if w.hosts[name].duty.Held() {
+			return name
+		}
+	}
+	return "nobody"
+}
+
+func (w *world) name(s string) string {
+	if s == "holder" {
+		return w.holder()
+	}
+	return s
+}
+
+func (w *world) run(line string) {
+	f := strings.Fields(line)
+	switch f[0] {
+	case "count":
+		var n int
+		if _, err := fmt.Sscan(f[3], &n); err != nil {
+			w.t.Fatal(err)
+		}
+		w.count(w.name(f[1]), f[2], n)
+	case "wait":
+		d, err := time.ParseDuration(f[1])
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		time.Sleep(d) // virtual time
+		synctest.Wait()
+	case "kill":
+		w.end(w.name(f[1]), true)
+	case "stop":
+		w.end(w.name(f[1]), false)
+	case "start":
+		w.start(f[1])
+	case "pause":
+		h := w.hosts[w.name(f[1])]
+		h.gate.Pause()
+		time.AfterFunc(8*time.Second, h.gate.Resume)
+	case "lose":
+		w.receiver.lose = 2
+	case "platform":
+		w.receiver.down = f[1] == "down"
+	case "store":
+		w.store.SetFaults(memory.Faults{Outage: f[1] == "down"})
+	case "lose-changes":
+		w.store.SetFaults(memory.Faults{LoseAnswers: 3})
+	}
+}
+
+// Guards against a window that is reported twice with different figures, by
+// two hosts that both believe to hold the duty, or not at all: when the holder
+// is killed, stopped or paused, when answers are lost, and while store or
+// platform are away; and against counts of a killed host that are lost.
+func TestReports(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var out strings.Builder
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 4)
+				// A window begins one second from now.
+				now := time.Now()
+				time.Sleep(now.Truncate(window).Add(2 * window).Sub(now))
+				first := int64(w.hosts["h0"].counter.At(time.Now()))
+				for line := range strings.Lines(d.Input) {
+					w.run(strings.TrimSpace(line))
+				}
+				for _, name := range slices.Sorted(maps.Keys(w.hosts)) {
+					w.end(name, false)
+				}
+				for at := first; w.receiver.reports[at] != "" || w.truth[at] != nil; at++ {
+					fmt.Fprintf(&out, "window %d: %s\n", at-first, w.receiver.reports[at])
+				}
+				for _, f := range w.receiver.faults {
+					fmt.Fprintln(&out, "FAULT:", f)
+				}
+				if n := w.inv.Violations(); n > 0 {
+					fmt.Fprintf(&out, "violations: %d\n", n)
+				}
+			})
+			return out.String()
+		})
+	})
+}
--- /dev/null
+++ b/internal/state/eventlog/eventlog_test.go
@@ -0,0 +1,65 @@
+package eventlog
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// stuck is a reader that takes nothing until it is released.
+type stuck struct {
+	release chan struct{}
+
+	mu  sync.Mutex
+	out bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.out.Write(p)
+}
+
+// Guards against code that waits for the reader of its log: with a reader that
+// takes nothing, every write must return, memory stays bounded, and the lines
+// that were lost are counted.
+func TestStuckReader(t *testing.T) {
+	s := &stuck{release: make(chan struct{})}
+	w := New(s)
+	const lines = 3 * bufferLines
+	for range lines {
+		if n, err := w.Write([]byte("level=info msg=x\n")); n != 17 || err != nil {
+			t.Fatalf("write: got %d, %v, want 17 and no error", n, err)
+		}
+	}
+	if got := len(w.lines); got > bufferLines {
+		t.Errorf("buffered lines: got %d, want at most %d", got, bufferLines)
+	}
+	close(s.release)
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(s.out.String(), "log lines dropped") {
+		t.Error("log: got no count of dropped lines, want one")
+	}
+	if _, err := w.Write([]byte("after the close\n")); err != nil {
+		t.Errorf("write after Close: got %v, want no error", err)
+	}
+}
+
+// Guards against lines that are lost although the reader keeps up.
+func TestAllLinesArriveBeforeClose(t *testing.T) {
+	var out bytes.Buffer
+	w := New(&out)
+	for range 100 {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := strings.Count(out.String(), "line\n"), 100; got != want {
+		t.Errorf("lines: got %d, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/internal/traffic/balance/balance_test.go
@@ -0,0 +1,99 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"quetzalhook"
+)
+
+// Guards against calls that go to an upstream that is full, has failed or is
+// gone while another one is free, and against an upstream that is avoided for
+// ever.
+func TestChoices(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		now := time.Unix(1000, 0)
+		var b *Balancer
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var out strings.Builder
+			for line := range strings.Lines(d.Input) {
+				f := strings.Fields(line)
+				switch f[0] {
+				case "new": // region
+					b = New(quetzalhook.Region(f[1]), rand.New(rand.NewPCG(1, 1)))
+				case "upstreams": // name:region[:leaving] ...
+					var list []quetzalhook.Upstream
+					for _, entry := range f[1:] {
+						parts := strings.Split(entry, ":")
+						u := quetzalhook.Upstream{ID: quetzalhook.UpstreamID(parts[0]), Service: "s", Region: quetzalhook.Region(parts[1]), Slots: 6}
+						if len(parts) > 2 {
+							u.State = quetzalhook.UpstreamLeaving
+						}
+						list = append(list, u)
+					}
+					b.SetUpstreams(list)
+				case "calls": // count: how they are divided; they stay open
+					fmt.Fprintln(&out, divide(b, now, number(t, f[1]), nil))
+				case "try": // without the upstreams named
+					var tried []quetzalhook.UpstreamID
+					for _, id := range f[1:] {
+						tried = append(tried, quetzalhook.UpstreamID(id))
+					}
+					fmt.Fprintln(&out, divide(b, now, 1, tried))
+				case "end": // upstream end [running waiting]
+					e := quetzalhook.AttemptEnd{End: ends[f[2]]}
+					e.Verdict.NotRun = f[2] == "full"
+					if len(f) > 3 {
+						e.Verdict = quetzalhook.Verdict{HasLoad: true, Running: number(t, f[3]), Waiting: number(t, f[4]), Slots: 6}
+					}
+					b.Ended(now, quetzalhook.UpstreamID(f[1]), e)
+				case "wait":
+					d, err := time.ParseDuration(f[1])
+					if err != nil {
+						t.Fatal(err)
+					}
+					now = now.Add(d)
+				}
+			}
+			return out.String()
+		})
+	})
+}
+
+var ends = map[string]quetzalhook.End{
+	"finished": quetzalhook.EndFinished, "broken": quetzalhook.EndBroken, "full": quetzalhook.EndNotSent, "unreachable": quetzalhook.EndNotSent,
+}
+
+func number(t *testing.T, s string) int {
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// divide starts calls and counts them by upstream.
+func divide(b *Balancer, now time.Time, n int, tried []quetzalhook.UpstreamID) string {
+	counts := make(map[quetzalhook.UpstreamID]int)
+	for range n {
+		u, ok := b.Choose(now, "s", tried)
+		if !ok {
+			return "none"
+		}
+		b.Started(u.ID)
+		counts[u.ID]++
+	}
+	var parts []string
+	for _, id := range []quetzalhook.UpstreamID{"a", "b", "c"} {
+		if counts[id] > 0 {
+			parts = append(parts, fmt.Sprintf("%s=%d", id, counts[id]))
+		}
+	}
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/internal/traffic/retry/budget_test.go
@@ -0,0 +1,75 @@
+package retry
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against hosts that together send more repeats in some window than the
+// users allow, while upstreams fail every request: ten hosts with an uneven
+// load, over windows that slide by a tenth of a second.
+func TestAllHostsStayWithinTheBudget(t *testing.T) {
+	const (
+		hosts  = 10
+		ratio  = 0.2
+		slack  = 56.0
+		window = 10 * time.Second
+		step   = 100 * time.Millisecond
+	)
+	budgets := make([]*Budget, hosts)
+	for i := range budgets {
+		budgets[i] = New(ratio, slack, window, func() int { return hosts })
+	}
+	start := time.Unix(1000, 0)
+	var requests, repeats []int
+	for tick := range 600 {
+		now := start.Add(time.Duration(tick) * step)
+		sent, again := 0, 0
+		for i, b := range budgets {
+			rate := i + 1
+			if tick/100%2 == 1 {
+				rate = 1 // the load falls, the failures stay
+			}
+			for range rate {
+				b.Count(now, "s")
+				sent++
+				for range 3 {
+					if b.Take(now, "s") {
+						again++
+					}
+				}
+			}
+		}
+		requests, repeats = append(requests, sent), append(repeats, again)
+	}
+	n := int(window / step)
+	sum := func(list []int, from int) int {
+		total := 0
+		for i := max(from, 0); i < min(from+n, len(list)); i++ {
+			total += list[i]
+		}
+		return total
+	}
+	for from := 0; from+n <= len(repeats); from++ {
+		// The users count the requests of the window, the one before or the one
+		// half a window before, whichever has most.
+		most := max(sum(requests, from), sum(requests, from-n), sum(requests, from-n/2))
+		if got, want := sum(repeats, from), int(ratio*float64(most)+slack); got > want {
+			t.Fatalf("repeats from %v: got %d, want at most %d", time.Duration(from)*step, got, want)
+		}
+	}
+	if got := sum(repeats, 0); got == 0 {
+		t.Error("repeats in the first window: got none, want some")
+	}
+}
+
+// Guards against one service that uses the budget of another.
+func TestServicesHaveTheirOwnBudget(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(0, 10, time.Second, func() int { return 1 })
+	for b.Take(now, "a") {
+	}
+	if !b.Take(now, "b") {
+		t.Error("repeat of service b: got refused, want allowed")
+	}
+}
--- /dev/null
+++ b/internal/traffic/supply/supply_test.go
@@ -0,0 +1,141 @@
+package supply
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"quetzalhook"
+)
+
+// world is a platform with three zones that starts and takes away engines as
+// ordered.
+type world struct {
+	t       *testing.T
+	planner *Planner
+	now     time.Time
+	input   Input
+	orders  []Order
+	started map[string]time.Time // when an ordered engine will be ready
+	dry     map[quetzalhook.Zone]bool
+}
+
+func newWorld(t *testing.T, regular int) *world {
+	w := &world{t: t, planner: New(), now: time.Unix(1000, 0), dry: make(map[quetzalhook.Zone]bool)}
+	w.input = Input{Min: 1, Max: 12, CheapPrice: 0.2, StartTime: 4 * time.Second}
+	for i, price := range []float64{1, 0.8, 1.25} {
+		w.input.Zones = append(w.input.Zones, Zone{Zone: quetzalhook.Zone("z" + strconv.Itoa(i)), Price: price, Regular: regular})
+	}
+	return w
+}
+
+// order is an order that the platform carries out later.
+type pending struct {
+	at    time.Time
+	order Order
+}
+
+// run lets time pass in steps of a quarter of a second.
+func (w *world) run(d time.Duration) {
+	var queue []pending
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(250 * time.Millisecond) {
+		for _, o := range w.planner.Plan(w.now, w.input) {
+			w.orders = append(w.orders, o)
+			if o.Cheap && w.dry[o.Zone] && o.Count > o.Have {
+				w.planner.Refused(w.now, o)
+				continue
+			}
+			delay := time.Duration(0)
+			if o.Count > o.Have {
+				delay = w.input.StartTime
+			}
+			queue = append(queue, pending{w.now.Add(delay), o})
+		}
+		for _, p := range queue {
+			if !p.at.After(w.now) {
+				w.set(p.order)
+			}
+		}
+	}
+	for _, p := range queue { // what is under way arrives
+		w.set(p.order)
+	}
+}
+
+func (w *world) set(o Order) {
+	for i := range w.input.Zones {
+		z := &w.input.Zones[i]
+		switch {
+		case z.Zone != o.Zone:
+		case o.Cheap:
+			z.Cheap = o.Count
+		default:
+			z.Regular = o.Count
+		}
+	}
+}
+
+func (w *world) state() string {
+	var parts []string
+	total := 0.0
+	for _, z := range w.input.Zones {
+		parts = append(parts, fmt.Sprintf("%s: %d regular, %d cheap", z.Zone, z.Regular, z.Cheap))
+		total += z.Price * (float64(z.Regular) + w.input.CheapPrice*float64(z.Cheap))
+	}
+	return fmt.Sprintf("%s\nprice %.1f, %d orders\n", strings.Join(parts, "\n"), total, len(w.orders))
+}
+
+// Guards against too few engines after the loss of a zone's cheap ones in a
+// burst, against paying for regular ones that cheap ones replace, against
+// giving back engines that run because a zone has no more of them, and against
+// orders that follow each small change of the load.
+func TestPlans(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var w *world
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			for line := range strings.Lines(d.Input) {
+				f := strings.Fields(line)
+				switch f[0] {
+				case "new": // regular engines in each zone
+					n, err := strconv.Atoi(f[1])
+					if err != nil {
+						t.Fatal(err)
+					}
+					w = newWorld(t, n)
+				case "busy": // engines that the load keeps busy
+					busy, err := strconv.ParseFloat(f[1], 64)
+					if err != nil {
+						t.Fatal(err)
+					}
+					w.input.Busy = busy
+				case "run":
+					d, err := time.ParseDuration(f[1])
+					if err != nil {
+						t.Fatal(err)
+					}
+					w.orders = nil
+					w.run(d)
+				case "reclaim": // zone
+					for i := range w.input.Zones {
+						if z := &w.input.Zones[i]; string(z.Zone) == f[1] {
+							z.Leaving, z.Cheap = z.Cheap, 0
+						}
+					}
+					w.run(time.Second)
+					for i := range w.input.Zones {
+						w.input.Zones[i].Leaving = 0
+					}
+				case "dry": // no zone has cheap engines left
+					for _, z := range w.input.Zones {
+						w.dry[z.Zone] = true
+					}
+				}
+			}
+			return w.state()
+		})
+	})
+}
