Judge hosts of other cells by the age of their cell's summary

A lost host of another cell stayed listed for two minutes, and with it as the leader. A summary that does not list a host tells that it is gone; the members now carry the age of the summary. The fixture of TestPeersInOtherCells states that age; what it checks is unchanged. Callers are sent to hosts of the own cell where there are enough, one host of each cell watches the store, and events travel with the next question to the leader.

--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -21,8 +21,9 @@
 	answerLimit = answerWait + 150*time.Millisecond
 	// distrust is how long a host does not ask a leader that did not answer.
 	distrust = time.Second
-	// reportInterval is the time between two reports of a host.
-	reportInterval = 25 * time.Millisecond
+	// reportInterval is the longest time that events wait for a call to the
+	// leader. Each call takes processor time on the leader.
+	reportInterval = 60 * time.Millisecond
 	// reportLimit bounds one report.
 	reportLimit = time.Second
 	// syncInterval is the time between two lists of the requests that run.
@@ -186,7 +187,7 @@
 
 // ask asks the leader once; waits reports that the request still waits there.
 func (d *Dispatcher) ask(ctx context.Context, leader quetzalhook.HostID, r quetzalhook.Request) (c decided, waits bool, err error) {
-	body, err := cbor.Marshal(toWire(r))
+	body, err := cbor.Marshal(assignRequest{Request: toWire(r), Events: d.takeEvents()})
 	if err != nil {
 		return c, false, &Error{Op: "assign", Kind: ErrorProtocol, Err: err}
 	}
@@ -212,14 +213,15 @@
 }
 
 func (d *Dispatcher) handleAssign(ctx context.Context, from quetzalhook.HostID, body []byte) ([]byte, error) {
-	var w wireRequest
-	if err := cbor.Unmarshal(body, &w); err != nil {
+	var req assignRequest
+	if err := cbor.Unmarshal(body, &req); err != nil {
 		return nil, &Error{Op: "assign", Kind: ErrorProtocol, Err: err}
 	}
+	d.apply(req.Events)
 	ctx, cancel := context.WithTimeout(ctx, answerWait)
 	defer cancel()
 	var answer assignAnswer
-	c, err := d.desk.assign(ctx, from, w.request())
+	c, err := d.desk.assign(ctx, from, req.Request.request())
 	switch {
 	case err != nil: // it still waits
 	case c.refusal != nil:
@@ -240,15 +242,19 @@
 // report sends the events since the last report to the leader. What does not
 // arrive is made up for by the next sync.
 func (d *Dispatcher) report(ctx context.Context) {
-	leader := d.target()
+	leader, events := d.target(), d.takeEvents()
+	if leader != "" && len(events) > 0 {
+		d.call(ctx, leader, reportKind, events, nil)
+	}
+}
+
+// takeEvents returns the events since the last report.
+func (d *Dispatcher) takeEvents() []event {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	events := d.events
 	d.events = nil
-	d.mu.Unlock()
-	if leader == "" || len(events) == 0 {
-		return
-	}
-	d.call(ctx, leader, reportKind, events, nil)
+	return events
 }
 
 func (d *Dispatcher) handleReport(_ context.Context, _ quetzalhook.HostID, body []byte) ([]byte, error) {
@@ -256,6 +262,12 @@
 	if err := cbor.Unmarshal(body, &events); err != nil {
 		return nil, &Error{Op: "report", Kind: ErrorProtocol, Err: err}
 	}
+	d.apply(events)
+	return nil, nil
+}
+
+// apply hands the events of another host to the desk.
+func (d *Dispatcher) apply(events []event) {
 	for _, e := range events {
 		if e.End == 0 {
 			d.desk.progress(e.ID, e.Tokens)
@@ -263,7 +275,6 @@
 			d.desk.end(e.ID, e.end())
 		}
 	}
-	return nil, nil
 }
 
 // call sends a message to the leader and decodes the answer unless result is
--- a/internal/fleet/dispatcher/message.go
+++ b/internal/fleet/dispatcher/message.go
@@ -62,6 +62,13 @@
 	return r
 }
 
+// assignRequest asks for the decision on a request, and tells what became of
+// others.
+type assignRequest struct {
+	Request wireRequest `cbor:"1,keyasint"`
+	Events  []event     `cbor:"2,keyasint,omitempty"`
+}
+
 // assignAnswer is the decision on a request, or nothing if it still waits.
 type assignAnswer struct {
 	Upstream   *quetzalhook.Upstream  `cbor:"1,keyasint,omitempty"`
--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -351,10 +351,17 @@
 		if p.seen.IsZero() {
 			age = (^milliseconds(0)).duration()
 		}
+		lag := time.Duration(0)
+		if p.cell != g.cell {
+			lag = cellRetention
+			if v := g.regions[p.cell]; v != nil {
+				lag = now.Sub(v.at)
+			}
+		}
 		list = append(list, quetzalhook.Member{
 			Host: host, Incarnation: p.profile.Incarnation, Zone: p.profile.Zone, Region: p.profile.Region,
 			Address: p.profile.Address, PeerAddress: p.profile.Peer, Draining: b.Draining, Unready: b.Unready, Silent: p.silent(now),
-			Distant: p.cell != g.cell, FreeCapacity: float64(b.FreePercent) / 100, ConfigVersion: b.ConfigVersion, UpstreamVersion: b.UpstreamVersion, StoreAge: age,
+			Distant: p.cell != g.cell, Lag: lag, FreeCapacity: float64(b.FreePercent) / 100, ConfigVersion: b.ConfigVersion, UpstreamVersion: b.UpstreamVersion, StoreAge: age,
 			WithdrawnCount: b.WithdrawnCount, WithdrawnHash: b.WithdrawnHash, Demand: demand,
 			Processors: p.profile.Processors,
 		})
--- a/internal/fleet/member/summary.go
+++ b/internal/fleet/member/summary.go
@@ -208,6 +208,7 @@
 		p.beat.StoreAge = s.Beat.StoreAge
 		if p.profile.Host == s.Origin {
 			p.beat.ConfigVersion, p.beat.Draining, p.beat.Unready = s.Beat.ConfigVersion, s.Beat.Draining, s.Beat.Unready
+			p.beat.UpstreamVersion = s.Beat.UpstreamVersion
 		}
 	}
 }
--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -29,8 +29,12 @@
 	// tombstoneLife is how long a removed upstream is remembered for hosts that
 	// ask for changes.
 	tombstoneLife = time.Minute
-	// watchers is the number of hosts that watch the store for all.
-	watchers = 3
+	// watchers is the number of hosts of a single cell that watch the store for
+	// all, cellWatchers that of each of several cells.
+	watchers     = 3
+	cellWatchers = 1
+	// watcherKey ranks the hosts that watch.
+	watcherKey = "routing"
 	// watcherSilence is how long a host may be silent, or the store silent to it,
 	// before another one watches in its place.
 	watcherSilence = 1200 * time.Millisecond
@@ -275,17 +279,22 @@
 	return after
 }
 
-// isWatcher reports whether this host watches the store: the first few of the
-// live hosts do that the store answers. The others learn changes from them.
+// isWatcher reports whether this host watches the store: of the live hosts that
+// the store answers, the first few of a fleet of one cell do, or the first of
+// each cell. The others learn changes from them.
 func (f *Follower) isWatcher() bool {
-	hosts := []quetzalhook.HostID{f.host}
+	hosts, count := []quetzalhook.HostID{f.host}, watchers
 	for _, m := range f.peers.Members() {
+		if m.Distant {
+			count = cellWatchers
+			continue
+		}
 		if !m.Draining && !m.Unready && m.IsHeard(watcherSilence) && m.StoreAge < watcherSilence {
 			hosts = append(hosts, m.Host)
 		}
 	}
-	ranked := rendezvous.Rank("routing", hosts)
-	return slices.Contains(ranked[:min(watchers, len(ranked))], f.host)
+	ranked := rendezvous.Rank(watcherKey, hosts)
+	return slices.Contains(ranked[:min(count, len(ranked))], f.host)
 }
 
 // noteContact records that the store answered, and reports whether it was away
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -15,11 +15,11 @@
 const (
 	// pullKind is the kind of the peer call that reads what has changed.
 	pullKind = "routing-pull"
+	// pullAttempts bounds the hosts asked in one round.
+	pullAttempts = 3
 	// pullTimeout bounds one call of a peer: a slow round trip between regions
 	// and the making of a connection.
 	pullTimeout = 400 * time.Millisecond
-	// pullAttempts bounds the peers asked in one round.
-	pullAttempts = 3
 )
 
 // pullRequest asks for what is newer than the caller's state.
@@ -85,19 +85,27 @@
 	}
 }
 
-// ahead returns some hosts that know changes that this one does not, in an
-// order that changes with time, so that one that does not answer is not asked
-// first every time.
+// ahead returns some hosts that know changes that this one does not. Those that
+// watch the store come first, so that each host keeps connections to few others;
+// which of them is asked first changes with time, for the case that one does not
+// answer.
 func (f *Follower) ahead() []quetzalhook.HostID {
 	table, upstreams := f.Versions()
-	var hosts []quetzalhook.HostID
+	var hosts, near []quetzalhook.HostID
 	for _, m := range f.peers.Members() {
-		if (m.ConfigVersion > table || m.UpstreamVersion > upstreams) && m.IsHeard(watcherSilence) {
-			hosts = append(hosts, m.Host)
+		if m.ConfigVersion <= table && m.UpstreamVersion <= upstreams || !m.IsHeard(watcherSilence) {
+			continue
 		}
+		if hosts = append(hosts, m.Host); !m.Distant {
+			near = append(near, m.Host)
+		}
+	}
+	if len(near) > 0 {
+		hosts = near
 	}
-	ranked := rendezvous.Rank(fmt.Sprint(f.host, f.clock.Now().UnixNano()/int64(tick)), hosts)
-	return ranked[:min(pullAttempts, len(ranked))]
+	ranked := rendezvous.Rank(watcherKey, hosts)
+	ranked = ranked[:min(pullAttempts, len(ranked))]
+	return rendezvous.Rank(fmt.Sprint(f.host, f.clock.Now().UnixNano()/int64(tick)), ranked)
 }
 
 // pull asks one host for changes and applies them.
--- a/internal/record/usage/peers_test.go
+++ b/internal/record/usage/peers_test.go
@@ -24,9 +24,9 @@
 func TestPeersInOtherCells(t *testing.T) {
 	peers := listedPeers{
 		{Host: "near", Zone: "z"},
-		{Host: "far", Zone: "y", Distant: true, Silent: time.Minute},
-		{Host: "farther", Zone: "x", Distant: true, Silent: 40 * time.Second},
-		{Host: "gone", Zone: "w", Distant: true, Silent: time.Hour},
+		{Host: "far", Zone: "y", Distant: true, Silent: time.Minute, Lag: time.Minute},
+		{Host: "farther", Zone: "x", Distant: true, Silent: 40 * time.Second, Lag: 40 * time.Second},
+		{Host: "gone", Zone: "w", Distant: true, Silent: time.Hour, Lag: 40 * time.Second},
 	}
 	clock := quetzalhook.ClockFunc(time.Now)
 	m := New(Source{Host: "a"}, "z", nil, clock, clock, peers, NewSchedule(time.Hour))
--- a/internal/traffic/schedule/schedule.go
+++ b/internal/traffic/schedule/schedule.go
@@ -158,6 +158,9 @@
 	r := s.newRun(now, q)
 	s.demand.add(now, r)
 	p := r.pool
+	if p.allTried(q) {
+		r.request.Tried = nil // each may have room by now
+	}
 	if len(p.engines) == 0 {
 		s.refuse(r, quetzalhook.RefuseNoUpstream, minRetry)
 		return s.out
@@ -396,6 +399,16 @@
 	s.startOn(now, r, c)
 }
 
+// allTried reports whether a request was sent to every engine.
+func (p *pool) allTried(q quetzalhook.Request) bool {
+	for _, e := range p.engines {
+		if !isTried(q, e.info.ID) {
+			return false
+		}
+	}
+	return true
+}
+
 // emptiest returns the engine with the least memory in use.
 func (p *pool) emptiest() *engine {
 	best := p.engines[0]
--- a/platform.go
+++ b/platform.go
@@ -154,6 +154,8 @@
 	// Distant marks a host of another cell, which is heard of through summaries
 	// only.
 	Distant bool
+	// Lag is the age of the latest summary of a distant host's cell.
+	Lag time.Duration
 	// FreeCapacity is the fraction of unused slots, from 0 to 1.
 	FreeCapacity float64
 	// ConfigVersion is the configuration in force on the host.
@@ -178,12 +180,13 @@
 const distantLimit = 2 * time.Minute
 
 // IsHeard reports whether the host counts as alive for the choice of hosts for
-// a duty: it has been silent for less than limit or, in another cell, for less
-// than 2 min. Without the longer limit, each cell of a large fleet chose hosts
-// of its own for duties that need a few hosts of the whole fleet.
+// a duty: it has been silent for less than limit or, in another cell, the latest
+// summary of the cell lists it and is less than 2 min old. Without the longer
+// limit, each cell of a large fleet chose hosts of its own for duties that need
+// a few hosts of the whole fleet.
 func (m Member) IsHeard(limit time.Duration) bool {
 	if m.Distant {
-		limit = max(limit, distantLimit)
+		return m.Lag < distantLimit && m.Silent-m.Lag < limit
 	}
 	return m.Silent < limit
 }
