--- a/engines.go
+++ b/engines.go
@@ -9,6 +9,12 @@
 	Fencing uint64
 }
 
+// CacheLister lists the parts of prompts that an engine holds.
+type CacheLister interface {
+	// Held returns the parts by model. The call delays the engine's work.
+	Held(ctx context.Context, u Upstream) (map[Model][]PromptPart, error)
+}
+
 // Engines carries orders to model engines.
 type Engines interface {
 	// Models returns the models that an engine has loaded.
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -11,7 +11,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -59,7 +58,6 @@
 	draining atomic.Bool
 	open     atomic.Int64
 	idle     *idleConns
-	wg       sync.WaitGroup
 }
 
 // New returns a gateway.
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -45,6 +45,7 @@
 	// Directory answers callers that ask which hosts to use.
 	Directory func(hosts func(quetzalhook.Region, quetzalhook.Zone) []string, life time.Duration) http.Handler
 	Duties    Duties
+	Caches    quetzalhook.CacheLister
 	// Ready answers the platform's question whether the host takes requests.
 	Ready func(ready func() bool) http.Handler
 }
@@ -105,6 +106,7 @@
 	h.engines = dispatcher.New(dispatcher.Settings{
 		Host: settings.Host, Leader: h.leader, Usable: h.follower.IsUsable,
 		Budget: retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount),
+		Caches: adapter.Caches,
 	}, h.peers, clock, log)
 	if err := h.assembleDuties(); err != nil {
 		return nil, err
--- a/internal/fleet/dispatcher/desk.go
+++ b/internal/fleet/dispatcher/desk.go
@@ -185,6 +185,13 @@
 	d.apply(d.scheduler.SetUpstreams(d.clock.Now(), list))
 }
 
+// hold notes what an engine was found to hold.
+func (d *desk) hold(id quetzalhook.UpstreamID, parts []quetzalhook.PromptPart) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.Hold(d.clock.Now(), id, parts)
+}
+
 // load returns the scheduler's load.
 func (d *desk) load() schedule.Load {
 	d.mu.Lock()
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -42,6 +42,8 @@
 	Usable func(quetzalhook.Upstream) bool
 	// Budget bounds the repeats of all hosts.
 	Budget Budget
+	// Caches tells what engines hold; nil if nothing does.
+	Caches quetzalhook.CacheLister
 }
 
 // Budget bounds the requests that are sent once more.
@@ -58,6 +60,7 @@
 	clock    quetzalhook.Clock
 	log      logrus.FieldLogger
 	desk     *desk
+	learner  learner
 
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -67,7 +70,6 @@
 	tickets    map[quetzalhook.RequestID]*ticket // that run on an upstream
 	events     []event
 	distrusted map[quetzalhook.HostID]time.Time // until when
-	leader     quetzalhook.HostID               // that was told of the running requests
 }
 
 // New returns a dispatcher that is not started. It registers its handlers with
@@ -75,6 +77,7 @@
 func New(settings Settings, peers quetzalhook.Peers, clock quetzalhook.Clock, log logrus.FieldLogger) *Dispatcher {
 	d := &Dispatcher{
 		settings: settings, peers: peers, clock: clock, log: log, desk: newDesk(clock, log), budget: settings.Budget,
+		learner: learner{known: make(map[quetzalhook.UpstreamID]reading)},
 		tickets: make(map[quetzalhook.RequestID]*ticket), distrusted: make(map[quetzalhook.HostID]time.Time),
 	}
 	peers.Handle(assignKind, d.handleAssign)
@@ -92,6 +95,7 @@
 	d.wg.Go(func() { every(ctx, tickInterval, func() { d.desk.tick(d.settings.Host) }) })
 	d.wg.Go(func() { every(ctx, reportInterval, func() { d.report(ctx) }) })
 	d.wg.Go(func() { every(ctx, syncInterval, func() { d.sync(ctx) }) })
+	d.wg.Go(func() { every(ctx, learnInterval, func() { d.learn(ctx) }) })
 }
 
 func every(ctx context.Context, interval time.Duration, f func()) {
@@ -117,7 +121,10 @@
 }
 
 // SetUpstreams replaces the engines.
-func (d *Dispatcher) SetUpstreams(list []quetzalhook.Upstream) { d.desk.setUpstreams(list) }
+func (d *Dispatcher) SetUpstreams(list []quetzalhook.Upstream) {
+	d.desk.setUpstreams(list)
+	d.learner.set(list)
+}
 
 // Load returns the load of all hosts, from the leader.
 func (d *Dispatcher) Load(ctx context.Context) (schedule.Load, error) {
--- a/internal/record/routing/follower_test.go
+++ b/internal/record/routing/follower_test.go
@@ -40,7 +40,6 @@
 	inv     *invariant.Registry
 	hosts   map[string]*Follower
 	doors   map[string]*door
-	serial  int
 }
 
 // door is a host's way to the store; a closed one refuses every call.
--- a/internal/traffic/schedule/cache.go
+++ b/internal/traffic/schedule/cache.go
@@ -54,6 +54,28 @@
 	}
 }
 
+// replace makes parts, and those of the held ones that are kept, all that is
+// held. Parts that were not held count as used least recently.
+func (c *cache) replace(parts []quetzalhook.PromptPart, keep map[uint64]bool) {
+	found := make(map[uint64]bool, len(parts))
+	for _, p := range parts {
+		found[p.Hash] = true
+		if c.parts[p.Hash] != nil {
+			continue
+		}
+		c.parts[p.Hash] = c.recent.PushBack(&part{hash: p.Hash, tokens: p.Tokens})
+		c.tokens += p.Tokens
+		if c.changed != nil {
+			c.changed(p.Hash, true)
+		}
+	}
+	for hash, e := range c.parts {
+		if !found[hash] && !keep[hash] {
+			c.remove(e)
+		}
+	}
+}
+
 // forget removes parts that were not read after all.
 func (c *cache) forget(parts []quetzalhook.PromptPart) {
 	for _, p := range parts {
--- a/internal/traffic/schedule/engine.go
+++ b/internal/traffic/schedule/engine.go
@@ -126,15 +126,6 @@
 	return sum
 }
 
-// backlog returns all work that is left, in ms.
-func (e *engine) backlog() float64 {
-	sum := 0.0
-	for _, o := range e.reads {
-		sum += o.left
-	}
-	return sum
-}
-
 // start adds a run whose prompt has tokens to read after a fetch.
 func (e *engine) start(now time.Time, r *run, unread int, fetch float64) {
 	r.engine, r.started = e, now
--- a/internal/traffic/schedule/play_test.go
+++ b/internal/traffic/schedule/play_test.go
@@ -125,7 +125,6 @@
 	engines map[quetzalhook.UpstreamID]*simEngine
 	waiting map[quetzalhook.RequestID]*simRun
 	results map[quetzalhook.ClassName]*result
-	sizes   map[quetzalhook.ClassName][]int
 	large   map[quetzalhook.RequestID]bool
 	fetched int // tokens copied between engines
 }
--- a/internal/traffic/schedule/schedule.go
+++ b/internal/traffic/schedule/schedule.go
@@ -237,6 +237,22 @@
 	}
 }
 
+// Hold replaces what an engine is believed to hold by what it was found to hold
+// a moment before now.
+func (s *Scheduler) Hold(now time.Time, id quetzalhook.UpstreamID, parts []quetzalhook.PromptPart) {
+	e := s.engines[id]
+	if e == nil {
+		return
+	}
+	recent := make(map[uint64]bool)
+	for _, r := range e.runs {
+		for _, p := range r.request.Parts {
+			recent[p.Hash] = true // it may have been read since
+		}
+	}
+	e.cache.replace(parts, recent)
+}
+
 // Progress reports output tokens of a running request.
 func (s *Scheduler) Progress(now time.Time, id quetzalhook.RequestID, tokens int) []Decision {
 	s.begin()
--- a/internal/traffic/supply/supply_test.go
+++ b/internal/traffic/supply/supply_test.go
@@ -20,7 +20,6 @@
 	now     time.Time
 	input   Input
 	orders  []Order
-	started map[string]time.Time // when an ordered engine will be ready
 	dry     map[quetzalhook.Zone]bool
 }
 
