--- a/internal/state/eventlog/eventlog.go
+++ b/internal/state/eventlog/eventlog.go
@@ -74,7 +74,7 @@
 }
 
 // Close writes what is buffered and waits.
-func (w *Writer) Close() error {
+func (w *Writer) Close() {
 	w.mu.Lock()
 	if !w.closed {
 		w.closed = true
@@ -82,5 +82,4 @@
 	}
 	w.mu.Unlock()
 	<-w.done
-	return nil
 }
