--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -21,7 +21,6 @@
 	"quetzalhook"
 	"quetzalhook/internal/entry/connection"
 	"quetzalhook/internal/record/routing"
-	"quetzalhook/platform"
 )
 
 // world is a gateway between a scripted caller and scripted upstreams.
@@ -47,7 +46,7 @@
 	clock := quetzalhook.ClockFunc(time.Now)
 	w.pool = connection.NewPool(clock)
 	w.gateway = New(Deps{
-		Tables: w, Protocol: platform.Headers{}, Dispatcher: w, Pool: w.pool, Hosts: func() int { return 1 },
+		Tables: w, Protocol: testProtocol{}, Dispatcher: w, Pool: w.pool, Hosts: func() int { return 1 },
 		Began: func(c quetzalhook.CustomerID) { w.note(&w.usage, string(c)) }, Observer: w, Region: "r", Clock: clock, Log: log,
 	})
 	w.server = httptest.NewUnstartedServer(w.gateway)
@@ -237,8 +236,8 @@
 	}
 	slices.Sort(headers)
 	for i, h := range headers {
-		if strings.HasPrefix(h, "quetzalhook-request-deadline=") {
-			headers[i] = "quetzalhook-request-deadline=..."
+		if strings.HasPrefix(h, "patience-ms=") {
+			headers[i] = "patience-ms=..."
 		}
 	}
 	u.mu.Lock()
@@ -372,7 +371,7 @@
 		whole = "cut"
 	}
 	var headers []string
-	for _, name := range []string{"Retry-After", "Quetzalhook-Response-Seal", "Connection"} {
+	for _, name := range []string{"Retry-After", "Answer-Seal", "Connection"} {
 		if v := resp.Header.Get(name); v != "" {
 			headers = append(headers, " "+strings.ToLower(name)+"="+v)
 		}
--- /dev/null
+++ b/internal/entry/gateway/protocol_test.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"quetzalhook"
+)
+
+// testProtocol is a protocol with headers of the product's own, so that these
+// tests hold for any platform.
+type testProtocol struct{}
+
+var _ quetzalhook.Protocol = testProtocol{}
+
+var (
+	connectionHeaders = []string{"Connection", "Transfer-Encoding", "Content-Length"}
+	hostHeaders       = []string{"Api-Key", "Customer", "Upstream", "Urgency", "Patience-Ms", "Source"}
+)
+
+func (testProtocol) Decode(h http.Header) (quetzalhook.Inbound, error) {
+	in := quetzalhook.Inbound{ID: quetzalhook.RequestID(h.Get("Request-Id")), Key: h.Get("Api-Key"), LastEvent: h.Get("Last-Event-Id")}
+	if text := h.Get("Patience-Ms"); text != "" {
+		ms, err := strconv.Atoi(text)
+		if err != nil {
+			return in, err
+		}
+		in.Patience = time.Duration(ms) * time.Millisecond
+	}
+	return in, nil
+}
+
+func (testProtocol) Forward(h http.Header) http.Header {
+	kept := without(h, append(slices.Clone(connectionHeaders), hostHeaders...))
+	for _, name := range h["Connection"] {
+		kept.Del(name)
+	}
+	return kept
+}
+
+func (testProtocol) Return(h http.Header) http.Header { return without(h, connectionHeaders) }
+
+func without(h http.Header, names []string) http.Header {
+	kept := h.Clone()
+	for _, name := range names {
+		kept.Del(name)
+	}
+	return kept
+}
+
+func (testProtocol) Encode(h http.Header, o quetzalhook.Outbound) {
+	h.Set("Upstream", string(o.Upstream))
+	h.Set("Patience-Ms", strconv.FormatInt(o.Patience.Milliseconds(), 10))
+	if o.Customer != "" {
+		h.Set("Customer", string(o.Customer))
+	}
+	if o.HasUrgency {
+		h.Set("Urgency", strconv.Itoa(o.Urgency))
+	}
+	if o.LastEvent != "" {
+		h.Set("Last-Event-Id", o.LastEvent)
+	}
+}
+
+func (testProtocol) Answers(h http.Header, id quetzalhook.RequestID) bool {
+	echoed := h.Get("Request-Id")
+	return echoed == "" || echoed == string(id)
+}
+
+func (testProtocol) Judge(status int, h http.Header) quetzalhook.Verdict {
+	moved := status == http.StatusMisdirectedRequest
+	return quetzalhook.Verdict{Moved: moved, NotRun: moved || h.Get("Not-Run") != ""}
+}
