Give no engines back before all have registered

Cause: at a start of the whole deployment the planner's first orders stated totals while only some engines had registered, and so gave back those that had not; the first burst met 9 engines, or 27 if registration was quick.

--- a/internal/traffic/supply/supply.go
+++ b/internal/traffic/supply/supply.go
@@ -29,6 +29,14 @@
 	// learning is how long a new planner waits for all engines to be listed and
 	// for load.
 	learning = 8 * time.Second
+	// listing is how long a new planner does not order regular engines: an order
+	// states a total, and would give back those that have not registered yet. At
+	// a start of a whole deployment they registered within 2.7 s of the first
+	// plan.
+	listing = 3 * time.Second
+	// settling is how long a new planner gives no engines back, so that it knows
+	// all of them and the cheap ones that replace them have started.
+	settling = 5 * time.Second
 	// dryTime is how long a zone is not asked for cheap engines after it
 	// reclaimed some or had none.
 	dryTime = 12 * time.Second
@@ -258,6 +266,8 @@
 	switch {
 	case cheap && z.Leaving > 0:
 		return nil // those that leave still count towards the last order
+	case !cheap && now.Sub(p.since) < listing:
+		return nil
 	case count == last.count:
 		if !known || have >= count || now.Sub(last.at) < in.StartTime+startMargin {
 			last.less = time.Time{}
@@ -268,6 +278,9 @@
 		}
 		reason = "did not start"
 	case count < last.count:
+		if now.Sub(p.since) < settling {
+			return nil
+		}
 		if last.less.IsZero() {
 			last.less = now
 		}
--- a/internal/traffic/supply/supply_test.go
+++ b/internal/traffic/supply/supply_test.go
@@ -21,10 +21,11 @@
 	input   Input
 	orders  []Order
 	dry     map[quetzalhook.Zone]bool
+	totals  map[quetzalhook.Zone]int // of regular engines, as last ordered
 }
 
 func newWorld(t *testing.T, regular int) *world {
-	w := &world{t: t, planner: New(), now: time.Unix(1000, 0), dry: make(map[quetzalhook.Zone]bool)}
+	w := &world{t: t, planner: New(), now: time.Unix(1000, 0), dry: make(map[quetzalhook.Zone]bool), totals: make(map[quetzalhook.Zone]int)}
 	w.input = Input{Min: 1, Max: 12, CheapPrice: 0.2, StartTime: 4 * time.Second}
 	for i, price := range []float64{1, 0.8, 1.25} {
 		w.input.Zones = append(w.input.Zones, Zone{Zone: quetzalhook.Zone("z" + strconv.Itoa(i)), Price: price, Regular: regular})
@@ -73,7 +74,7 @@
 		case o.Cheap:
 			z.Cheap = o.Count
 		default:
-			z.Regular = o.Count
+			z.Regular, w.totals[z.Zone] = o.Count, o.Count
 		}
 	}
 }
@@ -88,7 +89,9 @@
 	return fmt.Sprintf("%s\nprice %.1f, %d orders\n", strings.Join(parts, "\n"), total, len(w.orders))
 }
 
-// Guards against too few engines after the loss of a zone's cheap ones in a
+// Guards against giving back engines that have not registered yet at a start of
+// the whole deployment, so that the first burst finds too few; against too few
+// engines after the loss of a zone's cheap ones in a
 // burst, against paying for regular ones that cheap ones replace, against
 // giving back engines that run because a zone has no more of them, and against
 // orders that follow each small change of the load.
@@ -105,6 +108,18 @@
 						t.Fatal(err)
 					}
 					w = newWorld(t, n)
+				case "register": // regular engines in each zone that have registered
+					n, err := strconv.Atoi(f[1])
+					if err != nil {
+						t.Fatal(err)
+					}
+					for i := range w.input.Zones {
+						z := &w.input.Zones[i]
+						z.Regular = n
+						if total, ok := w.totals[z.Zone]; ok {
+							z.Regular = min(n, total) // the others were given back
+						}
+					}
 				case "busy": // engines that the load keeps busy
 					busy, err := strconv.ParseFloat(f[1], 64)
 					if err != nil {
