--- a/internal/traffic/schedule/engine.go
+++ b/internal/traffic/schedule/engine.go
@@ -43,7 +43,7 @@
 	tokens   int
 }
 
-// urgent reports whether r goes before o at an engine.
+// before reports whether an engine reads r before o.
 func (r *run) before(o *run) bool {
 	if r.request.Class.Tier() != o.request.Class.Tier() {
 		return r.request.Class.Tier() < o.request.Class.Tier()
