Read the kind of a store's failure in one function

Nine packages had a copy each, with three different kinds for an error that is no StoreError; the callers now state that kind. Behaviour is unchanged.

--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -190,15 +190,6 @@
 	writeJSON(w, http.StatusOK, s.deps.Status(r.Context()))
 }
 
-// storeKind returns the store's reason for a failure, if it has one.
-func storeKind(err error) quetzalhook.StoreErrorKind {
-	var e *quetzalhook.StoreError
-	if errors.As(err, &e) {
-		return e.Kind
-	}
-	return ""
-}
-
 func kindOf(err error) string {
 	var document *configuration.Error
 	if errors.As(err, &document) {
@@ -208,7 +199,7 @@
 	if errors.As(err, &key) {
 		return string(key.Kind)
 	}
-	if kind := storeKind(err); kind != "" {
+	if kind := quetzalhook.StoreKind(err, ""); kind != "" {
 		return string(kind)
 	}
 	return "internal"
--- a/internal/fleet/lease/error.go
+++ b/internal/fleet/lease/error.go
@@ -2,8 +2,6 @@
 
 import (
 	"github.com/pkg/errors"
-
-	"quetzalhook"
 )
 
 // Kind classifies the errors of this package.
@@ -56,16 +54,3 @@
 func (l *Lease) fail(op string, kind Kind, err error) error {
 	return &Error{Op: op, Role: l.role, Kind: kind, Err: err}
 }
-
-// storeKind returns the kind of a store error. Errors without a kind count as
-// a lost answer, the case that assumes least.
-func storeKind(err error) quetzalhook.StoreErrorKind {
-	if err == nil {
-		return ""
-	}
-	var e *quetzalhook.StoreError
-	if errors.As(err, &e) {
-		return e.Kind
-	}
-	return quetzalhook.StoreUnknown
-}
--- a/internal/fleet/lease/order.go
+++ b/internal/fleet/lease/order.go
@@ -158,7 +158,7 @@
 func (l *Lease) finish(ctx context.Context, id string, err error) bool {
 	l.op <- struct{}{}
 	defer func() { <-l.op }()
-	if err != nil && (storeKind(err) == quetzalhook.StoreUnknown || l.count[id] > 1) {
+	if err != nil && (quetzalhook.StoreKind(err, quetzalhook.StoreUnknown) == quetzalhook.StoreUnknown || l.count[id] > 1) {
 		l.own[id] = unclear
 		return true
 	}
--- a/internal/fleet/lease/step.go
+++ b/internal/fleet/lease/step.go
@@ -238,7 +238,7 @@
 		}
 		d.Nonce, d.TermMS = l.nonce(), l.term.Milliseconds()
 		err = l.put(ctx, d)
-		if k := storeKind(err); k != quetzalhook.StoreConflict && k != quetzalhook.StoreUnknown {
+		if k := quetzalhook.StoreKind(err, quetzalhook.StoreUnknown); k != quetzalhook.StoreConflict && k != quetzalhook.StoreUnknown {
 			return err
 		}
 	}
@@ -250,7 +250,7 @@
 func (l *Lease) put(ctx context.Context, d document) error {
 	sent := l.clock.Now()
 	version, err := l.store.Put(ctx, l.key, d.encode(), l.version)
-	switch storeKind(err) {
+	switch quetzalhook.StoreKind(err, quetzalhook.StoreUnknown) {
 	case "":
 		l.adopt(d, version, sent)
 		return nil
@@ -289,7 +289,7 @@
 // read fetches the object.
 func (l *Lease) read(ctx context.Context) error {
 	o, err := l.store.Get(ctx, l.key)
-	if err != nil && storeKind(err) != quetzalhook.StoreNotFound {
+	if err != nil && quetzalhook.StoreKind(err, quetzalhook.StoreUnknown) != quetzalhook.StoreNotFound {
 		return err
 	}
 	if o.Version < l.version {
--- a/internal/fleet/provisioner/provisioner.go
+++ b/internal/fleet/provisioner/provisioner.go
@@ -98,7 +98,7 @@
 		switch {
 		case err == nil:
 			log.Info("upstreams ordered")
-		case isConflict(err):
+		case quetzalhook.StoreKind(err, "") == quetzalhook.StoreConflict:
 			planner.Refused(p.clock.Now(), o)
 			log.Info("platform has no such upstreams at present")
 		default:
@@ -123,11 +123,6 @@
 
 var errNotHolder = errors.New("the duty has passed to another host")
 
-func isConflict(err error) bool {
-	var e *quetzalhook.StoreError
-	return errors.As(err, &e) && e.Kind == quetzalhook.StoreConflict
-}
-
 // input describes the zones of a service. Zones are those with a price.
 func input(s *routing.Service, upstreams []quetzalhook.Upstream) supply.Input {
 	in := supply.Input{Min: s.Scaling.Min, Max: s.Scaling.Max, CheapPrice: s.Scaling.CheapPrice, StartTime: s.Scaling.StartTime}
--- a/internal/fleet/registration/registration.go
+++ b/internal/fleet/registration/registration.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -96,7 +95,7 @@
 		return &Error{Op: "register", Kind: ErrorCorrupt, Err: err}
 	}
 	_, err = r.store.Put(ctx, r.key(), value, 0)
-	if storeKind(err) != quetzalhook.StoreConflict {
+	if quetzalhook.StoreKind(err, "") != quetzalhook.StoreConflict {
 		return wrap("register", err)
 	}
 	o, err := r.store.Get(ctx, r.key())
@@ -112,7 +111,7 @@
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	o, err := r.store.Get(ctx, r.key())
-	if storeKind(err) == quetzalhook.StoreNotFound {
+	if quetzalhook.StoreKind(err, "") == quetzalhook.StoreNotFound {
 		return nil
 	}
 	if err != nil {
@@ -176,11 +175,3 @@
 	}
 	return &Error{Op: op, Kind: ErrorStore, Err: err}
 }
-
-func storeKind(err error) quetzalhook.StoreErrorKind {
-	var e *quetzalhook.StoreError
-	if errors.As(err, &e) {
-		return e.Kind
-	}
-	return ""
-}
--- a/internal/record/billing/frozen.go
+++ b/internal/record/billing/frozen.go
@@ -105,7 +105,7 @@
 // the caller reads what there is.
 func (r *Reporter) create(ctx context.Context, key string, value []byte) error {
 	_, err := r.store.Put(ctx, key, value, 0)
-	switch storeKind(err) {
+	switch quetzalhook.StoreKind(err, quetzalhook.StoreUnknown) {
 	case "", quetzalhook.StoreConflict, quetzalhook.StoreUnknown:
 		return nil
 	}
@@ -127,7 +127,7 @@
 // fetch reads the report body of a window from the store.
 func (r *Reporter) fetch(ctx context.Context, w usage.Window) ([]byte, error) {
 	o, err := r.store.Get(ctx, frozenPrefix+string(w))
-	if storeKind(err) == quetzalhook.StoreNotFound {
+	if quetzalhook.StoreKind(err, quetzalhook.StoreUnknown) == quetzalhook.StoreNotFound {
 		return nil, nil
 	}
 	if err != nil {
@@ -148,16 +148,3 @@
 	body := append([]byte(`{"window":"`+string(w)+`","lines":[`), bytes.Join(parts, []byte(","))...)
 	return append(body, "]}"...), nil
 }
-
-// storeKind returns the kind of a store error. Errors without a kind count as
-// a lost answer, the case that assumes least.
-func storeKind(err error) quetzalhook.StoreErrorKind {
-	if err == nil {
-		return ""
-	}
-	var e *quetzalhook.StoreError
-	if errors.As(err, &e) {
-		return e.Kind
-	}
-	return quetzalhook.StoreUnknown
-}
--- a/internal/record/billing/reporter.go
+++ b/internal/record/billing/reporter.go
@@ -183,7 +183,7 @@
 // the window that is current.
 func (r *Reporter) loadState(ctx context.Context) (state, quetzalhook.Version, error) {
 	o, err := r.store.Get(ctx, stateKey)
-	if storeKind(err) == quetzalhook.StoreNotFound {
+	if quetzalhook.StoreKind(err, quetzalhook.StoreUnknown) == quetzalhook.StoreNotFound {
 		s := state{First: r.schedule.At(r.calendar.Now())}
 		s.Reported = r.schedule.At(r.calendar.Now().Add(-r.schedule.Length()))
 		version, err := r.saveState(ctx, s, 0)
--- a/internal/record/configuration/clean.go
+++ b/internal/record/configuration/clean.go
@@ -20,11 +20,11 @@
 	var err error
 	for range storeAttempts {
 		o, getErr := p.store.Get(ctx, key)
-		if kind := storeKind(getErr); kind != "" && kind != quetzalhook.StoreNotFound {
+		if kind := quetzalhook.StoreKind(getErr, quetzalhook.StoreUnavailable); kind != "" && kind != quetzalhook.StoreNotFound {
 			return storeFailure("write", getErr)
 		}
 		_, err = p.store.Put(ctx, key, value, o.Version)
-		switch storeKind(err) {
+		switch quetzalhook.StoreKind(err, quetzalhook.StoreUnavailable) {
 		case "":
 			return nil
 		case quetzalhook.StoreConflict, quetzalhook.StoreUnknown:
@@ -122,7 +122,7 @@
 
 // remove deletes an object unless it has changed since it was read.
 func (p *Planner) remove(ctx context.Context, o quetzalhook.Object) error {
-	switch err := p.store.Delete(ctx, o.Key, o.Version); storeKind(err) {
+	switch err := p.store.Delete(ctx, o.Key, o.Version); quetzalhook.StoreKind(err, quetzalhook.StoreUnavailable) {
 	case "", quetzalhook.StoreConflict, quetzalhook.StoreNotFound, quetzalhook.StoreUnknown:
 		return nil
 	default:
--- a/internal/record/configuration/planner.go
+++ b/internal/record/configuration/planner.go
@@ -163,7 +163,7 @@
 		return false, err
 	}
 	_, err = p.store.Put(ctx, headKey, value, version)
-	switch storeKind(err) {
+	switch quetzalhook.StoreKind(err, quetzalhook.StoreUnavailable) {
 	case "", quetzalhook.StoreUnknown, quetzalhook.StoreConflict:
 		// The next read tells by the plan's id whose change took effect.
 		return err == nil, nil
@@ -241,7 +241,7 @@
 	var err error
 	for range storeAttempts {
 		_, err = p.store.Put(ctx, key, value, 0)
-		switch storeKind(err) {
+		switch quetzalhook.StoreKind(err, quetzalhook.StoreUnavailable) {
 		case "", quetzalhook.StoreConflict:
 			return nil
 		case quetzalhook.StoreUnknown:
@@ -267,7 +267,7 @@
 func readHead(ctx context.Context, store quetzalhook.Store) (Head, quetzalhook.Version, error) {
 	var head Head
 	o, err := store.Get(ctx, headKey)
-	if storeKind(err) == quetzalhook.StoreNotFound {
+	if quetzalhook.StoreKind(err, quetzalhook.StoreUnavailable) == quetzalhook.StoreNotFound {
 		return head, 0, nil
 	}
 	if err != nil {
@@ -279,23 +279,9 @@
 	return head, o.Version, nil
 }
 
-// storeKind returns the kind of a store error, "" for none and
-// StoreUnavailable for an error of another type.
-func storeKind(err error) quetzalhook.StoreErrorKind {
-	var e *quetzalhook.StoreError
-	switch {
-	case err == nil:
-		return ""
-	case errors.As(err, &e):
-		return e.Kind
-	default:
-		return quetzalhook.StoreUnavailable
-	}
-}
-
 func storeFailure(op string, err error) error {
 	kind := ErrorUnavailable
-	if storeKind(err) == quetzalhook.StoreNotFound {
+	if quetzalhook.StoreKind(err, quetzalhook.StoreUnavailable) == quetzalhook.StoreNotFound {
 		kind = ErrorNotFound
 	}
 	return &Error{Op: op, Kind: kind, Err: err}
--- a/internal/record/credential/persist.go
+++ b/internal/record/credential/persist.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/pkg/errors"
 
 	"quetzalhook"
 	"quetzalhook/internal/platform/watch"
@@ -63,7 +62,7 @@
 // decode reads an object into v, which stays as it is if there is none.
 func (r *Registry) decode(ctx context.Context, key string, v any) (quetzalhook.Version, error) {
 	o, err := r.store.Get(ctx, key)
-	if storeKind(err) == quetzalhook.StoreNotFound {
+	if quetzalhook.StoreKind(err, quetzalhook.StoreUnavailable) == quetzalhook.StoreNotFound {
 		return 0, nil
 	}
 	if err != nil {
@@ -99,7 +98,7 @@
 	var err error
 	for range storeAttempts {
 		o, getErr := r.store.Get(ctx, key)
-		if kind := storeKind(getErr); kind != "" && kind != quetzalhook.StoreNotFound {
+		if kind := quetzalhook.StoreKind(getErr, quetzalhook.StoreUnavailable); kind != "" && kind != quetzalhook.StoreNotFound {
 			return &Error{Op: "read", Kind: ErrorUnavailable, Err: getErr}
 		}
 		v, changeErr := change(o.Value)
@@ -111,7 +110,7 @@
 			return &Error{Op: "write", Kind: ErrorCorrupt, Err: encodeErr}
 		}
 		_, err = r.store.Put(ctx, key, value, o.Version)
-		switch storeKind(err) {
+		switch quetzalhook.StoreKind(err, quetzalhook.StoreUnavailable) {
 		case "":
 			return nil
 		case quetzalhook.StoreConflict, quetzalhook.StoreUnknown:
@@ -291,18 +290,6 @@
 	r.merge(n, s)
 }
 
-func storeKind(err error) quetzalhook.StoreErrorKind {
-	var e *quetzalhook.StoreError
-	switch {
-	case err == nil:
-		return ""
-	case errors.As(err, &e):
-		return e.Kind
-	default:
-		return quetzalhook.StoreUnavailable
-	}
-}
-
 // sleep waits for d and reports whether ctx is still open.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/record/journal/lane.go
+++ b/internal/record/journal/lane.go
@@ -192,7 +192,7 @@
 		if err == nil {
 			return
 		}
-		if down++; storeKind(err) != quetzalhook.StoreUnavailable {
+		if down++; quetzalhook.StoreKind(err, quetzalhook.StoreUnknown) != quetzalhook.StoreUnavailable {
 			down = 0
 		}
 		if down >= triesWhileDown {
@@ -288,7 +288,7 @@
 		return nil
 	}
 	base := quetzalhook.Version(-1)
-	if storeKind(err) == quetzalhook.StoreUnknown {
+	if quetzalhook.StoreKind(err, quetzalhook.StoreUnknown) == quetzalhook.StoreUnknown {
 		base = l.version
 	}
 	for _, p := range written {
@@ -318,7 +318,7 @@
 
 func (l *lane) fetch(ctx context.Context) (*shard, quetzalhook.Version, error) {
 	o, err := l.j.store.Get(ctx, l.key)
-	if storeKind(err) == quetzalhook.StoreNotFound {
+	if quetzalhook.StoreKind(err, quetzalhook.StoreUnknown) == quetzalhook.StoreNotFound {
 		return newShard(), 0, nil
 	}
 	if err != nil {
--- a/internal/record/journal/outcome.go
+++ b/internal/record/journal/outcome.go
@@ -81,7 +81,7 @@
 func (j *Journal) storeResponse(ctx context.Context, c Claim, response []byte) error {
 	for {
 		_, err := j.store.Put(ctx, responseKey(c.nonce), response, 0)
-		switch storeKind(err) {
+		switch quetzalhook.StoreKind(err, quetzalhook.StoreUnknown) {
 		case "", quetzalhook.StoreConflict:
 			return nil
 		case quetzalhook.StoreTooLarge:
@@ -133,7 +133,7 @@
 	if err == nil {
 		err = l.j.store.Delete(ctx, o.Key, o.Version)
 	}
-	if storeKind(err) == quetzalhook.StoreNotFound {
+	if quetzalhook.StoreKind(err, quetzalhook.StoreUnknown) == quetzalhook.StoreNotFound {
 		return nil
 	}
 	return err
@@ -159,16 +159,3 @@
 		return true
 	}
 }
-
-// storeKind returns the kind of a store error. Errors without a kind count as
-// a lost answer, the case that assumes least.
-func storeKind(err error) quetzalhook.StoreErrorKind {
-	if err == nil {
-		return ""
-	}
-	var e *quetzalhook.StoreError
-	if errors.As(err, &e) {
-		return e.Kind
-	}
-	return quetzalhook.StoreUnknown
-}
--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -209,7 +209,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if storeKind(err) == quetzalhook.StoreHistoryGone {
+		if quetzalhook.StoreKind(err, "") == quetzalhook.StoreHistoryGone {
 			f.log.WithField("prefix", prefix).WithField("position", after).Info("watch history gone; listing again")
 			after = 0
 			continue
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -169,12 +168,3 @@
 	f.complete = max(f.complete, answer.Complete)
 	f.publish()
 }
-
-// storeKind returns the kind of a store error.
-func storeKind(err error) quetzalhook.StoreErrorKind {
-	var e *quetzalhook.StoreError
-	if errors.As(err, &e) {
-		return e.Kind
-	}
-	return ""
-}
--- a/internal/record/usage/flush.go
+++ b/internal/record/usage/flush.go
@@ -127,9 +127,9 @@
 	}
 	base := m.version(o)
 	version, err := m.store.Put(ctx, o.key, value, base)
-	if k := storeKind(err); k == quetzalhook.StoreConflict || k == quetzalhook.StoreUnknown {
+	if k := quetzalhook.StoreKind(err, quetzalhook.StoreUnknown); k == quetzalhook.StoreConflict || k == quetzalhook.StoreUnknown {
 		current, readErr := m.store.Get(ctx, o.key)
-		if readErr != nil && storeKind(readErr) != quetzalhook.StoreNotFound {
+		if readErr != nil && quetzalhook.StoreKind(readErr, quetzalhook.StoreUnknown) != quetzalhook.StoreNotFound {
 			return errors.Wrapf(readErr, "read %s", o.key)
 		}
 		version, err = m.store.Put(ctx, o.key, value, current.Version)
@@ -207,16 +207,3 @@
 		}
 	}
 }
-
-// storeKind returns the kind of a store error. Errors without a kind count as
-// a lost answer, the case that assumes least.
-func storeKind(err error) quetzalhook.StoreErrorKind {
-	if err == nil {
-		return ""
-	}
-	var e *quetzalhook.StoreError
-	if errors.As(err, &e) {
-		return e.Kind
-	}
-	return quetzalhook.StoreUnknown
-}
--- a/platform.go
+++ b/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -70,6 +71,20 @@
 // Unwrap returns the cause.
 func (e *StoreError) Unwrap() error { return e.Err }
 
+// StoreKind returns the kind of a failure of a Store: empty for no error, other
+// for an error that is no StoreError. A caller whose change may have taken
+// effect passes StoreUnknown.
+func StoreKind(err error, other StoreErrorKind) StoreErrorKind {
+	var e *StoreError
+	switch {
+	case err == nil:
+		return ""
+	case errors.As(err, &e):
+		return e.Kind
+	}
+	return other
+}
+
 // Store is the platform's versioned object API. Every call counts against
 // the platform's rates, a waiting watch as one.
 type Store interface {
