Keep a decision until its host has collected it

Cause: the leader forgot a decision as soon as it was made. One that fell between two calls of the asking host (24 ms of 124 between regions), or on the very moment at which a call ended, was lost: the next call queued the request anew, behind all others and with a new submission time, while the scheduler counted it as running on the engine chosen first. Ruled out: timers of the test; the new script, with a delay between hosts, fails on every run before the change. Before: deadline exceeded after 420 ms. After: refused after 400 ms; 50 runs under the race detector and 100 without it pass. Conclusion: the desk keeps a decided waiter until it is collected, its request ends, or its host has not asked for it for a second.

--- a/internal/fleet/dispatcher/desk.go
+++ b/internal/fleet/dispatcher/desk.go
@@ -29,10 +29,13 @@
 	refusal *quetzalhook.Refusal
 }
 
-// waiter is a request that waits for its decision.
+// waiter is a request that waits for its decision, or whose decision its host
+// has not collected yet: a host asks again and again, and a decision may fall
+// between two of its calls.
 type waiter struct {
-	owner quetzalhook.HostID
-	ready chan decided // buffered; gets one decision
+	owner   quetzalhook.HostID
+	ready   chan decided // buffered; gets one decision
+	decided time.Time    // zero while it waits
 }
 
 // desk runs a scheduler for concurrent requests of several hosts.
@@ -59,13 +62,12 @@
 func (d *desk) apply(decisions []schedule.Decision) {
 	for _, c := range decisions {
 		w := d.waiters[c.Request]
-		if w == nil {
+		if w == nil || !w.decided.IsZero() {
 			continue
 		}
-		delete(d.waiters, c.Request)
+		w.decided = d.clock.Now()
 		fields := logrus.Fields{"request": c.Request, "for": w.owner, "waiting": c.Waiting}
 		if c.Refusal != nil {
-			delete(d.owners, c.Request)
 			d.log.WithFields(fields).WithField("refusal", c.Refusal.Kind).WithField("retry-after-ms", c.Refusal.RetryAfter.Milliseconds()).
 				Info("request refused by the scheduler")
 			w.ready <- decided{refusal: c.Refusal}
@@ -77,7 +79,8 @@
 	}
 }
 
-// submit queues a request of a host, unless it waits already.
+// submit queues a request of a host, unless it waits already or its decision
+// waits for the host.
 func (d *desk) submit(owner quetzalhook.HostID, r quetzalhook.Request) *waiter {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -95,12 +98,32 @@
 	w := d.submit(owner, r)
 	select {
 	case c := <-w.ready:
+		d.collected(r.ID, w, c)
 		return c, nil
 	case <-ctx.Done():
+	}
+	select {
+	case c := <-w.ready: // it came at the same moment
+		d.collected(r.ID, w, c)
+		return c, nil
+	default:
 		return decided{}, context.Cause(ctx)
 	}
 }
 
+// collected notes that the host of a request has its decision.
+func (d *desk) collected(id quetzalhook.RequestID, w *waiter, c decided) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.waiters[id] != w {
+		return
+	}
+	delete(d.waiters, id)
+	if c.refusal != nil {
+		delete(d.owners, id)
+	}
+}
+
 // progress reports output tokens of a request.
 func (d *desk) progress(id quetzalhook.RequestID, tokens int) {
 	d.mu.Lock()
@@ -134,7 +157,8 @@
 	listed := make(map[quetzalhook.RequestID]bool, len(running))
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.synced[owner] = d.clock.Now()
+	now := d.clock.Now()
+	d.synced[owner] = now
 	var unknown []quetzalhook.RequestID
 	for _, id := range running {
 		listed[id] = true
@@ -143,11 +167,21 @@
 		}
 	}
 	d.drop(func(id quetzalhook.RequestID, host quetzalhook.HostID) bool {
-		return host == owner && !listed[id] && d.waiters[id] == nil
+		return host == owner && !listed[id] && !d.waiters[id].isExpected(now)
 	})
 	return unknown
 }
 
+// collectLimit is how long a decision is kept for a host that does not ask for
+// it: several times the longest pause between two calls of a host.
+const collectLimit = 4 * answerLimit
+
+// isExpected reports whether the host of a request may still ask for its
+// decision. It is false for nil.
+func (w *waiter) isExpected(now time.Time) bool {
+	return w != nil && (w.decided.IsZero() || now.Sub(w.decided) < collectLimit)
+}
+
 // drop forgets requests. The caller holds d.mu.
 func (d *desk) drop(which func(quetzalhook.RequestID, quetzalhook.HostID) bool) {
 	for id, host := range d.owners {
--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -50,6 +50,7 @@
 
 	mu     sync.Mutex // guards what the dispatchers' own goroutines read
 	leader string
+	delay  time.Duration
 	cut    map[string]bool
 	gone   map[quetzalhook.UpstreamID]bool // known to all but the leader
 }
@@ -60,11 +61,7 @@
 		t: t, network: peer.NewNetwork(clock, 1), hosts: make(map[string]*Dispatcher), leader: "h0",
 		cut: make(map[string]bool), gone: make(map[quetzalhook.UpstreamID]bool), tickets: make(map[string]quetzalhook.Ticket),
 	}
-	w.network.SetFaults(peer.NetworkFaults{Cut: func(a, b quetzalhook.HostID) bool {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		return w.cut[string(a)] || w.cut[string(b)]
-	}})
+	w.setFaults()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	for i := range 3 {
@@ -80,6 +77,15 @@
 	return w
 }
 
+// setFaults puts the delay and the cuts of the script in force.
+func (w *world) setFaults() {
+	w.network.SetFaults(peer.NetworkFaults{Delay: w.delay, Cut: func(a, b quetzalhook.HostID) bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.cut[string(a)] || w.cut[string(b)]
+	}})
+}
+
 func (w *world) leading() quetzalhook.HostID {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -157,6 +163,9 @@
 		w.engines(n(1), n(2))
 	case "ask": // host id patience-ms
 		w.ask(f[1], f[2], time.Duration(n(3))*time.Millisecond)
+	case "delay": // between two hosts, one way
+		w.delay = time.Duration(n(1)) * time.Millisecond
+		w.setFaults()
 	case "end": // id end
 		ends := map[string]quetzalhook.End{"finished": quetzalhook.EndFinished, "broken": quetzalhook.EndBroken, "not-sent": quetzalhook.EndNotSent}
 		w.tickets[f[1]].End(quetzalhook.AttemptEnd{End: ends[f[2]]})
@@ -193,7 +202,8 @@
 }
 
 // Guards against a request that waits for a lost leader, against a leader that
-// does not learn of requests that run, or never forgets them, and against a
+// does not learn of requests that run, or never forgets them, against a
+// decision that is lost because its host is between two calls, and against a
 // request that is sent again beyond what its route allows.
 func TestDispatching(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
