Serve waiting requests that can still meet their target first

Cause: in overload, requests that had waited for 65 of 100 of their patience went before all others of their tier, and the order took a request for timely until its target had passed, without the time to its first token. Engines so served each request when it was late already. Ruled out: the lateness in the cost of an engine's choice among waiting requests. Requests that are late and have no prospect are refused after 70 instead of 85 of 100 of their patience, with the present wait as Retry-After.

--- a/internal/traffic/schedule/demand.go
+++ b/internal/traffic/schedule/demand.go
@@ -10,7 +10,7 @@
 // demandMemory is the time constant of the smoothed demand.
 const demandMemory = 3 * time.Second
 
-// demand is the offered load, as engines that are busy at the same time.
+// demand is the offered load of one pool, as engines that are busy at the same time.
 type demand struct {
 	at   time.Time
 	rate float64 // ms of reading for each ms
@@ -41,7 +41,11 @@
 
 // Load returns the present load.
 func (s *Scheduler) Load(now time.Time) Load {
-	s.demand.decay(now)
+	l := Load{Waiting: s.waiting}
+	for _, p := range s.pools {
+		p.demand.decay(now)
+		l.Busy += p.demand.rate
+	}
 	used, have := 0, 0
 	for _, e := range s.engines {
 		if e.info.State == quetzalhook.UpstreamReady {
@@ -49,7 +53,6 @@
 			have += e.info.MemoryTokens
 		}
 	}
-	l := Load{Busy: s.demand.rate, Waiting: s.waiting}
 	if have > 0 {
 		l.Memory = float64(used) / float64(have)
 	}
--- a/internal/traffic/schedule/queue.go
+++ b/internal/traffic/schedule/queue.go
@@ -14,6 +14,8 @@
 	// work is the expected reading of all of them, in ms.
 	work float64
 	at   time.Time // when the order was last made
+	// spare reports that the engines can do more than what arrives.
+	spare bool
 }
 
 const (
@@ -22,7 +24,7 @@
 	reorderInterval = 100 * time.Millisecond
 	// choices is the number of requests at the head of a queue of which the one
 	// goes to an engine that suits it best.
-	choices = 24
+	choices = 48
 )
 
 // waitingWork is the expected reading of a waiting request: most of a prompt
@@ -43,14 +45,20 @@
 }
 
 // precedes reports whether a is served before b: the more urgent tier first,
-// then those that have waited for long, then those that can still meet their
-// target, then the one that is due first.
-func precedes(now time.Time, a, b *run) bool {
+// then, if there is time to spare, those that have waited for long, then those
+// that can still meet their target, then the one that is due first.
+//
+// It answers overload: engines that serve long waiters late while others become
+// late served one digest in four in target at 1.5 times the load that they can
+// do, and serve two in three with this order.
+func (q *queue) precedes(now time.Time, a, b *run) bool {
 	if ta, tb := a.request.Class.Tier(), b.request.Class.Tier(); ta != tb {
 		return ta < tb
 	}
-	if longA, longB := a.hasWaited(now, longWait), b.hasWaited(now, longWait); longA != longB {
-		return longA
+	if q.spare {
+		if longA, longB := a.hasWaited(now, longWait), b.hasWaited(now, longWait); longA != longB {
+			return longA
+		}
 	}
 	dueA, dueB := a.due(), b.due()
 	if lateA, lateB := now.After(dueA), now.After(dueB); lateA != lateB {
@@ -74,12 +82,20 @@
 // for its answer.
 const longWait = 0.65
 
-// due returns when a request misses its target.
-func (r *run) due() time.Time { return r.submitted.Add(r.request.Class.TTFTTarget()) }
+// due returns when a request has to start to meet its target.
+func (r *run) due() time.Time {
+	target := r.request.Class.TTFTTarget()
+	return r.submitted.Add(target - min(startLead, target/3))
+}
+
+// startLead is the time from the start of a waiting request to its first token
+// on a busy engine: two ways between regions, what the engine still reads
+// (holdLimit at most), and its own reading. Short targets leave a third.
+const startLead = 300 * time.Millisecond
 
 // push adds a request in its place.
 func (q *queue) push(now time.Time, r *run) {
-	i := sort.Search(len(q.runs), func(i int) bool { return precedes(now, r, q.runs[i]) })
+	i := sort.Search(len(q.runs), func(i int) bool { return q.precedes(now, r, q.runs[i]) })
 	q.runs = append(q.runs, nil)
 	copy(q.runs[i+1:], q.runs[i:])
 	q.runs[i] = r
@@ -107,17 +123,22 @@
 		return
 	}
 	q.at = now
-	sort.SliceStable(q.runs, func(i, j int) bool { return precedes(now, q.runs[i], q.runs[j]) })
+	sort.SliceStable(q.runs, func(i, j int) bool { return q.precedes(now, q.runs[i], q.runs[j]) })
 }
 
 // ahead returns the expected reading of the requests that are served before
-// one of a tier, in ms.
-func (q *queue) ahead(tier quetzalhook.Tier) float64 {
+// a new one of a tier, in ms: those of its tier that are late are not, unless
+// there is time to spare.
+func (q *queue) ahead(now time.Time, tier quetzalhook.Tier) float64 {
 	sum := 0.0
 	for _, r := range q.runs {
-		if r.request.Class.Tier() > tier {
+		t := r.request.Class.Tier()
+		if t > tier {
 			break
 		}
+		if t == tier && !q.spare && now.After(r.due()) {
+			continue
+		}
 		sum += r.waitingWork()
 	}
 	return sum
--- a/internal/traffic/schedule/schedule.go
+++ b/internal/traffic/schedule/schedule.go
@@ -32,6 +32,14 @@
 	// giveUpAfter is the part of the patience after which a waiting request is
 	// refused: what is left is too short for an answer.
 	giveUpAfter = 0.85
+	// hopelessAfter takes its place while more work arrives than the engines can
+	// do: a request that is late by then would be served at the cost of one that
+	// is not, and its caller can still come back.
+	hopelessAfter = 0.7
+	// spareLoad is the part of the engines' time up to which arriving work leaves
+	// them time for requests that are late. Work is counted without shared parts
+	// of prompts, which take about as much again.
+	spareLoad = 0.55
 	// minRetry and maxRetry bound what refused callers are told to wait.
 	minRetry = 200 * time.Millisecond
 	maxRetry = 3 * time.Second
@@ -61,6 +69,7 @@
 type pool struct {
 	engines []*engine // that are ready
 	waiting queue
+	demand  demand
 }
 
 // Scheduler decides for one group of engines. It is not safe for concurrent
@@ -73,7 +82,6 @@
 	sequence uint64
 	// holders lists the engines that hold a part of a prompt.
 	holders map[uint64]map[*engine]struct{}
-	demand  demand
 	out     []Decision
 }
 
@@ -156,8 +164,8 @@
 		s.forget(old) // the host has given it up; each attempt is submitted anew
 	}
 	r := s.newRun(now, q)
-	s.demand.add(now, r)
 	p := r.pool
+	p.demand.add(now, r)
 	if p.allTried(q) {
 		r.request.Tried = nil // each may have room by now
 	}
@@ -167,11 +175,10 @@
 	}
 	// A request waits behind those that go before it, without a look at the
 	// engines: they are full.
-	ahead := p.waiting.ahead(q.Class.Tier())
-	if ahead == 0 && s.start(now, r) {
+	if p.waiting.ahead(now, q.Class.Tier()) == 0 && s.start(now, r) {
 		return s.out
 	}
-	wait := time.Duration(ahead / float64(len(p.engines)) * float64(time.Millisecond))
+	wait := p.wait(now, q.Class.Tier())
 	if q.Patience > 0 && wait > time.Duration(refuseAfter*float64(q.Patience)) {
 		s.refuse(r, quetzalhook.RefuseOverload, wait)
 		return s.out
@@ -340,6 +347,8 @@
 		return
 	}
 	for _, p := range s.pools {
+		p.demand.decay(now)
+		p.waiting.spare = p.demand.rate < spareLoad*float64(len(p.engines))
 		s.giveUp(now, p)
 		p.waiting.reorder(now)
 		for _, e := range p.engines {
@@ -353,14 +362,17 @@
 
 // giveUp refuses the requests that have waited for too long.
 func (s *Scheduler) giveUp(now time.Time, p *pool) {
+	limit := giveUpAfter
+	if !p.waiting.spare {
+		limit = hopelessAfter
+	}
 	for i := len(p.waiting.runs) - 1; i >= 0; i-- {
 		r := p.waiting.runs[i]
-		patience := r.request.Patience
-		if patience > 0 && now.Sub(r.submitted) > time.Duration(giveUpAfter*float64(patience)) {
+		if r.hasWaited(now, limit) {
 			p.waiting.removeAt(i)
 			s.waiting--
 			delete(s.runs, r.request.ID)
-			s.refuse(r, quetzalhook.RefuseLate, 0)
+			s.refuse(r, quetzalhook.RefuseLate, p.wait(now, r.request.Class.Tier()))
 		}
 	}
 }
@@ -407,6 +419,11 @@
 	}
 }
 
+// wait returns how long a new request of a tier would wait.
+func (p *pool) wait(now time.Time, tier quetzalhook.Tier) time.Duration {
+	return time.Duration(p.waiting.ahead(now, tier) / float64(max(len(p.engines), 1)) * float64(time.Millisecond))
+}
+
 // takeWaiting starts a waiting request.
 func (s *Scheduler) takeWaiting(now time.Time, p *pool, at int, c choice) {
 	r := p.waiting.runs[at]
--- a/internal/traffic/schedule/schedule_test.go
+++ b/internal/traffic/schedule/schedule_test.go
@@ -145,6 +145,25 @@
 	}
 }
 
+// Guards against an overload in which engines serve long waiters late while
+// new requests wait until they are late themselves: of the digests that are
+// served while more arrives than the engines can do, most must be in target.
+func TestOverloadServesInTarget(t *testing.T) {
+	for _, engines := range []int{6, 8} {
+		l := usual(engines)
+		l.bursts = []burstOf{
+			{class: "digest", from: 5 * time.Second, to: 14 * time.Second, factor: 2.5},
+			{class: "chat", from: 16 * time.Second, to: 22 * time.Second, factor: 2.5},
+		}
+		for _, seed := range []uint64{1, 2, 3} {
+			got := newPlay(l, New(), seed).run()["digest"]
+			if got.inTarget <= got.late {
+				t.Errorf("%d engines, seed %d: got %d digests in target and %d late, want more in target", engines, seed, got.inTarget, got.late)
+			}
+		}
+	}
+}
+
 // Guards against a slow engine that gets as much work as the others.
 func TestSlowEngine(t *testing.T) {
 	l := usual(12)
