Add a fault soak of real processes

Hosts run as separate processes; store, duties, engines and plain services are played beside them; proxies on loopback delay, reset, forget, hold back one way or cut connections; signals pause, kill, stop, hang up and restart hosts, alone, in series and overlapping. Thirteen promises are checked from what callers and upstreams see; the scripted test breaks each of them once and sees the check fail. Not covered: cuts between hosts other than by pauses, and clocks that jump.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,145 @@
+// Command soak runs the real programs as separate processes on this machine,
+// injects faults from outside them, and checks what callers and upstreams see.
+// It prints one line for each seed and fails if a promise was broken; the
+// hosts' logs of such a seed are kept.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"quetzalhook/internal/bench/soak"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "inject faults into hosts that run as processes, and check what callers and upstreams see",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "program", Value: "target/quetzalhook", Usage: "`PATH` of the quetzalhook program", Sources: cli.EnvVars("SOAK_PROGRAM")},
+			&cli.Uint64Flag{Name: "seed", Usage: "first seed; 0 takes one from the time of day", Sources: cli.EnvVars("SOAK_SEED")},
+			&cli.IntFlag{Name: "runs", Value: 1, Usage: "number of seeds, one after the other", Sources: cli.EnvVars("SOAK_RUNS")},
+			&cli.IntFlag{Name: "hosts", Value: 6, Usage: "hosts of a run", Sources: cli.EnvVars("SOAK_HOSTS")},
+			&cli.IntFlag{Name: "callers", Value: 24, Usage: "callers of a run", Sources: cli.EnvVars("SOAK_CALLERS")},
+			&cli.DurationFlag{Name: "length", Value: 20 * time.Second, Usage: "time during which faults are injected", Sources: cli.EnvVars("SOAK_LENGTH")},
+			&cli.StringFlag{Name: "regressions", Usage: "`FILE` with lines SEED HOSTS LENGTH that are played instead; the rest of a line after # is a comment", Sources: cli.EnvVars("SOAK_REGRESSIONS")},
+			&cli.StringFlag{Name: "logs", Usage: "`DIRECTORY` for the logs of seeds that fail; default: a temporary one", Sources: cli.EnvVars("SOAK_LOGS")},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	list, err := runs(cmd)
+	if err != nil {
+		return err
+	}
+	failed := 0
+	for _, s := range list {
+		if ctx.Err() != nil {
+			break
+		}
+		ok, err := runSeed(ctx, cmd.String("logs"), s)
+		if err != nil {
+			return err
+		}
+		if !ok {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return errors.Errorf("%d of %d seeds broke a promise", failed, len(list))
+	}
+	return nil
+}
+
+// runs returns the runs that the flags ask for.
+func runs(cmd *cli.Command) ([]soak.Settings, error) {
+	base := soak.Settings{Program: cmd.String("program"), Hosts: cmd.Int("hosts"), Callers: cmd.Int("callers"), Length: cmd.Duration("length")}
+	if base.Hosts < 1 || base.Callers < 1 || base.Length <= 0 {
+		return nil, errors.Errorf("--hosts %d, --callers %d and --length %v must be positive", base.Hosts, base.Callers, base.Length)
+	}
+	var list []soak.Settings
+	if path := cmd.String("regressions"); path != "" {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		for line := range strings.Lines(string(data)) {
+			text, _, _ := strings.Cut(line, "#")
+			if strings.TrimSpace(text) == "" {
+				continue
+			}
+			s := base
+			var length string
+			if _, err := fmt.Sscan(text, &s.Seed, &s.Hosts, &length); err != nil {
+				return nil, errors.Wrapf(err, "line %q of %s is not SEED HOSTS LENGTH", strings.TrimSpace(line), path)
+			}
+			if s.Length, err = time.ParseDuration(length); err != nil {
+				return nil, errors.Wrapf(err, "line %q of %s", strings.TrimSpace(line), path)
+			}
+			list = append(list, s)
+		}
+		return list, nil
+	}
+	seed := cmd.Uint64("seed")
+	if seed == 0 {
+		seed = uint64(time.Now().Unix())
+	}
+	for i := range cmd.Int("runs") {
+		s := base
+		s.Seed = seed + uint64(i)
+		list = append(list, s)
+	}
+	return list, nil
+}
+
+// runSeed plays one seed and reports whether all promises were kept.
+func runSeed(ctx context.Context, parent string, s soak.Settings) (bool, error) {
+	if parent == "" {
+		parent = os.TempDir()
+	}
+	s.Directory = filepath.Join(parent, fmt.Sprintf("soak-%d", s.Seed))
+	if err := os.MkdirAll(s.Directory, 0o700); err != nil {
+		return false, errors.WithStack(err)
+	}
+	r, err := soak.Run(ctx, s)
+	if err != nil {
+		return false, err
+	}
+	checks := 0
+	for _, n := range r.Checked {
+		checks += n
+	}
+	fmt.Printf("seed=%d hosts=%d length=%v faults=%d checks=%d violations=%d served-after-faults=%d/%d\n",
+		s.Seed, s.Hosts, s.Length, len(r.Script), checks, len(r.Violations), r.Served, r.Sent)
+	if len(r.Violations) == 0 {
+		return true, errors.WithStack(os.RemoveAll(s.Directory))
+	}
+	for _, v := range r.Violations {
+		fmt.Printf("  %s\n", v)
+	}
+	for _, f := range r.Script {
+		fmt.Printf("  fault %s\n", f)
+	}
+	fmt.Printf("  logs: %s\n", s.Directory)
+	return false, nil
+}
--- /dev/null
+++ b/internal/bench/soak/ledger_test.go
@@ -0,0 +1,149 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"quetzalhook"
+	"quetzalhook/platform/standin"
+)
+
+// script plays what callers, upstreams and the platform see into a ledger.
+type script struct {
+	t      *testing.T
+	ledger *Ledger
+	start  time.Time
+	now    time.Time
+	// disturbed are hosts that no bound holds for.
+	disturbed map[quetzalhook.HostID]bool
+	thaws     map[quetzalhook.HostID]time.Time
+}
+
+func newScript(t *testing.T) *script {
+	s := &script{
+		t: t, start: time.Unix(1000, 0), now: time.Unix(1000, 0), disturbed: make(map[quetzalhook.HostID]bool),
+		thaws: make(map[quetzalhook.HostID]time.Time),
+	}
+	s.ledger = NewLedger(func(h quetzalhook.HostID, _ time.Time) bool { return !s.disturbed[h] }, func(h quetzalhook.HostID) time.Time { return s.thaws[h] })
+	return s
+}
+
+func (s *script) number(text string) int64 {
+	var n int64
+	if _, err := fmt.Sscan(text, &n); err != nil {
+		s.t.Fatal(err)
+	}
+	return n
+}
+
+func (s *script) run(line string) {
+	f := strings.Fields(line)
+	has := func(word string) bool { return slices.Contains(f, word) }
+	switch f[0] {
+	case "wait": // ms
+		s.now = s.now.Add(time.Duration(s.number(f[1])) * time.Millisecond)
+	case "disturb":
+		s.disturbed[quetzalhook.HostID(f[1])] = true
+	case "thaw":
+		s.thaws[quetzalhook.HostID(f[1])] = s.now
+	case "send": // id host customer [repeatable]
+		s.ledger.Sent(s.now, quetzalhook.HostID(f[2]), f[3], has("repeatable"), standin.Call{
+			ID: quetzalhook.RequestID(f[1]), Method: "POST", Path: "/p", Body: "b", Patience: 5 * time.Second,
+		})
+	case "ran": // id upstream customer [key] [changed]
+		a := standin.Arrival{
+			ID: quetzalhook.RequestID(f[1]), Upstream: quetzalhook.UpstreamID(f[2]), Customer: f[3], Method: "POST", Path: "/p", Body: "b",
+			HasKey: has("key"), At: s.now,
+		}
+		if has("changed") {
+			a.Body = "other"
+		}
+		s.ledger.Ran(a)
+	case "answer": // id status [cut] [wrong] [stopping]
+		a := standin.Answered{Status: int(s.number(f[2])), Complete: !has("cut")}
+		if has("wrong") {
+			a.Wrong = "an event is missing"
+		}
+		stop := Stop{}
+		if has("stopping") {
+			stop = Stop{At: s.now, Alone: true}
+		}
+		s.ledger.Answered(s.now, quetzalhook.RequestID(f[1]), a, stop)
+	case "left":
+		s.ledger.Left(s.now, quetzalhook.UpstreamID(f[1]))
+	case "confirm": // number key
+		s.ledger.Confirmed(s.now, s.number(f[1]), f[2])
+	case "serves", "lacks": // host boot number
+		s.ledger.Served(s.now, s.now, quetzalhook.HostID(f[1]), int(s.number(f[2])), s.number(f[3]), f[0] == "serves")
+	case "key": // host key
+		s.ledger.KeyWorked(s.now, quetzalhook.HostID(f[1]), f[2])
+	case "report": // holder fencing window figures
+		s.ledger.Duty(standin.Duty{
+			Subject: "usage", Holder: f[1], Fencing: uint64(s.number(f[2])), Window: s.number(f[3]), Figures: f[4], At: s.now,
+		}, has("disturbed"))
+	default:
+		s.t.Fatalf("unknown command %q", line)
+	}
+}
+
+// Guards against a check that passes although its promise is broken, and one
+// that fails although it is kept: each block breaks one promise, or comes
+// close to it.
+func TestLedger(t *testing.T) {
+	datadriven.Walk(t, "testdata/ledger", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			s := newScript(t)
+			for line := range strings.Lines(d.Input) {
+				s.run(strings.TrimSpace(line))
+			}
+			_, violations := s.ledger.Results()
+			var out strings.Builder
+			for _, v := range violations {
+				fmt.Fprintln(&out, v)
+			}
+			if len(violations) == 0 {
+				return "kept\n"
+			}
+			return out.String()
+		})
+	})
+}
+
+// Guards against scripts that differ for one seed, or never have series,
+// overlapping faults or planned work alone.
+func TestDraw(t *testing.T) {
+	length := 20 * time.Second
+	kindsSeen, onlyPlanned, overlapping := make(map[string]int), 0, 0
+	for seed := range uint64(60) {
+		a := draw(rand.New(rand.NewPCG(seed, 1)), length, 6)
+		b := draw(rand.New(rand.NewPCG(seed, 1)), length, 6)
+		if got, want := fmt.Sprint(a), fmt.Sprint(b); got != want {
+			t.Fatalf("seed %d: got %v, want %v", seed, got, want)
+		}
+		planned := true
+		for i, f := range a {
+			kindsSeen[f.kind]++
+			for _, k := range kinds() {
+				planned = planned && (k.name != f.kind || k.planned)
+			}
+			if i > 0 && a[i-1].at+a[i-1].length > f.at {
+				overlapping++
+			}
+		}
+		if planned {
+			onlyPlanned++
+		}
+	}
+	if got, want := len(kindsSeen), len(kinds()); got != want {
+		t.Errorf("kinds of faults in 60 seeds: got %d, want %d", got, want)
+	}
+	if onlyPlanned == 0 || overlapping == 0 {
+		t.Errorf("got %d scripts of planned work alone and %d overlaps, want some of both", onlyPlanned, overlapping)
+	}
+}
--- /dev/null
+++ b/internal/bench/soak/process.go
@@ -0,0 +1,175 @@
+package soak
+
+import (
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"quetzalhook"
+	"quetzalhook/internal/entry/setting"
+)
+
+// Ports of a host; each host has an IP address of its own.
+const (
+	callersPort   = 8227
+	readyPort     = 8220
+	directoryPort = 8224
+	firstInner    = 7340
+	lastInner     = 7342
+)
+
+// host is one process of the system with its links.
+type host struct {
+	name     quetzalhook.HostID
+	ip       string
+	zone     quetzalhook.Zone
+	program  string
+	settings string // path
+	log      string // path
+	// callers stands before the host, store and duties between it and the
+	// platform.
+	callers, store, duties *Proxy
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{} // closed when the process has ended
+	boot    int           // number of starts
+	ending  bool          // the soak has sent a signal that ends the process
+	// touched is until when the host is disturbed, or since when it no longer is.
+	touched time.Time
+	// stopped is when SIGTERM was sent to the running process, or zero.
+	stopped time.Time
+}
+
+// secret authenticates the hosts of a soak to each other.
+const secret = "hosts-of-a-soak"
+
+// writeSettings writes the file from which the host reads its settings.
+func (h *host) writeSettings(zones map[quetzalhook.Zone]quetzalhook.Region, seeds []string) error {
+	s := setting.Host{
+		Host: h.name, Zone: h.zone, Region: zones[h.zone], Zones: zones, InnerPorts: []int{firstInner, lastInner}, Seeds: seeds,
+		Store: h.store.Address(), Platform: h.duties.Address(), ProcessorShare: 1, Processors: 1, MemoryMB: 256,
+		StopS: stopLimit.Seconds(), AnswerLifeS: 5, LeaseMS: 3000, UsageWindowS: 5, UsageDueS: 10,
+		RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10,
+	}
+	s.Listen.Callers = net.JoinHostPort(h.ip, strconv.Itoa(callersPort))
+	s.Listen.Ready = net.JoinHostPort(h.ip, strconv.Itoa(readyPort))
+	s.Listen.Directory = net.JoinHostPort(h.ip, strconv.Itoa(directoryPort))
+	data, err := yaml.Marshal(s)
+	if err != nil {
+		return &Error{Op: "settings", Kind: ErrorSetup, Err: err}
+	}
+	if err := os.WriteFile(h.settings, data, 0o600); err != nil {
+		return &Error{Op: "settings", Kind: ErrorSetup, Err: err}
+	}
+	return nil
+}
+
+// start starts the process. Unexpected is called if it ends by itself.
+func (h *host) start(unexpected func(h *host, err error)) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out, err := os.OpenFile(h.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return &Error{Op: "start", Kind: ErrorSetup, Err: err}
+	}
+	c := exec.Command(h.program, "host", "--settings", h.settings, "--peer-secret", secret)
+	c.Stdout, c.Stderr = out, out
+	if err := c.Start(); err != nil {
+		_ = out.Close()
+		return &Error{Op: "start", Kind: ErrorSetup, Err: err}
+	}
+	exited := make(chan struct{})
+	h.command, h.exited, h.ending, h.stopped = c, exited, false, time.Time{}
+	h.boot++
+	go func() {
+		err := c.Wait()
+		_ = out.Close()
+		h.mu.Lock()
+		ending := h.ending
+		h.mu.Unlock()
+		close(exited)
+		if !ending {
+			unexpected(h, err)
+		}
+	}()
+	return nil
+}
+
+// signal sends a signal to the process, by its id.
+func (h *host) signal(s syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.command == nil {
+		return
+	}
+	switch s {
+	case syscall.SIGKILL:
+		h.ending = true
+	case syscall.SIGTERM:
+		h.ending = true
+		if h.stopped.IsZero() {
+			h.stopped = time.Now()
+		}
+	}
+	_ = h.command.Process.Signal(s) // a process that has ended needs none
+}
+
+// wait waits for the end of the process, and reports whether it came in time.
+func (h *host) wait(limit time.Duration) bool {
+	h.mu.Lock()
+	exited := h.exited
+	h.mu.Unlock()
+	select {
+	case <-exited:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// disturb notes a disturbance that lasts until a time.
+func (h *host) disturb(until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if until.After(h.touched) {
+		h.touched = until
+	}
+}
+
+// calmSince reports whether the host was undisturbed from stableWindow before
+// a time until now. A planned stop is no disturbance.
+func (h *host) calmSince(t time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.touched.Add(stableWindow).Before(t)
+}
+
+// state returns the number of starts and when a planned stop began.
+func (h *host) state() (boot int, stopped time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.boot, h.stopped
+}
+
+func (h *host) close() {
+	h.signal(syscall.SIGKILL)
+	h.signal(syscall.SIGCONT)
+	if h.command != nil {
+		h.wait(stopLimit)
+	}
+	for _, p := range []*Proxy{h.callers, h.store, h.duties} {
+		_ = p.Close()
+	}
+}
+
+func logPath(directory string, name quetzalhook.HostID) string {
+	return filepath.Join(directory, string(name)+".log")
+}
