Count requests of other schedulers, as engines tell

Cause: a host that is cut off from the leader places requests by itself, and neither knows of the other's. Answers of engines tell how many requests they have. What exceeds the known ones now counts as foreign load in the choice, for two seconds unless it is seen again. Hosts report it to the leader with the first event of a stream.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -38,6 +38,9 @@
 	// Next waits for an upstream. It returns a *Refusal, or the cause of ctx if
 	// that ends first.
 	Next(ctx context.Context) (Attempt, error)
+	// Observe reports what the beginning of an answer shows of the upstream of the
+	// current attempt.
+	Observe(v Verdict)
 	// Progress reports the output tokens received on the current attempt.
 	Progress(tokens int)
 	// End ends the current attempt, or the request if there is none. After
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -151,6 +151,8 @@
 	quetzalhook.EndCallerGone: "caller-gone",
 }
 
+func (t *ticket) Observe(quetzalhook.Verdict) {}
+
 func (t *ticket) Progress(int) {}
 
 func (t *ticket) End(e quetzalhook.AttemptEnd) { t.world.note(&t.world.ends, endNames[e.End]) }
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -88,6 +88,7 @@
 		}
 	}
 	x.mayRun = true
+	ticket.Observe(end.Verdict)
 	if x.route.Kind == routing.KindStream && resp.Status == http.StatusOK {
 		err = x.copyStream(ticket, resp)
 		end.Tokens = x.stream.events
--- a/internal/fleet/dispatcher/desk.go
+++ b/internal/fleet/dispatcher/desk.go
@@ -131,6 +131,13 @@
 	d.apply(d.scheduler.Progress(d.clock.Now(), id, tokens))
 }
 
+// observe reports how many requests the engine of a request was seen to have.
+func (d *desk) observe(id quetzalhook.RequestID, requests int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.Observe(d.clock.Now(), id, requests)
+}
+
 // end reports the end of a request.
 func (d *desk) end(id quetzalhook.RequestID, e quetzalhook.AttemptEnd) {
 	d.mu.Lock()
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -276,6 +276,9 @@
 // apply hands the events of another host to the desk.
 func (d *Dispatcher) apply(events []event) {
 	for _, e := range events {
+		if e.Seen > 0 {
+			d.desk.observe(e.ID, e.Seen)
+		}
 		if e.End == 0 {
 			d.desk.progress(e.ID, e.Tokens)
 		} else {
--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -169,6 +169,11 @@
 	case "end": // id end
 		ends := map[string]quetzalhook.End{"finished": quetzalhook.EndFinished, "broken": quetzalhook.EndBroken, "not-sent": quetzalhook.EndNotSent}
 		w.tickets[f[1]].End(quetzalhook.AttemptEnd{End: ends[f[2]]})
+	case "see": // id: the number of requests that its engine tells
+		w.tickets[f[1]].Observe(quetzalhook.Verdict{HasLoad: true, Running: n(2)})
+		w.tickets[f[1]].Progress(1)
+	case "foreign": // host: the requests of others that its scheduler counts with
+		fmt.Fprintf(&w.out, "%s counts with %.1f foreign requests\n", f[1], w.hosts[f[1]].desk.load().Foreign)
 	case "progress":
 		w.tickets[f[1]].Progress(n(2))
 	case "leader":
@@ -202,7 +207,8 @@
 }
 
 // Guards against a request that waits for a lost leader, against a leader that
-// does not learn of requests that run, or never forgets them, against a
+// does not learn of requests that run, or never forgets them, against load by
+// hosts that are cut off from the leader, of which it does not learn, against a
 // decision that is lost because its host is between two calls, and against a
 // request that is sent again beyond what its route allows.
 func TestDispatching(t *testing.T) {
--- a/internal/fleet/dispatcher/message.go
+++ b/internal/fleet/dispatcher/message.go
@@ -85,6 +85,9 @@
 	// End is 0 while the request runs.
 	End    quetzalhook.End `cbor:"3,keyasint,omitempty"`
 	NotRun bool            `cbor:"4,keyasint,omitempty"`
+	// Seen is the number of requests that the engine was seen to have; 0 means
+	// that it did not tell.
+	Seen int `cbor:"5,keyasint,omitempty"`
 }
 
 func (e event) end() quetzalhook.AttemptEnd {
--- a/internal/fleet/dispatcher/ticket.go
+++ b/internal/fleet/dispatcher/ticket.go
@@ -28,6 +28,7 @@
 	current  quetzalhook.UpstreamID
 	tokens   int
 	reported time.Time
+	seen     int // requests at the engine, not reported yet
 }
 
 // Submit implements quetzalhook.Dispatcher.
@@ -95,6 +96,19 @@
 	d.desk.adopt(d.settings.Host, t.request, a.Upstream.ID, 0)
 }
 
+// Observe implements quetzalhook.Ticket. The leader learns of it with the next
+// event.
+func (t *ticket) Observe(v quetzalhook.Verdict) {
+	if !v.HasLoad {
+		return
+	}
+	d := t.dispatcher
+	d.mu.Lock()
+	t.seen = v.Running + v.Waiting
+	d.mu.Unlock()
+	d.desk.observe(t.request.ID, v.Running+v.Waiting)
+}
+
 // Progress implements quetzalhook.Ticket.
 func (t *ticket) Progress(tokens int) {
 	d := t.dispatcher
@@ -105,7 +119,8 @@
 	due := first || now.Sub(t.reported) >= progressInterval
 	if due {
 		t.reported = now
-		d.events = append(d.events, event{ID: t.request.ID, Tokens: tokens})
+		d.events = append(d.events, event{ID: t.request.ID, Tokens: tokens, Seen: t.seen})
+		t.seen = 0
 	}
 	d.mu.Unlock()
 	if due {
--- a/internal/traffic/balance/dispatcher.go
+++ b/internal/traffic/balance/dispatcher.go
@@ -113,7 +113,10 @@
 	return u, true, nil
 }
 
-// Progress implements quetzalhook.Ticket.
+// Observe implements quetzalhook.Ticket; loads are taken from ended requests.
+func (t *ticket) Observe(quetzalhook.Verdict) {}
+
+// Progress implements quetzalhook.Ticket; plain services have none.
 func (t *ticket) Progress(int) {}
 
 // End implements quetzalhook.Ticket.
--- a/internal/traffic/schedule/demand.go
+++ b/internal/traffic/schedule/demand.go
@@ -37,6 +37,9 @@
 	Waiting int
 	// Memory is the part of the engines' memory that running requests use.
 	Memory float64
+	// Foreign is the number of running requests that this scheduler does not
+	// know, as far as it was seen.
+	Foreign float64
 }
 
 // Load returns the present load.
@@ -49,6 +52,8 @@
 	used, have := 0, 0
 	for _, e := range s.engines {
 		if e.info.State == quetzalhook.UpstreamReady {
+			e.advance(now)
+			l.Foreign += e.foreign
 			used += e.memory
 			have += e.info.MemoryTokens
 		}
--- a/internal/traffic/schedule/engine.go
+++ b/internal/traffic/schedule/engine.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math"
 	"time"
 
 	"quetzalhook"
@@ -76,8 +77,12 @@
 	cache  cache
 	// slowness is the smoothed ratio of observed to expected times.
 	slowness float64
-	sign     time.Time // last sign of life
-	health   health
+	// foreign is the number of requests that run here and that this scheduler
+	// does not know, as of foreignAt: those of hosts that are cut off from it.
+	foreign   float64
+	foreignAt time.Time
+	sign      time.Time // last sign of life
+	health    health
 }
 
 func newEngine(info quetzalhook.Upstream, now time.Time) *engine {
@@ -103,6 +108,10 @@
 
 // advance lets the time since the last call reduce the work that is left.
 func (e *engine) advance(now time.Time) {
+	if e.foreign > 0 {
+		e.foreign *= math.Exp2(-float64(now.Sub(e.foreignAt)) / float64(foreignLife))
+		e.foreignAt = now
+	}
 	elapsed := float64(now.Sub(e.at)) / float64(time.Millisecond) / e.slowness
 	e.at = now
 	for _, r := range e.reads {
@@ -117,7 +126,7 @@
 
 // ahead returns the work in ms that the engine does before it reads for r.
 func (e *engine) ahead(r *run) float64 {
-	sum := 0.0
+	sum := e.foreign * foreignWork
 	for _, o := range e.reads {
 		if o.before(r) {
 			sum += o.left
@@ -126,6 +135,25 @@
 	return sum
 }
 
+// observe notes the number of requests that an engine was seen to have. The
+// answer that showed it left the engine some ms ago.
+func (e *engine) observe(now time.Time, requests int) {
+	unknown := float64(max(requests-len(e.runs), 0))
+	e.foreign += foreignGain * (unknown - e.foreign)
+	e.foreignAt = now
+}
+
+const (
+	// foreignGain is the weight of one observation of foreign requests.
+	foreignGain = 0.3
+	// foreignLife is the time in which foreign requests count for half unless
+	// they are seen again: about as long as a request runs.
+	foreignLife = 2 * time.Second
+	// foreignWork is the reading in ms that is left of a foreign request. Most
+	// of them have read their prompt: they read for 130 ms and run for seconds.
+	foreignWork = 5.0
+)
+
 // start adds a run whose prompt has tokens to read after a fetch.
 func (e *engine) start(now time.Time, r *run, unread int, fetch float64) {
 	r.engine, r.started = e, now
@@ -205,11 +233,15 @@
 // hasRoom reports whether the engine can take a request without displacing
 // one that runs.
 func (e *engine) hasRoom(memory int) bool {
-	if e.info.Slots > 0 && len(e.runs) >= e.info.Slots {
+	if e.info.Slots > 0 && float64(len(e.runs))+e.foreign >= float64(e.info.Slots) {
 		return false
 	}
+	foreign := e.foreign * float64(memory)
+	if len(e.runs) > 0 {
+		foreign = e.foreign * float64(e.memory) / float64(len(e.runs))
+	}
 	return e.info.MemoryTokens == 0 || len(e.runs) == 0 ||
-		float64(e.memory+memory) <= memoryLimit*float64(e.info.MemoryTokens)
+		float64(e.memory+memory)+foreign <= memoryLimit*float64(e.info.MemoryTokens)
 }
 
 // isOpen reports whether the engine should take a request now: it has room,
@@ -225,4 +257,4 @@
 const memoryLimit = 0.35
 
 // streams returns the number of runs that produce tokens.
-func (e *engine) streams() int { return len(e.runs) - len(e.reads) }
+func (e *engine) streams() float64 { return float64(len(e.runs)-len(e.reads)) + e.foreign }
--- a/internal/traffic/schedule/place.go
+++ b/internal/traffic/schedule/place.go
@@ -133,7 +133,7 @@
 		source = nil
 	}
 	work := readTime(unread, r.request.PromptTokens) * e.slowness
-	first := e.ahead(r)*e.slowness + fetch + work + firstTime + stepTime + float64(e.streams())*slotTime + s.roundTrip(r.request.Region, e)
+	first := e.ahead(r)*e.slowness + fetch + work + firstTime + stepTime + e.streams()*slotTime + s.roundTrip(r.request.Region, e)
 	target := milliseconds(class.TTFTTarget())
 	waited := milliseconds(now.Sub(r.submitted))
 	cost := first
@@ -145,7 +145,7 @@
 	if r.request.Region != e.info.Region {
 		cost += float64(r.request.PromptTokens) * farTokenCost
 	}
-	cost += streamWeight * float64(e.streams())
+	cost += streamWeight * e.streams()
 	cost += s.pauses(r, e, unread)
 	cost += spread * preference(r.request, e.info.ID)
 	if e.isSuspect(now) {
@@ -200,7 +200,7 @@
 func longestPause(e *engine, tokens, prompt int) float64 {
 	events := float64(max(e.info.EventTokens, 1))
 	chunks := min(events, float64(tokens)/chunkTokens)
-	step := stepTime + slotTime*float64(len(e.runs))
+	step := stepTime + slotTime*(float64(len(e.runs))+e.foreign)
 	return (chunks*readTime(min(tokens, chunkTokens), prompt) + events*step) * e.slowness
 }
 
--- a/internal/traffic/schedule/play_test.go
+++ b/internal/traffic/schedule/play_test.go
@@ -41,6 +41,9 @@
 	memory   int
 	slots    int
 	slowness float64 // of the last engine; 0 for none
+	// apart is the part of the requests that another scheduler places, which
+	// hears nothing of the first one: its host is cut off.
+	apart float64
 }
 
 // result is what the callers of one class got.
@@ -87,6 +90,7 @@
 	SetUpstreams(now time.Time, list []quetzalhook.Upstream) []Decision
 	Submit(now time.Time, q quetzalhook.Request) []Decision
 	Progress(now time.Time, id quetzalhook.RequestID, tokens int) []Decision
+	Observe(now time.Time, id quetzalhook.RequestID, requests int)
 	End(now time.Time, id quetzalhook.RequestID, end quetzalhook.AttemptEnd) []Decision
 	Tick(now time.Time) []Decision
 }
@@ -117,6 +121,8 @@
 type play struct {
 	load    load
 	policy  policy
+	other   policy // of hosts that are cut off
+	byOther map[quetzalhook.RequestID]bool
 	random  *rand.Rand
 	start   time.Time
 	now     time.Duration
@@ -134,7 +140,7 @@
 
 func newPlay(l load, p policy, seed uint64) *play {
 	return &play{
-		load: l, policy: p, random: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0),
+		load: l, policy: p, other: New(), byOther: make(map[quetzalhook.RequestID]bool), random: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0),
 		engines: make(map[quetzalhook.UpstreamID]*simEngine), waiting: make(map[quetzalhook.RequestID]*simRun),
 		results: make(map[quetzalhook.ClassName]*result), large: make(map[quetzalhook.RequestID]bool),
 	}
@@ -185,6 +191,7 @@
 		}
 	}
 	p.apply(p.policy.SetUpstreams(p.time(), list))
+	p.apply(p.other.SetUpstreams(p.time(), list))
 }
 
 // lose takes engines away; what they run breaks.
@@ -194,7 +201,7 @@
 		e.gone = true
 		for _, r := range e.runs {
 			p.results[r.request.Class.Name()].broken++
-			p.apply(p.policy.End(p.time(), r.request.ID, quetzalhook.AttemptEnd{End: quetzalhook.EndBroken}))
+			p.apply(p.of(r.request.ID).End(p.time(), r.request.ID, quetzalhook.AttemptEnd{End: quetzalhook.EndBroken}))
 		}
 		e.runs = nil
 	}
@@ -203,11 +210,20 @@
 
 func (p *play) tick() {
 	p.apply(p.policy.Tick(p.time()))
+	p.apply(p.other.Tick(p.time()))
 	if p.now < p.load.length+20*time.Second {
 		p.after(20*time.Millisecond, p.tick)
 	}
 }
 
+// of returns the policy that places a request.
+func (p *play) of(id quetzalhook.RequestID) policy {
+	if p.byOther[id] {
+		return p.other
+	}
+	return p.policy
+}
+
 // rate returns the present rate of a class.
 func (p *play) rate(k kindOf) float64 {
 	rate := k.rate
@@ -257,7 +273,10 @@
 		r.largeAsked++
 	}
 	p.waiting[id] = &simRun{request: q, arrived: p.now, read: -1, left: q.MaxTokens}
-	p.after(messageDelay, func() { p.apply(p.policy.Submit(p.time(), q)) })
+	if p.load.apart > 0 && p.random.Float64() < p.load.apart {
+		p.byOther[id] = true
+	}
+	p.after(messageDelay, func() { p.apply(p.of(id).Submit(p.time(), q)) })
 }
 
 // apply carries out decisions.
@@ -305,7 +324,7 @@
 func (p *play) deliver(e *simEngine, r *simRun) {
 	if e.gone {
 		p.results[r.request.Class.Name()].broken++
-		p.apply(p.policy.End(p.time(), r.request.ID, quetzalhook.AttemptEnd{End: quetzalhook.EndBroken}))
+		p.apply(p.of(r.request.ID).End(p.time(), r.request.ID, quetzalhook.AttemptEnd{End: quetzalhook.EndBroken}))
 		return
 	}
 	p.serial++
@@ -381,14 +400,20 @@
 	r.left--
 	now := p.now + messageDelay
 	if r.sent%e.info.EventTokens == 0 || r.left <= 0 {
-		if r.first == 0 {
+		begins := r.first == 0
+		if begins {
 			r.first = now - r.arrived
 		} else {
 			r.pause = max(r.pause, now-r.last)
 		}
 		r.last = now
-		sent := r.sent
-		p.after(2*messageDelay, func() { p.apply(p.policy.Progress(p.time(), r.request.ID, sent)) })
+		sent, requests := r.sent, len(e.runs)
+		p.after(2*messageDelay, func() {
+			if begins {
+				p.of(r.request.ID).Observe(p.time(), r.request.ID, requests)
+			}
+			p.apply(p.of(r.request.ID).Progress(p.time(), r.request.ID, sent))
+		})
 	}
 	if r.left > 0 {
 		return
@@ -401,7 +426,7 @@
 	}
 	p.finish(r)
 	p.after(2*messageDelay, func() {
-		p.apply(p.policy.End(p.time(), r.request.ID, quetzalhook.AttemptEnd{End: quetzalhook.EndFinished, Tokens: r.sent}))
+		p.apply(p.of(r.request.ID).End(p.time(), r.request.ID, quetzalhook.AttemptEnd{End: quetzalhook.EndFinished, Tokens: r.sent}))
 	})
 }
 
--- a/internal/traffic/schedule/schedule.go
+++ b/internal/traffic/schedule/schedule.go
@@ -279,6 +279,15 @@
 	return s.out
 }
 
+// Observe reports how many requests the engine of a running request was seen
+// to have, this one included.
+func (s *Scheduler) Observe(now time.Time, id quetzalhook.RequestID, requests int) {
+	if r := s.runs[id]; r != nil && r.engine != nil {
+		r.engine.advance(now)
+		r.engine.observe(now, requests)
+	}
+}
+
 // End reports the end of a running or waiting request.
 func (s *Scheduler) End(now time.Time, id quetzalhook.RequestID, end quetzalhook.AttemptEnd) []Decision {
 	s.begin()
--- a/internal/traffic/schedule/schedule_test.go
+++ b/internal/traffic/schedule/schedule_test.go
@@ -26,6 +26,8 @@
 
 func (r *roundRobin) Progress(time.Time, quetzalhook.RequestID, int) []Decision { return nil }
 
+func (r *roundRobin) Observe(time.Time, quetzalhook.RequestID, int) {}
+
 func (r *roundRobin) End(time.Time, quetzalhook.RequestID, quetzalhook.AttemptEnd) []Decision {
 	return nil
 }
@@ -164,6 +166,33 @@
 	}
 }
 
+// Guards against a scheduler that takes engines for empty which run the
+// requests of hosts that are cut off from it: with a third of the requests
+// placed by another scheduler, most of what each class asks for must still be
+// in target on engines that suffice for all.
+func TestHostsCutOff(t *testing.T) {
+	l := usual(9)
+	l.apart = 0.35
+	got, blind := newPlay(l, New(), 1), newPlay(l, blindScheduler{New()}, 1)
+	blind.other = blindScheduler{New()}
+	inTarget := func(r *result) int { return r.inTarget }
+	gotResult, blindResult := got.run(), blind.run()
+	if got, want := total(gotResult, inTarget), total(blindResult, inTarget); got <= want {
+		t.Errorf("answers in target: got %d, want more than the %d without a look at what engines tell", got, want)
+	}
+	if share := gotResult["chat"].share(); share < 0.95 {
+		t.Errorf("chats in target: got %.3f, want at least 0.95", share)
+	}
+	if n := gotResult["chat"].refused + gotResult["draft"].refused; n > 0 {
+		t.Errorf("urgent requests refused: got %d, want none", n)
+	}
+}
+
+// blindScheduler does not look at what engines tell.
+type blindScheduler struct{ *Scheduler }
+
+func (blindScheduler) Observe(time.Time, quetzalhook.RequestID, int) {}
+
 // Guards against a slow engine that gets as much work as the others.
 func TestSlowEngine(t *testing.T) {
 	l := usual(12)
