Tell size, region and address of hosts in their registration

Hosts of other cells were known from the list in the store only, without the size of their processor, so that each cell chose another leader. Registrations carry region, address and processors, the list is read again after three seconds, and a host logs when it chooses another leader.

--- a/internal/entry/host/duty.go
+++ b/internal/entry/host/duty.go
@@ -51,17 +51,29 @@
 func (h *Host) runDuties(ctx context.Context) {
 	ticker := time.NewTicker(dutyInterval)
 	defer ticker.Stop()
+	var leader quetzalhook.HostID
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			leader = h.noteLeader(leader)
 			h.reporter.Step(ctx)
 			h.orders.Step(ctx)
 		}
 	}
 }
 
+// noteLeader writes a line of the log when another host places requests than
+// the last one, and returns that host.
+func (h *Host) noteLeader(last quetzalhook.HostID) quetzalhook.HostID {
+	leader := h.leader()
+	if leader != last {
+		h.log.WithField("leader", leader).WithField("last", last).WithField("members", len(h.members.Members())).Info("leader chosen")
+	}
+	return leader
+}
+
 // isCandidate reports whether this host tries to get the lease: the leader,
 // which knows the load, and the next of the live hosts by rendezvous hash.
 func (h *Host) isCandidate() bool {
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -128,6 +128,7 @@
 	heartbeat, calls := s.Heartbeat(s.IP()), s.Peer(s.IP())
 	h.registry = registration.New(h.adapter.Store, quetzalhook.HostStatus{
 		Host: s.Host, Incarnation: incarnation, Zone: s.Zone, HeartbeatAddress: heartbeat, PeerAddress: calls,
+		Region: s.Region, Address: s.Listen.Callers, Processors: s.ProcessorShare * s.Processors,
 	}, h.log)
 	h.members = member.NewService(member.Settings{
 		Self: member.Self{
--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -225,6 +225,7 @@
 		listed[s.Host] = true
 		g.learn(now, profile{
 			Host: s.Host, Incarnation: s.Incarnation, Zone: s.Zone, Heartbeat: s.HeartbeatAddress, Peer: s.PeerAddress,
+			Region: s.Region, Address: s.Address, Processors: s.Processors,
 		})
 	}
 	for host, p := range g.peers {
--- a/internal/fleet/member/gossip_test.go
+++ b/internal/fleet/member/gossip_test.go
@@ -64,6 +64,7 @@
 		s := w.hosts[a].self
 		list = append(list, quetzalhook.HostStatus{
 			Host: s.Host, Incarnation: s.Incarnation, Zone: s.Zone, HeartbeatAddress: s.Heartbeat, PeerAddress: s.Peer,
+			Region: s.Region, Address: s.Address, Processors: s.Processors,
 		})
 	}
 	for _, a := range w.order {
@@ -197,6 +198,24 @@
 	}
 }
 
+// Guards against hosts of other cells whose size is not known until they happen
+// to be introduced, so that each cell chooses another host as the largest: the
+// list tells all that a choice needs.
+func TestListDescribesHosts(t *testing.T) {
+	g := newGossip(Self{Host: "a", Incarnation: 1, Zone: "z"}, []byte("secret"), nil)
+	g.observeList(time.Unix(1000, 0), []quetzalhook.HostStatus{{
+		Host: "b", Incarnation: 2, Zone: "y", HeartbeatAddress: "10.0.0.2:1", PeerAddress: "10.0.0.2:2",
+		Region: "r", Address: "10.0.0.2:3", Processors: 0.8,
+	}})
+	list := g.members(time.Unix(1000, 0))
+	if len(list) != 1 {
+		t.Fatalf("members: got %d, want 1", len(list))
+	}
+	if m := list[0]; m.Region != "r" || m.Address != "10.0.0.2:3" || m.Processors != 0.8 {
+		t.Errorf("member: got region %q, address %q, %g processors, want r, 10.0.0.2:3, 0.8", m.Region, m.Address, m.Processors)
+	}
+}
+
 // Guards against a fleet of several cells that loses sight of hosts, against
 // traffic that grows with the fleet, and against a version that does not
 // spread. Loss is 20%.
--- a/internal/fleet/member/service.go
+++ b/internal/fleet/member/service.go
@@ -24,6 +24,9 @@
 	// host has for control traffic.
 	listPerHost = 50 * time.Millisecond
 	listMin     = 30 * time.Second
+	// listAgain is when the list is read for the second time: hosts that start
+	// together register within a second, after the first read of most of them.
+	listAgain = 3 * time.Second
 	// listTimeout bounds one look.
 	listTimeout = 5 * time.Second
 	// stopTimeout bounds the stop of the socket engine.
@@ -259,7 +262,7 @@
 
 // followList looks at the platform's list of hosts.
 func (s *Service) followList(ctx context.Context) {
-	for {
+	for again := false; ; again = true {
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		list, err := s.settings.Hosts.Hosts(callCtx)
 		cancel()
@@ -270,10 +273,14 @@
 		} else {
 			s.log.WithError(err).Debug("list of hosts not read")
 		}
+		wait := listAgain
+		if again {
+			wait = listWait(len(s.Members()) + 1)
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(listWait(len(s.Members()) + 1)):
+		case <-time.After(wait):
 		}
 	}
 }
--- a/internal/fleet/registration/registration.go
+++ b/internal/fleet/registration/registration.go
@@ -32,6 +32,9 @@
 	Zone        quetzalhook.Zone        `json:"zone"`
 	Heartbeat   string                  `json:"heartbeat"`
 	Peer        string                  `json:"peer"`
+	Region      quetzalhook.Region      `json:"region"`
+	Callers     string                  `json:"callers"`
+	Processors  float64                 `json:"processors"`
 }
 
 // Registry lists the hosts in the store and registers this one. It implements
@@ -89,7 +92,8 @@
 func (r *Registry) register(ctx context.Context) error {
 	value, err := json.Marshal(entry{
 		Host: r.self.Host, Incarnation: r.self.Incarnation, Zone: r.self.Zone,
-		Heartbeat: r.self.HeartbeatAddress, Peer: r.self.PeerAddress,
+		Heartbeat: r.self.HeartbeatAddress, Peer: r.self.PeerAddress, Region: r.self.Region, Callers: r.self.Address,
+		Processors: r.self.Processors,
 	})
 	if err != nil {
 		return &Error{Op: "register", Kind: ErrorCorrupt, Err: err}
@@ -139,6 +143,7 @@
 		}
 		hosts = append(hosts, quetzalhook.HostStatus{
 			Host: e.Host, Incarnation: e.Incarnation, Zone: e.Zone, HeartbeatAddress: e.Heartbeat, PeerAddress: e.Peer,
+			Region: e.Region, Address: e.Callers, Processors: e.Processors,
 		})
 	}
 	return hosts, nil
--- a/internal/fleet/registration/registration_test.go
+++ b/internal/fleet/registration/registration_test.go
@@ -15,6 +15,7 @@
 	log.SetOutput(io.Discard)
 	return New(store, quetzalhook.HostStatus{
 		Host: host, Incarnation: incarnation, Zone: "z", HeartbeatAddress: string(host) + ":1", PeerAddress: string(host) + ":2",
+		Region: "r", Address: string(host) + ":3", Processors: 0.8,
 	}, log)
 }
 
@@ -69,7 +70,7 @@
 		t.Fatal(err)
 	}
 	list, err := r.Hosts(ctx)
-	if err != nil || len(list) != 1 || list[0].Host != "a" {
-		t.Errorf("hosts: got %v, %v, want a only", list, err)
+	if err != nil || len(list) != 1 || list[0] != r.self {
+		t.Errorf("hosts: got %v, %v, want %v only", list, err, r.self)
 	}
 }
--- a/platform.go
+++ b/platform.go
@@ -146,6 +146,11 @@
 	// host:port; empty where the platform does not know them.
 	HeartbeatAddress string
 	PeerAddress      string
+	// Region, Address (for callers) and Processors are as in Member; zero where
+	// the platform does not know them.
+	Region     Region
+	Address    string
+	Processors float64
 }
 
 // HostLister returns the platform's lagging list of live and leaving hosts.
