Make pulls of changes small, and wait longer for slow ones

After the store dropped its history, eleven hosts of a cell asked the one host that watches for them for all upstreams, 46 KB each, over its link of 10 Mbit/s. No answer arrived in 400 ms, each host asked again at once, and none learned of the next configuration for nine seconds. A full answer now names unchanged upstreams only and holds no field that is not read from the store; the timeout doubles with each round without an answer; and hosts of other cells are asked from the second round on.

--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -17,8 +17,12 @@
 	// pullAttempts bounds the hosts asked in one round.
 	pullAttempts = 3
 	// pullTimeout bounds one call of a peer: a slow round trip between regions
-	// and the making of a connection.
+	// and the making of a connection. It doubles with each round without an
+	// answer, up to pullLongest: when all hosts of a cell ask one host on a link
+	// of 10 Mbit/s, answers take longer, and a repeated question makes them no
+	// shorter.
 	pullTimeout = 400 * time.Millisecond
+	pullLongest = 3 * time.Second
 )
 
 // pullRequest asks for what is newer than the caller's state.
@@ -33,16 +37,50 @@
 	TableVersion quetzalhook.Version `cbor:"2,keyasint,omitempty"`
 	Upstreams    []pulledUpstream    `cbor:"3,keyasint,omitempty"`
 	Complete     quetzalhook.Version `cbor:"4,keyasint"`
-	// Full marks a list of all upstreams instead of changes.
-	Full bool `cbor:"5,keyasint,omitempty"`
+	// Full marks changes and Unchanged together as all upstreams that are listed.
+	Full      bool                     `cbor:"5,keyasint,omitempty"`
+	Unchanged []quetzalhook.UpstreamID `cbor:"6,keyasint,omitempty"`
 }
 
+// pulledUpstream is the record of an upstream between hosts: what is read from
+// the store, and no more, since a list goes to every host of a cell.
 type pulledUpstream struct {
-	Upstream quetzalhook.Upstream `cbor:"1,keyasint"`
-	Version  quetzalhook.Version  `cbor:"2,keyasint"`
-	Removed  bool                 `cbor:"3,keyasint,omitempty"`
+	ID      quetzalhook.UpstreamID `cbor:"1,keyasint"`
+	Version quetzalhook.Version    `cbor:"2,keyasint"`
+	Removed bool                   `cbor:"3,keyasint,omitempty"`
 	// LapsesIn is set for an upstream that is missing and may still come back.
-	LapsesIn time.Duration `cbor:"4,keyasint,omitempty"`
+	LapsesIn time.Duration             `cbor:"4,keyasint,omitempty"`
+	Service  string                    `cbor:"5,keyasint,omitempty"`
+	Address  string                    `cbor:"6,keyasint,omitempty"`
+	Zone     quetzalhook.Zone          `cbor:"7,keyasint,omitempty"`
+	Region   quetzalhook.Region        `cbor:"8,keyasint,omitempty"`
+	Models   []quetzalhook.Model       `cbor:"9,keyasint,omitempty"`
+	State    quetzalhook.UpstreamState `cbor:"10,keyasint,omitempty"`
+	Slots    int                       `cbor:"11,keyasint,omitempty"`
+	Cheap    bool                      `cbor:"12,keyasint,omitempty"`
+	Started  int64                     `cbor:"13,keyasint,omitempty"`
+	LeavesIn time.Duration             `cbor:"14,keyasint,omitempty"`
+}
+
+func pulled(e *entry, now time.Time) pulledUpstream {
+	u := e.upstream
+	p := pulledUpstream{ID: u.ID, Version: e.version, Removed: !e.removed.IsZero()}
+	if p.Removed {
+		return p
+	}
+	if !e.lapses.IsZero() {
+		p.LapsesIn = max(e.lapses.Sub(now), time.Millisecond)
+	}
+	p.Service, p.Address, p.Zone, p.Region, p.Models = u.Service, u.Address, u.Zone, u.Region, u.Models
+	p.State, p.Slots, p.Cheap, p.Started, p.LeavesIn = u.State, u.Slots, u.Cheap, u.Started, u.LeavesIn
+	return p
+}
+
+func (p pulledUpstream) upstream() quetzalhook.Upstream {
+	return quetzalhook.Upstream{
+		ID: p.ID, Service: p.Service, Address: p.Address, Zone: p.Zone, Region: p.Region, Models: p.Models, State: p.State,
+		Slots: p.Slots, Cheap: p.Cheap, Started: p.Started, LeavesIn: p.LeavesIn,
+	}
 }
 
 func (f *Follower) handlePull(_ context.Context, _ quetzalhook.HostID, body []byte) ([]byte, error) {
@@ -56,13 +94,12 @@
 	if f.table != nil && f.table.Version > req.Table {
 		answer.Table, answer.TableVersion = f.table, f.tableVersion
 	}
-	for _, e := range f.entries {
-		if e.version > req.Complete || answer.Full {
-			p := pulledUpstream{Upstream: e.upstream, Version: e.version, Removed: !e.removed.IsZero()}
-			if !e.lapses.IsZero() {
-				p.LapsesIn = max(e.lapses.Sub(now), time.Millisecond)
-			}
-			answer.Upstreams = append(answer.Upstreams, p)
+	for id, e := range f.entries {
+		switch {
+		case e.version > req.Complete:
+			answer.Upstreams = append(answer.Upstreams, pulled(e, now))
+		case answer.Full && e.removed.IsZero():
+			answer.Unchanged = append(answer.Unchanged, id)
 		}
 	}
 	f.mu.Unlock()
@@ -72,23 +109,41 @@
 // followPeers asks other hosts for changes that their heartbeats announce, and
 // does the periodic work.
 func (f *Follower) followPeers(ctx context.Context) {
+	failures := 0 // rounds in a row in which no host answered
 	for sleep(ctx, tick) {
 		f.expire()
-		for _, m := range f.ahead() {
-			if err := f.pull(ctx, m); err == nil {
-				break
-			} else if ctx.Err() == nil {
-				f.log.WithError(err).WithField("peer", m).Info("changes not pulled")
-			}
+		hosts := f.ahead(failures > 0)
+		if len(hosts) == 0 || f.pullAny(ctx, hosts, min(pullTimeout<<min(failures, maxDoublings), pullLongest)) {
+			failures = 0
+		} else {
+			failures++
 		}
 	}
 }
 
+// maxDoublings keeps the shift of pullTimeout within the type.
+const maxDoublings = 8
+
+// pullAny asks hosts in turn until one answers.
+func (f *Follower) pullAny(ctx context.Context, hosts []quetzalhook.HostID, timeout time.Duration) bool {
+	for _, host := range hosts {
+		err := f.pull(ctx, host, timeout)
+		if err == nil {
+			return true
+		}
+		if ctx.Err() == nil {
+			f.log.WithError(err).WithField("peer", host).WithField("timeout-ms", timeout.Milliseconds()).Info("changes not pulled")
+		}
+	}
+	return false
+}
+
 // ahead returns some hosts that know changes that this one does not. Those that
 // watch the store come first, so that each host keeps connections to few others;
 // which of them is asked first changes with time, for the case that one does not
-// answer.
-func (f *Follower) ahead() []quetzalhook.HostID {
+// answer. Hosts of other cells count if none of the own cell is ahead, or if far
+// is set.
+func (f *Follower) ahead(far bool) []quetzalhook.HostID {
 	table, upstreams := f.Versions()
 	var hosts, near []quetzalhook.HostID
 	for _, m := range f.peers.Members() {
@@ -99,7 +154,7 @@
 			near = append(near, m.Host)
 		}
 	}
-	if len(near) > 0 {
+	if len(near) > 0 && !far {
 		hosts = near
 	}
 	ranked := rendezvous.Rank(watcherKey, hosts)
@@ -108,7 +163,7 @@
 }
 
 // pull asks one host for changes and applies them.
-func (f *Follower) pull(ctx context.Context, host quetzalhook.HostID) error {
+func (f *Follower) pull(ctx context.Context, host quetzalhook.HostID, timeout time.Duration) error {
 	f.mu.Lock()
 	req := pullRequest{Complete: f.complete}
 	if f.table != nil {
@@ -119,7 +174,7 @@
 	if err != nil {
 		return &Error{Op: "pull", Kind: ErrorCorrupt, Err: err}
 	}
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := f.peers.Call(ctx, host, pullKind, body)
 	if err != nil {
@@ -141,15 +196,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	listed := make(map[quetzalhook.UpstreamID]bool, len(answer.Upstreams))
+	listed := make(map[quetzalhook.UpstreamID]bool, len(answer.Upstreams)+len(answer.Unchanged))
+	for _, id := range answer.Unchanged {
+		listed[id] = true
+	}
 	for _, p := range answer.Upstreams {
-		id := p.Upstream.ID
+		id := p.ID
 		listed[id] = true
 		e := f.entries[id]
 		switch {
 		case e != nil && p.Version <= e.version:
 		case !p.Removed:
-			f.set(p.Upstream, p.Version)
+			f.set(p.upstream(), p.Version)
 			if p.LapsesIn > 0 {
 				f.entries[id].lapses = now.Add(p.LapsesIn)
 			}
