Choose no leader that has not told that it is ready

A host counts as unready until its first heartbeat, or a summary, tells of it; and a host that is refused because the leader knows no engines places the request itself. Both tests fail before the change.

--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -171,7 +171,7 @@
 	d.mu.Lock()
 	d.distrusted[leader] = d.clock.Now().Add(distrust)
 	d.mu.Unlock()
-	d.log.WithField("leader", leader).WithError(err).Warn("leader does not answer; placing requests here")
+	d.log.WithField("leader", leader).WithError(err).Warn("leader cannot place requests; placing them here")
 }
 
 // assign gets a decision from the leader or, without its answer, from the own
@@ -180,6 +180,10 @@
 	for leader := d.target(); leader != ""; leader = d.target() {
 		c, waits, err := d.ask(ctx, leader, r)
 		switch {
+		case err == nil && c.refusal != nil && c.refusal.Kind == quetzalhook.RefuseNoUpstream:
+			// It knows less than this host: it has just started, or the store turns
+			// it away.
+			d.distrust(leader, c.refusal)
 		case err == nil && !waits:
 			return c, nil
 		case ctx.Err() != nil:
--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -161,6 +161,8 @@
 	switch f[0] {
 	case "engines":
 		w.engines(n(1), n(2))
+	case "no-engines": // host
+		w.hosts[f[1]].SetUpstreams(nil)
 	case "ask": // host id patience-ms
 		w.ask(f[1], f[2], time.Duration(n(3))*time.Millisecond)
 	case "delay": // between two hosts, one way
@@ -206,7 +208,8 @@
 	}
 }
 
-// Guards against a request that waits for a lost leader, against a leader that
+// Guards against a request that waits for a lost leader, against one that a
+// leader refuses because it knows no engines, against a leader that
 // does not learn of requests that run, or never forgets them, against load by
 // hosts that are cut off from the leader, of which it does not learn, against a
 // decision that is lost because its host is between two calls, and against a
--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -73,9 +73,17 @@
 	replied  time.Time
 	left     time.Time // zero unless the host stopped as planned
 	beat     beat
+	hasBeat  bool // beat is that of the host itself
 	demand   demandView
 }
 
+// isDescribed reports whether the host has told its state since its start: a
+// host of the own cell by a heartbeat, one of another cell by a summary that
+// lists it.
+func (p *peer) isDescribed(own cellID) bool {
+	return p.hasBeat || p.cell != own && !p.seen.IsZero()
+}
+
 func (p *peer) silent(now time.Time) time.Duration {
 	if p.seen.After(p.learned) {
 		return now.Sub(p.seen)
@@ -323,7 +331,7 @@
 		return
 	}
 	if m.Beat != nil {
-		p.beat = *m.Beat
+		p.beat, p.hasBeat = *m.Beat, true
 	}
 	p.demand.merge(now, m.InFlight, m.Used)
 	for _, f := range m.Profiles {
@@ -361,7 +369,7 @@
 		}
 		list = append(list, quetzalhook.Member{
 			Host: host, Incarnation: p.profile.Incarnation, Zone: p.profile.Zone, Region: p.profile.Region,
-			Address: p.profile.Address, PeerAddress: p.profile.Peer, Draining: b.Draining, Unready: b.Unready, Silent: p.silent(now),
+			Address: p.profile.Address, PeerAddress: p.profile.Peer, Draining: b.Draining, Unready: b.Unready || !p.isDescribed(g.cell), Silent: p.silent(now),
 			Distant: p.cell != g.cell, Lag: lag, FreeCapacity: float64(b.FreePercent) / 100, ConfigVersion: b.ConfigVersion, UpstreamVersion: b.UpstreamVersion, StoreAge: age,
 			WithdrawnCount: b.WithdrawnCount, WithdrawnHash: b.WithdrawnHash, Demand: demand,
 			Processors: p.profile.Processors,
--- a/internal/fleet/member/gossip_test.go
+++ b/internal/fleet/member/gossip_test.go
@@ -216,6 +216,30 @@
 	}
 }
 
+// Guards against a host that counts as ready before it has told so: a restarted
+// host without a configuration was chosen as the leader until its first
+// heartbeat, and refused every request.
+func TestUnreadyUntilHeard(t *testing.T) {
+	w := newWorld(t, 3, 1, address(0))
+	w.run(3 * time.Second)
+	if m, ok := w.member(0, 1); !ok || m.Unready {
+		t.Fatalf("running host: got %+v, want it ready", m)
+	}
+	w.report = func(i int) Report { return Report{Unready: i == 1} }
+	w.join(1, 1, 2, address(0))
+	for range 20 {
+		w.run(beatInterval)
+		if m, ok := w.member(0, 1); ok && m.Incarnation == 2 && !m.Unready {
+			t.Fatalf("restarted host: got %+v, want it unready", m)
+		}
+	}
+	w.report = func(int) Report { return Report{} }
+	w.run(2 * time.Second)
+	if m, ok := w.member(0, 1); !ok || m.Unready || m.Incarnation != 2 {
+		t.Errorf("restarted host that is ready: got %+v, want it ready", m)
+	}
+}
+
 // Guards against a fleet of several cells that loses sight of hosts, against
 // traffic that grows with the fleet, and against a version that does not
 // spread. Loss is 20%.
