Move streams off engines that leave

A cheap engine that is reclaimed ends about two seconds after its notice, and a draining one after a few; their streams broke off, and most routes allow no resume. Streams that are still open 1.4 s before the end are moved now: another engine is chosen, the memory of the run is copied there while it goes on, then the run is stopped, the rest is copied, and the stream goes on from its last event within the same answer. A move takes from the budget of repeats. If any step fails before the run is told to stop, the stream stays; after that it must not look complete. The scripted test plays the move and each failure of it; the stand-in engines of the soak move runs as well.

--- a/cmd/quetzalhook/host.go
+++ b/cmd/quetzalhook/host.go
@@ -62,7 +62,8 @@
 	defer store.Close()
 	h, err := host.New(settings, secret, host.Adapter{
 		Store: store, Protocol: platform.Headers{}, Records: platform.Records(settings.Zones),
-		Duties: platform.NewDuties(settings.Platform, settings.Host), Caches: platform.NewCaches(), Directory: platform.DirectoryHandler, Ready: platform.ReadyHandler,
+		Duties: platform.NewDuties(settings.Platform, settings.Host), Caches: platform.NewCaches(), Mover: platform.NewMover(),
+		Directory: platform.DirectoryHandler, Ready: platform.ReadyHandler,
 	}, log)
 	if err != nil {
 		return err
--- a/internal/bench/soak/world.go
+++ b/internal/bench/soak/world.go
@@ -66,6 +66,7 @@
 	memory   *memory.Store
 	store    *standin.Store
 	duties   *standin.Duties
+	engines  *standin.Memory
 	ledger   *Ledger
 	hosts    []*host
 	servers  []*http.Server
@@ -98,7 +99,7 @@
 // Run plays one run. The directory keeps the logs.
 func Run(ctx context.Context, s Settings) (Result, error) {
 	w := &World{
-		settings: s, memory: memory.New(), random: rand.New(rand.NewPCG(s.Seed, 1)), busy: make(map[*host]bool),
+		settings: s, memory: memory.New(), engines: standin.NewMemory(), random: rand.New(rand.NewPCG(s.Seed, 1)), busy: make(map[*host]bool),
 		zones: map[quetzalhook.Zone]quetzalhook.Region{"z-a": "r-a", "z-b": "r-b", "z-c": "r-c"},
 		thaws: make(map[quetzalhook.HostID]time.Time),
 		// Runs on one machine use addresses of their own.
@@ -206,7 +207,7 @@
 	if engine {
 		u.entry.Service, u.entry.Models = engineGroup, []string{"m"}
 	}
-	u.player = standin.NewUpstream(u.entry.ID, engine, w.ledger.Ran)
+	u.player = standin.NewUpstream(u.entry.ID, engine, w.engines, w.ledger.Ran)
 	address, err := w.serve(w.network+"252:0", u.player)
 	if err != nil {
 		return err
--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -36,6 +36,14 @@
 	began    bool                   // usage is counted
 	held     *wholeAnswer           // failure of an upstream, returned if no other attempt follows
 	stream   stream
+
+	// ctx ends with the request. attempt is the current one, memory where the
+	// memory of a moved run is.
+	ctx     context.Context
+	attempt quetzalhook.Attempt
+	memory  string
+	move    *relocation // under way; guarded by the mutex of the streams
+	moved   *relocation // done; the stream goes on with it
 }
 
 // serve handles the request to its end.
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,6 +47,11 @@
 	Hosts    func() int
 	Began    Began
 	Observer Observer
+	// Mover moves streams off engines that leave; nil moves none.
+	Mover quetzalhook.Mover
+	// LeaveTime is how long an engine at least serves that leaves without saying
+	// when.
+	LeaveTime time.Duration
 	// Region is where the host is.
 	Region quetzalhook.Region
 	Clock  quetzalhook.Clock
@@ -58,15 +64,23 @@
 	draining atomic.Bool
 	open     atomic.Int64
 	idle     *idleConns
+	streams  *streams
+	moves    sync.WaitGroup
 }
 
 // New returns a gateway.
 func New(deps Deps) *Gateway {
-	g := &Gateway{deps: deps}
+	g := &Gateway{deps: deps, streams: newStreams()}
 	g.idle = newIdleConns(g.idleTimeout)
 	return g
 }
 
+// Close waits for the moves of streams; the requests must have ended.
+func (g *Gateway) Close() error {
+	g.moves.Wait()
+	return nil
+}
+
 // Drain makes every later answer ask its caller to close the connection.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
--- a/internal/entry/gateway/protocol_test.go
+++ b/internal/entry/gateway/protocol_test.go
@@ -59,6 +59,9 @@
 	if o.HasUrgency {
 		h.Set("Urgency", strconv.Itoa(o.Urgency))
 	}
+	if o.Memory != "" {
+		h.Set("Memory", o.Memory)
+	}
 	if o.LastEvent != "" {
 		h.Set("Last-Event-Id", o.LastEvent)
 	}
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -19,8 +19,9 @@
 // relay runs the request on one upstream after the other until there is an
 // answer or the dispatcher refuses it.
 func (x *exchange) relay(ctx context.Context) error {
+	x.ctx = ctx
 	ticket := x.gateway.deps.Dispatcher.Submit(ctx, x.request())
-	defer ticket.Close()
+	defer func() { ticket.Close() }()
 	var last error
 	for {
 		attempt, err := ticket.Next(ctx)
@@ -30,6 +31,9 @@
 		x.attempts++
 		x.upstream = attempt.Upstream.ID
 		end, err := x.try(ctx, ticket, attempt)
+		for errors.Is(err, errMoved) {
+			end, err = x.goOn(ctx, &ticket)
+		}
 		if err != nil && x.r.Context().Err() != nil {
 			end.End = quetzalhook.EndCallerGone
 		}
@@ -90,12 +94,14 @@
 	x.mayRun = true
 	ticket.Observe(end.Verdict)
 	if x.route.Kind == routing.KindStream && resp.Status == http.StatusOK {
-		err = x.copyStream(ticket, resp)
+		x.attempt = a
+		x.gateway.streams.add(a.Upstream.ID, x)
+		err = x.endMove(x.copyStream(ticket, resp))
 		end.Tokens = x.stream.events
 	} else {
 		err = x.copyWhole(resp)
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, errMoved) {
 		end.End = quetzalhook.EndBroken
 	}
 	return end, err
@@ -107,7 +113,7 @@
 	h := x.header.Clone()
 	deps.Protocol.Encode(h, quetzalhook.Outbound{
 		Customer: x.customer, Upstream: a.Upstream.ID, Patience: x.patience - x.elapsed(), Urgency: a.Urgency,
-		HasUrgency: x.service.Engine != nil, LastEvent: x.stream.lastEvent, Source: a.Source,
+		HasUrgency: x.service.Engine != nil, LastEvent: x.stream.lastEvent, Source: a.Source, Memory: x.memory,
 	})
 	target := connection.Target{
 		ID: a.Upstream.ID, Address: a.Upstream.Address, Started: a.Upstream.Started, MaxConnections: x.gateway.connections(x.service),
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -46,6 +46,7 @@
 	Directory func(hosts func(quetzalhook.Region, quetzalhook.Zone) []string, life time.Duration) http.Handler
 	Duties    Duties
 	Caches    quetzalhook.CacheLister
+	Mover     quetzalhook.Mover
 	// Ready answers the platform's question whether the host takes requests.
 	Ready func(ready func() bool) http.Handler
 }
@@ -113,6 +114,7 @@
 	}
 	h.gateway = gateway.New(gateway.Deps{
 		Tables: h.follower, Protocol: adapter.Protocol, Dispatcher: h, Pool: h.pool, Hosts: h.hostCount,
+		Mover: adapter.Mover, LeaveTime: time.Duration(settings.LeaveMS) * time.Millisecond,
 		Began: h.counter.Add, Observer: observer{h.meter}, Region: settings.Region, Clock: clock, Log: log,
 	})
 	return h, nil
@@ -208,6 +210,7 @@
 			engines, services := divide(table, h.follower.Upstreams())
 			h.services.SetUpstreams(services)
 			h.engines.SetUpstreams(engines)
+			h.gateway.SetUpstreams(engines)
 		}
 		select {
 		case <-changed:
--- a/internal/entry/host/stop.go
+++ b/internal/entry/host/stop.go
@@ -46,6 +46,7 @@
 	for _, s := range h.servers {
 		_ = s.Close()
 	}
+	_ = h.gateway.Close()
 	_ = h.registry.Close()
 	_ = h.follower.Close()
 	_ = h.engines.Close()
--- a/internal/entry/setting/host.go
+++ b/internal/entry/setting/host.go
@@ -39,8 +39,11 @@
 	// StopS is how long a planned stop may take, in seconds.
 	StopS float64 `yaml:"stop-s"`
 	// AnswerLifeS is how long callers may keep the answer which hosts to use.
-	AnswerLifeS  float64 `yaml:"answer-life-s"`
-	LeaseMS      float64 `yaml:"lease-ms"`
+	AnswerLifeS float64 `yaml:"answer-life-s"`
+	LeaseMS     float64 `yaml:"lease-ms"`
+	// LeaveMS is how long an upstream at least serves after it has announced to
+	// leave.
+	LeaveMS      float64 `yaml:"leave-ms"`
 	UsageWindowS float64 `yaml:"usage-window-s"`
 	// UsageDueS is how long after the end of a window its usage is due.
 	UsageDueS    float64 `yaml:"usage-due-s"`
@@ -75,7 +78,7 @@
 		c.add("inner-ports %v is not a range of three ports or more", h.InnerPorts)
 	}
 	for name, v := range map[string]float64{
-		"stop-s": h.StopS, "answer-life-s": h.AnswerLifeS, "lease-ms": h.LeaseMS, "usage-window-s": h.UsageWindowS,
+		"stop-s": h.StopS, "answer-life-s": h.AnswerLifeS, "lease-ms": h.LeaseMS, "leave-ms": h.LeaveMS, "usage-window-s": h.UsageWindowS,
 		"usage-due-s": h.UsageDueS, "retry-window-s": h.RetryWindowS,
 	} {
 		if v <= 0 {
--- a/policy.go
+++ b/policy.go
@@ -20,6 +20,9 @@
 	Region Region
 	// Repeatable reports whether the request may be sent more than once.
 	Repeatable bool
+	// Repeat marks a request that another one was sent for before: it takes from
+	// the budget of repeats.
+	Repeat bool
 	// Service is the service that runs the request; empty where Model selects
 	// the upstreams.
 	Service string
--- a/protocol.go
+++ b/protocol.go
@@ -50,6 +50,9 @@
 	// Source is the address of an engine from which held parts of the prompt are
 	// fetched; empty for none.
 	Source string
+	// Memory tells where the memory of a moved run is, as Mover returns it; empty
+	// for a new run.
+	Memory string
 }
 
 // Verdict is what the header of an answer tells of a request.
