--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -31,19 +31,16 @@
 	header   http.Header // forwarded to upstreams
 
 	attempts int
-	upstream quetzalhook.UpstreamID // of the last attempt
+	attempt  quetzalhook.Attempt // the last one
 	mayRun   bool                   // some upstream may have run the request
 	began    bool                   // usage is counted
 	held     *wholeAnswer           // failure of an upstream, returned if no other attempt follows
 	stream   stream
 
-	// ctx ends with the request. attempt is the current one, memory where the
-	// memory of a moved run is.
-	ctx     context.Context
-	attempt quetzalhook.Attempt
-	memory  string
-	move    *relocation // under way; guarded by the mutex of the streams
-	moved   *relocation // done; the stream goes on with it
+	ctx    context.Context // ends with the request
+	memory string          // where the memory of a moved run is
+	move   *relocation     // under way; guarded by the mutex of the streams
+	moved  *relocation     // done; the stream goes on with it
 }
 
 // serve handles the request to its end.
@@ -151,7 +148,7 @@
 	deps := x.gateway.deps
 	fields := logrus.Fields{
 		"request": x.in.ID, "customer": x.customer, "class": x.class.Name(), "ms": x.elapsed().Milliseconds(),
-		"attempts": x.attempts, "upstream": x.upstream,
+		"attempts": x.attempts, "upstream": x.attempt.Upstream.ID,
 	}
 	if x.table != nil {
 		fields["table"] = x.table.Version
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -28,8 +28,6 @@
 		if err != nil {
 			return x.noAttempt(err, last)
 		}
-		x.attempts++
-		x.upstream = attempt.Upstream.ID
 		end, err := x.try(ctx, ticket, attempt)
 		for errors.Is(err, errMoved) {
 			end, err = x.goOn(ctx, &ticket)
@@ -45,7 +43,7 @@
 			return err
 		}
 		last = err
-		x.gateway.deps.Log.WithField("request", x.in.ID).WithField("upstream", x.upstream).WithField("end", end.End).
+		x.gateway.deps.Log.WithField("request", x.in.ID).WithField("upstream", x.attempt.Upstream.ID).WithField("end", end.End).
 			WithField("not-run", end.Verdict.NotRun).WithError(err).Info("attempt failed")
 	}
 }
@@ -72,6 +70,8 @@
 
 // try sends the request to one upstream and passes its answer on.
 func (x *exchange) try(ctx context.Context, ticket quetzalhook.Ticket, a quetzalhook.Attempt) (quetzalhook.AttemptEnd, error) {
+	x.attempts++
+	x.attempt = a
 	resp, err := x.send(ctx, a)
 	if err != nil {
 		var e *connection.Error
@@ -94,7 +94,6 @@
 	x.mayRun = true
 	ticket.Observe(end.Verdict)
 	if x.route.Kind == routing.KindStream && resp.Status == http.StatusOK {
-		x.attempt = a
 		x.gateway.streams.add(a.Upstream.ID, x)
 		err = x.endMove(x.copyStream(ticket, resp))
 		end.Tokens = x.stream.events
--- a/internal/entry/gateway/relocate.go
+++ b/internal/entry/gateway/relocate.go
@@ -215,7 +215,7 @@
 // returns errMoved if it goes on elsewhere.
 func (x *exchange) endMove(err error) error {
 	s := x.gateway.streams
-	s.remove(x.upstream, x)
+	s.remove(x.attempt.Upstream.ID, x)
 	m := x.move
 	if m == nil {
 		return err
@@ -227,7 +227,7 @@
 	}
 	<-m.done
 	m.cancel()
-	log := x.gateway.deps.Log.WithField("request", x.in.ID).WithField("upstream", x.upstream).WithField("destination", m.attempt.Upstream.ID)
+	log := x.gateway.deps.Log.WithField("request", x.in.ID).WithField("upstream", x.attempt.Upstream.ID).WithField("destination", m.attempt.Upstream.ID)
 	if m.memory != "" {
 		log.WithField("events", x.stream.events).WithError(m.err).Info("stream moved")
 		x.moved = m
@@ -245,9 +245,7 @@
 	(*ticket).End(quetzalhook.AttemptEnd{End: quetzalhook.EndFinished, Tokens: x.stream.events})
 	(*ticket).Close()
 	m := x.moved
-	*ticket, x.upstream, x.moved = m.ticket, m.attempt.Upstream.ID, nil
-	x.attempts++
-	x.memory = m.memory
+	*ticket, x.moved, x.memory = m.ticket, nil, m.memory
 	end, err := x.try(ctx, *ticket, m.attempt)
 	x.memory = ""
 	if end.End == quetzalhook.EndNotSent {
