--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -32,9 +32,9 @@
 
 	attempts int
 	attempt  quetzalhook.Attempt // the last one
-	mayRun   bool                   // some upstream may have run the request
-	began    bool                   // usage is counted
-	held     *wholeAnswer           // failure of an upstream, returned if no other attempt follows
+	mayRun   bool                // some upstream may have run the request
+	began    bool                // usage is counted
+	held     *wholeAnswer        // failure of an upstream, returned if no other attempt follows
 	stream   stream
 
 	ctx    context.Context // ends with the request
