Break a stream off if the engine that goes on with it fails

A stream was moved, its new engine answered 500, and that answer was passed on as an ordinary one into the stream that had begun, which then ended as complete. The same happened to a stream that was resumed at an engine which failed. Any answer but a stream is a broken attempt now once a stream has begun; one that may be resumed goes on at another engine. Both scripts end whole before the change, and cut after it.

--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -93,11 +93,17 @@
 	}
 	x.mayRun = true
 	ticket.Observe(end.Verdict)
-	if x.route.Kind == routing.KindStream && resp.Status == http.StatusOK {
+	switch {
+	case x.route.Kind == routing.KindStream && resp.Status == http.StatusOK:
 		x.gateway.streams.add(a.Upstream.ID, x)
 		err = x.endMove(x.copyStream(ticket, resp))
 		end.Tokens = x.stream.events
-	} else {
+	case x.stream.opened:
+		err = &Error{
+			Op: "relay", Kind: ErrorBroken, Status: http.StatusBadGateway,
+			Message: "the upstream answered " + strconv.Itoa(resp.Status) + " to a stream that had begun",
+		}
+	default:
 		err = x.copyWhole(resp)
 	}
 	if err != nil && !errors.Is(err, errMoved) {
