--- a/internal/entry/gateway/relocate.go
+++ b/internal/entry/gateway/relocate.go
@@ -49,10 +49,13 @@
 	s := g.streams
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	listed := make(map[quetzalhook.UpstreamID]bool, len(list))
+	leaves := make(map[quetzalhook.UpstreamID]bool)
 	for _, u := range list {
-		listed[u.ID] = true
-		if u.State != quetzalhook.UpstreamLeaving || s.leaving[u.ID] != nil {
+		if u.State != quetzalhook.UpstreamLeaving {
+			continue
+		}
+		leaves[u.ID] = true
+		if s.leaving[u.ID] != nil {
 			continue
 		}
 		leavesIn := u.LeavesIn
@@ -62,7 +65,7 @@
 		s.leaving[u.ID] = &departure{timer: time.AfterFunc(max(leavesIn-moveLead, 0), func() { g.evacuate(u.ID) })}
 	}
 	for id, d := range s.leaving {
-		if !listed[id] {
+		if !leaves[id] { // it is gone, or was started again
 			d.timer.Stop()
 			delete(s.leaving, id)
 		}
