Let no host revive an upstream that others know to have left

The store turned one host away while others learned that an upstream was removed. The host's first list after that lacked the upstream; it took it for one that may have lapsed, with the version of its list. That version is newer than the removal, so that hosts which had not heard of the removal took the upstream for present for 2.2 s, and those that had heard of it were not asked any more. Found by playing the script with the outage ending at several times: two of five hosts kept the upstream. Lapses carry the version of the record itself now, a removal after that wins on both sides, and a host with lapses asks three others four times a second. The script fails before the change (h0 h2: upstreams [a b]).

--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -56,7 +56,10 @@
 type entry struct {
 	upstream quetzalhook.Upstream
 	version  quetzalhook.Version
-	removed  time.Time // zero while the upstream is listed
+	// registered is the version of the record itself; version is larger where the
+	// upstream was found missing.
+	registered quetzalhook.Version
+	removed    time.Time // zero while the upstream is listed
 	// lapses is when a missing entry counts as removed that may still come back;
 	// zero if the entry is not missing.
 	lapses time.Time
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -60,6 +60,8 @@
 	Cheap    bool                      `cbor:"12,keyasint,omitempty"`
 	Started  int64                     `cbor:"13,keyasint,omitempty"`
 	LeavesIn time.Duration             `cbor:"14,keyasint,omitempty"`
+	// Registered is set with LapsesIn: the version of the record itself.
+	Registered quetzalhook.Version `cbor:"15,keyasint,omitempty"`
 }
 
 func pulled(e *entry, now time.Time) pulledUpstream {
@@ -69,7 +71,7 @@
 		return p
 	}
 	if !e.lapses.IsZero() {
-		p.LapsesIn = max(e.lapses.Sub(now), time.Millisecond)
+		p.LapsesIn, p.Registered = max(e.lapses.Sub(now), time.Millisecond), e.registered
 	}
 	p.Service, p.Address, p.Zone, p.Region, p.Models = u.Service, u.Address, u.Zone, u.Region, u.Models
 	p.State, p.Slots, p.Cheap, p.Started, p.LeavesIn = u.State, u.Slots, u.Cheap, u.Started, u.LeavesIn
@@ -112,6 +114,7 @@
 	failures := 0 // rounds in a row in which no host answered
 	for sleep(ctx, tick) {
 		f.expire()
+		f.settleLapses(ctx)
 		hosts := f.ahead(failures > 0)
 		if len(hosts) == 0 || f.pullAny(ctx, hosts, min(pullTimeout<<min(failures, maxDoublings), pullLongest)) {
 			failures = 0
@@ -127,7 +130,7 @@
 // pullAny asks hosts in turn until one answers.
 func (f *Follower) pullAny(ctx context.Context, hosts []quetzalhook.HostID, timeout time.Duration) bool {
 	for _, host := range hosts {
-		err := f.pull(ctx, host, timeout)
+		err := f.pull(ctx, host, f.completeVersion(), timeout)
 		if err == nil {
 			return true
 		}
@@ -138,6 +141,24 @@
 	return false
 }
 
+func (f *Follower) completeVersion() quetzalhook.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.complete
+}
+
+// some returns a few hosts of the own cell, others each time.
+func (f *Follower) some() []quetzalhook.HostID {
+	var hosts []quetzalhook.HostID
+	for _, m := range f.peers.Members() {
+		if !m.Distant && m.IsHeard(watcherSilence) {
+			hosts = append(hosts, m.Host)
+		}
+	}
+	ranked := rendezvous.Rank(fmt.Sprint(f.host, f.clock.Now().UnixNano()/int64(tick)), hosts)
+	return ranked[:min(pullAttempts, len(ranked))]
+}
+
 // ahead returns some hosts that know changes that this one does not. Those that
 // watch the store come first, so that each host keeps connections to few others;
 // which of them is asked first changes with time, for the case that one does not
@@ -162,10 +183,11 @@
 	return rendezvous.Rank(fmt.Sprint(f.host, f.clock.Now().UnixNano()/int64(tick)), ranked)
 }
 
-// pull asks one host for changes and applies them.
-func (f *Follower) pull(ctx context.Context, host quetzalhook.HostID, timeout time.Duration) error {
+// pull asks one host for the changes of upstreams after a version, and for a
+// newer table, and applies them.
+func (f *Follower) pull(ctx context.Context, host quetzalhook.HostID, after quetzalhook.Version, timeout time.Duration) error {
 	f.mu.Lock()
-	req := pullRequest{Complete: f.complete}
+	req := pullRequest{Complete: after}
 	if f.table != nil {
 		req.Table = f.table.Version
 	}
@@ -205,11 +227,15 @@
 		listed[id] = true
 		e := f.entries[id]
 		switch {
+		case e != nil && !e.lapses.IsZero() && p.Removed && p.Version > e.registered:
+			f.remove(now, id, e, p.Version, false) // it has left
+		case e != nil && p.LapsesIn > 0 && !e.removed.IsZero() && e.version > p.Registered:
+			// The other host does not know that it has left.
 		case e != nil && p.Version <= e.version:
 		case !p.Removed:
 			f.set(p.upstream(), p.Version)
 			if p.LapsesIn > 0 {
-				f.entries[id].lapses = now.Add(p.LapsesIn)
+				f.entries[id].lapses, f.entries[id].registered = now.Add(p.LapsesIn), p.Registered
 			}
 		default:
 			f.removeID(now, id, p.Version)
--- a/internal/record/routing/upstreams.go
+++ b/internal/record/routing/upstreams.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"time"
@@ -77,7 +78,7 @@
 			"leaves-in-ms": u.LeavesIn.Milliseconds(),
 		}).Info("upstream registered")
 	}
-	f.entries[u.ID] = &entry{upstream: u, version: version}
+	f.entries[u.ID] = &entry{upstream: u, version: version, registered: version}
 	f.latest = max(f.latest, version)
 }
 
@@ -131,6 +132,28 @@
 	}
 }
 
+// settleLapses asks a few hosts for removals of the upstreams that are missing
+// here after an outage: the store may have turned this host away only, and the
+// others then know whether an upstream has left.
+func (f *Follower) settleLapses(ctx context.Context) {
+	f.mu.Lock()
+	oldest, lapsing := quetzalhook.Version(0), false
+	for _, e := range f.entries {
+		if !e.lapses.IsZero() && (!lapsing || e.registered < oldest) {
+			oldest, lapsing = e.registered, true
+		}
+	}
+	f.mu.Unlock()
+	if !lapsing {
+		return
+	}
+	for _, host := range f.some() {
+		if err := f.pull(ctx, host, oldest, pullTimeout); err != nil && ctx.Err() == nil {
+			f.log.WithError(err).WithField("peer", host).Info("removals not pulled")
+		}
+	}
+}
+
 // publish makes a new list of the registered upstreams. The caller holds f.mu.
 func (f *Follower) publish() {
 	list := make([]quetzalhook.Upstream, 0, len(f.entries))
