--- a/internal/bench/soak/proxy.go
+++ b/internal/bench/soak/proxy.go
@@ -20,11 +20,12 @@
 	// ModeForget keeps the open connections silent for good, and passes new ones
 	// on.
 	ModeForget Mode = "forget"
-	// ModeCutTo holds back what goes to the target, ModeCutFrom what comes from
-	// it, and ModeCut both.
-	ModeCutTo   Mode = "cut-to"
+	// ModeCutTo holds back what goes to the target.
+	ModeCutTo Mode = "cut-to"
+	// ModeCutFrom holds back what comes from the target.
 	ModeCutFrom Mode = "cut-from"
-	ModeCut     Mode = "cut"
+	// ModeCut holds back both.
+	ModeCut Mode = "cut"
 )
 
 // proxyDelay is what ModeDelay adds to each piece of data.
