--- a/mover.go
+++ b/mover.go
@@ -1,6 +1,9 @@
 package quetzalhook
 
-import "context"
+import (
+	"context"
+	"errors"
+)
 
 // Mover copies what an engine keeps of a running request to another engine, so
 // that the run can go on there.
@@ -16,8 +19,4 @@
 }
 
 // ErrNoRun reports that an engine runs no such request: it has ended.
-var ErrNoRun error = noRunError{}
-
-type noRunError struct{}
-
-func (noRunError) Error() string { return "the engine runs no such request" }
+var ErrNoRun = errors.New("the engine runs no such request")
