--- a/internal/bench/soak/world.go
+++ b/internal/bench/soak/world.go
@@ -85,7 +85,6 @@
 	rotating  string // the key that the next configuration withdraws
 	sent      int
 	served    int
-	final     bool // requests count towards recovery
 }
 
 // Result is what a run found.
@@ -279,7 +278,7 @@
 	faults.Wait()
 	sleep(ctx, recoverBound)
 	w.mu.Lock()
-	w.final, w.sent, w.served = true, 0, 0
+	w.sent, w.served = 0, 0 // what is sent from now on counts towards recovery
 	w.mu.Unlock()
 	sleep(ctx, finalLoad)
 	stopLoad()
