--- a/internal/entry/setting/host.go
+++ b/internal/entry/setting/host.go
@@ -74,15 +74,19 @@
 	c.address("listen.ready", h.Listen.Ready)
 	c.address("listen.directory", h.Listen.Directory)
 	c.address("store", h.Store)
+	c.address("platform", h.Platform)
 	if len(h.InnerPorts) != 2 || h.InnerPorts[0] <= 0 || h.InnerPorts[1]-h.InnerPorts[0] < 2 || h.InnerPorts[1] > maxPort {
 		c.add("inner-ports %v is not a range of three ports or more", h.InnerPorts)
 	}
-	for name, v := range map[string]float64{
-		"stop-s": h.StopS, "answer-life-s": h.AnswerLifeS, "lease-ms": h.LeaseMS, "leave-ms": h.LeaveMS, "usage-window-s": h.UsageWindowS,
-		"usage-due-s": h.UsageDueS, "retry-window-s": h.RetryWindowS,
+	for _, s := range []struct {
+		name  string
+		value float64
+	}{
+		{"stop-s", h.StopS}, {"answer-life-s", h.AnswerLifeS}, {"lease-ms", h.LeaseMS}, {"leave-ms", h.LeaveMS},
+		{"usage-window-s", h.UsageWindowS}, {"usage-due-s", h.UsageDueS}, {"retry-window-s", h.RetryWindowS},
 	} {
-		if v <= 0 {
-			c.add("%s %g is not positive", name, v)
+		if s.value <= 0 {
+			c.add("%s %g is not positive", s.name, s.value)
 		}
 	}
 	if len(c.mistakes) > 0 {
