--- a/internal/entry/setting/host.go
+++ b/internal/entry/setting/host.go
@@ -74,7 +74,9 @@
 	c.address("listen.ready", h.Listen.Ready)
 	c.address("listen.directory", h.Listen.Directory)
 	c.address("store", h.Store)
-	c.address("platform", h.Platform)
+	if h.Platform != "" { // a deployment without duties has none
+		c.address("platform", h.Platform)
+	}
 	if len(h.InnerPorts) != 2 || h.InnerPorts[0] <= 0 || h.InnerPorts[1]-h.InnerPorts[0] < 2 || h.InnerPorts[1] > maxPort {
 		c.add("inner-ports %v is not a range of three ports or more", h.InnerPorts)
 	}
