--- a/internal/entry/setting/host.go
+++ b/internal/entry/setting/host.go
@@ -84,8 +84,13 @@
 		name  string
 		value float64
 	}{
-		{"stop-s", h.StopS}, {"answer-life-s", h.AnswerLifeS}, {"lease-ms", h.LeaseMS}, {"leave-ms", h.LeaveMS},
-		{"usage-window-s", h.UsageWindowS}, {"usage-due-s", h.UsageDueS}, {"retry-window-s", h.RetryWindowS},
+		{"stop-s", h.StopS},
+		{"answer-life-s", h.AnswerLifeS},
+		{"lease-ms", h.LeaseMS},
+		{"leave-ms", h.LeaveMS},
+		{"usage-window-s", h.UsageWindowS},
+		{"usage-due-s", h.UsageDueS},
+		{"retry-window-s", h.RetryWindowS},
 	} {
 		if s.value <= 0 {
 			c.add("%s %g is not positive", s.name, s.value)
