--- a/internal/fleet/dispatcher/desk.go
+++ b/internal/fleet/dispatcher/desk.go
@@ -23,7 +23,7 @@
 // tickInterval is the time between two rounds of the scheduler.
 const tickInterval = 20 * time.Millisecond
 
-// decided is a decision with its time.
+// decided is a decision on one request.
 type decided struct {
 	attempt quetzalhook.Attempt
 	refusal *quetzalhook.Refusal
