Keep the objects of quetzalhook serve with the adapter's client of the store

Cause: two clients and two HTTP stand-ins of the platform's store stood side by side since the host on the users' platform was added. Ruled out: a third, shared client below both; the adapter's client implements quetzalhook.Store already, and its stand-in serves the same memory store. Before: internal/platform/object and the object half of internal/standin/cloud. After: platform.Store is the only client; internal/platform/provider keeps the product's own orders, usage reports and host list. go test of node, scenario, slope, soak and platform passes; cmd/demo with platform-outage, lost-answer and operators-race ends without a violation. Objects of other writers that cannot be read are logged now.

--- a/cmd/quetzalhook/host.go
+++ b/cmd/quetzalhook/host.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	store := platform.NewStore(settings.Store)
+	store := platform.NewStore(settings.Store, log)
 	defer store.Close()
 	h, err := host.New(settings, secret, host.Adapter{
 		Store: store, Protocol: platform.Headers{}, Records: platform.Records(settings.Zones),
--- a/cmd/quetzalhook/serve.go
+++ b/cmd/quetzalhook/serve.go
@@ -9,6 +9,7 @@
 
 	"quetzalhook/internal/entry/node"
 	"quetzalhook/internal/entry/setting"
+	"quetzalhook/platform"
 )
 
 func serveCommand() *cli.Command {
@@ -30,7 +31,7 @@
 		return errors.Errorf("--log-level %q is not debug, info, warn or error", level)
 	}
 	log.SetLevel(parsed)
-	n, err := node.New(settings, log)
+	n, err := node.New(settings, platform.NewStore(settings.Platform, log), log)
 	if err != nil {
 		return err
 	}
--- a/internal/bench/scenario/host.go
+++ b/internal/bench/scenario/host.go
@@ -15,8 +15,9 @@
 	"quetzalhook/internal/bench/workload"
 	"quetzalhook/internal/entry/node"
 	"quetzalhook/internal/entry/setting"
-	"quetzalhook/internal/platform/object"
+	"quetzalhook/internal/platform/provider"
 	"quetzalhook/internal/state/invariant"
+	"quetzalhook/platform"
 )
 
 const (
@@ -75,7 +76,7 @@
 	if h.node != nil {
 		return nil
 	}
-	n, err := node.New(h.settings, h.system.hostLog)
+	n, err := node.New(h.settings, platform.NewStore(h.settings.Platform, h.system.hostLog), h.system.hostLog)
 	if err != nil {
 		return err
 	}
@@ -93,14 +94,14 @@
 }
 
 // item returns the host's entry in the platform's list.
-func (h *host) item(n *node.Node, leaving bool) object.HostItem {
-	return object.HostItem{
+func (h *host) item(n *node.Node, leaving bool) provider.HostItem {
+	return provider.HostItem{
 		Host: h.name, Incarnation: uint64(n.Incarnation()), Zone: string(h.settings.Zone), Leaving: leaving,
 	}
 }
 
 // listHost changes an entry of the platform's list after its lag.
-func (s *system) listHost(item object.HostItem) {
+func (s *system) listHost(item provider.HostItem) {
 	time.AfterFunc(listLag, func() { s.backend.cloud.ListHost(item) })
 }
 
--- a/internal/bench/slope/calls.go
+++ b/internal/bench/slope/calls.go
@@ -6,7 +6,7 @@
 	"sync"
 	"sync/atomic"
 
-	"quetzalhook/internal/platform/object"
+	"quetzalhook/platform/standin"
 )
 
 // calls counts the calls of the platform by kind and passes them on.
@@ -21,36 +21,20 @@
 
 // ServeHTTP implements http.Handler.
 func (c *calls) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	op, kind := standin.Operation(r)
+	if kind == "" {
+		kind, _, _ = strings.Cut(strings.Trim(r.URL.Path, "/"), "/")
+	}
 	c.mu.Lock()
-	c.counts[kindOf(r)]++
+	c.counts[op+" "+kind]++
 	c.mu.Unlock()
-	if r.URL.Path == object.PathWatch {
+	if op == standin.OperationWatch {
 		c.watches.Add(1)
 		defer c.watches.Add(-1)
 	}
 	c.next.ServeHTTP(&counter{ResponseWriter: w, bytes: &c.bytes}, r)
 }
 
-// kindOf names a call: the operation and the first part of the key.
-func kindOf(r *http.Request) string {
-	op := "read"
-	if r.Method != http.MethodGet {
-		op = "write"
-	}
-	switch r.URL.Path {
-	case object.PathWatch:
-		return "watch " + firstPart(r.URL.Query().Get("prefix"))
-	case object.PathList:
-		return "list " + firstPart(r.URL.Query().Get("prefix"))
-	}
-	return op + " " + firstPart(strings.TrimPrefix(r.URL.Path, object.PathObjects))
-}
-
-func firstPart(key string) string {
-	first, _, _ := strings.Cut(strings.Trim(key, "/"), "/")
-	return first
-}
-
 // counter counts the bytes of an answer.
 type counter struct {
 	http.ResponseWriter
--- a/internal/bench/slope/fleet.go
+++ b/internal/bench/slope/fleet.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"quetzalhook"
 	"quetzalhook/internal/entry/node"
@@ -19,6 +20,7 @@
 	"quetzalhook/internal/standin/cloud"
 	"quetzalhook/internal/standin/engine"
 	"quetzalhook/internal/standin/socket"
+	"quetzalhook/platform"
 )
 
 const (
@@ -115,7 +117,7 @@
 			Listen: "127.0.0.1:0", PeerListen: ports[i], Seeds: ports[:1], Hosts: f.settings.Hosts,
 			Platform: f.address, PeerSecret: peerSecret, OperatorKey: operatorKey, Policy: setting.PolicyOwn,
 			HostsLifetime: hostsLifetime, BillingWindow: time.Hour,
-		}, nil)
+		}, platform.NewStore(f.address, logrus.StandardLogger()), nil)
 		if err == nil {
 			err = n.Start(ctx)
 		}
--- a/internal/entry/node/fleet.go
+++ b/internal/entry/node/fleet.go
@@ -43,7 +43,7 @@
 		}
 	}
 	f.members = member.NewService(member.Settings{
-		Self: self, Listen: s.PeerListen, Secret: []byte(s.PeerSecret), Seeds: s.Seeds, Report: f.report, Hosts: n.platform,
+		Self: self, Listen: s.PeerListen, Secret: []byte(s.PeerSecret), Seeds: s.Seeds, Report: f.report, Hosts: n.provider,
 	}, n.clock, n.log)
 	f.peers, err = peer.NewService(peer.Settings{
 		Host: s.Host, Listen: calls, Secret: []byte(s.PeerSecret), Directory: f.members,
--- a/internal/entry/node/follow.go
+++ b/internal/entry/node/follow.go
@@ -130,7 +130,7 @@
 func (n *Node) readPlatform(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	upstreams, err := n.platform.Upstreams(ctx)
+	upstreams, err := n.provider.Upstreams(ctx)
 	if err != nil {
 		n.log.WithError(err).Debug("upstream list not read")
 		return
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -23,7 +23,7 @@
 	"quetzalhook/internal/entry/probe"
 	"quetzalhook/internal/entry/relay"
 	"quetzalhook/internal/entry/setting"
-	"quetzalhook/internal/platform/object"
+	"quetzalhook/internal/platform/provider"
 	"quetzalhook/internal/record/configuration"
 	"quetzalhook/internal/state/boottime"
 	"quetzalhook/internal/state/chart"
@@ -47,7 +47,8 @@
 	meter    *meter.Meter
 	inv      *invariant.Registry
 	machine  *chart.Machine
-	platform *object.Client
+	store    Store
+	provider *provider.Client
 	broker   *broker.Broker
 	planner  *placement.Planner // nil with the baseline policy
 	pool     *relay.Pool
@@ -72,9 +73,18 @@
 	stopped sync.Once
 }
 
-// New returns a host that is not started. It returns a *setting.Error that
-// lists every mistake in the settings.
-func New(settings setting.Settings, log logrus.FieldLogger) (*Node, error) {
+// Store is the platform's store as a host uses it.
+type Store interface {
+	quetzalhook.Store
+	// Calls returns the number of calls made so far.
+	Calls() (reads, writes, watches int64)
+	// Close cancels the calls in progress.
+	Close()
+}
+
+// New returns a host that is not started and that closes store when it ends. It
+// returns a *setting.Error that lists every mistake in the settings.
+func New(settings setting.Settings, store Store, log logrus.FieldLogger) (*Node, error) {
 	if err := settings.Validate(); err != nil {
 		return nil, err
 	}
@@ -86,7 +96,7 @@
 	log = log.WithField("host", settings.Host)
 	n := &Node{
 		settings: settings, log: log, clock: boottime.Clock{}, meter: meter.New(), inv: invariant.New(log),
-		platform: object.New(settings.Platform), pool: relay.NewPool(),
+		store: store, provider: provider.New(settings.Platform), pool: relay.NewPool(),
 	}
 	n.region.Store(quetzalhook.Region(""))
 	if err := n.build(); err != nil {
@@ -128,8 +138,9 @@
 		return map[string]int64{"datagrams": datagrams, "bytes": bytes}
 	})
 	n.meter.Publish("platform-calls", func() any {
-		reads, writes, watches := n.platform.Calls()
-		return map[string]int64{"reads": reads, "writes": writes, "watches": watches}
+		reads, writes, watches := n.store.Calls()
+		lists, orders := n.provider.Calls()
+		return map[string]int64{"reads": reads + lists, "writes": writes + orders, "watches": watches}
 	})
 	return nil
 }
--- a/internal/entry/node/records.go
+++ b/internal/entry/node/records.go
@@ -51,12 +51,12 @@
 		node: n,
 		rollout: configuration.NewRollout(
 			configuration.Identity{Host: n.settings.Host, Zone: n.settings.Zone},
-			n.platform, n.fleet.peers, n.clock, n.log, n.inv),
-		planner: configuration.NewPlanner(n.platform, n.clock, n.log),
+			n.store, n.fleet.peers, n.clock, n.log, n.inv),
+		planner: configuration.NewPlanner(n.store, n.clock, n.log),
 		keys: &keyRing{clock: n.clock, registry: credential.NewRegistry(
 			credential.Identity{Host: n.settings.Host, Zone: n.settings.Zone},
-			n.platform, n.fleet.peers, n.clock, n.log, n.inv)},
-		journal: newCallJournal(journal.New(n.settings.Host, n.fleet.incarnation, n.platform, n.clock, n.fleet.peers, n.inv)),
+			n.store, n.fleet.peers, n.clock, n.log, n.inv)},
+		journal: newCallJournal(journal.New(n.settings.Host, n.fleet.incarnation, n.store, n.clock, n.fleet.peers, n.inv)),
 		leases:  make(map[string]*lease.Lease),
 	}
 	return r, r.addRoles()
@@ -69,19 +69,19 @@
 	calendar := quetzalhook.ClockFunc(time.Now)
 	source := usage.Source{Host: n.settings.Host, Incarnation: n.fleet.incarnation}
 	part := n.settings.BillingWindow / windowParts
-	r.usage = usage.New(source, n.settings.Zone, n.platform, n.clock, calendar, n.fleet.peers, schedule,
+	r.usage = usage.New(source, n.settings.Zone, n.store, n.clock, calendar, n.fleet.peers, schedule,
 		usage.WithIntervals(min(replicaInterval, part), min(flushInterval, part)))
 	control, err := r.newLease(lease.RoleController)
 	if err != nil {
 		return err
 	}
-	r.controller = controller.New(control, n.platform, n.platform, &capacityPlanner{node: n}, n.clock, controller.WithLog(n.log))
-	r.loader = loader.New(control, engine.New(n.pool), n.platform, n.pool.Upstreams, n.clock, loader.WithLog(n.log))
+	r.controller = controller.New(control, n.provider, n.provider, &capacityPlanner{node: n}, n.clock, controller.WithLog(n.log))
+	r.loader = loader.New(control, engine.New(n.pool), n.provider, n.pool.Upstreams, n.clock, loader.WithLog(n.log))
 	report, err := r.newLease(lease.RoleReporter)
 	if err != nil {
 		return err
 	}
-	r.reporter = billing.New(report, n.platform, n.platform, n.platform, n.inv, n.clock, calendar, schedule,
+	r.reporter = billing.New(report, n.store, n.provider, n.provider, n.inv, n.clock, calendar, schedule,
 		billing.WithLog(n.log), billing.WithInterval(min(reportInterval, part)),
 		billing.WithGrace(min(reportGrace, 2*part)), billing.WithGone(min(hostGone, 2*part)))
 	return nil
@@ -90,7 +90,7 @@
 // newLease returns a lease for which only some of the live hosts compete.
 func (r *records) newLease(role string) (*lease.Lease, error) {
 	n := r.node
-	l, err := lease.New(role, n.settings.Host, n.fleet.incarnation, n.platform, n.clock, n.inv,
+	l, err := lease.New(role, n.settings.Host, n.fleet.incarnation, n.store, n.clock, n.inv,
 		lease.WithCandidate(func() bool { return lease.IsCandidate(role, n.settings.Host, n.fleet.live()) }))
 	if err != nil {
 		return nil, err
@@ -140,7 +140,7 @@
 func (r *records) roles(ctx context.Context) []operator.RoleRow {
 	var rows []operator.RoleRow
 	for _, role := range []string{lease.RoleController, lease.RoleReporter} {
-		state, err := lease.Read(ctx, r.node.platform, role)
+		state, err := lease.Read(ctx, r.node.store, role)
 		if err != nil {
 			continue
 		}
--- a/internal/entry/node/status.go
+++ b/internal/entry/node/status.go
@@ -8,7 +8,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/entry/operator"
-	"quetzalhook/internal/platform/object"
+	"quetzalhook/internal/platform/provider"
 )
 
 // Status returns the state of the whole system as this host sees it.
@@ -66,7 +66,7 @@
 	var rows []operator.UpstreamRow
 	for _, u := range n.pool.Upstreams() {
 		row := operator.UpstreamRow{
-			ID: u.ID, Zone: u.Zone, Kind: kindNames[u.Kind], State: object.StateName(u.State), Cheap: u.Cheap, Slots: u.Slots,
+			ID: u.ID, Zone: u.Zone, Kind: kindNames[u.Kind], State: provider.StateName(u.State), Cheap: u.Cheap, Slots: u.Slots,
 		}
 		for _, d := range demands {
 			row.InFlight += d.InFlight[u.ID]
--- a/internal/entry/node/stop.go
+++ b/internal/entry/node/stop.go
@@ -60,7 +60,8 @@
 	n.stopped.Do(func() {
 		_ = n.machine.Fire(eventKill)
 		_ = n.fleet.Close()
-		_ = n.platform.Close()
+		n.store.Close()
+		_ = n.provider.Close()
 		_ = n.server.Close()
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
@@ -79,6 +80,7 @@
 	_ = n.prober.Close()
 	_ = n.broker.Close()
 	_ = n.pool.Close()
-	_ = n.platform.Close()
+	n.store.Close()
+	_ = n.provider.Close()
 	n.wg.Wait()
 }
--- a/internal/entry/node/world_test.go
+++ b/internal/entry/node/world_test.go
@@ -13,11 +13,14 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"quetzalhook"
 	"quetzalhook/internal/entry/setting"
 	"quetzalhook/internal/standin/cloud"
 	"quetzalhook/internal/standin/engine"
 	"quetzalhook/internal/standin/socket"
+	"quetzalhook/platform"
 )
 
 const (
@@ -54,14 +57,14 @@
 	address, err := w.engine.Listen("127.0.0.1:0")
 	w.must(err)
 	w.document = fmt.Sprintf(testDocument, address)
-	platform := socket.New(w.cloud.Handler())
-	w.platform, err = platform.Listen("127.0.0.1:0")
+	server := socket.New(w.cloud.Handler())
+	w.platform, err = server.Listen("127.0.0.1:0")
 	w.must(err)
 	w.client = &http.Client{Transport: &http.Transport{}}
 	t.Cleanup(func() {
 		w.client.CloseIdleConnections()
 		_ = w.engine.Close()
-		_ = platform.Close()
+		_ = server.Close()
 	})
 	return w
 }
@@ -84,7 +87,7 @@
 	for _, opt := range opts {
 		opt(&s)
 	}
-	n, err := New(s, nil)
+	n, err := New(s, platform.NewStore(w.platform, logrus.StandardLogger()), nil)
 	w.must(err)
 	w.must(n.Start(w.t.Context()))
 	w.t.Cleanup(n.Kill)
--- a/internal/platform/engine/client.go
+++ b/internal/platform/engine/client.go
@@ -14,7 +14,7 @@
 	"github.com/pkg/errors"
 
 	"quetzalhook"
-	"quetzalhook/internal/platform/object"
+	"quetzalhook/internal/platform/provider"
 )
 
 // maxBody bounds what is read of an engine's answer in bytes.
@@ -97,7 +97,7 @@
 	// Without GetBody net/http never sends the order a second time.
 	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(object.HeaderFencing, strconv.FormatUint(o.Fencing, 10))
+	req.Header.Set(provider.HeaderFencing, strconv.FormatUint(o.Fencing, 10))
 	resp, err := client.Do(req)
 	switch {
 	case err != nil && !connected.Load():
--- a/internal/platform/object/client.go
+++ b/internal/platform/provider/client.go
@@ -1,23 +1,21 @@
-// Package object is the HTTP client of the platform's service: versioned
-// objects and watches, orders for upstreams, usage reports and the list of
-// hosts.
+// Package provider is the HTTP client of the interface through which the
+// product's own entry host orders upstreams, reports usage and learns of other
+// hosts. Objects are kept in a quetzalhook.Store.
 //
 // A failed change is StoreUnavailable only if the request provably did not
 // reach the platform or the platform refused it; every other failure is
 // StoreUnknown, and the caller reads again to learn what happened.
-package object
+package provider
 
 import (
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -27,39 +25,28 @@
 )
 
 const (
-	defaultTimeout = 2 * time.Second
+	// callTimeout bounds one call. The platform answers in milliseconds.
+	callTimeout = 2 * time.Second
 	// idleTimeout bounds how long an idle connection may be reused, since the
 	// network may have forgotten it.
 	idleTimeout = 5 * time.Second
 )
 
-// Client talks to the platform. It implements quetzalhook.Store,
-// Provisioner, UsageSink and HostLister and is safe for concurrent use.
+// Client implements quetzalhook.Provisioner, UsageSink and HostLister. It is
+// safe for concurrent use.
 type Client struct {
-	base    string
-	http    *http.Client
-	timeout time.Duration
+	base string
+	http *http.Client
 
 	closed context.Context // ends at Close
 	close  context.CancelFunc
 
-	reads, writes, watches atomic.Int64
-}
-
-// Option sets one property of a Client.
-type Option func(*Client)
-
-// WithTimeout bounds every call but the watches; the default is 2 s.
-func WithTimeout(d time.Duration) Option {
-	return func(c *Client) { c.timeout = d }
+	reads, writes atomic.Int64
 }
 
 // New returns a client of the platform at address, a host:port.
-func New(address string, opts ...Option) *Client {
-	c := &Client{base: "http://" + address, timeout: defaultTimeout}
-	for _, opt := range opts {
-		opt(c)
-	}
+func New(address string) *Client {
+	c := &Client{base: "http://" + address}
 	c.closed, c.close = context.WithCancel(context.Background())
 	c.http = &http.Client{Transport: &http.Transport{
 		IdleConnTimeout:     idleTimeout,
@@ -77,55 +64,7 @@
 }
 
 // Calls returns the number of calls made so far.
-func (c *Client) Calls() (reads, writes, watches int64) {
-	return c.reads.Load(), c.writes.Load(), c.watches.Load()
-}
-
-// Get implements quetzalhook.Store.
-func (c *Client) Get(ctx context.Context, key string) (quetzalhook.Object, error) {
-	var item Item
-	if err := c.read(ctx, "get", key, PathObjects+escape(key), &item); err != nil {
-		return quetzalhook.Object{}, err
-	}
-	return item.Object(), nil
-}
-
-// List implements quetzalhook.Store.
-func (c *Client) List(ctx context.Context, prefix string) (quetzalhook.Listing, error) {
-	var item ListItem
-	path := PathList + "?prefix=" + url.QueryEscape(prefix)
-	if err := c.read(ctx, "list", prefix, path, &item); err != nil {
-		return quetzalhook.Listing{}, err
-	}
-	list := quetzalhook.Listing{Version: quetzalhook.Version(item.Version)}
-	for _, i := range item.Items {
-		list.Objects = append(list.Objects, i.Object())
-	}
-	return list, nil
-}
-
-// Put implements quetzalhook.Store.
-func (c *Client) Put(ctx context.Context, key string, value []byte, base quetzalhook.Version) (quetzalhook.Version, error) {
-	if len(value) > quetzalhook.MaxValueSize {
-		return 0, &quetzalhook.StoreError{Op: "put", Key: key, Kind: quetzalhook.StoreTooLarge}
-	}
-	resp, err := c.write(ctx, call{op: "put", method: http.MethodPut, key: key, path: PathObjects + escape(key), body: value, base: &base})
-	if err != nil {
-		return 0, err
-	}
-	tag := strings.Trim(resp.Get("ETag"), `"`)
-	version, err := strconv.ParseInt(tag, 10, 64)
-	if err != nil {
-		return 0, &quetzalhook.StoreError{Op: "put", Key: key, Kind: quetzalhook.StoreUnknown, Err: err}
-	}
-	return quetzalhook.Version(version), nil
-}
-
-// Delete implements quetzalhook.Store.
-func (c *Client) Delete(ctx context.Context, key string, base quetzalhook.Version) error {
-	_, err := c.write(ctx, call{op: "delete", method: http.MethodDelete, key: key, path: PathObjects + escape(key), base: &base})
-	return err
-}
+func (c *Client) Calls() (reads, writes int64) { return c.reads.Load(), c.writes.Load() }
 
 // Order implements quetzalhook.Provisioner.
 func (c *Client) Order(ctx context.Context, o quetzalhook.UpstreamOrder) error {
@@ -133,8 +72,7 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	_, err = c.write(ctx, call{op: "order", method: http.MethodPost, key: o.ID, path: PathOrders, body: body, fencing: o.Fencing})
-	return err
+	return c.write(ctx, call{op: "order", method: http.MethodPost, key: o.ID, path: PathOrders, body: body, fencing: o.Fencing})
 }
 
 // Upstreams implements quetzalhook.Provisioner. Only identifier, zone, price
@@ -162,8 +100,7 @@
 
 // Report implements quetzalhook.UsageSink.
 func (c *Client) Report(ctx context.Context, window string, fencing uint64, body []byte) error {
-	_, err := c.write(ctx, call{op: "report", method: http.MethodPost, key: window, path: PathUsage + escape(window), body: body, fencing: fencing})
-	return err
+	return c.write(ctx, call{op: "report", method: http.MethodPost, key: window, path: PathUsage + url.PathEscape(window), body: body, fencing: fencing})
 }
 
 // Hosts implements quetzalhook.HostLister.
@@ -185,7 +122,7 @@
 // bound returns the context of one call: it ends with the timeout and when
 // the client is closed.
 func (c *Client) bound(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	stop := context.AfterFunc(c.closed, cancel)
 	return ctx, func() {
 		stop()
@@ -219,11 +156,10 @@
 type call struct {
 	op, method, key, path string
 	body                  []byte
-	base                  *quetzalhook.Version
 	fencing               uint64
 }
 
-func (c *Client) write(ctx context.Context, w call) (http.Header, error) {
+func (c *Client) write(ctx context.Context, w call) error {
 	c.writes.Add(1)
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
@@ -233,36 +169,22 @@
 	})
 	req, err := http.NewRequestWithContext(ctx, w.method, c.base+w.path, bytes.NewReader(w.body))
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return errors.WithStack(err)
+	}
+	if w.fencing > 0 {
+		req.Header.Set(HeaderFencing, strconv.FormatUint(w.fencing, 10))
 	}
-	w.setHeaders(req)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		kind := quetzalhook.StoreUnavailable
 		if sent.Load() {
 			kind = quetzalhook.StoreUnknown
 		}
-		return nil, c.failed(w.op, w.key, kind, err)
+		return c.failed(w.op, w.key, kind, err)
 	}
 	defer resp.Body.Close()
 	_, _ = io.Copy(io.Discard, resp.Body)
-	if err := checkStatus(w.op, w.key, resp); err != nil {
-		return nil, err
-	}
-	return resp.Header, nil
-}
-
-func (w call) setHeaders(req *http.Request) {
-	switch {
-	case w.base == nil:
-	case *w.base == 0:
-		req.Header.Set("If-None-Match", "*")
-	default:
-		req.Header.Set("If-Match", fmt.Sprintf("%q", strconv.FormatInt(int64(*w.base), 10)))
-	}
-	if w.fencing > 0 {
-		req.Header.Set(HeaderFencing, strconv.FormatUint(w.fencing, 10))
-	}
+	return checkStatus(w.op, w.key, resp)
 }
 
 // failed reports a transport error and drops idle connections, since one of
@@ -274,7 +196,6 @@
 
 var statusKinds = map[int]quetzalhook.StoreErrorKind{
 	http.StatusNotFound:              quetzalhook.StoreNotFound,
-	http.StatusPreconditionFailed:    quetzalhook.StoreConflict,
 	http.StatusConflict:              quetzalhook.StoreConflict,
 	http.StatusRequestEntityTooLarge: quetzalhook.StoreTooLarge,
 	http.StatusTooManyRequests:       quetzalhook.StoreRateLimited,
@@ -291,11 +212,3 @@
 	}
 	return &quetzalhook.StoreError{Op: op, Key: key, Kind: kind, Err: errors.New(resp.Status)}
 }
-
-func escape(key string) string {
-	parts := strings.Split(key, "/")
-	for i, p := range parts {
-		parts[i] = url.PathEscape(p)
-	}
-	return strings.Join(parts, "/")
-}
--- a/internal/platform/object/wire.go
+++ b/internal/platform/provider/wire.go
@@ -1,14 +1,11 @@
-package object
+package provider
 
 import (
 	"quetzalhook"
 )
 
-// Paths and headers of the platform's HTTP interface.
+// Paths and headers of the interface.
 const (
-	PathObjects   = "/objects/"
-	PathList      = "/objects"
-	PathWatch     = "/watch"
 	PathUpstreams = "/upstreams"
 	PathOrders    = "/upstreams/orders"
 	PathUsage     = "/usage/"
@@ -18,32 +15,6 @@
 	HeaderFencing = "Fencing-Token"
 )
 
-// Item is the JSON form of an object.
-type Item struct {
-	Key     string `json:"key"`
-	Value   []byte `json:"value,omitempty"`
-	Version int64  `json:"version"`
-	Deleted bool   `json:"deleted,omitempty"`
-}
-
-// ListItem is the JSON form of a list of objects.
-type ListItem struct {
-	Items   []Item `json:"items"`
-	Version int64  `json:"version"`
-}
-
-// Object converts an Item.
-func (i Item) Object() quetzalhook.Object {
-	return quetzalhook.Object{
-		Key: i.Key, Value: i.Value, Version: quetzalhook.Version(i.Version), Deleted: i.Deleted,
-	}
-}
-
-// NewItem converts an object.
-func NewItem(o quetzalhook.Object) Item {
-	return Item{Key: o.Key, Value: o.Value, Version: int64(o.Version), Deleted: o.Deleted}
-}
-
 // OrderItem is the JSON form of an order for upstreams.
 type OrderItem struct {
 	ID    string `json:"id"`
--- a/internal/standin/cloud/cloud.go
+++ b/internal/standin/cloud/cloud.go
@@ -1,7 +1,7 @@
 // Package cloud is a stand-in of the platform's service for tests, the demo
 // and local trials.
 //
-// It serves versioned objects with conditional updates and watches, a list of
+// It serves the platform's store of objects, a list of
 // upstreams with orders by availability zone, usage reports by window and a
 // list of hosts. It records every order and report, so that a test can check
 // what the platform received.
@@ -19,7 +19,8 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/platform/memory"
-	"quetzalhook/internal/platform/object"
+	"quetzalhook/internal/platform/provider"
+	"quetzalhook/platform/standin"
 )
 
 // Rates of the service in calls a second.
@@ -30,7 +31,7 @@
 
 // Order is an order as it was received.
 type Order struct {
-	object.OrderItem
+	provider.OrderItem
 	Fencing uint64
 	At      time.Time
 }
@@ -51,7 +52,7 @@
 	reports      map[string][]byte
 	reportCount  int
 	conflicting  int
-	hosts        []object.HostItem
+	hosts        []provider.HostItem
 	loseOrders   int
 }
 
@@ -84,15 +85,13 @@
 	for _, opt := range opts {
 		opt(c)
 	}
-	c.mux.HandleFunc("GET "+object.PathObjects+"{key...}", c.read(c.getObject))
-	c.mux.HandleFunc("GET "+object.PathList, c.read(c.listObjects))
-	c.mux.HandleFunc("PUT "+object.PathObjects+"{key...}", c.write(c.putObject))
-	c.mux.HandleFunc("DELETE "+object.PathObjects+"{key...}", c.write(c.deleteObject))
-	c.mux.HandleFunc("GET "+object.PathWatch, c.read(c.watch))
-	c.mux.HandleFunc("GET "+object.PathUpstreams, c.read(c.listUpstreams))
-	c.mux.HandleFunc("POST "+object.PathOrders, c.write(c.order))
-	c.mux.HandleFunc("POST "+object.PathUsage+"{window}", c.write(c.report))
-	c.mux.HandleFunc("GET "+object.PathHosts, c.read(c.listHosts))
+	objects := standin.NewStore(c.store)
+	c.mux.HandleFunc("GET /", c.read(objects.ServeHTTP))
+	c.mux.HandleFunc("/", c.write(objects.ServeHTTP))
+	c.mux.HandleFunc("GET "+provider.PathUpstreams, c.read(c.listUpstreams))
+	c.mux.HandleFunc("POST "+provider.PathOrders, c.write(c.order))
+	c.mux.HandleFunc("POST "+provider.PathUsage+"{window}", c.write(c.report))
+	c.mux.HandleFunc("GET "+provider.PathHosts, c.read(c.listHosts))
 	c.mux.HandleFunc("GET /records", c.getRecords)
 	c.mux.HandleFunc("POST /faults", c.postFaults)
 	c.mux.HandleFunc("POST /upstreams/{id}/state", c.postState)
@@ -127,10 +126,10 @@
 
 // ListHost adds an incarnation of a host to the list, in place of an earlier
 // one, or removes the host if it is leaving.
-func (c *Cloud) ListHost(item object.HostItem) {
+func (c *Cloud) ListHost(item provider.HostItem) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	i := slices.IndexFunc(c.hosts, func(h object.HostItem) bool { return h.Host == item.Host })
+	i := slices.IndexFunc(c.hosts, func(h provider.HostItem) bool { return h.Host == item.Host })
 	switch {
 	case i < 0 && !item.Leaving:
 		c.hosts = append(c.hosts, item)
--- a/internal/standin/cloud/handlers.go
+++ b/internal/standin/cloud/handlers.go
@@ -3,120 +3,23 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"quetzalhook"
 	"quetzalhook/internal/platform/memory"
-	"quetzalhook/internal/platform/object"
+	"quetzalhook/internal/platform/provider"
 )
 
-func (c *Cloud) getObject(w http.ResponseWriter, r *http.Request) {
-	o, err := c.store.Get(r.Context(), r.PathValue("key"))
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	writeJSON(w, object.NewItem(o))
-}
-
-func (c *Cloud) listObjects(w http.ResponseWriter, r *http.Request) {
-	list, err := c.store.List(r.Context(), r.URL.Query().Get("prefix"))
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	answer := object.ListItem{Items: make([]object.Item, len(list.Objects)), Version: int64(list.Version)}
-	for i, o := range list.Objects {
-		answer.Items[i] = object.NewItem(o)
-	}
-	writeJSON(w, answer)
-}
-
-func (c *Cloud) putObject(w http.ResponseWriter, r *http.Request) {
-	base, ok := baseVersion(w, r)
-	if !ok {
-		return
-	}
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, quetzalhook.MaxValueSize))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
-		return
-	}
-	version, err := c.store.Put(r.Context(), r.PathValue("key"), value, base)
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	w.Header().Set("ETag", `"`+strconv.FormatInt(int64(version), 10)+`"`)
-}
-
-func (c *Cloud) deleteObject(w http.ResponseWriter, r *http.Request) {
-	base, ok := baseVersion(w, r)
-	if !ok {
-		return
-	}
-	if err := c.store.Delete(r.Context(), r.PathValue("key"), base); err != nil {
-		writeError(w, err)
-	}
-}
-
-// baseVersion reads the condition of a change; a change without one is
-// refused.
-func baseVersion(w http.ResponseWriter, r *http.Request) (quetzalhook.Version, bool) {
-	if r.Header.Get("If-None-Match") == "*" {
-		return 0, true
-	}
-	tag := strings.Trim(r.Header.Get("If-Match"), `"`)
-	version, err := strconv.ParseInt(tag, 10, 64)
-	if err != nil {
-		http.Error(w, "If-Match or If-None-Match: * is required", http.StatusPreconditionRequired)
-		return 0, false
-	}
-	return quetzalhook.Version(version), true
-}
-
-func (c *Cloud) watch(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
-	if err != nil {
-		http.Error(w, "after is not a version", http.StatusBadRequest)
-		return
-	}
-	watch, err := c.store.Watch(r.Context(), r.URL.Query().Get("prefix"), quetzalhook.Version(after))
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	defer func() { _ = watch.Close() }()
-	w.Header().Set("Content-Type", "application/x-ndjson")
-	w.WriteHeader(http.StatusOK)
-	flusher := http.NewResponseController(w)
-	encoder := json.NewEncoder(w)
-	for {
-		if err := flusher.Flush(); err != nil {
-			return
-		}
-		o, ok := <-watch.Events()
-		if !ok {
-			return
-		}
-		if err := encoder.Encode(object.NewItem(o)); err != nil {
-			return
-		}
-	}
-}
-
 func (c *Cloud) listUpstreams(w http.ResponseWriter, _ *http.Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	items := object.UpstreamsItem{Upstreams: make([]object.UpstreamItem, 0, len(c.upstreams))}
+	items := provider.UpstreamsItem{Upstreams: make([]provider.UpstreamItem, 0, len(c.upstreams))}
 	for _, u := range c.upstreams {
-		items.Upstreams = append(items.Upstreams, object.UpstreamItem{
-			ID: string(u.ID), Zone: string(u.Zone), Cheap: u.Cheap, State: object.StateName(u.State),
+		items.Upstreams = append(items.Upstreams, provider.UpstreamItem{
+			ID: string(u.ID), Zone: string(u.Zone), Cheap: u.Cheap, State: provider.StateName(u.State),
 		})
 	}
 	for _, o := range c.orders {
@@ -128,12 +31,12 @@
 // order takes an order: upstreams of the zone and kind become ready or gone
 // until the wanted number is ready. Leaving upstreams stay as they are.
 func (c *Cloud) order(w http.ResponseWriter, r *http.Request) {
-	var item object.OrderItem
+	var item provider.OrderItem
 	if err := json.NewDecoder(r.Body).Decode(&item); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	fencing, _ := strconv.ParseUint(r.Header.Get(object.HeaderFencing), 10, 64)
+	fencing, _ := strconv.ParseUint(r.Header.Get(provider.HeaderFencing), 10, 64)
 	c.mu.Lock()
 	stale := fencing < c.fencing
 	if stale && c.checkFencing {
@@ -158,7 +61,7 @@
 	writeJSON(w, item)
 }
 
-func (c *Cloud) apply(item object.OrderItem) {
+func (c *Cloud) apply(item provider.OrderItem) {
 	ready := 0
 	for i := range c.upstreams {
 		u := &c.upstreams[i]
@@ -196,7 +99,7 @@
 func (c *Cloud) listHosts(w http.ResponseWriter, _ *http.Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	writeJSON(w, append([]object.HostItem{}, c.hosts...))
+	writeJSON(w, append([]provider.HostItem{}, c.hosts...))
 }
 
 // records is the body of GET /records.
@@ -250,25 +153,3 @@
 		http.Error(w, "no such upstream", http.StatusNotFound)
 	}
 }
-
-var kindStatus = map[quetzalhook.StoreErrorKind]int{
-	quetzalhook.StoreConflict:    http.StatusPreconditionFailed,
-	quetzalhook.StoreNotFound:    http.StatusNotFound,
-	quetzalhook.StoreTooLarge:    http.StatusRequestEntityTooLarge,
-	quetzalhook.StoreRateLimited: http.StatusTooManyRequests,
-	quetzalhook.StoreUnavailable: http.StatusServiceUnavailable,
-}
-
-// writeError answers with the status of a store error. A lost answer closes
-// the connection without one.
-func writeError(w http.ResponseWriter, err error) {
-	var e *quetzalhook.StoreError
-	if !errors.As(err, &e) {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	if e.Kind == quetzalhook.StoreUnknown {
-		panic(http.ErrAbortHandler)
-	}
-	http.Error(w, e.Error(), kindStatus[e.Kind])
-}
