Serve metrics on a port that the deploy file names

Cause: metrics was not set in deploy/system.toml, since the inner ports differ from deployment to deployment. Ruled out: a placeholder for the port; the deploy file takes a number only. Before: metrics on the third inner port, which nobody outside knows.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -117,9 +117,20 @@
 		Mover: adapter.Mover, LeaveTime: time.Duration(settings.LeaveMS) * time.Millisecond,
 		Began: h.counter.Add, Observer: observer{h.meter}, Region: settings.Region, Clock: clock, Log: log,
 	})
+	h.publish()
 	return h, nil
 }
 
+// publish adds the state of the host to its metrics.
+func (h *Host) publish() {
+	h.meter.Publish("open-requests", func() any { return h.gateway.Open() })
+	h.meter.Publish("hosts", func() any { return h.hostCount() })
+	h.meter.Publish("leader", func() any { return h.leader() })
+	h.meter.Publish("table-revision", func() any { revision, _ := h.follower.Versions(); return revision })
+	h.meter.Publish("store-age-ms", func() any { return h.follower.StoreAge().Milliseconds() })
+	h.meter.Publish("invariants", func() any { return h.inv.Counts() })
+}
+
 // assembleFleet makes the parts that talk to other hosts. A restarted host
 // needs a larger incarnation, which only wall-clock time gives without a place
 // to keep the last one.
--- a/internal/entry/setting/host.go
+++ b/internal/entry/setting/host.go
@@ -27,6 +27,8 @@
 	// InnerPorts are the first and last port for traffic between hosts; they are
 	// the same on all hosts.
 	InnerPorts []int `yaml:"inner-ports"`
+	// MetricsPort is the port for metrics; 0 stands for the third inner port.
+	MetricsPort int `yaml:"metrics-port"`
 	// Seeds are addresses of some hosts; the port is of no use here.
 	Seeds []string `yaml:"seeds"`
 	// Store and Platform are the addresses of the store and of the duties.
@@ -80,6 +82,9 @@
 	if len(h.InnerPorts) != 2 || h.InnerPorts[0] <= 0 || h.InnerPorts[1]-h.InnerPorts[0] < 2 || h.InnerPorts[1] > maxPort {
 		c.add("inner-ports %v is not a range of three ports or more", h.InnerPorts)
 	}
+	if h.MetricsPort < 0 || h.MetricsPort > maxPort {
+		c.add("metrics-port %d is not a port", h.MetricsPort)
+	}
 	for _, s := range []struct {
 		name  string
 		value float64
@@ -131,7 +136,13 @@
 func (h Host) Peer(ip string) string { return net.JoinHostPort(ip, fmt.Sprint(h.InnerPorts[0]+1)) }
 
 // Metrics returns the address for metrics.
-func (h Host) Metrics(ip string) string { return net.JoinHostPort(ip, fmt.Sprint(h.InnerPorts[0]+2)) }
+func (h Host) Metrics(ip string) string {
+	port := h.MetricsPort
+	if port == 0 {
+		port = h.InnerPorts[0] + 2
+	}
+	return net.JoinHostPort(ip, fmt.Sprint(port))
+}
 
 // SeedHeartbeats returns the heartbeat addresses of the seeds, without this
 // host's.
