Wait and repeat with one function each

Before and after: the same behaviour; peer calls that end while they wait return the cause of their context, as before.

--- a/internal/bench/client/chat.go
+++ b/internal/bench/client/chat.go
@@ -10,6 +10,7 @@
 	"quetzalhook/internal/bench/workload"
 	"quetzalhook/internal/standin/engine"
 	"quetzalhook/internal/state/invariant"
+	"quetzalhook/internal/state/timing"
 )
 
 // chatBody is the request of a caller.
@@ -108,7 +109,7 @@
 		return endAbandoned
 	}
 	if r.slow {
-		_ = wait(ctx, slowRead)
+		_ = timing.Sleep(ctx, slowRead)
 	}
 	return 0
 }
--- a/internal/bench/client/client.go
+++ b/internal/bench/client/client.go
@@ -17,6 +17,7 @@
 	"quetzalhook/internal/bench/measure"
 	"quetzalhook/internal/bench/workload"
 	"quetzalhook/internal/state/invariant"
+	"quetzalhook/internal/state/timing"
 )
 
 const (
@@ -101,7 +102,7 @@
 	var group sync.WaitGroup
 	begin := time.Now()
 	for i, a := range arrivals {
-		if !wait(ctx, time.Until(begin.Add(a.At))) {
+		if !timing.Sleep(ctx, time.Until(begin.Add(a.At))) {
 			break
 		}
 		group.Go(func() { c.settings.Collector.Add(c.Do(ctx, a, i)) })
@@ -186,19 +187,5 @@
 	c.errors[kind]++
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Report returns the measures so far.
 func (c *Client) Report() measure.Report { return c.settings.Collector.Report() }
--- a/internal/bench/client/compare.go
+++ b/internal/bench/client/compare.go
@@ -16,6 +16,7 @@
 
 	"quetzalhook/internal/bench/workload"
 	"quetzalhook/internal/standin/engine"
+	"quetzalhook/internal/state/timing"
 )
 
 // Comparison sends the same streamed question to an engine directly and
@@ -78,7 +79,7 @@
 	var mu sync.Mutex
 	begin := time.Now()
 	for i := range int(rate * duration.Seconds()) {
-		if !wait(ctx, time.Until(begin.Add(time.Duration(float64(i)/rate*float64(time.Second))))) {
+		if !timing.Sleep(ctx, time.Until(begin.Add(time.Duration(float64(i)/rate*float64(time.Second))))) {
 			break
 		}
 		group.Go(func() {
--- a/internal/bench/client/request.go
+++ b/internal/bench/client/request.go
@@ -12,6 +12,7 @@
 	"quetzalhook/internal/bench/measure"
 	"quetzalhook/internal/bench/workload"
 	"quetzalhook/internal/state/invariant"
+	"quetzalhook/internal/state/timing"
 )
 
 // request is one arrival on its way.
@@ -64,12 +65,12 @@
 	for breaks := 0; ; {
 		host, err := c.directory.pick(ctx, r.caller, c.settings.Region(r.arrival))
 		if err != nil {
-			if !r.retryRefused() || !wait(ctx, minRetry) {
+			if !r.retryRefused() || !timing.Sleep(ctx, minRetry) {
 				return r.lost()
 			}
 			continue
 		}
-		_ = wait(ctx, r.arrival.Latency)
+		_ = timing.Sleep(ctx, r.arrival.Latency)
 		end, detail := send(ctx, host)
 		switch end {
 		case endServed:
@@ -80,7 +81,7 @@
 			r.invalid = true
 			return measure.Unknown
 		case endNotRun:
-			if !r.retryRefused() || !wait(ctx, retryAfter(detail)) {
+			if !r.retryRefused() || !timing.Sleep(ctx, retryAfter(detail)) {
 				return r.lost()
 			}
 		case endUnknown, endBroken:
--- a/internal/bench/scenario/fault.go
+++ b/internal/bench/scenario/fault.go
@@ -13,6 +13,7 @@
 	"quetzalhook/internal/bench/workload"
 	"quetzalhook/internal/platform/memory"
 	"quetzalhook/internal/standin/engine"
+	"quetzalhook/internal/state/timing"
 )
 
 // Names of the faults.
@@ -120,7 +121,7 @@
 		for _, next := range schedules[name] {
 			group.Go(func() {
 				at := time.Duration(next.at * float64(s.settings.Duration))
-				if !sleep(ctx, time.Until(begin.Add(at))) {
+				if !timing.Sleep(ctx, time.Until(begin.Add(at))) {
 					return
 				}
 				log := s.log.WithFields(logrus.Fields{"fault": name, "at": at})
@@ -185,7 +186,7 @@
 			if err := s.changeEngines(cheap, func(f *engine.Faults) { f.Leaving = true }); err != nil {
 				return err
 			}
-			sleep(ctx, notice)
+			timing.Sleep(ctx, notice)
 		}
 		s.setStates(cheap, quetzalhook.UpstreamGone)
 		return s.changeEngines(cheap, func(f *engine.Faults) { f.Crash = true })
--- a/internal/bench/scenario/operator.go
+++ b/internal/bench/scenario/operator.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"quetzalhook/internal/state/timing"
+
 	"github.com/pkg/errors"
 
 	"quetzalhook"
@@ -105,19 +107,8 @@
 		if err == nil {
 			return nil
 		}
-		if !sleep(ctx, pause) {
+		if !timing.Sleep(ctx, pause) {
 			return err
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/bench/scenario/race.go
+++ b/internal/bench/scenario/race.go
@@ -17,6 +17,7 @@
 	"quetzalhook/internal/bench/workload"
 	"quetzalhook/internal/platform/memory"
 	"quetzalhook/internal/state/invariant"
+	"quetzalhook/internal/state/timing"
 )
 
 const (
@@ -119,7 +120,7 @@
 	if err := s.operator.withdraw(ctx, live[0].address(), key.ID); err != nil {
 		return err
 	}
-	if !sleep(ctx, withdrawalLimit) {
+	if !timing.Sleep(ctx, withdrawalLimit) {
 		return nil
 	}
 	for i, h := range live {
--- a/internal/bench/scenario/run.go
+++ b/internal/bench/scenario/run.go
@@ -16,6 +16,7 @@
 	"quetzalhook/internal/bench/workload"
 	"quetzalhook/internal/record/configuration"
 	"quetzalhook/internal/state/invariant"
+	"quetzalhook/internal/state/timing"
 )
 
 const (
@@ -221,7 +222,7 @@
 // watch samples versions and spending until ctx ends.
 func (s *system) watch(ctx context.Context) {
 	var upstreams []quetzalhook.Upstream
-	for i := 0; sleep(ctx, samplePeriod); i++ {
+	for i := 0; timing.Sleep(ctx, samplePeriod); i++ {
 		for _, h := range s.hosts {
 			h.version()
 		}
--- a/internal/bench/slope/load.go
+++ b/internal/bench/slope/load.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"quetzalhook/internal/record/configuration"
+	"quetzalhook/internal/state/timing"
 )
 
 const (
@@ -150,7 +151,7 @@
 func retry(ctx context.Context, do func() error) error {
 	for {
 		err := do()
-		if err == nil || sleep(ctx, pause) != nil {
+		if err == nil || !timing.Sleep(ctx, pause) {
 			return err
 		}
 	}
--- a/internal/bench/slope/slope.go
+++ b/internal/bench/slope/slope.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"quetzalhook/internal/state/timing"
+
 	"github.com/pkg/errors"
 )
 
@@ -107,8 +109,8 @@
 	if err := f.start(ctx); err != nil {
 		return nil, err
 	}
-	if err := sleep(ctx, s.Settle); err != nil {
-		return nil, err
+	if !timing.Sleep(ctx, s.Settle) {
+		return nil, ctx.Err()
 	}
 	idle, err := f.measure(ctx, "idle", before)
 	if err != nil || s.Rate == 0 {
@@ -118,8 +120,8 @@
 	wait := f.load(loaded)
 	defer wait()
 	defer stop()
-	if err := sleep(ctx, time.Second); err != nil {
-		return nil, err
+	if !timing.Sleep(ctx, time.Second) {
+		return nil, ctx.Err()
 	}
 	busy, err := f.measure(ctx, "load", before)
 	return []Row{idle, busy}, err
@@ -128,7 +130,7 @@
 // measure takes the difference between two snapshots.
 func (f *fleet) measure(ctx context.Context, phase string, heapBefore uint64) (Row, error) {
 	begin := f.snapshot()
-	err := sleep(ctx, f.settings.Window)
+	timing.Sleep(ctx, f.settings.Window)
 	end := f.snapshot()
 	seconds, hosts := end.at.Sub(begin.at).Seconds(), float64(f.settings.Hosts)
 	per := func(a, b int64) float64 { return float64(b-a) / seconds / hosts }
@@ -148,7 +150,7 @@
 		row.Calls[kind] = per(begin.calls[kind], n)
 	}
 	row.Heap = max(float64(heap())-float64(heapBefore), 0) / hosts / (1 << 20)
-	return row, err
+	return row, ctx.Err()
 }
 
 // heap returns the bytes in use after a collection.
@@ -167,14 +169,3 @@
 	}
 	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/bench/soak/caller.go
+++ b/internal/bench/soak/caller.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"quetzalhook"
+	"quetzalhook/internal/state/timing"
 	"quetzalhook/platform/standin"
 )
 
@@ -56,7 +57,7 @@
 
 func (c *caller) run(ctx context.Context) {
 	defer c.client.CloseIdleConnections()
-	for sleep(ctx, time.Duration(c.random.ExpFloat64()*float64(thinkTime))) {
+	for timing.Sleep(ctx, time.Duration(c.random.ExpFloat64()*float64(thinkTime))) {
 		h := c.choose(ctx)
 		if h == nil {
 			continue
@@ -137,7 +138,7 @@
 		c.avoid[c.previous] = time.Now().Add(avoidTime)
 	}
 	if a.RetryAfter > 0 {
-		sleep(ctx, min(a.RetryAfter, call.Patience/3))
+		timing.Sleep(ctx, min(a.RetryAfter, call.Patience/3))
 	}
 }
 
@@ -171,7 +172,7 @@
 
 func (p *prober) run(ctx context.Context) {
 	defer p.client.CloseIdleConnections()
-	for sleep(ctx, probeInterval) {
+	for timing.Sleep(ctx, probeInterval) {
 		p.probeVersion(ctx)
 		p.probeKey(ctx)
 	}
--- a/internal/bench/soak/world.go
+++ b/internal/bench/soak/world.go
@@ -22,6 +22,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/platform/memory"
+	"quetzalhook/internal/state/timing"
 	"quetzalhook/platform/standin"
 )
 
@@ -261,7 +262,7 @@
 		byName[k.name] = k
 	}
 	for _, f := range script {
-		if !sleep(ctx, time.Until(begin.Add(f.at))) {
+		if !timing.Sleep(ctx, time.Until(begin.Add(f.at))) {
 			break
 		}
 		k := byName[f.kind]
@@ -276,11 +277,11 @@
 		})
 	}
 	faults.Wait()
-	sleep(ctx, recoverBound)
+	timing.Sleep(ctx, recoverBound)
 	w.mu.Lock()
 	w.sent, w.served = 0, 0 // what is sent from now on counts towards recovery
 	w.mu.Unlock()
-	sleep(ctx, finalLoad)
+	timing.Sleep(ctx, finalLoad)
 	stopLoad()
 	load.Wait()
 	w.mu.Lock()
@@ -291,18 +292,6 @@
 	}
 }
 
-// sleep passes d of time and reports whether ctx goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (w *World) troubled(until time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/entry/host/stop.go
+++ b/internal/entry/host/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"quetzalhook/internal/entry/setting"
+	"quetzalhook/internal/state/timing"
 )
 
 const (
@@ -26,7 +27,7 @@
 	h.gateway.Drain()
 	h.log.WithField("open", h.gateway.Open()).WithField("limit-ms", limit.Milliseconds()).Info("host stops; callers are sent elsewhere")
 	// Callers go on to use this host until their answers have expired.
-	sleep(ctx, min(keptAnswers*answerLife(h.settings), limit/2))
+	timing.Sleep(ctx, min(keptAnswers*answerLife(h.settings), limit/2))
 	if err := h.duty.Close(); err != nil {
 		h.log.WithError(err).Warn("duty not released; its lease ends with its term")
 	}
@@ -56,12 +57,3 @@
 	_ = h.pool.Close()
 	h.wg.Wait()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/entry/node/stop.go
+++ b/internal/entry/node/stop.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"quetzalhook/internal/state/chart"
 	"quetzalhook/internal/state/invariant"
+	"quetzalhook/internal/state/timing"
 )
 
 // Events of the host's state chart.
@@ -31,7 +31,7 @@
 	n.log.Info("host leaves the list")
 	_ = n.machine.Fire(eventLeave)
 	n.draining.Store(true)
-	wait(ctx, n.settings.HostsLifetime+drainNotice)
+	timing.Sleep(ctx, n.settings.HostsLifetime+drainNotice)
 	n.log.WithField("open", n.front.Open()).Info("host drains")
 	_ = n.machine.Fire(eventDrain)
 	n.front.Drain()
@@ -47,13 +47,6 @@
 	return err
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // Kill ends the host at once, as a crash would, but waits for its
 // goroutines. Nothing is flushed and no role is released.
 func (n *Node) Kill() {
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"quetzalhook"
+	"quetzalhook/internal/state/timing"
 	"quetzalhook/internal/traffic/schedule"
 )
 
@@ -92,23 +93,10 @@
 func (d *Dispatcher) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	d.wg.Go(func() { every(ctx, tickInterval, func() { d.desk.tick(d.settings.Host) }) })
-	d.wg.Go(func() { every(ctx, reportInterval, func() { d.report(ctx) }) })
-	d.wg.Go(func() { every(ctx, syncInterval, func() { d.sync(ctx) }) })
-	d.wg.Go(func() { every(ctx, learnInterval, func() { d.learn(ctx) }) })
-}
-
-func every(ctx context.Context, interval time.Duration, f func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			f()
-		}
-	}
+	d.wg.Go(func() { timing.Every(ctx, tickInterval, func() { d.desk.tick(d.settings.Host) }) })
+	d.wg.Go(func() { timing.Every(ctx, reportInterval, func() { d.report(ctx) }) })
+	d.wg.Go(func() { timing.Every(ctx, syncInterval, func() { d.sync(ctx) }) })
+	d.wg.Go(func() { timing.Every(ctx, learnInterval, func() { d.learn(ctx) }) })
 }
 
 // Close stops the periodic work and waits.
--- a/internal/fleet/peer/network.go
+++ b/internal/fleet/peer/network.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"quetzalhook/internal/state/timing"
+
 	"github.com/cespare/xxhash/v2"
 
 	"quetzalhook"
@@ -183,34 +185,19 @@
 	if h == nil {
 		return nil, &Error{Op: "call", Host: host, Kind: ErrorNoHandler}
 	}
-	if err := wait(ctx, delay); err != nil {
-		return nil, &Error{Op: "call", Host: host, Kind: ErrorTimeout, Err: err}
+	if !timing.Sleep(ctx, delay) {
+		return nil, &Error{Op: "call", Host: host, Kind: ErrorTimeout, Err: ctx.Err()}
 	}
 	answer, err := h(ctx, e.host, slices.Clone(body))
 	back, delay := e.network.reach(host, e.host)
 	if back == nil {
 		<-ctx.Done()
 	}
-	if waitErr := wait(ctx, delay); waitErr != nil {
-		return nil, &Error{Op: "call", Host: host, Kind: ErrorTimeout, Err: waitErr}
+	if !timing.Sleep(ctx, delay) {
+		return nil, &Error{Op: "call", Host: host, Kind: ErrorTimeout, Err: ctx.Err()}
 	}
 	if err != nil {
 		return nil, &Error{Op: "call", Host: host, Kind: ErrorHandler, Err: err}
 	}
 	return slices.Clone(answer), nil
 }
-
-// wait passes d of time unless ctx ends first.
-func wait(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/record/configuration/rollout.go
+++ b/internal/record/configuration/rollout.go
@@ -16,6 +16,7 @@
 	"quetzalhook"
 	"quetzalhook/internal/platform/watch"
 	"quetzalhook/internal/state/invariant"
+	"quetzalhook/internal/state/timing"
 )
 
 const (
@@ -201,7 +202,7 @@
 	var after quetzalhook.Version
 	next := r.clock.Now() // of the next read of the head
 	failures := 0
-	for sleep(ctx, r.pause(failures)) {
+	for timing.Sleep(ctx, r.pause(failures)) {
 		watcher := r.IsWatcher()
 		if !watcher && r.clock.Now().Before(next) {
 			continue
@@ -299,7 +300,7 @@
 
 // followPeers pulls newer versions that members show in their heartbeats.
 func (r *Rollout) followPeers(ctx context.Context) {
-	for sleep(ctx, tick) {
+	for timing.Sleep(ctx, tick) {
 		for _, m := range r.ahead() {
 			if r.pull(ctx, m) {
 				break
@@ -342,15 +343,3 @@
 	}
 	return hosts
 }
-
-// sleep waits for d and reports whether ctx is still open.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/record/credential/persist.go
+++ b/internal/record/credential/persist.go
@@ -9,6 +9,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/platform/watch"
+	"quetzalhook/internal/state/timing"
 )
 
 const (
@@ -157,7 +158,7 @@
 
 // persistLoop writes withdrawals that are not in the store yet.
 func (r *Registry) persistLoop(ctx context.Context) {
-	for sleep(ctx, interval) {
+	for timing.Sleep(ctx, interval) {
 		for n, ids := range r.table.pending(r.duty()) {
 			if err := r.persist(ctx, n, ids); err != nil {
 				r.log.WithError(err).Debug("withdrawals not persisted yet")
@@ -196,7 +197,7 @@
 // followStore loads all keys, then watches them while this host is a watcher.
 func (r *Registry) followStore(ctx context.Context) {
 	var after quetzalhook.Version
-	for delay := time.Duration(0); sleep(ctx, delay); {
+	for delay := time.Duration(0); timing.Sleep(ctx, delay); {
 		// Jitter by host keeps the hosts apart after an outage.
 		delay = interval/2 + time.Duration(rank(r.clock.Now().String(), r.self.Host)%uint64(interval))
 		if !r.isLoaded() {
@@ -289,15 +290,3 @@
 	}
 	r.merge(n, s)
 }
-
-// sleep waits for d and reports whether ctx is still open.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/record/credential/spread.go
+++ b/internal/record/credential/spread.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"quetzalhook/internal/state/timing"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -148,7 +150,7 @@
 
 // followPeers compares digests and pulls withdrawals that are missing here.
 func (r *Registry) followPeers(ctx context.Context) {
-	for sleep(ctx, interval) {
+	for timing.Sleep(ctx, interval) {
 		for _, m := range r.compare(r.peers.Members()) {
 			r.pullWithdrawals(ctx, m)
 		}
--- a/internal/record/journal/lane.go
+++ b/internal/record/journal/lane.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"quetzalhook/internal/state/timing"
+
 	"github.com/pkg/errors"
 
 	"quetzalhook"
@@ -154,7 +156,7 @@
 		to := l.preferredHost()
 		forward := to != l.j.host && !l.j.clock.Now().Before(l.avoid)
 		if wait := l.lastWrite.Add(l.j.interval).Sub(l.j.clock.Now()); wait > 0 && !forward {
-			sleep(l.j.ctx, wait)
+			timing.Sleep(l.j.ctx, wait)
 		}
 		batch := l.take()
 		if len(batch) == 0 {
@@ -198,7 +200,7 @@
 		if down >= triesWhileDown {
 			batch = answerAbsent(batch)
 		}
-		if !sleep(ctx, pause) {
+		if !timing.Sleep(ctx, pause) {
 			break
 		}
 	}
--- a/internal/record/journal/outcome.go
+++ b/internal/record/journal/outcome.go
@@ -9,6 +9,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/state/invariant"
+	"quetzalhook/internal/state/timing"
 )
 
 // retryDelay is the pause between two tries to store an outcome.
@@ -56,7 +57,7 @@
 		if a.Verdict == verdictFull {
 			return &Error{Op: "finish", Kind: KindFull, Outcome: quetzalhook.OutcomeUnknown}
 		}
-		if !sleep(ctx, retryDelay) || j.ctx.Err() != nil {
+		if !timing.Sleep(ctx, retryDelay) || j.ctx.Err() != nil {
 			return &Error{Op: "finish", Kind: KindStore, Outcome: quetzalhook.OutcomeUnknown, Err: ctx.Err()}
 		}
 	}
@@ -87,7 +88,7 @@
 		case quetzalhook.StoreTooLarge:
 			return &Error{Op: "finish", Kind: KindTooLarge, Outcome: quetzalhook.OutcomeUnknown, Err: err}
 		}
-		if !sleep(ctx, retryDelay) {
+		if !timing.Sleep(ctx, retryDelay) {
 			return &Error{Op: "finish", Kind: KindStore, Outcome: quetzalhook.OutcomeUnknown, Err: err}
 		}
 	}
@@ -142,20 +143,8 @@
 // Start runs Compact in the background until Close.
 func (j *Journal) Start() {
 	j.wg.Go(func() {
-		for sleep(j.ctx, min(j.part(), compactInterval)) {
+		for timing.Sleep(j.ctx, min(j.part(), compactInterval)) {
 			_ = j.Compact(j.ctx) // the next round repeats what failed
 		}
 	})
 }
-
-// sleep waits for d and reports whether ctx is still active.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -12,6 +12,7 @@
 	"quetzalhook"
 	"quetzalhook/internal/fleet/rendezvous"
 	"quetzalhook/internal/state/invariant"
+	"quetzalhook/internal/state/timing"
 )
 
 const (
@@ -195,7 +196,7 @@
 	pause := retryFirst
 	for ctx.Err() == nil {
 		if after > 0 && !f.isWatcher() {
-			sleep(ctx, tick)
+			timing.Sleep(ctx, tick)
 			continue
 		}
 		var err error
@@ -221,7 +222,7 @@
 		// A list tells at once what has happened; the first events of a watch do
 		// not tell whether they are old.
 		after = 0
-		if !sleep(ctx, pause) {
+		if !timing.Sleep(ctx, pause) {
 			return
 		}
 		pause = min(2*pause, retryLast)
@@ -374,15 +375,3 @@
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
-
-// sleep waits for d and reports whether ctx is still open.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -9,6 +9,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/fleet/rendezvous"
+	"quetzalhook/internal/state/timing"
 )
 
 const (
@@ -112,7 +113,7 @@
 // does the periodic work.
 func (f *Follower) followPeers(ctx context.Context) {
 	failures := 0 // rounds in a row in which no host answered
-	for sleep(ctx, tick) {
+	for timing.Sleep(ctx, tick) {
 		f.expire()
 		f.settleLapses(ctx)
 		hosts := f.ahead(failures > 0)
