Avoid upstreams that answer with failures of their own

Cause: an answer with status 5xx counted as a success in the record of an engine, and every token of another stream reset its row of failures. Engines that fail all requests at once look idle and attract more of them. Ruled out: too few engines; the sound ones had room all the time. Engines and plain services share one record of failures now (internal/traffic/reliability). It also estimates the probability of a failure, which counts in the choice; requests wait for a sound engine rather than go to one that has just failed twice.

--- a/internal/fleet/dispatcher/message.go
+++ b/internal/fleet/dispatcher/message.go
@@ -88,10 +88,12 @@
 	// Seen is the number of requests that the engine was seen to have; 0 means
 	// that it did not tell.
 	Seen int `cbor:"5,keyasint,omitempty"`
+	// Failed reports that the engine answered with a failure of its own.
+	Failed bool `cbor:"6,keyasint,omitempty"`
 }
 
 func (e event) end() quetzalhook.AttemptEnd {
-	return quetzalhook.AttemptEnd{End: e.End, Tokens: e.Tokens, Verdict: quetzalhook.Verdict{NotRun: e.NotRun}}
+	return quetzalhook.AttemptEnd{End: e.End, Tokens: e.Tokens, Verdict: quetzalhook.Verdict{NotRun: e.NotRun, Failed: e.Failed}}
 }
 
 // adoption is a request that runs already.
--- a/internal/fleet/dispatcher/ticket.go
+++ b/internal/fleet/dispatcher/ticket.go
@@ -141,7 +141,7 @@
 	t.current = ""
 	delete(d.tickets, t.request.ID)
 	if current != "" {
-		d.events = append(d.events, event{ID: t.request.ID, Tokens: e.Tokens, End: e.End, NotRun: e.Verdict.NotRun})
+		d.events = append(d.events, event{ID: t.request.ID, Tokens: e.Tokens, End: e.End, NotRun: e.Verdict.NotRun, Failed: e.Verdict.Failed})
 	}
 	d.mu.Unlock()
 	if current == "" {
--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"quetzalhook"
+	"quetzalhook/internal/traffic/reliability"
 )
 
 const (
@@ -22,12 +23,9 @@
 	// farCost is what an upstream in another region costs, in shares of its
 	// slots: the way there and back takes 24 ms, a call 60 ms.
 	farCost = 0.15
-	// ejectAfter is the number of failures in a row after which an upstream is
-	// avoided.
-	ejectAfter = 2
-	// ejectFirst and ejectLast bound how long; it doubles with each failure.
-	ejectFirst = 500 * time.Millisecond
-	ejectLast  = 4 * time.Second
+	// failCost is what a call costs that fails for certain, in shares of the slots
+	// of an upstream: the time of one and a half calls.
+	failCost = 1.5
 	// fullPause is how long an upstream is avoided that refused a call.
 	fullPause = 30 * time.Millisecond
 )
@@ -40,8 +38,7 @@
 	// host that were open then.
 	reported   int
 	reportedAt time.Time
-	failures   int // in a row
-	avoidUntil time.Time
+	record     reliability.Record
 }
 
 // Balancer chooses upstreams for one host. It is not safe for concurrent use.
@@ -92,9 +89,10 @@
 		if u.info.Region != b.region {
 			cost += farCost
 		}
-		if now.Before(u.avoidUntil) {
+		if u.record.IsAvoided(now) {
 			cost += avoidCost
 		}
+		cost += failCost * u.record.Probability(now)
 		cost += b.random.Float64() * tieBreak
 		if cost < lowest {
 			best, lowest = u, cost
@@ -149,14 +147,11 @@
 		u.reported, u.reportedAt = max(e.Verdict.Running+e.Verdict.Waiting-u.inFlight, 0), now
 	}
 	switch {
-	case e.End == quetzalhook.EndFinished:
-		u.failures = 0
+	case e.End == quetzalhook.EndFinished && !e.Verdict.Failed:
+		u.record.Worked(now)
 	case e.End == quetzalhook.EndNotSent && e.Verdict.NotRun:
-		u.avoidUntil = now.Add(fullPause)
-	case e.End == quetzalhook.EndBroken || e.End == quetzalhook.EndNotSent:
-		u.failures++
-		if u.failures >= ejectAfter {
-			u.avoidUntil = now.Add(min(ejectFirst<<(u.failures-ejectAfter), ejectLast))
-		}
+		u.record.Refused(now, fullPause)
+	case e.End == quetzalhook.EndFinished || e.End == quetzalhook.EndBroken || e.End == quetzalhook.EndNotSent:
+		u.record.Failed(now)
 	}
 }
--- a/internal/traffic/balance/balance_test.go
+++ b/internal/traffic/balance/balance_test.go
@@ -48,7 +48,7 @@
 					fmt.Fprintln(&out, divide(b, now, 1, tried))
 				case "end": // upstream end [running waiting]
 					e := quetzalhook.AttemptEnd{End: ends[f[2]]}
-					e.Verdict.NotRun = f[2] == "full"
+					e.Verdict.NotRun, e.Verdict.Failed = f[2] == "full", f[2] == "failed"
 					if len(f) > 3 {
 						e.Verdict = quetzalhook.Verdict{HasLoad: true, Running: number(t, f[3]), Waiting: number(t, f[4]), Slots: 6}
 					}
@@ -67,7 +67,7 @@
 }
 
 var ends = map[string]quetzalhook.End{
-	"finished": quetzalhook.EndFinished, "broken": quetzalhook.EndBroken, "full": quetzalhook.EndNotSent, "unreachable": quetzalhook.EndNotSent,
+	"finished": quetzalhook.EndFinished, "broken": quetzalhook.EndBroken, "full": quetzalhook.EndNotSent, "failed": quetzalhook.EndFinished, "unreachable": quetzalhook.EndNotSent,
 }
 
 func number(t *testing.T, s string) int {
--- a/internal/traffic/schedule/engine.go
+++ b/internal/traffic/schedule/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"quetzalhook"
+	"quetzalhook/internal/traffic/reliability"
 )
 
 // Costs of an engine's work before anything is learned. They are those of a
@@ -82,7 +83,7 @@
 	foreign   float64
 	foreignAt time.Time
 	sign      time.Time // last sign of life
-	health    health
+	record    reliability.Record
 }
 
 func newEngine(info quetzalhook.Upstream, now time.Time) *engine {
--- a/internal/traffic/schedule/place.go
+++ b/internal/traffic/schedule/place.go
@@ -31,8 +31,11 @@
 	// streamWeight is what each stream beside the request costs: it makes every
 	// token slower.
 	streamWeight = 0.5
-	// suspectCost puts suspect engines behind all others.
-	suspectCost = 1e6
+	// failCost is what a request costs that fails and cannot be sent again: more
+	// than one that is late, since its caller gets nothing. repeatCost is what it
+	// costs if it can, the time that is lost.
+	failCost   = 1000.0
+	repeatCost = 300.0
 	// comparedTarget is the target at which the weight of the time to the first
 	// token is 1; longer targets weigh less.
 	comparedTarget = 500.0
@@ -53,18 +56,31 @@
 	fetch  float64 // ms of the fetch
 }
 
-// best returns the cheapest engine for a run, or false if none is open.
+// best returns the cheapest engine for a run, or false if none is open. Suspect
+// engines are used only if there are no others: waiting for a sound one is
+// better than a failure.
 func (s *Scheduler) best(now time.Time, r *run) (choice, bool) {
-	best := choice{cost: math.Inf(1)}
+	best, suspect := choice{cost: math.Inf(1)}, choice{cost: math.Inf(1)}
 	source := s.richest(now, r.request)
+	sound := false
 	for _, e := range r.pool.engines {
 		e.advance(now)
-		if isTried(r.request, e.info.ID) || !e.isOpen(r) {
+		if isTried(r.request, e.info.ID) {
 			continue
 		}
-		if c := s.evaluate(now, r, e, source); c.cost < best.cost {
-			best = c
+		cheapest := &suspect
+		if !e.isSuspect(now) {
+			cheapest, sound = &best, true
 		}
+		if !e.isOpen(r) {
+			continue
+		}
+		if c := s.evaluate(now, r, e, source); c.cost < cheapest.cost {
+			*cheapest = c
+		}
+	}
+	if !sound {
+		best = suspect
 	}
 	return best, best.engine != nil
 }
@@ -148,8 +164,10 @@
 	cost += streamWeight * e.streams()
 	cost += s.pauses(r, e, unread)
 	cost += spread * preference(r.request, e.info.ID)
-	if e.isSuspect(now) {
-		cost += suspectCost
+	if r.request.Repeatable {
+		cost += repeatCost * e.record.Probability(now)
+	} else {
+		cost += failCost * e.record.Probability(now)
 	}
 	return choice{engine: e, cost: cost, first: first, unread: unread, source: source, fetch: fetch}
 }
--- a/internal/traffic/schedule/play_test.go
+++ b/internal/traffic/schedule/play_test.go
@@ -41,6 +41,10 @@
 	memory   int
 	slots    int
 	slowness float64 // of the last engine; 0 for none
+	// failing engines answer every request at once with a failure from failFrom
+	// to failTo, and look sound otherwise.
+	failing          int
+	failFrom, failTo time.Duration
 	// apart is the part of the requests that another scheduler places, which
 	// hears nothing of the first one: its host is cut off.
 	apart float64
@@ -83,6 +87,7 @@
 	gone    bool
 	slow    float64
 	readAll int // prompt tokens read
+	lastRun time.Duration
 }
 
 // policy decides in a played load.
@@ -327,8 +332,17 @@
 		p.apply(p.of(r.request.ID).End(p.time(), r.request.ID, quetzalhook.AttemptEnd{End: quetzalhook.EndBroken}))
 		return
 	}
+	if p.fails(e) {
+		p.results[r.request.Class.Name()].broken++
+		p.after(2*messageDelay, func() {
+			p.apply(p.of(r.request.ID).End(p.time(), r.request.ID, quetzalhook.AttemptEnd{
+				End: quetzalhook.EndFinished, Verdict: quetzalhook.Verdict{Failed: true},
+			}))
+		})
+		return
+	}
 	p.serial++
-	r.order = p.serial
+	r.order, e.lastRun = p.serial, p.now
 	e.runs = append(e.runs, r)
 	sort.SliceStable(e.runs, func(i, j int) bool {
 		if e.runs[i].urgency != e.runs[j].urgency {
@@ -342,6 +356,19 @@
 	}
 }
 
+// fails reports whether an engine answers requests with a failure at present.
+func (p *play) fails(e *simEngine) bool {
+	if p.now < p.load.failFrom || p.now >= p.load.failTo {
+		return false
+	}
+	for i := range p.load.failing {
+		if e.info.ID == quetzalhook.UpstreamID(fmt.Sprintf("e%d", i)) {
+			return true
+		}
+	}
+	return false
+}
+
 // step runs one step of a batch.
 func (p *play) step(e *simEngine) {
 	memory, admitted := 0, 0
--- a/internal/traffic/schedule/schedule.go
+++ b/internal/traffic/schedule/schedule.go
@@ -270,8 +270,8 @@
 	e := r.engine
 	e.advance(now)
 	e.sign = now
-	e.health.worked()
 	if !r.first {
+		e.record.Answers()
 		e.began(now, r)
 		s.feed(now, r.pool, e)
 	}
@@ -309,17 +309,21 @@
 
 // judge notes what the end of a run tells of its engine.
 func (s *Scheduler) judge(now time.Time, e *engine, r *run, end quetzalhook.AttemptEnd) {
+	served := end.End == quetzalhook.EndFinished && !end.Verdict.Failed
 	switch {
+	case served:
+		e.sign = now
+		e.record.Worked(now)
 	case end.End == quetzalhook.EndFinished:
 		e.sign = now
-		e.health.worked()
+		e.record.Failed(now)
 	case end.End == quetzalhook.EndNotSent && end.Verdict.NotRun:
 		e.sign = now
-		e.health.refused(now)
+		e.record.Refused(now, fullPause)
 	case end.End == quetzalhook.EndBroken || end.End == quetzalhook.EndNotSent:
-		e.health.failed(now)
+		e.record.Failed(now)
 	}
-	if !r.first && end.End != quetzalhook.EndFinished {
+	if !r.first && !served {
 		e.cache.forget(r.request.Parts)
 	}
 }
--- a/internal/traffic/schedule/schedule_test.go
+++ b/internal/traffic/schedule/schedule_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -93,6 +94,26 @@
 	}
 }
 
+// Guards against engines that fail every request at once and attract others,
+// since they look idle: while a third of them fails, nine in ten requests must
+// be served all the same, and after that all engines must be used again.
+func TestFailingEngines(t *testing.T) {
+	l := usual(18)
+	l.failing, l.failFrom, l.failTo = 6, 5*time.Second, 30*time.Second
+	p := newPlay(l, New(), 1)
+	for name, r := range p.run() {
+		if got, want := float64(r.served())/float64(r.asked), 0.9; got < want {
+			t.Errorf("%s: got %.3f served, want at least %.1f", name, got, want)
+		}
+	}
+	for i := range l.failing {
+		id := quetzalhook.UpstreamID(fmt.Sprintf("e%d", i))
+		if p.engines[id].lastRun < l.failTo {
+			t.Errorf("engine %s: not used after it failed", id)
+		}
+	}
+}
+
 // Guards against urgent requests that suffer from a burst of a lower tier: the
 // chats must be in target as often as any other class, and none refused.
 func TestBurstOfDigests(t *testing.T) {
--- a/protocol.go
+++ b/protocol.go
@@ -59,6 +59,9 @@
 type Verdict struct {
 	// NotRun reports that the upstream did not run the request and never will.
 	NotRun bool
+	// Failed reports that the upstream took the request and answered with a
+	// failure of its own.
+	Failed bool
 	// Moved reports that another upstream has the address by now.
 	Moved bool
 	// HasLoad is set if the upstream tells its load.
