--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -33,6 +33,7 @@
 	"quetzalhook/internal/state/boottime"
 	"quetzalhook/internal/state/calendar"
 	"quetzalhook/internal/state/invariant"
+	"quetzalhook/internal/state/timing"
 	"quetzalhook/internal/traffic/balance"
 	"quetzalhook/internal/traffic/retry"
 )
@@ -213,7 +214,12 @@
 	return nil
 }
 
-// followUpstreams hands every new list of upstreams to the dispatchers.
+// collectTime is how long changes of upstreams are collected before the
+// dispatchers get a new list. Requests are not sent to upstreams that have left
+// meanwhile, since each is checked before it is used.
+const collectTime = 20 * time.Millisecond
+
+// followUpstreams hands new lists of upstreams to the dispatchers.
 func (h *Host) followUpstreams(ctx context.Context) {
 	for {
 		table, changed := h.follower.Table()
@@ -223,6 +229,9 @@
 			h.engines.SetUpstreams(engines)
 			h.gateway.SetUpstreams(engines)
 		}
+		if !timing.Sleep(ctx, collectTime) {
+			return
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -92,6 +92,7 @@
 	tableVersion quetzalhook.Version
 	entries      map[quetzalhook.UpstreamID]*entry
 	upstreams    []quetzalhook.Upstream // what Upstreams returns; never changed
+	outdated     bool                   // upstreams lacks changes
 	latest       quetzalhook.Version    // of the newest change of upstreams
 	complete     quetzalhook.Version    // all upstream changes up to it are known
 	purged       quetzalhook.Version    // removals up to it may be unknown here
@@ -144,6 +145,9 @@
 func (f *Follower) Upstreams() []quetzalhook.Upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.outdated {
+		f.arrange()
+	}
 	return f.upstreams
 }
 
--- a/internal/record/routing/upstreams.go
+++ b/internal/record/routing/upstreams.go
@@ -154,8 +154,16 @@
 	}
 }
 
-// publish makes a new list of the registered upstreams. The caller holds f.mu.
+// publish wakes those that wait for changes of upstreams. The new list is made
+// when it is asked for: while the engines of a large fleet are replaced, many
+// changes come between two looks at the list. The caller holds f.mu.
 func (f *Follower) publish() {
+	f.outdated = true
+	f.announce()
+}
+
+// arrange makes the list of the registered upstreams. The caller holds f.mu.
+func (f *Follower) arrange() {
 	list := make([]quetzalhook.Upstream, 0, len(f.entries))
 	for _, e := range f.entries {
 		if e.removed.IsZero() {
@@ -163,6 +171,5 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b quetzalhook.Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	f.upstreams = list
-	f.announce()
+	f.upstreams, f.outdated = list, false
 }
