Divide the engines of a large fleet into groups with a leader each

Change: groups of at most 256 engines by consistent hash; each host uses one group, by its place among the live hosts, and a second one while the first would let a request wait. Deployments of up to 256 engines keep one group and one leader. Which host leads is worked out once for each list of members.

--- a/internal/entry/host/duty.go
+++ b/internal/entry/host/duty.go
@@ -67,7 +67,7 @@
 // noteLeader writes a line of the log when another host places requests than
 // the last one, and returns that host.
 func (h *Host) noteLeader(last quetzalhook.HostID) quetzalhook.HostID {
-	leader := h.leader()
+	leader := h.leader(0)
 	if leader != last {
 		h.log.WithField("leader", leader).WithField("last", last).WithField("members", len(h.members.Members())).Info("leader chosen")
 	}
@@ -81,7 +81,7 @@
 		return false
 	}
 	self := h.settings.Host
-	if h.leader() == self {
+	if h.leader(0) == self {
 		return true
 	}
 	hosts := []quetzalhook.HostID{self}
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -26,7 +26,6 @@
 	"quetzalhook/internal/fleet/peer"
 	"quetzalhook/internal/fleet/provisioner"
 	"quetzalhook/internal/fleet/registration"
-	"quetzalhook/internal/fleet/rendezvous"
 	"quetzalhook/internal/record/invoice"
 	"quetzalhook/internal/record/routing"
 	"quetzalhook/internal/record/tally"
@@ -85,6 +84,7 @@
 	servers  []*http.Server
 	callers  *http.Server
 	draining atomic.Bool
+	roster   atomic.Pointer[roster]
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 }
@@ -106,7 +106,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	h.services = balance.NewDispatcher(balance.New(settings.Region, random), budget, clock)
 	h.engines = dispatcher.New(dispatcher.Settings{
-		Host: settings.Host, Leader: h.leader, Usable: h.follower.IsUsable,
+		Host: settings.Host, Leader: h.leader, Position: h.position, Usable: h.follower.IsUsable,
 		Budget: retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount),
 		Caches: adapter.Caches,
 	}, h.peers, clock, log)
@@ -126,7 +126,7 @@
 func (h *Host) publish() {
 	h.meter.Publish("open-requests", func() any { return h.gateway.Open() })
 	h.meter.Publish("hosts", func() any { return h.hostCount() })
-	h.meter.Publish("leader", func() any { return h.leader() })
+	h.meter.Publish("leader", func() any { return h.leader(0) })
 	h.meter.Publish("table-revision", func() any { revision, _ := h.follower.Versions(); return revision })
 	h.meter.Publish("store-age-ms", func() any { return h.follower.StoreAge().Milliseconds() })
 	h.meter.Publish("invariants", func() any { return h.inv.Counts() })
@@ -214,22 +214,29 @@
 	return nil
 }
 
-// collectTime is how long changes of upstreams are collected before the
-// dispatchers get a new list. Requests are not sent to upstreams that have left
-// meanwhile, since each is checked before it is used.
-const collectTime = 20 * time.Millisecond
+const (
+	// collectTime is how long changes of upstreams are collected before the
+	// dispatchers get a new list, collectPerUpstream how much longer for each
+	// upstream: making the list of 3,000 takes some ms. Requests are not sent to
+	// engines that have left meanwhile, since each is checked before it is used.
+	collectTime        = 20 * time.Millisecond
+	collectPerUpstream = 20 * time.Microsecond
+)
 
 // followUpstreams hands new lists of upstreams to the dispatchers.
 func (h *Host) followUpstreams(ctx context.Context) {
 	for {
 		table, changed := h.follower.Table()
+		wait := collectTime
 		if table != nil {
-			engines, services := divide(table, h.follower.Upstreams())
+			list := h.follower.Upstreams()
+			wait += time.Duration(len(list)) * collectPerUpstream
+			engines, services := divide(table, list)
 			h.services.SetUpstreams(services)
 			h.engines.SetUpstreams(engines)
 			h.gateway.SetUpstreams(engines)
 		}
-		if !timing.Sleep(ctx, collectTime) {
+		if !timing.Sleep(ctx, wait) {
 			return
 		}
 		select {
@@ -268,33 +275,6 @@
 	return h.services.Submit(ctx, r)
 }
 
-// leader returns the host that places requests to engines: of those that are
-// alive the one with the largest processor, then by rendezvous hash.
-func (h *Host) leader() quetzalhook.HostID {
-	most := 0.0
-	var hosts []quetzalhook.HostID
-	add := func(id quetzalhook.HostID, processors float64) {
-		if processors > most {
-			most, hosts = processors, hosts[:0]
-		}
-		if processors == most {
-			hosts = append(hosts, id)
-		}
-	}
-	if h.ready() {
-		add(h.settings.Host, h.settings.ProcessorShare*h.settings.Processors)
-	}
-	for _, m := range h.members.Members() {
-		if !m.Draining && !m.Unready && m.IsHeard(silenceLimit) {
-			add(m.Host, m.Processors)
-		}
-	}
-	if len(hosts) == 0 {
-		return h.settings.Host
-	}
-	return rendezvous.First("dispatcher", hosts)
-}
-
 // report returns what the heartbeats tell of this host.
 func (h *Host) report() member.Report {
 	table, upstreams := h.follower.Versions()
--- a/internal/fleet/dispatcher/cache.go
+++ b/internal/fleet/dispatcher/cache.go
@@ -53,11 +53,15 @@
 }
 
 // take returns the engines that are to be asked now.
-func (l *learner) take(now time.Time) []quetzalhook.Upstream {
+func (l *learner) take(now time.Time, isLed func(quetzalhook.UpstreamID) bool) []quetzalhook.Upstream {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var list []quetzalhook.Upstream
 	for _, u := range l.engines {
+		if !isLed(u.ID) {
+			delete(l.known, u.ID)
+			continue
+		}
 		last, ok := l.known[u.ID]
 		if u.State != quetzalhook.UpstreamReady || ok && last.started == u.Started && now.Sub(last.at) < learnAgain {
 			continue
@@ -68,26 +72,20 @@
 	return list
 }
 
-// forget makes the learner ask all engines again.
-func (l *learner) forget() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	clear(l.known)
-}
-
-// learn asks engines what they hold. A host that is
-// not the leader forgets what it asked.
+// learn asks the engines of the groups that this host leads what they hold. What
+// was asked of others is forgotten.
 func (d *Dispatcher) learn(ctx context.Context) {
 	if d.settings.Caches == nil {
 		return
 	}
-	if d.settings.Leader() != d.settings.Host {
-		d.learner.forget()
-		return
+	led := make(map[int]bool)
+	for group := range d.groups.count() {
+		led[group] = d.settings.Leader(group) == d.settings.Host
 	}
+	isLed := func(id quetzalhook.UpstreamID) bool { return led[d.groups.of(id)] }
 	limit := make(chan struct{}, learnParallel)
 	var wg sync.WaitGroup
-	for _, u := range d.learner.take(d.clock.Now()) {
+	for _, u := range d.learner.take(d.clock.Now(), isLed) {
 		limit <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-limit }()
@@ -108,7 +106,7 @@
 	}
 	n := 0
 	for _, m := range u.Models {
-		d.desk.hold(u.ID, held[m])
+		d.groups.desk(d.groups.of(u.ID)).hold(u.ID, held[m])
 		n += len(held[m])
 	}
 	d.log.WithField("upstream", u.ID).WithField("parts", n).Debug("cache of an engine read")
--- a/internal/fleet/dispatcher/desk.go
+++ b/internal/fleet/dispatcher/desk.go
@@ -1,9 +1,10 @@
 // Package dispatcher decides for all hosts which engine runs a request.
 //
-// One host, the leader, runs the scheduler for everybody, because it then
-// knows every request that runs and decisions do not rest on lagging load
-// reports. The other hosts ask it over the peer connections and report what
-// becomes of their requests. A host that gets no answer decides by itself, with
+// One host, the leader, runs the scheduler of a group of engines for everybody
+// that uses it, because it then knows every request that runs there and
+// decisions do not rest on lagging load reports. Most fleets have one group. The
+// other hosts ask it over the peer connections and report what becomes of their
+// requests. A host that gets no answer decides by itself, with
 // the same code and what it knows of its own requests. Two hosts that both
 // believe to be the leader, or a lost report, cost quality of decisions only:
 // whether a request may be sent at all is decided by the host that sends it.
@@ -27,6 +28,7 @@
 type decided struct {
 	attempt quetzalhook.Attempt
 	refusal *quetzalhook.Refusal
+	busy    bool // the request was offered only, and would have to wait
 }
 
 // waiter is a request that waits for its decision, or whose decision its host
@@ -93,6 +95,38 @@
 	return w
 }
 
+// offer places a request if an engine can take it at once.
+func (d *desk) offer(owner quetzalhook.HostID, r quetzalhook.Request) decided {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.waiters[r.ID] != nil {
+		return decided{busy: true}
+	}
+	decisions, ok := d.scheduler.Offer(d.clock.Now(), r)
+	if !ok {
+		return decided{busy: true}
+	}
+	w := &waiter{owner: owner, ready: make(chan decided, 1)}
+	d.waiters[r.ID], d.owners[r.ID] = w, owner
+	d.apply(decisions)
+	delete(d.waiters, r.ID)
+	return <-w.ready
+}
+
+// take applies what a host tells of its requests.
+func (d *desk) take(events []event) {
+	for _, e := range events {
+		if e.Seen > 0 {
+			d.observe(e.ID, e.Seen)
+		}
+		if e.End == 0 {
+			d.progress(e.ID, e.Tokens)
+		} else {
+			d.end(e.ID, e.end())
+		}
+	}
+}
+
 // assign waits for the decision on a request.
 func (d *desk) assign(ctx context.Context, owner quetzalhook.HostID, r quetzalhook.Request) (decided, error) {
 	w := d.submit(owner, r)
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -10,7 +10,6 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/state/timing"
-	"quetzalhook/internal/traffic/schedule"
 )
 
 const (
@@ -37,8 +36,11 @@
 // Settings hold what a Dispatcher needs to know.
 type Settings struct {
 	Host quetzalhook.HostID
-	// Leader names the host that decides at present.
-	Leader func() quetzalhook.HostID
+	// Leader names the host that decides at present for a group of engines.
+	Leader func(group int) quetzalhook.HostID
+	// Position is the place of this host among all live hosts, from 0 to below 1;
+	// it selects the group that the host uses.
+	Position func() float64
 	// Usable reports whether this host may still send to an upstream.
 	Usable func(quetzalhook.Upstream) bool
 	// Budget bounds the repeats of all hosts.
@@ -60,7 +62,7 @@
 	peers    quetzalhook.Peers
 	clock    quetzalhook.Clock
 	log      logrus.FieldLogger
-	desk     *desk
+	groups   *groups
 	learner  learner
 
 	cancel context.CancelFunc
@@ -69,16 +71,17 @@
 	mu         sync.Mutex
 	budget     Budget
 	tickets    map[quetzalhook.RequestID]*ticket // that run on an upstream
-	events     []event
-	distrusted map[quetzalhook.HostID]time.Time // until when
+	events     map[int][]event                   // by group
+	distrusted map[quetzalhook.HostID]time.Time  // until when
+	crowded    time.Time                         // until when no group is offered requests
 }
 
 // New returns a dispatcher that is not started. It registers its handlers with
 // peers.
 func New(settings Settings, peers quetzalhook.Peers, clock quetzalhook.Clock, log logrus.FieldLogger) *Dispatcher {
 	d := &Dispatcher{
-		settings: settings, peers: peers, clock: clock, log: log, desk: newDesk(clock, log), budget: settings.Budget,
-		learner: learner{known: make(map[quetzalhook.UpstreamID]reading)},
+		settings: settings, peers: peers, clock: clock, log: log, groups: newGroups(clock, log), budget: settings.Budget,
+		learner: learner{known: make(map[quetzalhook.UpstreamID]reading)}, events: make(map[int][]event),
 		tickets: make(map[quetzalhook.RequestID]*ticket), distrusted: make(map[quetzalhook.HostID]time.Time),
 	}
 	peers.Handle(assignKind, d.handleAssign)
@@ -93,7 +96,7 @@
 func (d *Dispatcher) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	d.wg.Go(func() { timing.Every(ctx, tickInterval, func() { d.desk.tick(d.settings.Host) }) })
+	d.wg.Go(func() { timing.Every(ctx, tickInterval, func() { d.groups.tick(d.settings.Host) }) })
 	d.wg.Go(func() { timing.Every(ctx, reportInterval, func() { d.report(ctx) }) })
 	d.wg.Go(func() { timing.Every(ctx, syncInterval, func() { d.sync(ctx) }) })
 	d.wg.Go(func() { timing.Every(ctx, learnInterval, func() { d.learn(ctx) }) })
@@ -110,36 +113,14 @@
 
 // SetUpstreams replaces the engines.
 func (d *Dispatcher) SetUpstreams(list []quetzalhook.Upstream) {
-	d.desk.setUpstreams(list)
+	d.groups.setUpstreams(list)
 	d.learner.set(list)
 }
 
-// Load returns the load of all hosts, from the leader.
-func (d *Dispatcher) Load(ctx context.Context) (schedule.Load, error) {
-	leader := d.target()
-	if leader == "" {
-		return d.desk.load(), nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, reportLimit)
-	defer cancel()
-	reply, err := d.peers.Call(ctx, leader, loadKind, nil)
-	if err != nil {
-		return schedule.Load{}, &Error{Op: "load", Kind: ErrorUnreachable, Err: err}
-	}
-	var load schedule.Load
-	if err := cbor.Unmarshal(reply, &load); err != nil {
-		return load, &Error{Op: "load", Kind: ErrorProtocol, Err: err}
-	}
-	return load, nil
-}
-
-func (d *Dispatcher) handleLoad(context.Context, quetzalhook.HostID, []byte) ([]byte, error) {
-	return cbor.Marshal(d.desk.load())
-}
-
-// target returns the leader to ask, or "" if this host decides itself.
-func (d *Dispatcher) target() quetzalhook.HostID {
-	leader := d.settings.Leader()
+// target returns the leader of a group to ask, or "" if this host decides
+// itself.
+func (d *Dispatcher) target(group int) quetzalhook.HostID {
+	leader := d.settings.Leader(group)
 	if leader == d.settings.Host {
 		return ""
 	}
@@ -162,11 +143,46 @@
 	d.log.WithField("leader", leader).WithError(err).Warn("leader cannot place requests; placing them here")
 }
 
-// assign gets a decision from the leader or, without its answer, from the own
-// desk.
+// assign gets a decision on a request. In a fleet of several groups it is
+// offered to the group of this host and to a second one, and waits in the former
+// if both are busy.
 func (d *Dispatcher) assign(ctx context.Context, r quetzalhook.Request) (decided, error) {
-	for leader := d.target(); leader != ""; leader = d.target() {
-		c, waits, err := d.ask(ctx, leader, r)
+	home, second := d.groups.choose(d.settings.Host, d.settings.Position())
+	if second != home && !d.isCrowded() {
+		for _, group := range []int{home, second} {
+			c, err := d.place(ctx, group, r, true)
+			if err != nil || !c.busy {
+				return c, err
+			}
+		}
+		d.noteCrowded()
+	}
+	return d.place(ctx, home, r, false)
+}
+
+// crowdedTime is how long requests are not offered after both groups were busy:
+// offers that are declined take time of the leaders when they have least.
+const crowdedTime = 200 * time.Millisecond
+
+func (d *Dispatcher) isCrowded() bool {
+	now := d.clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Before(d.crowded)
+}
+
+func (d *Dispatcher) noteCrowded() {
+	until := d.clock.Now().Add(crowdedTime)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.crowded = until
+}
+
+// place gets a decision from the leader of a group or, without its answer, from
+// the own desk. An offer does not wait.
+func (d *Dispatcher) place(ctx context.Context, group int, r quetzalhook.Request, offer bool) (decided, error) {
+	for leader := d.target(group); leader != ""; leader = d.target(group) {
+		c, waits, err := d.ask(ctx, leader, group, r, offer)
 		switch {
 		case err == nil && c.refusal != nil && c.refusal.Kind == quetzalhook.RefuseNoUpstream:
 			// It knows less than this host: it has just started, or the store turns
@@ -175,18 +191,23 @@
 		case err == nil && !waits:
 			return c, nil
 		case ctx.Err() != nil:
-			d.note(event{ID: r.ID, End: quetzalhook.EndCallerGone})
+			d.note(group, event{ID: r.ID, End: quetzalhook.EndCallerGone})
 			return decided{}, context.Cause(ctx)
 		case err != nil:
 			d.distrust(leader, err)
 		}
 	}
-	return d.desk.assign(ctx, d.settings.Host, r)
+	desk := d.groups.desk(group)
+	if offer {
+		return desk.offer(d.settings.Host, r), nil
+	}
+	return desk.assign(ctx, d.settings.Host, r)
 }
 
-// ask asks the leader once; waits reports that the request still waits there.
-func (d *Dispatcher) ask(ctx context.Context, leader quetzalhook.HostID, r quetzalhook.Request) (c decided, waits bool, err error) {
-	body, err := cbor.Marshal(assignRequest{Request: toWire(r), Events: d.takeEvents()})
+// ask asks the leader of a group once; waits reports that the request still
+// waits there.
+func (d *Dispatcher) ask(ctx context.Context, leader quetzalhook.HostID, group int, r quetzalhook.Request, offer bool) (c decided, waits bool, err error) {
+	body, err := cbor.Marshal(assignRequest{Request: toWire(r), Events: d.takeEvents(group), Group: group, Offer: offer})
 	if err != nil {
 		return c, false, &Error{Op: "assign", Kind: ErrorProtocol, Err: err}
 	}
@@ -201,6 +222,8 @@
 		return c, false, &Error{Op: "assign", Kind: ErrorProtocol, Err: err}
 	}
 	switch {
+	case answer.Busy:
+		c.busy = true
 	case answer.Upstream != nil:
 		c.attempt = quetzalhook.Attempt{Upstream: *answer.Upstream, Urgency: answer.Urgency, Source: answer.Source}
 	case answer.Refusal != "":
@@ -216,13 +239,20 @@
 	if err := cbor.Unmarshal(body, &req); err != nil {
 		return nil, &Error{Op: "assign", Kind: ErrorProtocol, Err: err}
 	}
-	d.apply(req.Events)
-	ctx, cancel := context.WithTimeout(ctx, answerWait)
-	defer cancel()
-	var answer assignAnswer
-	c, err := d.desk.assign(ctx, from, req.Request.request())
+	desk := d.groups.desk(req.Group)
+	desk.take(req.Events)
+	var c decided
+	var err error
+	if req.Offer {
+		c = desk.offer(from, req.Request.request())
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, answerWait)
+		defer cancel()
+		c, err = desk.assign(ctx, from, req.Request.request())
+	}
+	answer := assignAnswer{Busy: c.busy}
 	switch {
-	case err != nil: // it still waits
+	case err != nil || c.busy: // it still waits, or was only offered
 	case c.refusal != nil:
 		answer.Refusal, answer.RetryAfter = c.refusal.Kind, c.refusal.RetryAfter
 	default:
@@ -231,120 +261,6 @@
 	return cbor.Marshal(answer)
 }
 
-// note adds an event to the next report.
-func (d *Dispatcher) note(e event) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.events = append(d.events, e)
-}
-
-// report sends the events since the last report to the leader. What does not
-// arrive is made up for by the next sync.
-func (d *Dispatcher) report(ctx context.Context) {
-	leader, events := d.target(), d.takeEvents()
-	if leader != "" && len(events) > 0 {
-		d.call(ctx, leader, reportKind, events, nil)
-	}
-}
-
-// takeEvents returns the events since the last report.
-func (d *Dispatcher) takeEvents() []event {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	events := d.events
-	d.events = nil
-	return events
-}
-
-func (d *Dispatcher) handleReport(_ context.Context, _ quetzalhook.HostID, body []byte) ([]byte, error) {
-	var events []event
-	if err := cbor.Unmarshal(body, &events); err != nil {
-		return nil, &Error{Op: "report", Kind: ErrorProtocol, Err: err}
-	}
-	d.apply(events)
-	return nil, nil
-}
-
-// apply hands the events of another host to the desk.
-func (d *Dispatcher) apply(events []event) {
-	for _, e := range events {
-		if e.Seen > 0 {
-			d.desk.observe(e.ID, e.Seen)
-		}
-		if e.End == 0 {
-			d.desk.progress(e.ID, e.Tokens)
-		} else {
-			d.desk.end(e.ID, e.end())
-		}
-	}
-}
-
-// call sends a message to the leader and decodes the answer unless result is
-// nil. It reports whether that worked.
-func (d *Dispatcher) call(ctx context.Context, leader quetzalhook.HostID, kind string, message, result any) bool {
-	body, err := cbor.Marshal(message)
-	if err == nil {
-		ctx, cancel := context.WithTimeout(ctx, reportLimit)
-		defer cancel()
-		var reply []byte
-		reply, err = d.peers.Call(ctx, leader, kind, body)
-		if err == nil && result != nil {
-			err = cbor.Unmarshal(reply, result)
-		}
-	}
-	if err != nil && ctx.Err() == nil {
-		d.log.WithField("leader", leader).WithField("kind", kind).WithError(err).Debug("message to the leader lost")
-	}
-	return err == nil
-}
-
-// sync lists the running requests to the leader and sends those that it does
-// not know.
-func (d *Dispatcher) sync(ctx context.Context) {
-	leader := d.target()
-	if leader == "" {
-		return
-	}
-	d.mu.Lock()
-	running := make([]quetzalhook.RequestID, 0, len(d.tickets))
-	for id := range d.tickets {
-		running = append(running, id)
-	}
-	d.mu.Unlock()
-	var unknown []quetzalhook.RequestID
-	if !d.call(ctx, leader, syncKind, running, &unknown) || len(unknown) == 0 {
-		return
-	}
-	var adoptions []adoption
-	d.mu.Lock()
-	for _, id := range unknown {
-		if t := d.tickets[id]; t != nil {
-			adoptions = append(adoptions, adoption{Request: toWire(t.request), Upstream: t.current, Tokens: t.tokens})
-		}
-	}
-	d.mu.Unlock()
-	d.call(ctx, leader, adoptKind, adoptions, nil)
-}
-
-func (d *Dispatcher) handleSync(_ context.Context, from quetzalhook.HostID, body []byte) ([]byte, error) {
-	var running []quetzalhook.RequestID
-	if err := cbor.Unmarshal(body, &running); err != nil {
-		return nil, &Error{Op: "sync", Kind: ErrorProtocol, Err: err}
-	}
-	return cbor.Marshal(d.desk.sync(from, running))
-}
-
-func (d *Dispatcher) handleAdopt(_ context.Context, from quetzalhook.HostID, body []byte) ([]byte, error) {
-	var adoptions []adoption
-	if err := cbor.Unmarshal(body, &adoptions); err != nil {
-		return nil, &Error{Op: "adopt", Kind: ErrorProtocol, Err: err}
-	}
-	for _, a := range adoptions {
-		d.desk.adopt(from, a.Request.request(), a.Upstream, a.Tokens)
-	}
-	return nil, nil
-}
-
 // ErrorKind classifies the failures of this package.
 type ErrorKind string
 
--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -48,17 +48,18 @@
 	tickets map[string]quetzalhook.Ticket
 	out     strings.Builder
 
-	mu     sync.Mutex // guards what the dispatchers' own goroutines read
-	leader string
-	delay  time.Duration
-	cut    map[string]bool
-	gone   map[quetzalhook.UpstreamID]bool // known to all but the leader
+	mu      sync.Mutex     // guards what the dispatchers' own goroutines read
+	leader  string         // of the first group
+	leaders map[int]string // of the others
+	delay   time.Duration
+	cut     map[string]bool
+	gone    map[quetzalhook.UpstreamID]bool // known to all but the leader
 }
 
 func newWorld(t *testing.T) *world {
 	clock := quetzalhook.ClockFunc(time.Now)
 	w := &world{
-		t: t, network: peer.NewNetwork(clock, 1), hosts: make(map[string]*Dispatcher), leader: "h0",
+		t: t, network: peer.NewNetwork(clock, 1), hosts: make(map[string]*Dispatcher), leader: "h0", leaders: map[int]string{1: "h2"},
 		cut: make(map[string]bool), gone: make(map[quetzalhook.UpstreamID]bool), tickets: make(map[string]quetzalhook.Ticket),
 	}
 	w.setFaults()
@@ -68,7 +69,7 @@
 		name := fmt.Sprintf("h%d", i)
 		end := w.network.Endpoint(quetzalhook.HostID(name))
 		d := New(Settings{
-			Host: quetzalhook.HostID(name), Leader: w.leading, Usable: w.usable, Budget: &generous{left: 5},
+			Host: quetzalhook.HostID(name), Leader: w.leading, Position: w.position(i), Usable: w.usable, Budget: &generous{left: 5},
 		}, end, clock, log)
 		w.network.Join(end, func() quetzalhook.Member { return quetzalhook.Member{} })
 		w.hosts[name] = d
@@ -86,12 +87,20 @@
 	}})
 }
 
-func (w *world) leading() quetzalhook.HostID {
+func (w *world) leading(group int) quetzalhook.HostID {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if group > 0 {
+		return quetzalhook.HostID(w.leaders[group])
+	}
 	return quetzalhook.HostID(w.leader)
 }
 
+// position puts the first of three hosts into the first third, and so on.
+func (w *world) position(i int) func() float64 {
+	return func() float64 { return float64(i) / 3 }
+}
+
 func (w *world) usable(u quetzalhook.Upstream) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -126,15 +135,39 @@
 	}
 }
 
+// fill submits requests on a host one after the other and counts them by group.
+func (w *world) fill(host, prefix string, count int) {
+	placed := make(map[int]int)
+	refused := 0
+	for i := range count {
+		id := fmt.Sprintf("%s%d", prefix, i)
+		t := w.submit(host, id, 100*time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		a, err := t.Next(ctx)
+		cancel()
+		if err != nil {
+			refused++
+			continue
+		}
+		placed[w.hosts[host].groups.of(a.Upstream.ID)]++
+	}
+	fmt.Fprintf(&w.out, "placed by group: %v, not placed: %d\n", placed, refused)
+}
+
+func (w *world) submit(host, id string, patience time.Duration) quetzalhook.Ticket {
+	t := w.hosts[host].Submit(context.Background(), quetzalhook.Request{
+		ID: quetzalhook.RequestID(id), Service: "s", Model: "m", PromptTokens: 100, MaxTokens: 10, Patience: patience, Attempts: 2,
+		Class: quetzalhook.NewClass("c", 0, quetzalhook.WithTTFTTarget(time.Second)),
+	})
+	w.tickets[id] = t
+	return t
+}
+
 // ask submits a request on a host and waits for its upstream.
 func (w *world) ask(host, id string, patience time.Duration) {
 	t := w.tickets[id]
 	if t == nil {
-		t = w.hosts[host].Submit(context.Background(), quetzalhook.Request{
-			ID: quetzalhook.RequestID(id), Service: "s", Model: "m", PromptTokens: 100, MaxTokens: 10, Patience: patience, Attempts: 2,
-			Class: quetzalhook.NewClass("c", 0, quetzalhook.WithTTFTTarget(time.Second)),
-		})
-		w.tickets[id] = t
+		t = w.submit(host, id, patience)
 	}
 	begin := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -145,8 +178,11 @@
 		fmt.Fprintf(&w.out, "%s: %v after %v\n", id, err, took)
 		return
 	}
-	fmt.Fprintf(&w.out, "%s: placed after %v\n", id, took)
-	_ = a
+	fmt.Fprintf(&w.out, "%s: placed after %v", id, took)
+	if g := w.hosts[host].groups; g.count() > 1 {
+		fmt.Fprintf(&w.out, " in group %d", g.of(a.Upstream.ID))
+	}
+	fmt.Fprintln(&w.out)
 }
 
 func (w *world) run(line string) {
@@ -175,11 +211,19 @@
 		w.tickets[f[1]].Observe(quetzalhook.Verdict{HasLoad: true, Running: n(2)})
 		w.tickets[f[1]].Progress(1)
 	case "foreign": // host: the requests of others that its scheduler counts with
-		fmt.Fprintf(&w.out, "%s counts with %.1f foreign requests\n", f[1], w.hosts[f[1]].desk.load().Foreign)
+		fmt.Fprintf(&w.out, "%s counts with %.1f foreign requests\n", f[1], w.hosts[f[1]].groups.desk(0).load().Foreign)
 	case "progress":
 		w.tickets[f[1]].Progress(n(2))
-	case "leader":
-		w.change(func() { w.leader = f[1] })
+	case "leader": // host [group]
+		w.change(func() {
+			if len(f) > 2 {
+				w.leaders[n(2)] = f[1]
+				return
+			}
+			w.leader = f[1]
+		})
+	case "fill": // host prefix count
+		w.fill(f[1], f[2], n(3))
 	case "cut":
 		w.change(func() { w.cut[f[1]] = true })
 	case "heal":
@@ -193,8 +237,12 @@
 		}
 		time.Sleep(d) // virtual time
 		synctest.Wait()
-	case "knows": // host: the requests that its scheduler counts as running
-		d := w.hosts[f[1]].desk
+	case "knows": // host [group]: the requests that its scheduler counts as running
+		group := 0
+		if len(f) > 2 {
+			group = n(2)
+		}
+		d := w.hosts[f[1]].groups.desk(group)
 		d.mu.Lock()
 		var ids []string
 		for id := range maps.Keys(d.owners) {
@@ -212,8 +260,10 @@
 // leader refuses because it knows no engines, against a leader that
 // does not learn of requests that run, or never forgets them, against load by
 // hosts that are cut off from the leader, of which it does not learn, against a
-// decision that is lost because its host is between two calls, and against a
-// request that is sent again beyond what its route allows.
+// decision that is lost because its host is between two calls, against a request
+// that is sent again beyond what its route allows, and, in a fleet of several
+// groups of engines, against requests that wait in one group while another has
+// room, or whose leader of a group does not learn of them.
 func TestDispatching(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
--- a/internal/fleet/dispatcher/message.go
+++ b/internal/fleet/dispatcher/message.go
@@ -62,11 +62,37 @@
 	return r
 }
 
-// assignRequest asks for the decision on a request, and tells what became of
-// others.
+// assignRequest asks the leader of a group for the decision on a request, and
+// tells what became of others.
 type assignRequest struct {
 	Request wireRequest `cbor:"1,keyasint"`
 	Events  []event     `cbor:"2,keyasint,omitempty"`
+	Group   int         `cbor:"3,keyasint,omitempty"`
+	// Offer asks for an engine that can take the request at once.
+	Offer bool `cbor:"4,keyasint,omitempty"`
+}
+
+// reportRequest tells the leader of a group what became of requests.
+type reportRequest struct {
+	Group  int     `cbor:"1,keyasint,omitempty"`
+	Events []event `cbor:"2,keyasint,omitempty"`
+}
+
+// syncRequest lists the requests of a host that run in a group.
+type syncRequest struct {
+	Group   int                     `cbor:"1,keyasint,omitempty"`
+	Running []quetzalhook.RequestID `cbor:"2,keyasint,omitempty"`
+}
+
+// adoptRequest tells the leader of a group of requests that it does not know.
+type adoptRequest struct {
+	Group     int        `cbor:"1,keyasint,omitempty"`
+	Adoptions []adoption `cbor:"2,keyasint,omitempty"`
+}
+
+// loadRequest asks for the load of a group.
+type loadRequest struct {
+	Group int `cbor:"1,keyasint,omitempty"`
 }
 
 // assignAnswer is the decision on a request, or nothing if it still waits.
@@ -76,6 +102,8 @@
 	Refusal    quetzalhook.RefuseKind `cbor:"3,keyasint,omitempty"`
 	RetryAfter time.Duration          `cbor:"4,keyasint,omitempty"`
 	Source     string                 `cbor:"5,keyasint,omitempty"`
+	// Busy answers an offer that no engine can take at once.
+	Busy bool `cbor:"6,keyasint,omitempty"`
 }
 
 // event tells what became of a request.
--- /dev/null
+++ b/internal/fleet/dispatcher/sync.go
@@ -0,0 +1,173 @@
+package dispatcher
+
+import (
+	"context"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"quetzalhook"
+	"quetzalhook/internal/traffic/schedule"
+)
+
+// note adds an event to the next report to the leader of a group.
+func (d *Dispatcher) note(group int, e event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.events[group] = append(d.events[group], e)
+}
+
+// report sends the events since the last report to the leaders. What does not
+// arrive is made up for by the next sync.
+func (d *Dispatcher) report(ctx context.Context) {
+	d.mu.Lock()
+	pending := make([]int, 0, len(d.events))
+	for group := range d.events {
+		pending = append(pending, group)
+	}
+	d.mu.Unlock()
+	for _, group := range pending {
+		leader, events := d.target(group), d.takeEvents(group)
+		if leader != "" && len(events) > 0 {
+			d.call(ctx, leader, reportKind, reportRequest{Group: group, Events: events}, nil)
+		}
+	}
+}
+
+// takeEvents returns the events of a group since the last report.
+func (d *Dispatcher) takeEvents(group int) []event {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	events := d.events[group]
+	delete(d.events, group)
+	return events
+}
+
+func (d *Dispatcher) handleReport(_ context.Context, _ quetzalhook.HostID, body []byte) ([]byte, error) {
+	var req reportRequest
+	if err := cbor.Unmarshal(body, &req); err != nil {
+		return nil, &Error{Op: "report", Kind: ErrorProtocol, Err: err}
+	}
+	d.groups.desk(req.Group).take(req.Events)
+	return nil, nil
+}
+
+// call sends a message to a leader and decodes the answer unless result is nil.
+// It reports whether that worked.
+func (d *Dispatcher) call(ctx context.Context, leader quetzalhook.HostID, kind string, message, result any) bool {
+	body, err := cbor.Marshal(message)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(ctx, reportLimit)
+		defer cancel()
+		var reply []byte
+		reply, err = d.peers.Call(ctx, leader, kind, body)
+		if err == nil && result != nil {
+			err = cbor.Unmarshal(reply, result)
+		}
+	}
+	if err != nil && ctx.Err() == nil {
+		d.log.WithField("leader", leader).WithField("kind", kind).WithError(err).Debug("message to the leader lost")
+	}
+	return err == nil
+}
+
+// sync lists the running requests to the leaders of their groups. The home group
+// is told as well when none runs there.
+func (d *Dispatcher) sync(ctx context.Context) {
+	home, _ := d.groups.choose(d.settings.Host, d.settings.Position())
+	running := map[int][]quetzalhook.RequestID{home: nil}
+	d.mu.Lock()
+	for id, t := range d.tickets {
+		group := d.groups.of(t.current)
+		running[group] = append(running[group], id)
+	}
+	d.mu.Unlock()
+	for group, ids := range running {
+		d.syncGroup(ctx, group, ids)
+	}
+}
+
+// syncGroup lists the running requests of a group to its leader and sends those
+// that it does not know.
+func (d *Dispatcher) syncGroup(ctx context.Context, group int, running []quetzalhook.RequestID) {
+	leader := d.target(group)
+	if leader == "" {
+		return
+	}
+	var unknown []quetzalhook.RequestID
+	if !d.call(ctx, leader, syncKind, syncRequest{Group: group, Running: running}, &unknown) || len(unknown) == 0 {
+		return
+	}
+	var adoptions []adoption
+	d.mu.Lock()
+	for _, id := range unknown {
+		if t := d.tickets[id]; t != nil {
+			adoptions = append(adoptions, adoption{Request: toWire(t.request), Upstream: t.current, Tokens: t.tokens})
+		}
+	}
+	d.mu.Unlock()
+	d.call(ctx, leader, adoptKind, adoptRequest{Group: group, Adoptions: adoptions}, nil)
+}
+
+func (d *Dispatcher) handleSync(_ context.Context, from quetzalhook.HostID, body []byte) ([]byte, error) {
+	var req syncRequest
+	if err := cbor.Unmarshal(body, &req); err != nil {
+		return nil, &Error{Op: "sync", Kind: ErrorProtocol, Err: err}
+	}
+	return cbor.Marshal(d.groups.desk(req.Group).sync(from, req.Running))
+}
+
+func (d *Dispatcher) handleAdopt(_ context.Context, from quetzalhook.HostID, body []byte) ([]byte, error) {
+	var req adoptRequest
+	if err := cbor.Unmarshal(body, &req); err != nil {
+		return nil, &Error{Op: "adopt", Kind: ErrorProtocol, Err: err}
+	}
+	desk := d.groups.desk(req.Group)
+	for _, a := range req.Adoptions {
+		desk.adopt(from, a.Request.request(), a.Upstream, a.Tokens)
+	}
+	return nil, nil
+}
+
+// Load returns the load of all hosts, from the leaders of all groups.
+func (d *Dispatcher) Load(ctx context.Context) (schedule.Load, error) {
+	var sum schedule.Load
+	for group := range d.groups.count() {
+		load, err := d.loadOf(ctx, group)
+		if err != nil {
+			return schedule.Load{}, err
+		}
+		sum.Add(load)
+	}
+	return sum, nil
+}
+
+// loadOf returns the load of one group.
+func (d *Dispatcher) loadOf(ctx context.Context, group int) (schedule.Load, error) {
+	leader := d.target(group)
+	if leader == "" {
+		return d.groups.desk(group).load(), nil
+	}
+	var load schedule.Load
+	body, err := cbor.Marshal(loadRequest{Group: group})
+	if err != nil {
+		return load, &Error{Op: "load", Kind: ErrorProtocol, Err: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportLimit)
+	defer cancel()
+	reply, err := d.peers.Call(ctx, leader, loadKind, body)
+	if err != nil {
+		return load, &Error{Op: "load", Kind: ErrorUnreachable, Err: err}
+	}
+	if err := cbor.Unmarshal(reply, &load); err != nil {
+		return load, &Error{Op: "load", Kind: ErrorProtocol, Err: err}
+	}
+	return load, nil
+}
+
+func (d *Dispatcher) handleLoad(_ context.Context, _ quetzalhook.HostID, body []byte) ([]byte, error) {
+	var req loadRequest
+	if err := cbor.Unmarshal(body, &req); err != nil {
+		return nil, &Error{Op: "load", Kind: ErrorProtocol, Err: err}
+	}
+	return cbor.Marshal(d.groups.desk(req.Group).load())
+}
--- a/internal/fleet/dispatcher/ticket.go
+++ b/internal/fleet/dispatcher/ticket.go
@@ -56,7 +56,7 @@
 		}
 		c, err := t.dispatcher.assign(ctx, t.request)
 		if err != nil {
-			t.dispatcher.desk.end(t.request.ID, quetzalhook.AttemptEnd{End: quetzalhook.EndCallerGone})
+			t.dispatcher.groups.forget(t.request.ID)
 			return quetzalhook.Attempt{}, err
 		}
 		if c.refusal != nil {
@@ -98,7 +98,7 @@
 	t.current, t.tokens, t.reported = a.Upstream.ID, 0, time.Time{}
 	d.tickets[t.request.ID] = t
 	d.mu.Unlock()
-	d.desk.adopt(d.settings.Host, t.request, a.Upstream.ID, 0)
+	d.groups.desk(d.groups.of(a.Upstream.ID)).adopt(d.settings.Host, t.request, a.Upstream.ID, 0)
 }
 
 // Observe implements quetzalhook.Ticket. The leader learns of it with the next
@@ -110,8 +110,9 @@
 	d := t.dispatcher
 	d.mu.Lock()
 	t.seen = v.Running + v.Waiting
+	current := t.current
 	d.mu.Unlock()
-	d.desk.observe(t.request.ID, v.Running+v.Waiting)
+	d.groups.desk(d.groups.of(current)).observe(t.request.ID, v.Running+v.Waiting)
 }
 
 // Progress implements quetzalhook.Ticket.
@@ -122,15 +123,15 @@
 	first := t.tokens == 0
 	t.tokens = tokens
 	due := first || now.Sub(t.reported) >= progressInterval
-	if due {
-		t.reported = now
-		d.events = append(d.events, event{ID: t.request.ID, Tokens: tokens, Seen: t.seen})
-		t.seen = 0
+	if !due {
+		d.mu.Unlock()
+		return
 	}
+	group := d.groups.of(t.current)
+	d.events[group] = append(d.events[group], event{ID: t.request.ID, Tokens: tokens, Seen: t.seen})
+	t.reported, t.seen = now, 0
 	d.mu.Unlock()
-	if due {
-		d.desk.progress(t.request.ID, tokens)
-	}
+	d.groups.desk(group).progress(t.request.ID, tokens)
 }
 
 // End implements quetzalhook.Ticket.
@@ -140,14 +141,15 @@
 	current := t.current
 	t.current = ""
 	delete(d.tickets, t.request.ID)
+	group := d.groups.of(current)
 	if current != "" {
-		d.events = append(d.events, event{ID: t.request.ID, Tokens: e.Tokens, End: e.End, NotRun: e.Verdict.NotRun, Failed: e.Verdict.Failed})
+		d.events[group] = append(d.events[group], event{ID: t.request.ID, Tokens: e.Tokens, End: e.End, NotRun: e.Verdict.NotRun, Failed: e.Verdict.Failed})
 	}
 	d.mu.Unlock()
 	if current == "" {
 		return
 	}
-	d.desk.end(t.request.ID, e)
+	d.groups.desk(group).end(t.request.ID, e)
 	if e.End == quetzalhook.EndBroken {
 		t.ran++
 	}
--- /dev/null
+++ b/internal/fleet/division/division_test.go
@@ -0,0 +1,83 @@
+package division
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"quetzalhook"
+)
+
+func engine(i int) quetzalhook.UpstreamID { return quetzalhook.UpstreamID(fmt.Sprintf("i-%d", i)) }
+
+// Guards against groups that are too large for their leader, and against a
+// number of groups that changes back and forth with a few engines.
+func TestResize(t *testing.T) {
+	var d Division
+	for _, step := range []struct{ engines, want int }{
+		{0, 1}, {18, 1}, {256, 1}, {257, 2}, {240, 2}, {193, 2}, {191, 1}, {3000, 12}, {2200, 12}, {2100, 9}, {10, 1},
+	} {
+		d = d.Resize(step.engines)
+		if got := d.Groups(); got != step.want {
+			t.Errorf("groups with %d engines: got %d, want %d", step.engines, got, step.want)
+		}
+	}
+}
+
+// Guards against a new group that moves more engines than it gets, and against
+// groups of unequal size.
+func TestOf(t *testing.T) {
+	const engines = 3000
+	eleven, twelve := Division{more: 10}, Division{more: 11}
+	sizes := make([]int, twelve.Groups())
+	moved := 0
+	for i := range engines {
+		group := twelve.Of(engine(i))
+		sizes[group]++
+		if group != eleven.Of(engine(i)) {
+			moved++
+			if got, want := group, 11; got != want {
+				t.Fatalf("engine %d moved to group %d, want the new one", i, got)
+			}
+		}
+	}
+	if got, want := moved, sizes[11]; got != want {
+		t.Errorf("engines moved: got %d, want %d", got, want)
+	}
+	if got, limit := slices.Max(sizes), engines*5/4/twelve.Groups(); got > limit {
+		t.Errorf("largest group: got %d engines, want at most %d", got, limit)
+	}
+}
+
+// Guards against groups that few hosts use while others are crowded, and
+// against hosts of one group that all use the same second one.
+func TestHosts(t *testing.T) {
+	const hosts = 300
+	d := Division{more: 11}
+	homes, seconds := make([]int, d.Groups()), make(map[[2]int]bool)
+	for i := range hosts {
+		host := quetzalhook.HostID(fmt.Sprintf("h%d", i))
+		var others []quetzalhook.HostID
+		for j := range hosts {
+			if j != i {
+				others = append(others, quetzalhook.HostID(fmt.Sprintf("h%d", j)))
+			}
+		}
+		home := d.Home(Position(host, others))
+		homes[home]++
+		second := d.Second(host, home)
+		if second == home {
+			t.Fatalf("host %d: the second group is its first", i)
+		}
+		seconds[[2]int{home, second}] = true
+	}
+	if got, want := slices.Min(homes), hosts/d.Groups(); got != want {
+		t.Errorf("hosts of the smallest group: got %d, want %d", got, want)
+	}
+	if got, least := len(seconds), 6*d.Groups(); got < least {
+		t.Errorf("pairs of groups: got %d, want at least %d", got, least)
+	}
+	if got, want := (Division{}).Second("h", 0), 0; got != want {
+		t.Errorf("second of one group: got %d, want %d", got, want)
+	}
+}
--- a/internal/traffic/schedule/demand.go
+++ b/internal/traffic/schedule/demand.go
@@ -35,13 +35,22 @@
 	Busy float64
 	// Waiting is the number of requests that wait.
 	Waiting int
-	// Memory is the part of the engines' memory that running requests use.
+	// Memory is the part of the engines' memory that running requests use; of
+	// several groups, that of the fullest.
 	Memory float64
 	// Foreign is the number of running requests that this scheduler does not
 	// know, as far as it was seen.
 	Foreign float64
 }
 
+// Add adds the load of other engines.
+func (l *Load) Add(o Load) {
+	l.Busy += o.Busy
+	l.Waiting += o.Waiting
+	l.Memory = max(l.Memory, o.Memory)
+	l.Foreign += o.Foreign
+}
+
 // Load returns the present load.
 func (s *Scheduler) Load(now time.Time) Load {
 	l := Load{Waiting: s.waiting}
--- a/internal/traffic/schedule/schedule.go
+++ b/internal/traffic/schedule/schedule.go
@@ -157,18 +157,36 @@
 	return s.out
 }
 
-// Submit adds a request.
-func (s *Scheduler) Submit(now time.Time, q quetzalhook.Request) []Decision {
+// Offer starts a request if an engine can take it at once, and reports whether
+// it did. A request that would wait, or be refused, is not kept.
+func (s *Scheduler) Offer(now time.Time, q quetzalhook.Request) ([]Decision, bool) {
 	s.begin()
+	r := s.admit(now, q)
+	if r.pool.waiting.ahead(now, q.Class.Tier()) > 0 || !s.start(now, r) {
+		return nil, false
+	}
+	r.pool.demand.add(now, r)
+	return s.out, true
+}
+
+// admit makes the run of a request that was submitted or offered.
+func (s *Scheduler) admit(now time.Time, q quetzalhook.Request) *run {
 	if old := s.runs[q.ID]; old != nil {
 		s.forget(old) // the host has given it up; each attempt is submitted anew
 	}
 	r := s.newRun(now, q)
-	p := r.pool
-	p.demand.add(now, r)
-	if p.allTried(q) {
+	if r.pool.allTried(q) {
 		r.request.Tried = nil // each may have room by now
 	}
+	return r
+}
+
+// Submit adds a request.
+func (s *Scheduler) Submit(now time.Time, q quetzalhook.Request) []Decision {
+	s.begin()
+	r := s.admit(now, q)
+	p := r.pool
+	p.demand.add(now, r)
 	if len(p.engines) == 0 {
 		s.refuse(r, quetzalhook.RefuseNoUpstream, minRetry)
 		return s.out
