Avoid addresses that another upstream has by now

Cause: status 421 counted as a full engine and paused it for 50 ms only. An engine that restarts while it is cut off from the store stays listed under its old name for seconds and rejects every request; the budget of repeats was used up, and requests were refused while sound engines had room. Ruled out: too small a budget; 476 repeats went to the same few addresses.

--- a/internal/fleet/dispatcher/message.go
+++ b/internal/fleet/dispatcher/message.go
@@ -118,10 +118,12 @@
 	Seen int `cbor:"5,keyasint,omitempty"`
 	// Failed reports that the engine answered with a failure of its own.
 	Failed bool `cbor:"6,keyasint,omitempty"`
+	// Moved reports that another upstream has the engine's address.
+	Moved bool `cbor:"7,keyasint,omitempty"`
 }
 
 func (e event) end() quetzalhook.AttemptEnd {
-	return quetzalhook.AttemptEnd{End: e.End, Tokens: e.Tokens, Verdict: quetzalhook.Verdict{NotRun: e.NotRun, Failed: e.Failed}}
+	return quetzalhook.AttemptEnd{End: e.End, Tokens: e.Tokens, Verdict: quetzalhook.Verdict{NotRun: e.NotRun, Failed: e.Failed, Moved: e.Moved}}
 }
 
 // adoption is a request that runs already.
--- a/internal/fleet/dispatcher/ticket.go
+++ b/internal/fleet/dispatcher/ticket.go
@@ -143,7 +143,9 @@
 	delete(d.tickets, t.request.ID)
 	group := d.groups.of(current)
 	if current != "" {
-		d.events[group] = append(d.events[group], event{ID: t.request.ID, Tokens: e.Tokens, End: e.End, NotRun: e.Verdict.NotRun, Failed: e.Verdict.Failed})
+		d.events[group] = append(d.events[group], event{
+			ID: t.request.ID, Tokens: e.Tokens, End: e.End, NotRun: e.Verdict.NotRun, Failed: e.Verdict.Failed, Moved: e.Verdict.Moved,
+		})
 	}
 	d.mu.Unlock()
 	if current == "" {
--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -149,6 +149,8 @@
 	switch {
 	case e.End == quetzalhook.EndFinished && !e.Verdict.Failed:
 		u.record.Worked(now)
+	case e.Verdict.Moved:
+		u.record.Moved(now)
 	case e.End == quetzalhook.EndNotSent && e.Verdict.NotRun:
 		u.record.Refused(now, fullPause)
 	case e.End == quetzalhook.EndFinished || e.End == quetzalhook.EndBroken || e.End == quetzalhook.EndNotSent:
--- a/internal/traffic/reliability/reliability.go
+++ b/internal/traffic/reliability/reliability.go
@@ -57,6 +57,10 @@
 	r.failures = 0
 }
 
+// Moved notes that another upstream has the address. It is avoided for as long as
+// an entry of a lost upstream may stay listed; a new entry gets a new record.
+func (r *Record) Moved(now time.Time) { r.Refused(now, avoidLast) }
+
 // Refused notes that the upstream refused a request; it is avoided for pause.
 func (r *Record) Refused(now time.Time, pause time.Duration) {
 	if until := now.Add(pause); until.After(r.until) {
--- a/internal/traffic/schedule/schedule.go
+++ b/internal/traffic/schedule/schedule.go
@@ -335,6 +335,8 @@
 	case end.End == quetzalhook.EndFinished:
 		e.sign = now
 		e.record.Failed(now)
+	case end.Verdict.Moved:
+		e.record.Moved(now)
 	case end.End == quetzalhook.EndNotSent && end.Verdict.NotRun:
 		e.sign = now
 		e.record.Refused(now, fullPause)
--- a/internal/traffic/schedule/schedule_test.go
+++ b/internal/traffic/schedule/schedule_test.go
@@ -238,3 +238,29 @@
 		}
 	}
 }
+
+// Guards against requests that go on to an address that another upstream has by
+// now: each is rejected, and the budget of repeats is soon used up.
+func TestMovedUpstream(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New()
+	s.SetUpstreams(now, []quetzalhook.Upstream{
+		{ID: "moved", Service: "s", Models: []quetzalhook.Model{"m"}, Slots: 64}, {ID: "sound", Service: "s", Models: []quetzalhook.Model{"m"}, Slots: 64},
+	})
+	rejected, wait := 0, 100*time.Millisecond
+	for i := range 40 {
+		id := quetzalhook.RequestID(fmt.Sprint(i))
+		for _, d := range s.Submit(now, quetzalhook.Request{ID: id, Class: chat, Service: "s", Model: "m", PromptTokens: 1000, MaxTokens: 10}) {
+			end := quetzalhook.AttemptEnd{End: quetzalhook.EndFinished}
+			if d.Upstream.ID == "moved" {
+				rejected++
+				end = quetzalhook.AttemptEnd{End: quetzalhook.EndNotSent, Verdict: quetzalhook.Verdict{NotRun: true, Moved: true}}
+			}
+			s.End(now, id, end)
+		}
+		now = now.Add(wait)
+	}
+	if got, want := rejected, 2; got > want { // one in 4 s
+		t.Errorf("requests sent to the address: got %d, want at most %d", got, want)
+	}
+}
