--- a/internal/entry/host/duty.go
+++ b/internal/entry/host/duty.go
@@ -11,6 +11,7 @@
 	"quetzalhook/internal/record/invoice"
 	"quetzalhook/internal/record/tally"
 	"quetzalhook/internal/state/calendar"
+	"quetzalhook/internal/state/timing"
 
 	"quetzalhook"
 )
@@ -49,19 +50,12 @@
 
 // runDuties does what the duties require while this host holds the lease.
 func (h *Host) runDuties(ctx context.Context) {
-	ticker := time.NewTicker(dutyInterval)
-	defer ticker.Stop()
 	var leader quetzalhook.HostID
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			leader = h.noteLeader(leader)
-			h.reporter.Step(ctx)
-			h.orders.Step(ctx)
-		}
-	}
+	timing.Every(ctx, dutyInterval, func() {
+		leader = h.noteLeader(leader)
+		h.reporter.Step(ctx)
+		h.orders.Step(ctx)
+	})
 }
 
 // noteLeader writes a line of the log when another host places requests than
--- a/internal/entry/host/leader.go
+++ b/internal/entry/host/leader.go
@@ -6,6 +6,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/fleet/division"
+	"quetzalhook/internal/fleet/member"
 	"quetzalhook/internal/fleet/rendezvous"
 )
 
@@ -27,19 +28,13 @@
 func (h *Host) currentRoster() *roster {
 	members, ready := h.members.Members(), h.ready()
 	r := h.roster.Load()
-	if r == nil || r.ready != ready || !isSameList(r.members, members) {
+	if r == nil || r.ready != ready || !member.IsSameList(r.members, members) {
 		r = h.newRoster(members, ready)
 		h.roster.Store(r)
 	}
 	return r
 }
 
-// isSameList reports whether a and b are one list: the membership makes a new one
-// for every change and does not change the old one.
-func isSameList(a, b []quetzalhook.Member) bool {
-	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
-}
-
 func (h *Host) newRoster(members []quetzalhook.Member, ready bool) *roster {
 	r := &roster{members: members, ready: ready, leaders: make(map[int]quetzalhook.HostID)}
 	most := 0.0
--- a/internal/entry/node/follow.go
+++ b/internal/entry/node/follow.go
@@ -9,6 +9,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/entry/front"
+	"quetzalhook/internal/fleet/member"
 	"quetzalhook/internal/record/configuration"
 )
 
@@ -163,7 +164,9 @@
 		}
 		n.free.Store(math.Float64bits(n.freeCapacity()))
 		members := n.fleet.peers.Members()
-		if isSameList(last, members) {
+		// One list passed on again would tell the policy nothing, but takes 5 ms
+		// with 17,000 active customers.
+		if member.IsSameList(last, members) {
 			continue
 		}
 		last = members
@@ -175,13 +178,6 @@
 	}
 }
 
-// isSameList reports whether b is the very list that a was. The members are
-// listed anew every 250 ms; passing one list to the policy again would tell it
-// nothing, but takes 5 ms with 17,000 active customers.
-func isSameList(a, b []quetzalhook.Member) bool {
-	return len(a) > 0 && len(a) == len(b) && &a[0] == &b[0]
-}
-
 // freeCapacity returns the fraction of this host's share of all slots that is
 // unused.
 func (n *Node) freeCapacity() float64 {
--- a/internal/fleet/lease/rounds.go
+++ b/internal/fleet/lease/rounds.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"quetzalhook/internal/state/timing"
 )
 
 // Rounds repeats the work of a role in the background.
@@ -32,23 +34,15 @@
 
 func (r *Rounds) run(ctx context.Context) {
 	defer close(r.done)
-	ticker := time.NewTicker(r.interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	timing.Every(ctx, r.interval, func() {
 		// An order that has begun is completed even while the host stops:
 		// cancelling it would leave an intent with unknown outcome.
 		round, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.interval)
-		err := r.step(round)
-		cancel()
-		if err != nil && r.failed != nil {
+		defer cancel()
+		if err := r.step(round); err != nil && r.failed != nil {
 			r.failed(err)
 		}
-	}
+	})
 }
 
 // Close stops the rounds and waits for one that is under way. It does nothing
--- a/internal/fleet/member/service.go
+++ b/internal/fleet/member/service.go
@@ -158,6 +158,12 @@
 	return s.members
 }
 
+// IsSameList reports whether b is the very list of Members that a was; a new one
+// is made every 250 ms. Empty lists are not.
+func IsSameList(a, b []quetzalhook.Member) bool {
+	return len(a) > 0 && len(a) == len(b) && &a[0] == &b[0]
+}
+
 // Traffic returns the number of datagrams sent so far and their size in bytes
 // without the headers of UDP and IP.
 func (s *Service) Traffic() (datagrams, bytes int64) { return s.datagrams.Load(), s.bytes.Load() }
--- a/internal/record/tally/tally.go
+++ b/internal/record/tally/tally.go
@@ -19,6 +19,7 @@
 	"quetzalhook"
 	"quetzalhook/internal/fleet/rendezvous"
 	"quetzalhook/internal/state/calendar"
+	"quetzalhook/internal/state/timing"
 )
 
 const (
@@ -114,18 +115,7 @@
 func (c *Counter) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
-	c.wg.Go(func() {
-		ticker := time.NewTicker(replicaInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				c.replicate(ctx)
-			}
-		}
-	})
+	c.wg.Go(func() { timing.Every(ctx, replicaInterval, func() { c.replicate(ctx) }) })
 }
 
 // Close sends a last copy and stops.
--- a/internal/record/usage/meter.go
+++ b/internal/record/usage/meter.go
@@ -18,6 +18,8 @@
 	"sync"
 	"time"
 
+	"quetzalhook/internal/state/timing"
+
 	"quetzalhook"
 )
 
@@ -141,18 +143,11 @@
 
 // loop runs f in intervals; the next round repeats what failed.
 func (m *Meter) loop(ctx context.Context, every time.Duration, f func(context.Context) error) {
-	ticker := time.NewTicker(every)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			round, cancel := context.WithTimeout(ctx, every)
-			_ = f(round)
-			cancel()
-		}
-	}
+	timing.Every(ctx, every, func() {
+		round, cancel := context.WithTimeout(ctx, every)
+		defer cancel()
+		_ = f(round)
+	})
 }
 
 // Close stops the background work, marks all windows final and writes them.
