--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -39,7 +39,7 @@
 	// Leader names the host that decides at present for a group of engines.
 	Leader func(group int) quetzalhook.HostID
 	// Position is the place of this host among all live hosts, from 0 to below 1;
-	// it selects the group that the host uses.
+	// it selects the group of requests that share no long prompt.
 	Position func() float64
 	// Usable reports whether this host may still send to an upstream.
 	Usable func(quetzalhook.Upstream) bool
@@ -144,10 +144,10 @@
 }
 
 // assign gets a decision on a request. In a fleet of several groups it is
-// offered to the group of this host and to a second one, and waits in the former
-// if both are busy.
+// offered to its group and to a second one, and waits in the former if both are
+// busy.
 func (d *Dispatcher) assign(ctx context.Context, r quetzalhook.Request) (decided, error) {
-	home, second := d.groups.choose(d.settings.Host, d.settings.Position())
+	home, second := d.groups.choose(d.settings.Host, d.settings.Position(), r.Parts)
 	if second != home && !d.isCrowded() {
 		for _, group := range []int{home, second} {
 			c, err := d.place(ctx, group, r, true)
--- a/internal/fleet/dispatcher/groups.go
+++ b/internal/fleet/dispatcher/groups.go
@@ -55,12 +55,12 @@
 	}
 }
 
-// choose returns the group that a host uses, and the one that it uses while that
-// is busy.
-func (g *groups) choose(host quetzalhook.HostID, position float64) (home, second int) {
+// choose returns the group for a request of a host, and the one that is used
+// while that is busy.
+func (g *groups) choose(host quetzalhook.HostID, position float64, prompt []quetzalhook.PromptPart) (home, second int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	home = g.division.Home(position)
+	home = g.division.Home(position, prompt)
 	return home, g.division.Second(host, home)
 }
 
--- a/internal/fleet/dispatcher/sync.go
+++ b/internal/fleet/dispatcher/sync.go
@@ -73,7 +73,7 @@
 // sync lists the running requests to the leaders of their groups. The home group
 // is told as well when none runs there.
 func (d *Dispatcher) sync(ctx context.Context) {
-	home, _ := d.groups.choose(d.settings.Host, d.settings.Position())
+	home, _ := d.groups.choose(d.settings.Host, d.settings.Position(), nil)
 	running := map[int][]quetzalhook.RequestID{home: nil}
 	d.mu.Lock()
 	for id, t := range d.tickets {
--- a/internal/fleet/division/division.go
+++ b/internal/fleet/division/division.go
@@ -1,6 +1,6 @@
 // Package division divides the engines of a large fleet into groups, each
 // with a leader of its own that places requests, and tells each host which
-// groups it uses.
+// group places a request.
 //
 // It answers fleets whose engines are too many for one host to compare for
 // each request. Hosts need not agree on the number of groups: a host that
@@ -22,6 +22,13 @@
 	// shrink is the part of the engines of one group fewer below which there are
 	// fewer groups, so that their number does not change with every engine.
 	shrink = 0.75
+	// longShared is the number of shared tokens from which on a prompt belongs to
+	// a group: reading 1,000 tokens takes 30 ms, as long as a round trip between
+	// regions.
+	longShared = 1000
+	// spreadHash spreads hashes of parts that differ in few bits over all groups;
+	// it is 2^64 divided by the golden ratio.
+	spreadHash = 0x9E3779B97F4A7C15
 )
 
 // Division is the present number of groups. The zero value has one.
@@ -45,14 +52,26 @@
 	return jump(xxhash.Sum64String(string(id)), d.Groups())
 }
 
-// Home returns the group that a host uses: position is its place among all live
-// hosts, from 0 to below 1, so that each group has the same number of hosts.
-func (d Division) Home(position float64) int {
+// Home returns the group for a request. One whose prompt begins with long parts
+// that others share goes to the group of these parts, so that they are read in
+// one group only. Others go to the group of their host: position is its place
+// among all live hosts, from 0 to below 1, so that each group has the same number
+// of hosts.
+func (d Division) Home(position float64, prompt []quetzalhook.PromptPart) int {
+	if last := len(prompt) - 1; last > 0 {
+		shared := 0
+		for _, p := range prompt[:last] {
+			shared += p.Tokens
+		}
+		if shared >= longShared {
+			return jump(prompt[last-1].Hash*spreadHash, d.Groups())
+		}
+	}
 	return min(max(int(position*float64(d.Groups())), 0), d.more)
 }
 
 // Second returns the group that a host uses while home is busy, or home if
-// there is no other. Hosts of one group use different ones.
+// there is no other. It differs from host to host.
 func (d Division) Second(host quetzalhook.HostID, home int) int {
 	if d.more == 0 {
 		return home
--- a/internal/fleet/division/division_test.go
+++ b/internal/fleet/division/division_test.go
@@ -63,7 +63,7 @@
 				others = append(others, quetzalhook.HostID(fmt.Sprintf("h%d", j)))
 			}
 		}
-		home := d.Home(Position(host, others))
+		home := d.Home(Position(host, others), nil)
 		homes[home]++
 		second := d.Second(host, home)
 		if second == home {
@@ -77,7 +77,40 @@
 	if got, least := len(seconds), 6*d.Groups(); got < least {
 		t.Errorf("pairs of groups: got %d, want at least %d", got, least)
 	}
+	if got, want := slices.Max(homes), hosts/d.Groups(); got != want {
+		t.Errorf("hosts of the largest group: got %d, want %d", got, want)
+	}
 	if got, want := (Division{}).Second("h", 0), 0; got != want {
 		t.Errorf("second of one group: got %d, want %d", got, want)
 	}
 }
+
+// Guards against long shared parts of prompts that are read in several groups,
+// against prompts that crowd a few groups, and against short ones that leave the
+// group of their host.
+func TestPrompts(t *testing.T) {
+	const subjects = 136
+	d := Division{more: 3}
+	prompt := func(subject, request, tokens int) []quetzalhook.PromptPart {
+		return []quetzalhook.PromptPart{
+			{Hash: 7, Tokens: tokens / 2}, {Hash: uint64(subject), Tokens: tokens / 2}, {Hash: uint64(1000 + request), Tokens: 5000},
+		}
+	}
+	counts := make([]int, d.Groups())
+	for subject := range subjects {
+		home := d.Home(0.1, prompt(subject, 1, 6000))
+		counts[home]++
+		if got, want := d.Home(0.9, prompt(subject, 2, 6000)), home; got != want {
+			t.Errorf("subject %d from another host: got group %d, want %d", subject, got, want)
+		}
+		if got, want := d.Home(0.9, prompt(subject, 1, 300)), 3; got != want {
+			t.Errorf("short shared parts: got group %d, want that of the host, %d", got, want)
+		}
+	}
+	if got, limit := slices.Max(counts), subjects*3/2/d.Groups(); got > limit {
+		t.Errorf("subjects of the largest group: got %d, want at most %d", got, limit)
+	}
+	if got, want := d.Home(0.9, []quetzalhook.PromptPart{{Hash: 1, Tokens: 9000}}), 3; got != want {
+		t.Errorf("prompt that nobody shares: got group %d, want that of the host, %d", got, want)
+	}
+}
