Log the leader of each group of engines

Cause: only the leader of the first group was logged. Before and after: one line for each change, with the group; a fleet of one group logs what it logged before.

--- a/internal/entry/host/duty.go
+++ b/internal/entry/host/duty.go
@@ -50,22 +50,24 @@
 
 // runDuties does what the duties require while this host holds the lease.
 func (h *Host) runDuties(ctx context.Context) {
-	var leader quetzalhook.HostID
+	leaders := make(map[int]quetzalhook.HostID)
 	timing.Every(ctx, dutyInterval, func() {
-		leader = h.noteLeader(leader)
+		h.noteLeaders(leaders)
 		h.reporter.Step(ctx)
 		h.orders.Step(ctx)
 	})
 }
 
-// noteLeader writes a line of the log when another host places requests than
-// the last one, and returns that host.
-func (h *Host) noteLeader(last quetzalhook.HostID) quetzalhook.HostID {
-	leader := h.leader(0)
-	if leader != last {
-		h.log.WithField("leader", leader).WithField("last", last).WithField("members", len(h.members.Members())).Info("leader chosen")
+// noteLeaders writes a line of the log when another host than the last one places
+// the requests to a group of engines.
+func (h *Host) noteLeaders(last map[int]quetzalhook.HostID) {
+	for group := range h.engines.Groups() {
+		if leader := h.leader(group); leader != last[group] {
+			h.log.WithField("group", group).WithField("leader", leader).WithField("last", last[group]).
+				WithField("members", len(h.members.Members())).Info("leader chosen")
+			last[group] = leader
+		}
 	}
-	return leader
 }
 
 // isCandidate reports whether this host tries to get the lease: the leader,
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -117,6 +117,9 @@
 	d.learner.set(list)
 }
 
+// Groups returns the number of groups of engines.
+func (d *Dispatcher) Groups() int { return d.groups.count() }
+
 // target returns the leader of a group to ask, or "" if this host decides
 // itself.
 func (d *Dispatcher) target(group int) quetzalhook.HostID {
