Let a host settle before it watches, competes for the lease or reads caches

Cause: a host that has just started has heard no other host, so it takes itself for a watcher of the store, a candidate for the lease and the leader of all engines.

--- a/cmd/quetzalhook/host.go
+++ b/cmd/quetzalhook/host.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	store := platform.NewStore(settings.Store, log)
+	store := platform.NewStore(settings.Store, log, platform.WithApplyBound(time.Duration(settings.ApplyMS)*time.Millisecond))
 	defer store.Close()
 	h, err := host.New(settings, secret, host.Adapter{
 		Store: store, Protocol: platform.Headers{}, RoutingSource: platform.RoutingSource(settings.Zones),
--- a/internal/entry/connection/pool.go
+++ b/internal/entry/connection/pool.go
@@ -55,8 +55,8 @@
 	reader *bufio.Reader
 	// allowance bounds the bytes of a response header; see limitHeader.
 	allowance *io.LimitedReader
-	uses   int       // requests sent
-	expiry time.Time // when the connection is closed if idle
+	uses      int       // requests sent
+	expiry    time.Time // when the connection is closed if idle
 }
 
 // limitHeader bounds the bytes that are read from the connection until the next
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -70,6 +70,7 @@
 	inv      *invariant.Registry
 	meter    *meter.Meter
 
+	started           time.Time
 	incarnation       quetzalhook.Incarnation
 	members           *member.Service
 	peers             *peer.Service
@@ -101,11 +102,11 @@
 		return nil, err
 	}
 	log = log.WithField("host", settings.Host)
-	h := &Host{settings: settings, adapter: adapter, clock: clock, log: log, inv: invariant.New(log), meter: meter.New()}
+	h := &Host{settings: settings, adapter: adapter, clock: clock, started: clock.Now(), log: log, inv: invariant.New(log), meter: meter.New()}
 	if err := h.assembleFleet(secret); err != nil {
 		return nil, err
 	}
-	h.follower = routing.New(settings.Host, adapter.Store, h.peers, adapter.RoutingSource, clock, log, h.inv)
+	h.follower = routing.New(settings.Host, adapter.Store, h.peers, adapter.RoutingSource, clock, log, h.inv, routing.WithSettled(h.settled))
 	h.pool = connection.NewPool(clock)
 	budget := retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -113,7 +114,7 @@
 	h.engineDispatcher = dispatcher.New(dispatcher.Settings{
 		Host: settings.Host, Leader: h.leader, Position: h.position, Usable: h.follower.IsUsable,
 		Budget: retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount),
-		Caches: adapter.Caches,
+		Caches: adapter.Caches, Settled: h.settled,
 	}, h.peers, clock, log)
 	if err := h.assembleDuties(); err != nil {
 		return nil, err
@@ -155,7 +156,7 @@
 			Host: s.Host, Incarnation: incarnation, Zone: s.Zone, Region: s.Region,
 			Address: s.Listen.Callers, Heartbeat: heartbeat, Peer: calls, Processors: s.ProcessorShare * s.Processors,
 		},
-		Listen: heartbeat, Secret: []byte(secret), Seeds: s.SeedHeartbeats(), Report: h.report, Hosts: h.registry,
+		Listen: heartbeat, Secret: []byte(secret), Seeds: s.SeedHeartbeats(), Report: h.report, Hosts: h.registry, StaleHosts: h.registry.StaleHosts,
 	}, h.clock, h.log)
 	var err error
 	h.peers, err = peer.NewService(peer.Settings{
@@ -296,6 +297,15 @@
 	}
 }
 
+// settleTime is how long after its start a host does not take over what only few
+// hosts do: watching the store, competing for the lease, and reading the caches of
+// engines. It has not heard most other hosts before, and would do all of it. When
+// many hosts start at once, that is hosts x engines calls.
+const settleTime = 2 * time.Second
+
+// settled reports whether this host has run long enough to have heard the others.
+func (h *Host) settled() bool { return h.clock.Now().Sub(h.started) >= settleTime }
+
 // hasTable reports whether this host has a routing table.
 func (h *Host) hasTable() bool {
 	t, _ := h.follower.Table()
--- a/internal/entry/setting/host.go
+++ b/internal/entry/setting/host.go
@@ -58,6 +58,9 @@
 	// counts as stalled; 0 means the default. Classes with long targets have a longer
 	// limit.
 	StallS float64 `yaml:"stall-s"`
+	// ApplyMS is the time in milliseconds within which a change of the configuration
+	// must be in force on all hosts.
+	ApplyMS float64 `yaml:"apply-ms"`
 	// UsageWindowS is the length of a usage window in seconds.
 	UsageWindowS float64 `yaml:"usage-window-s"`
 	// UsageDueS is the time in seconds after the end of a window at which its usage
@@ -109,6 +112,7 @@
 		{"answer-life-s", h.AnswerLifeS},
 		{"lease-ms", h.LeaseMS},
 		{"leave-ms", h.LeaveMS},
+		{"apply-ms", h.ApplyMS},
 		{"usage-window-s", h.UsageWindowS},
 		{"usage-due-s", h.UsageDueS},
 		{"retry-window-s", h.RetryWindowS},
--- a/internal/fleet/dispatcher/cache.go
+++ b/internal/fleet/dispatcher/cache.go
@@ -79,7 +79,7 @@
 // pollCaches reads the caches that are due, of the engines in the groups that
 // this host leads.
 func (d *Dispatcher) pollCaches(ctx context.Context) {
-	if d.settings.Caches == nil {
+	if d.settings.Caches == nil || d.settings.Settled != nil && !d.settings.Settled() {
 		return
 	}
 	led := make(map[int]bool)
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -52,6 +52,10 @@
 	// Caches lists the prompt parts that engines have cached; nil turns polling
 	// of the caches off.
 	Caches quetzalhook.CacheLister
+	// Settled reports whether this host has heard the other hosts since its start.
+	// Until then it takes itself for the leader of all groups, and reads no caches.
+	// If it is nil, the host counts as settled.
+	Settled func() bool
 }
 
 // Budget limits how often requests are retried, by service.
--- a/internal/fleet/lease/bench_test.go
+++ b/internal/fleet/lease/bench_test.go
@@ -44,7 +44,7 @@
 				b.Fatal(err)
 			}
 		}
-		now = now.Add(defaultTerm / pollsPerTerm)
+		now = now.Add(defaultTerm / renewalsPerTerm)
 	}
 	c := store.Counts()
 	b.ReportMetric(float64(c.Reads)/now.Sub(start).Seconds(), "reads/s")
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -35,9 +35,12 @@
 const (
 	defaultTerm   = 10 * time.Second
 	defaultMargin = 2 * time.Second
-	// pollsPerTerm is the number of renewals or polls in a term. A holder can
-	// miss two renewals in a row before its term ends.
-	pollsPerTerm = 4
+	// renewalsPerTerm is the number of renewals in a term. A holder can miss two in
+	// a row before its term ends.
+	renewalsPerTerm = 4
+	// pollsPerTerm is the number of reads that a candidate makes in a term. Reads are
+	// billed; fewer of them delay a takeover by up to half a term.
+	pollsPerTerm = 2
 	// maxOwnIntents limits a holder's orders with unknown outcome per target.
 	maxOwnIntents = 64
 	// maxBlockedTerms is the number of terms after which a holder whose orders
@@ -172,12 +175,15 @@
 }
 
 func (l *Lease) run(ctx context.Context) {
-	interval := l.term / pollsPerTerm
 	for ctx.Err() == nil {
-		step, cancel := context.WithTimeout(ctx, interval)
+		step, cancel := context.WithTimeout(ctx, l.term/renewalsPerTerm)
 		_ = l.Step(step) // the next step retries
 		cancel()
-		timer := time.NewTimer(interval)
+		pause := l.term / pollsPerTerm
+		if l.machine.State() == stateHolding || !l.candidate() {
+			pause = l.term / renewalsPerTerm // without a call, unless the role is held
+		}
+		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
--- a/internal/fleet/member/service.go
+++ b/internal/fleet/member/service.go
@@ -49,6 +49,9 @@
 	Report func() Report
 	// Hosts reads the platform's list of hosts; nil if there is none.
 	Hosts quetzalhook.HostLister
+	// StaleHosts, if set, is a cheaper list that may be some seconds old. It replaces
+	// all reads of Hosts but the second.
+	StaleHosts func(context.Context) ([]quetzalhook.HostStatus, error)
 }
 
 // Service runs the membership protocol of one host over UDP.
@@ -272,9 +275,15 @@
 
 // pollHostList reads the platform's list of hosts regularly until ctx ends.
 func (s *Service) pollHostList(ctx context.Context) {
-	for again := false; ; again = true {
+	for round := 0; ; round++ {
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
-		list, err := s.settings.Hosts.Hosts(callCtx)
+		// Only the second read must be current: it finds the hosts that started at
+		// the same time as this one.
+		read := s.settings.Hosts.Hosts
+		if round != 1 && s.settings.StaleHosts != nil {
+			read = s.settings.StaleHosts
+		}
+		list, err := read(callCtx)
 		cancel()
 		if err == nil {
 			s.mu.Lock()
@@ -284,7 +293,7 @@
 			s.log.WithError(err).Debug("list of hosts not read")
 		}
 		wait := secondListDelay
-		if again {
+		if round > 0 {
 			wait = listInterval(len(s.Members()) + 1)
 		}
 		select {
--- a/internal/fleet/registration/registration.go
+++ b/internal/fleet/registration/registration.go
@@ -132,7 +132,17 @@
 
 // Hosts implements quetzalhook.HostLister.
 func (r *Registry) Hosts(ctx context.Context) ([]quetzalhook.HostStatus, error) {
-	list, err := r.store.List(ctx, keyPrefix)
+	return r.hosts(ctx, r.store.List)
+}
+
+// StaleHosts returns the hosts as they were listed up to some seconds ago. The
+// call is cheap.
+func (r *Registry) StaleHosts(ctx context.Context) ([]quetzalhook.HostStatus, error) {
+	return r.hosts(ctx, r.store.ListStale)
+}
+
+func (r *Registry) hosts(ctx context.Context, read func(context.Context, string) (quetzalhook.Listing, error)) ([]quetzalhook.HostStatus, error) {
+	list, err := read(ctx, keyPrefix)
 	if err != nil {
 		return nil, wrap("list", err)
 	}
--- a/internal/platform/memory/gate.go
+++ b/internal/platform/memory/gate.go
@@ -133,6 +133,10 @@
 	return callThrough(s.gate, "list", prefix, func() (quetzalhook.Listing, error) { return s.store.List(ctx, prefix) })
 }
 
+func (s gatedStore) ListStale(ctx context.Context, prefix string) (quetzalhook.Listing, error) {
+	return callThrough(s.gate, "list", prefix, func() (quetzalhook.Listing, error) { return s.store.ListStale(ctx, prefix) })
+}
+
 func (s gatedStore) Put(ctx context.Context, key string, value []byte, base quetzalhook.Version) (quetzalhook.Version, error) {
 	return callThrough(s.gate, "put", key, func() (quetzalhook.Version, error) { return s.store.Put(ctx, key, value, base) })
 }
--- a/internal/platform/memory/memory.go
+++ b/internal/platform/memory/memory.go
@@ -82,6 +82,12 @@
 	return quetzalhook.Listing{Objects: list, Version: s.version}, nil
 }
 
+// ListStale returns the same as List: the in-memory store has no older state to
+// serve, except while the fault StaleReads is set.
+func (s *Store) ListStale(ctx context.Context, prefix string) (quetzalhook.Listing, error) {
+	return s.List(ctx, prefix)
+}
+
 // Put writes value if the object's version is base, 0 for a new object.
 func (s *Store) Put(ctx context.Context, key string, value []byte, base quetzalhook.Version) (quetzalhook.Version, error) {
 	if len(value) > quetzalhook.MaxValueSize {
--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -89,6 +89,8 @@
 	log    logrus.FieldLogger
 	inv    quetzalhook.Invariants
 
+	settled func() bool // see WithSettled
+
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
@@ -105,16 +107,30 @@
 	changed      chan struct{}            // closed and replaced at each change
 }
 
+// Option sets one property of a Follower.
+type Option func(*Follower)
+
+// WithSettled makes the follower watch the store only while settled returns true,
+// that is once the host has heard the other hosts. A host that has heard none
+// takes itself for the only watcher.
+func WithSettled(settled func() bool) Option {
+	return func(f *Follower) { f.settled = settled }
+}
+
 // New returns a follower and registers its handler of peer calls. Start begins
 // the background work.
 func New(host quetzalhook.HostID, store quetzalhook.Store, peers quetzalhook.Peers, source Source,
-	clock quetzalhook.Clock, log logrus.FieldLogger, inv quetzalhook.Invariants,
+	clock quetzalhook.Clock, log logrus.FieldLogger, inv quetzalhook.Invariants, opts ...Option,
 ) *Follower {
 	f := &Follower{
 		host: host, store: store, peers: peers, source: source, clock: clock, log: log, inv: inv,
 		entries: make(map[quetzalhook.UpstreamID]*entry), changed: make(chan struct{}),
+		settled:  func() bool { return true },
 		contacts: map[string]*storeContact{source.TableKey: {lastAnswer: clock.Now()}, source.UpstreamPrefix: {lastAnswer: clock.Now()}},
 	}
+	for _, o := range opts {
+		o(f)
+	}
 	peers.Handle(pullKind, f.handlePull)
 	return f
 }
@@ -206,14 +222,24 @@
 func (f *Follower) follow(ctx context.Context, prefix string, apply func(list *listing, event *quetzalhook.Object)) {
 	var after quetzalhook.Version
 	pause := minRetryPause
+	// The first list may be some seconds old: watches and pulls from other hosts
+	// deliver what has changed since. After a failure or a loss of history the list
+	// must be current.
+	read := f.store.ListStale
 	for ctx.Err() == nil {
-		if after > 0 && !f.isWatcher() {
+		watches := f.isWatcher()
+		if after > 0 && !watches {
 			timing.Sleep(ctx, checkInterval)
 			continue
 		}
 		var err error
 		if after == 0 {
-			err = f.list(ctx, prefix, apply, &after)
+			err = f.list(ctx, read, prefix, apply, &after)
+			read = f.store.List
+		}
+		if err == nil && !watches {
+			timing.Sleep(ctx, checkInterval)
+			continue
 		}
 		if err == nil {
 			err = f.watch(ctx, prefix, apply, &after)
@@ -243,8 +269,10 @@
 
 // list reads all records of one kind, passes them to apply and sets after to the
 // version of the list.
-func (f *Follower) list(ctx context.Context, prefix string, apply func(*listing, *quetzalhook.Object), after *quetzalhook.Version) error {
-	list, err := f.store.List(ctx, strings.TrimSuffix(prefix, lastSegment(prefix)))
+func (f *Follower) list(ctx context.Context, read func(context.Context, string) (quetzalhook.Listing, error), prefix string,
+	apply func(*listing, *quetzalhook.Object), after *quetzalhook.Version,
+) error {
+	list, err := read(ctx, strings.TrimSuffix(prefix, lastSegment(prefix)))
 	if err != nil {
 		return err
 	}
@@ -300,9 +328,12 @@
 
 // isWatcher reports whether this host watches the store. Among the hosts of its
 // cell that are alive and get answers from the store, the highest-ranked ones
-// watch: maxWatchers in a fleet of one cell, otherwise maxCellWatchers in each
+// watch once they have settled: maxWatchers in a fleet of one cell, otherwise maxCellWatchers in each
 // cell. The other hosts pull changes from them.
 func (f *Follower) isWatcher() bool {
+	if !f.settled() {
+		return false
+	}
 	hosts, count := []quetzalhook.HostID{f.host}, maxWatchers
 	for _, m := range f.peers.Members() {
 		if m.Distant {
--- a/internal/record/routing/gated_store_test.go
+++ b/internal/record/routing/gated_store_test.go
@@ -17,6 +17,10 @@
 	return g.gate.Store.Get(ctx, key)
 }
 
+func (g gatedStore) ListStale(ctx context.Context, prefix string) (quetzalhook.Listing, error) {
+	return g.List(ctx, prefix)
+}
+
 func (g gatedStore) List(ctx context.Context, prefix string) (quetzalhook.Listing, error) {
 	if g.gate.closed.Load() {
 		return quetzalhook.Listing{}, g.gate.unavailable("list")
--- a/platform.go
+++ b/platform.go
@@ -93,6 +93,9 @@
 	Get(ctx context.Context, key string) (Object, error)
 	// List returns all objects whose key starts with prefix, in key order.
 	List(ctx context.Context, prefix string) (Listing, error)
+	// ListStale is List, but the result may be some seconds old. The call is cheap
+	// and does not count against the rate limits.
+	ListStale(ctx context.Context, prefix string) (Listing, error)
 	// Put writes value if the current version is base; with base 0 it only
 	// creates the object.
 	Put(ctx context.Context, key string, value []byte, base Version) (Version, error)
