--- a/internal/record/journal/committer.go
+++ b/internal/record/journal/committer.go
@@ -248,7 +248,7 @@
 			return err
 		}
 	}
-	c.reloadForOpenClaims(ctx, batch)
+	c.reloadIfOutdated(ctx, batch)
 	changed := c.advanceEpoch()
 	answers := make([]answer, len(batch))
 	var written []*pending
@@ -276,20 +276,29 @@
 	return nil
 }
 
-// reloadForOpenClaims reads the shard again if the cached one has a claim
-// without outcome for a key that the batch claims, because another host may
-// have stored the outcome. If the store does not answer, the cached shard still
-// shows correctly that the key is claimed.
-func (c *committer) reloadForOpenClaims(ctx context.Context, batch []*pending) {
+// reloadIfOutdated reads the shard again if the cached one may lack a change that
+// another host has written: the outcome of a claim for a key that the batch claims,
+// or the claim of a call that the batch finishes or releases. A host writes
+// directly while it cannot call the preferred host. If the store does not answer,
+// the cached shard stays in use; what it lacks is then reported as unknown.
+func (c *committer) reloadIfOutdated(ctx context.Context, batch []*pending) {
 	for _, p := range batch {
-		e := c.cached.find(p.op.Key)
-		if p.op.Action == actionClaim && e != nil && !e.Done && e.Nonce != p.op.Nonce {
+		if c.mayLack(&p.op) {
 			_ = c.load(ctx, batch)
 			return
 		}
 	}
 }
 
+// mayLack reports whether the cached shard may lack a change that op depends on.
+func (c *committer) mayLack(op *operation) bool {
+	e := c.cached.find(op.Key)
+	if op.Action == actionClaim {
+		return e != nil && !e.Done && e.Nonce != op.Nonce
+	}
+	return e == nil || e.Nonce != op.Nonce
+}
+
 // write stores the cached shard. If that fails, it discards the cached shard,
 // which contains changes that the store may not have.
 func (c *committer) write(ctx context.Context, written []*pending) error {
--- a/internal/record/journal/journal_test.go
+++ b/internal/record/journal/journal_test.go
@@ -104,6 +104,8 @@
 		s.store.SetFaults(memory.Faults{})
 	case "cut":
 		s.net.Cut(quetzalhook.HostID(args[0]), quetzalhook.HostID(args[2]), true)
+	case "rejoin":
+		s.net.Cut(quetzalhook.HostID(args[0]), quetzalhook.HostID(args[2]), false)
 	case "lose-calls":
 		s.net.LoseAnswers(1)
 	}
