Test SIGHUP during a planned stop of a host

Ruled out: http.Server, which completes its requests.

Before: on the code before, the test process ends with 'signal: hangup'.

--- /dev/null
+++ b/cmd/quetzalhook/host_test.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"quetzalhook/internal/platform/memory"
+	"quetzalhook/platform/standin"
+)
+
+// freePort returns a port of loopback that was free a moment ago.
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+// Guards against a signal during a planned stop that ends the process with its
+// open requests: SIGHUP had its default effect after SIGTERM.
+func TestHangupDuringStop(t *testing.T) {
+	m := memory.New()
+	store := standin.NewStore(m)
+	server := httptest.NewServer(store)
+	defer server.Close()
+	defer store.Close()
+	inner := freePort(t)
+	ready := freePort(t)
+	settings := fmt.Sprintf(`host: one
+zone: z
+region: r
+zones: {z: r}
+listen: {callers: "127.0.0.1:%d", ready: "127.0.0.1:%d", directory: "127.0.0.1:%d"}
+inner-ports: [%d, %d]
+metrics-port: %d
+store: %q
+processor-share: 1
+processors: 1
+stop-s: 3
+answer-life-s: 1
+lease-ms: 3000
+leave-ms: 2500
+apply-ms: 2500
+usage-window-s: 5
+usage-due-s: 10
+retry-ratio: 0.2
+retry-slack: 56
+retry-window-s: 10
+`, freePort(t), ready, freePort(t), inner, inner+4, freePort(t), server.Listener.Addr().String())
+	path := filepath.Join(t.TempDir(), "host.yaml")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	ctx, terminate := context.WithCancel(t.Context())
+	defer terminate()
+	done := make(chan error, 1)
+	go func() { done <- runHost(ctx, path, "secret", "error") }()
+	waitListening(t, fmt.Sprintf("http://127.0.0.1:%d/quetzalhook/ready", ready))
+	terminate() // what SIGTERM does
+	for range 3 {
+		time.Sleep(200 * time.Millisecond)
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Errorf("stop: got %v, want nil", err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("stop: not finished after 10 s, want at most stop-s")
+	}
+}
+
+// waitListening waits until something answers at url.
+func waitListening(t *testing.T, url string) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		resp, err := http.Get(url)
+		if err == nil {
+			_ = resp.Body.Close()
+			return
+		}
+	}
+	t.Fatalf("nothing answers at %s after 10 s", url)
+}
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -57,7 +57,7 @@
 	s := setting.Host{
 		Host: h.name, Zone: h.zone, Region: zones[h.zone], Zones: zones, InnerPorts: []int{firstInnerPort, lastInnerPort}, Seeds: seeds,
 		Store: h.store.Address(), Platform: h.duties.Address(), ProcessorShare: 1, Processors: 1, MemoryMB: 256,
-		StopS: stopLimit.Seconds(), AnswerLifeS: 5, LeaseMS: 3000, LeaveMS: float64(leavingBound.Milliseconds()), UsageWindowS: 5, UsageDueS: 10,
+		StopS: stopLimit.Seconds(), AnswerLifeS: 5, LeaseMS: 3000, LeaveMS: float64(leavingBound.Milliseconds()), ApplyMS: 2500, UsageWindowS: 5, UsageDueS: 10,
 		RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10,
 	}
 	s.Listen.Callers = net.JoinHostPort(h.ip, strconv.Itoa(callersPort))
