Test upstreams that send bytes without end

200 connections at once, each with an endless status line, header, body, error body, refusal, event or row of comments: the heap of the test stays under the 184 MB of the smallest host, with both ends in it, all connections are closed, and no caller gets a complete response.

--- /dev/null
+++ b/internal/entry/gateway/endless_test.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	endlessConns = 200
+	// hostMemory is the smallest memory limit of a host in the users' deployments.
+	hostMemory = 184 << 20
+)
+
+// endlessUpstream answers every request with head and then part without end, until
+// its connection is closed.
+func endlessUpstream(t *testing.T, head, part string) *scriptedUpstream {
+	u := newScriptedUpstream(t)
+	u.answerAll = func(c net.Conn) {
+		_, err := io.WriteString(c, head)
+		chunk := strings.Repeat(part, 1+(16<<10)/len(part))
+		for err == nil {
+			_, err = io.WriteString(c, chunk)
+		}
+	}
+	return u
+}
+
+// Guards against upstreams that send bytes without end and thereby exhaust the
+// memory of a host, keep its connections, or make a caller take what they send for
+// a complete response.
+func TestEndlessUpstreams(t *testing.T) {
+	const event = "HTTP/1.1 200 OK\r\n\r\n"
+	for _, test := range []struct{ name, path, head, part string }{
+		{"status-line", "/lookup/1", "HTTP/1.1 200 ", "x"},
+		{"header", "/lookup/1", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+		{"body-without-length", "/order/1", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+		{"error-body", "/lookup/1", "HTTP/1.1 500 Failed\r\n\r\n", "x"},
+		{"refusal-body", "/lookup/1", "HTTP/1.1 503 Full\r\nNot-Run: full\r\n\r\n", "x"},
+		{"event", "/chat/1", event, "x"},
+		{"comments", "/chat/1", event, ":\n\n"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			env := newTestEnvironment(t)
+			defer env.close() // returns only after the gateway has closed all connections
+			env.gateway.deps.StallLimit = 200 * time.Millisecond
+			env.upstreams["a"] = endlessUpstream(t, test.head, test.part)
+			for range endlessConns {
+				env.offers = append(env.offers, "a")
+			}
+			peak := watchHeap()
+			var complete sync.Map
+			var wg sync.WaitGroup
+			for i := range endlessConns {
+				wg.Go(func() {
+					if status, whole := env.drain(t, test.path); whole && status < http.StatusInternalServerError {
+						complete.Store(i, status)
+					}
+				})
+			}
+			wg.Wait()
+			if got := peak(); got > hostMemory {
+				t.Errorf("peak of the heap with %d connections: got %d MB, want at most %d MB", endlessConns, got>>20, hostMemory>>20)
+			}
+			complete.Range(func(i, status any) bool {
+				t.Errorf("caller %v: got a complete response with status %v, want an error or a cut one", i, status)
+				return true
+			})
+		})
+	}
+}
+
+// drain sends a request, reads the response to its end without keeping it, and
+// reports the status and whether the response was complete.
+func (env *testEnvironment) drain(t *testing.T, path string) (status int, whole bool) {
+	c, err := net.Dial("tcp", env.server.Listener.Addr().String())
+	if err != nil {
+		t.Error(err)
+		return 0, false
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nApi-Key: key\r\nContent-Length: 0\r\n\r\n", path)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, false
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err == nil
+}
+
+// watchHeap samples the size of the heap until the returned function is called,
+// which returns the largest one.
+func watchHeap() func() uint64 {
+	stop, result := make(chan struct{}), make(chan uint64)
+	go func() {
+		peak := uint64(0)
+		for {
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			peak = max(peak, m.HeapInuse)
+			select {
+			case <-stop:
+				result <- peak
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}()
+	return func() uint64 {
+		close(stop)
+		return <-result
+	}
+}
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -215,9 +215,10 @@
 // the received requests.
 type scriptedUpstream struct {
 	listener        net.Listener
-	callerGone      chan struct{} // receives a value when the gateway closes the connection during "hold"
-	announceLeaving func()        // tells the gateway that the upstream is leaving
-	runStopped      chan struct{} // receives a value when "until-moved" ends: the run was told to stop, or the first copy failed
+	callerGone      chan struct{}  // receives a value when the gateway closes the connection during "hold"
+	announceLeaving func()         // tells the gateway that the upstream is leaving
+	answerAll       func(net.Conn) // if set, answers every request instead of the script
+	runStopped      chan struct{}  // receives a value when "until-moved" ends: the run was told to stop, or the first copy failed
 
 	mu       sync.Mutex
 	steps    []string
@@ -260,6 +261,10 @@
 		if err != nil {
 			return
 		}
+		if u.answerAll != nil {
+			u.answerAll(c)
+			return
+		}
 		for _, step := range strings.Split(u.nextStep(request, body), " | ") {
 			switch {
 			case step == "close":
