Do not resume answers with several choices; count broken attempts in the baseline

Cause: the relay records only the first choice's text, and resumed a broken stream with n > 1, tools or logprobs from it; the caller got the end of a complete answer. The baseline policy reported not-run if only the last attempt was provably not sent. Ruled out: the production policy, which keeps 'sent' for all attempts.

--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -152,7 +152,7 @@
 	case e.Kind == KindNotSent:
 		r.broker.End(t, quetzalhook.EndNotSent)
 		return true, nil
-	case e.Kind == KindBroken && !call.Answer.noResume:
+	case e.Kind == KindBroken && call.canResume():
 		r.broker.End(t, quetzalhook.EndBroken)
 		return true, nil
 	case e.Kind == KindBroken, e.Kind == KindCallerGone:
@@ -171,7 +171,7 @@
 		return false, &Error{
 			Op: "chat", Kind: KindRefused, Outcome: quetzalhook.OutcomeUnknown, Refusal: quetzalhook.RefuseLate, Err: err,
 		}
-	case call.Answer.noResume:
+	case !call.canResume():
 		r.broker.End(t, quetzalhook.EndCallerGone)
 		return false, &Error{Op: "chat", Kind: KindBroken, Outcome: quetzalhook.OutcomeUnknown, Err: err}
 	}
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -202,6 +202,31 @@
 	}
 }
 
+// Guards against an answer with several choices that is continued from the text of
+// the first one only: the caller would take it for complete.
+func TestChatWithChoicesIsNotResumed(t *testing.T) {
+	first, second := engine.New(engine.WithTokenRate(400)), engine.New(engine.WithTokenRate(400))
+	h := newHarness(t, []quetzalhook.Upstream{engineUpstream(t, first, "a"), engineUpstream(t, second, "b")})
+	w := &hookWriter{ResponseRecorder: httptest.NewRecorder(), countdown: 20}
+	w.hook = func() {
+		for _, e := range []*engine.Engine{first, second} {
+			if e.Stats().GeneratedTokens > 0 {
+				_ = e.SetFaults(engine.Faults{Crash: true})
+			}
+		}
+	}
+	body := strings.Replace(chatBody(true, 60), `{"model"`, `{"n":2,"model"`, 1)
+	if err := h.chat(body, w); err == nil {
+		t.Error("error of a broken answer with two choices: got nil, want one")
+	}
+	if _, done := streamText(w.Body); done {
+		t.Error("end of the stream: got [DONE], want none")
+	}
+	if first.Stats().Requests > 0 && second.Stats().Requests > 0 {
+		t.Error("engines asked: got both, want one")
+	}
+}
+
 // Guards against a slow caller being mistaken for a silent engine, which would
 // waste the tokens already generated.
 func TestChatSlowReader(t *testing.T) {
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -80,6 +80,13 @@
 	return c.Answer.finishReason != nil || c.Chat.maxTokens > 0 && c.Answer.tokens >= c.Chat.maxTokens
 }
 
+// canResume reports whether another engine may continue a broken answer. Of an
+// answer with several choices, tool calls or logprobs, only the text of the first
+// choice is recorded, so that it can only be repeated before its first byte.
+func (c Call) canResume() bool {
+	return !c.Answer.noResume && (!c.Chat.passThrough || !c.Answer.HeaderWritten())
+}
+
 // finishAnswer writes the end of an answer that has all its tokens but whose
 // stream broke before the end.
 func (c Call) finishAnswer() error {
--- a/internal/traffic/baseline/baseline.go
+++ b/internal/traffic/baseline/baseline.go
@@ -26,6 +26,8 @@
 	running  bool
 	attempts int
 	tokens   int // tokens received so far, over all attempts
+	// mayHaveRun reports that an attempt broke after the request was sent.
+	mayHaveRun bool
 }
 
 // Policy serves requests in order of arrival.
@@ -86,6 +88,7 @@
 		return nil
 	}
 	p.release(e)
+	e.mayHaveRun = e.mayHaveRun || end == quetzalhook.EndBroken
 	retry := end == quetzalhook.EndNotSent || end == quetzalhook.EndBroken && e.request.Repeatable
 	switch {
 	case retry && e.attempts < maxAttempts:
@@ -94,7 +97,7 @@
 	case retry, end == quetzalhook.EndBroken:
 		delete(p.entries, id)
 		outcome := quetzalhook.OutcomeNotRun
-		if end == quetzalhook.EndBroken {
+		if e.mayHaveRun {
 			outcome = quetzalhook.OutcomeUnknown
 		}
 		return append(p.startWaiting(), refusal(id, quetzalhook.RefuseRetryBudget, outcome))
