Let waiting requests call the leader less often, and keep a slow leader

At 10 s and 12 s the leader answers late, all 65 hosts take it for failed and place 1,600 requests a second themselves (334 at 8 s, 10 on a calm second), each without the others' requests, so that engines run out of memory and preempt.

Ruled out: the scheduler, 0.28 ms a tick and 0.14 ms a request with 160 full engines and 500 waiting (BenchmarkOverloadedTick, BenchmarkOverloadedEnd); the mapping of tiers to urgencies.

Change: once a request is queued, the leader holds its calls for 800 ms; a leader that has answered any call within 500 ms is asked again before a host places the request itself.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -134,6 +134,7 @@
 	h.meter.Publish("open-requests", func() any { return h.gateway.Open() })
 	h.meter.Publish("hosts", func() any { return h.hostCount() })
 	h.meter.Publish("leader", func() any { return h.leader(0) })
+	h.meter.Publish("assign-calls", func() any { return h.engineDispatcher.AssignCalls() })
 	h.meter.Publish("table-revision", func() any { revision, _ := h.follower.Versions(); return revision })
 	h.meter.Publish("store-age-ms", func() any { return h.follower.StoreAge().Milliseconds() })
 	h.meter.Publish("invariants", func() any { return h.inv.Counts() })
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -21,6 +22,16 @@
 	// and schedules the request itself: assignWait plus a slow round trip between
 	// regions.
 	assignTimeout = assignWait + 150*time.Millisecond
+	// queuedWait and queuedTimeout replace assignWait and assignTimeout once the
+	// leader has reported the request as queued. The calls of the waiting requests
+	// otherwise take more of the leader's processor the longer its queue is.
+	queuedWait    = 800 * time.Millisecond
+	queuedTimeout = queuedWait + 250*time.Millisecond
+	// answerGrace is how long after an answer of the leader to any call a host takes
+	// it for slow, not failed, and repeats a call that was not answered in time.
+	answerGrace = 500 * time.Millisecond
+	// maxSlowCalls bounds these repetitions for each request.
+	maxSlowCalls = 3
 	// leaderRetryDelay is how long a host does not call a leader after the leader
 	// failed to answer or knew no engines.
 	leaderRetryDelay = time.Second
@@ -77,6 +88,7 @@
 	log         logrus.FieldLogger
 	groups      *groups
 	cachePoller cachePoller
+	assignCalls atomic.Int64
 
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -86,6 +98,7 @@
 	tickets           map[quetzalhook.RequestID]*ticket // requests running on an upstream
 	events            map[int][]event                   // not reported yet, by group
 	unavailable       map[quetzalhook.HostID]time.Time  // leaders not to call before the given time
+	answeredAt        map[quetzalhook.HostID]time.Time  // last answer of each leader
 	offersPausedUntil time.Time                         // no offers are made before this time
 }
 
@@ -96,6 +109,7 @@
 		settings: settings, peers: peers, clock: clock, log: log, groups: newGroups(clock, log), budget: settings.Budget,
 		cachePoller: cachePoller{lastRead: make(map[quetzalhook.UpstreamID]cacheRead)}, events: make(map[int][]event),
 		tickets: make(map[quetzalhook.RequestID]*ticket), unavailable: make(map[quetzalhook.HostID]time.Time),
+		answeredAt: make(map[quetzalhook.HostID]time.Time),
 	}
 	peers.Handle(assignKind, d.handleAssign)
 	peers.Handle(reportKind, d.handleReport)
@@ -130,6 +144,10 @@
 	d.cachePoller.setEngines(list)
 }
 
+// AssignCalls returns the number of calls so far in which other hosts asked this
+// host for a decision.
+func (d *Dispatcher) AssignCalls() int64 { return d.assignCalls.Load() }
+
 // Groups returns the number of groups of engines.
 func (d *Dispatcher) Groups() int { return d.groups.count() }
 
@@ -201,8 +219,10 @@
 // answer or knows no engines, from the local scheduler of the group. With offer
 // set, the request is not queued.
 func (d *Dispatcher) place(ctx context.Context, group int, r quetzalhook.Request, offer bool) (decision, error) {
+	slowCalls, inQueue := 0, false
 	for leader := d.remoteLeader(group); leader != ""; leader = d.remoteLeader(group) {
-		c, queued, err := d.ask(ctx, leader, group, r, offer)
+		c, queued, err := d.ask(ctx, leader, assignRequest{Request: toWire(r), Group: group, Offer: offer, Queued: inQueue})
+		inQueue = inQueue || queued
 		switch {
 		case err == nil && c.refusal != nil && c.refusal.Kind == quetzalhook.RefuseNoUpstream:
 			// The leader knows fewer engines than this host: it has just started, or
@@ -213,6 +233,8 @@
 		case ctx.Err() != nil:
 			d.addEvent(group, event{ID: r.ID, End: quetzalhook.EndCallerGone})
 			return decision{}, context.Cause(ctx)
+		case err != nil && slowCalls < maxSlowCalls && d.hasAnswered(leader):
+			slowCalls++
 		case err != nil:
 			d.markUnavailable(leader, err)
 		}
@@ -224,19 +246,37 @@
 	return scheduler.assign(ctx, d.settings.Host, r)
 }
 
+// hasAnswered reports whether a leader has answered a call of this host within
+// answerGrace. If all hosts took a slow leader for failed, each would place its
+// requests without knowing those of the others, and overload the engines.
+func (d *Dispatcher) hasAnswered(leader quetzalhook.HostID) bool {
+	now := d.clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Sub(d.answeredAt[leader]) < answerGrace
+}
+
 // ask calls the leader of a group once for a decision; queued reports that the
-// request is still queued there.
-func (d *Dispatcher) ask(ctx context.Context, leader quetzalhook.HostID, group int, r quetzalhook.Request, offer bool) (c decision, queued bool, err error) {
-	body, err := cbor.Marshal(assignRequest{Request: toWire(r), Events: d.takeEvents(group), Group: group, Offer: offer})
+// request is still queued there. It adds the pending events to req.
+func (d *Dispatcher) ask(ctx context.Context, leader quetzalhook.HostID, req assignRequest) (c decision, queued bool, err error) {
+	req.Events = d.takeEvents(req.Group)
+	body, err := cbor.Marshal(req)
 	if err != nil {
 		return c, false, &Error{Op: "assign", Kind: ErrorProtocol, Err: err}
 	}
-	callCtx, cancel := context.WithTimeout(ctx, assignTimeout)
+	timeout := assignTimeout
+	if req.Queued {
+		timeout = queuedTimeout
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := d.peers.Call(callCtx, leader, assignKind, body)
 	if err != nil {
 		return c, false, &Error{Op: "assign", Kind: ErrorUnreachable, Err: err}
 	}
+	d.mu.Lock()
+	d.answeredAt[leader] = d.clock.Now()
+	d.mu.Unlock()
 	var answer assignAnswer
 	if err := cbor.Unmarshal(reply, &answer); err != nil {
 		return c, false, &Error{Op: "assign", Kind: ErrorProtocol, Err: err}
@@ -259,6 +299,7 @@
 	if err := cbor.Unmarshal(body, &req); err != nil {
 		return nil, &Error{Op: "assign", Kind: ErrorProtocol, Err: err}
 	}
+	d.assignCalls.Add(1)
 	scheduler := d.groups.scheduler(req.Group)
 	scheduler.applyEvents(req.Events)
 	var c decision
@@ -266,7 +307,11 @@
 	if req.Offer {
 		c = scheduler.offer(from, req.Request.request())
 	} else {
-		ctx, cancel := context.WithTimeout(ctx, assignWait)
+		wait := assignWait
+		if req.Queued {
+			wait = queuedWait
+		}
+		ctx, cancel := context.WithTimeout(ctx, wait)
 		defer cancel()
 		c, err = scheduler.assign(ctx, from, req.Request.request())
 	}
--- a/internal/fleet/dispatcher/group_scheduler.go
+++ b/internal/fleet/dispatcher/group_scheduler.go
@@ -220,7 +220,7 @@
 
 // collectTimeout is how long a decision is kept for its host to collect: several
 // times the longest pause between two calls of a host.
-const collectTimeout = 4 * assignTimeout
+const collectTimeout = 2 * queuedTimeout
 
 // mayBeCollected reports whether the host of a request may still call for its
 // decision. It is false for nil.
--- a/internal/fleet/dispatcher/message.go
+++ b/internal/fleet/dispatcher/message.go
@@ -73,6 +73,9 @@
 	// Offer asks for an engine that can take the request at once; the request is
 	// not queued.
 	Offer bool `cbor:"4,keyasint,omitempty"`
+	// Queued tells that an earlier call has queued the request, so that the leader
+	// holds this call open for longer.
+	Queued bool `cbor:"5,keyasint,omitempty"`
 }
 
 // reportRequest sends the leader of a group the events of requests.
