--- a/cmd/quetzalhook/host_test.go
+++ b/cmd/quetzalhook/host_test.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	return l.Addr().(*net.TCPAddr).Port
 }
 
--- a/internal/entry/host/listener_test.go
+++ b/internal/entry/host/listener_test.go
@@ -26,7 +26,8 @@
 type ignored struct{}
 
 func (ignored) Served(quetzalhook.Class, quetzalhook.CustomerID, time.Duration, time.Duration, int) {}
-func (ignored) Failed(quetzalhook.Class, quetzalhook.CustomerID, string)                            {}
+
+func (ignored) Failed(quetzalhook.Class, quetzalhook.CustomerID, string) {}
 
 // noHeaders is a protocol that a gateway without a table does not use.
 type noHeaders struct{ quetzalhook.Protocol }
@@ -59,7 +60,7 @@
 	}
 	g := gateway.New(gateway.Deps{Tables: noTable{}, Protocol: noHeaders{}, Observer: ignored{}, Clock: quetzalhook.ClockFunc(time.Now), Log: discard()})
 	server := &http.Server{Handler: g, ConnState: g.ConnState}
-	defer server.Close()
+	defer func() { _ = server.Close() }()
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(l) }()
 	l.drain(t.Context().Done())
