Do not count the time of a slow caller as a stall

Cause: the new stall limit ran on while the gateway waited for a caller that reads slowly; it closed the connection to an engine that had sent everything. Ruled out: the route's timeout, one minute in the test.

--- a/internal/entry/gateway/endless_test.go
+++ b/internal/entry/gateway/endless_test.go
@@ -77,6 +77,42 @@
 	}
 }
 
+// Guards against a sound stream that is cut because its caller reads slowly: the
+// engine has sent all events, and the gateway waits for the caller.
+func TestSlowCallerIsNoStall(t *testing.T) {
+	env := newTestEnvironment(t)
+	defer env.close()
+	env.gateway.deps.StallLimit = 50 * time.Millisecond
+	const events = 1200
+	event := "id: 1\ndata: " + strings.Repeat("x", 8<<10) + "\n\n"
+	u := newScriptedUpstream(t)
+	u.answerAll = func(c net.Conn) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", events*len(event))
+		for range events {
+			if _, err := io.WriteString(c, event); err != nil {
+				return
+			}
+		}
+	}
+	env.upstreams["a"], env.offers = u, []string{"a"}
+	env.table.Routes[3].Timeout = time.Minute
+	c, err := net.Dial("tcp", env.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	fmt.Fprint(c, "POST /chat/1 HTTP/1.1\r\nHost: h\r\nApi-Key: key\r\nContent-Length: 0\r\n\r\n")
+	time.Sleep(stallMargin + 500*time.Millisecond) // the caller does not read
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.Copy(io.Discard, resp.Body)
+	if want := int64(events * len(event)); err != nil || got != want {
+		t.Errorf("stream to a slow caller: got %d bytes and %v, want %d", got, err, want)
+	}
+}
+
 // drain sends a request, reads the response to its end without keeping it, and
 // reports the status and whether the response was complete.
 func (env *testEnvironment) drain(t *testing.T, path string) (status int, whole bool) {
--- a/internal/entry/gateway/stall.go
+++ b/internal/entry/gateway/stall.go
@@ -30,15 +30,18 @@
 }
 
 // stallWatch closes the body of a streamed response when no event arrives within
-// the limit. Bytes that are no event do not extend it.
+// the limit. Bytes that are no event do not extend it, and the time in which a
+// slow caller takes the events does not count.
 type stallWatch struct {
 	limit   time.Duration
 	timer   *time.Timer
+	end     time.Time     // when the timer expires, while it runs
+	left    time.Duration // of the limit, while the timer is paused
 	expired atomic.Bool
 }
 
 func watchStall(body io.Closer, limit time.Duration) *stallWatch {
-	s := &stallWatch{limit: limit}
+	s := &stallWatch{limit: limit, end: time.Now().Add(limit)}
 	s.timer = time.AfterFunc(limit, func() {
 		s.expired.Store(true)
 		_ = body.Close() // ends the blocked Read
@@ -46,8 +49,20 @@
 	return s
 }
 
-// progress restarts the limit after an event.
-func (s *stallWatch) progress() { s.timer.Reset(s.limit) }
+// pause stops the time until resume is called.
+func (s *stallWatch) pause() {
+	s.timer.Stop()
+	s.left = max(time.Until(s.end), 0)
+}
+
+// resume continues after pause, with the whole limit if an event has arrived.
+func (s *stallWatch) resume(event bool) {
+	if event {
+		s.left = s.limit
+	}
+	s.end = time.Now().Add(s.left)
+	s.timer.Reset(s.left)
+}
 
 func (s *stallWatch) stop() { s.timer.Stop() }
 
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -43,12 +43,11 @@
 		complete := completeEventsLen(pending)
 		if complete > 0 {
 			before := x.stream.events
+			stall.pause()
 			if err := x.forwardEvents(control, ticket, resp, pending[:complete]); err != nil {
 				return err
 			}
-			if x.stream.events > before {
-				stall.progress()
-			}
+			stall.resume(x.stream.events > before)
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		switch {
