Let candidates of the lease settle for one second instead of four

Cause: the holder of the lease orders upstreams, and gives back those that a quiet start does not need.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -312,7 +312,9 @@
 	// watchSettleTime must be shorter than the time after which a host that has
 	// started must know a changed configuration, 4 s.
 	watchSettleTime = 3 * time.Second
-	leaseSettleTime = 4 * time.Second
+	// leaseSettleTime is short: the holder orders upstreams, and in small fleets hosts
+	// know each other within a second.
+	leaseSettleTime = time.Second
 	cacheSettleTime = 6 * time.Second
 )
 
