--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -304,17 +304,17 @@
 	}
 }
 
-// How long after its start a host does not take over what only few hosts do. It has
-// not heard most other hosts before, and would do all of it. When many hosts start
-// at once, that is hosts x upstreams calls. A fleet of 300 hosts needs six seconds
-// until all of them agree on the leaders.
+// These are the times after its start for which a host leaves to others what only few
+// hosts do. Until it has heard most other hosts, it would take all of this on itself.
 const (
-	// watchSettleTime must be shorter than the time after which a host that has
-	// started must know a changed configuration, 4 s.
+	// watchSettleTime is the wait before it watches the store. It is shorter than the
+	// 4 s after which a started host must know a changed configuration.
 	watchSettleTime = 3 * time.Second
-	// leaseSettleTime is short: the holder orders upstreams, and in small fleets hosts
-	// know each other within a second.
+	// leaseSettleTime is the wait before it competes for the lease. It is short because
+	// no upstreams are ordered until a host holds the lease.
 	leaseSettleTime = time.Second
+	// cacheSettleTime is the wait before it reads the caches of engines. A fleet of 300
+	// hosts needs six seconds until all of them agree on the leaders.
 	cacheSettleTime = 6 * time.Second
 )
 
