Log the shared prompt parts and the events of failed attempts

Callers get 502 when an engine crashes. The log did not tell whether a request had an event by then, or what requests on crashed engines had in common, so that a part of a prompt that crashes engines could not be told from engines that fail for a reason of their own.

--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -32,6 +35,7 @@
 
 	attempts       int
 	attempt        quetzalhook.Attempt // the latest one
+	eventsBefore   int                 // events that earlier attempts received
 	mayHaveRun     bool                // an upstream may have run the request
 	usageCounted   bool
 	failedResponse *bufferedResponse // error response of an upstream, returned to the caller if no other attempt follows
@@ -171,6 +175,7 @@
 		return
 	}
 	e := x.callerError(err)
+	maps.Copy(fields, x.failureFields())
 	fields["kind"], fields["status"], fields["error"], fields["may-run"] = e.Kind, e.Status, e.Error(), x.mayHaveRun
 	if e.RetryAfter > 0 {
 		fields["retry-after-ms"] = e.RetryAfter.Milliseconds()
@@ -184,6 +189,26 @@
 	writeError(x.w, e, x.inbound.ID)
 }
 
+// failureFields returns the log fields of a failed attempt. Requests that failed on
+// the same upstream before their first event can be compared by their shared
+// prompt parts.
+func (x *exchange) failureFields() logrus.Fields {
+	return logrus.Fields{
+		"request": x.inbound.ID, "upstream": x.attempt.Upstream.ID, "attempt-events": x.stream.events - x.eventsBefore,
+		"shared-parts": formatParts(quetzalhook.SharedParts(x.inbound.Parts)),
+	}
+}
+
+// formatParts returns the hashes of prompt parts in hexadecimal, as callers send
+// them, separated by commas.
+func formatParts(parts []quetzalhook.PromptPart) string {
+	hashes := make([]string, len(parts))
+	for i, p := range parts {
+		hashes[i] = strconv.FormatUint(p.Hash, 16)
+	}
+	return strings.Join(hashes, ",")
+}
+
 // callerError returns the error to send to the caller for any failure.
 func (x *exchange) callerError(err error) *Error {
 	var own *Error
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -45,8 +45,8 @@
 			return err
 		}
 		last = err
-		x.gateway.deps.Log.WithField("request", x.inbound.ID).WithField("upstream", x.attempt.Upstream.ID).WithField("end", end.End).
-			WithField("not-run", end.Verdict.NotRun).WithError(err).Info("attempt failed")
+		x.gateway.deps.Log.WithFields(x.failureFields()).WithField("end", end.End).WithField("not-run", end.Verdict.NotRun).
+			WithError(err).Info("attempt failed")
 	}
 }
 
@@ -76,7 +76,7 @@
 // returned AttemptEnd is also valid if there is an error.
 func (x *exchange) runAttempt(ctx context.Context, ticket quetzalhook.Ticket, a quetzalhook.Attempt) (quetzalhook.AttemptEnd, error) {
 	x.attempts++
-	x.attempt = a
+	x.attempt, x.eventsBefore = a, x.stream.events
 	resp, err := x.send(ctx, a)
 	if err != nil {
 		var e *connection.Error
--- a/internal/traffic/schedule/queue.go
+++ b/internal/traffic/schedule/queue.go
@@ -35,13 +35,11 @@
 }
 
 // unsharedTokens returns the number of prompt tokens outside the shared parts, at
-// least minPrefillTokens. All parts but the last count as shared.
+// least minPrefillTokens.
 func (r *requestState) unsharedTokens() int {
 	tokens := r.request.PromptTokens
-	for i, p := range r.request.Parts {
-		if i < len(r.request.Parts)-1 {
-			tokens -= p.Tokens
-		}
+	for _, p := range quetzalhook.SharedParts(r.request.Parts) {
+		tokens -= p.Tokens
 	}
 	return max(tokens, minPrefillTokens)
 }
--- a/protocol.go
+++ b/protocol.go
@@ -12,6 +12,12 @@
 	Tokens int
 }
 
+// SharedParts returns the parts that other requests may have in common: all but
+// the last one, which belongs to the request or its session.
+func SharedParts(parts []PromptPart) []PromptPart {
+	return parts[:max(len(parts)-1, 0)]
+}
+
 // Inbound is what the headers of a caller's request contain.
 type Inbound struct {
 	ID RequestID
