--- a/internal/bench/soak/system.go
+++ b/internal/bench/soak/system.go
@@ -72,6 +72,7 @@
 	duties         *standin.DutyServer
 	stoppedStreams *standin.StoppedStreams
 	checker        *Checker
+	onArrival      func(standin.Arrival)
 	hosts          []*host
 	servers        []*http.Server
 	nextUpstream   int // number of the next upstream, from which its ID and port follow
@@ -112,6 +113,7 @@
 		network: fmt.Sprintf("127.%d.%d.", 1+os.Getpid()%200, 1+cfg.Seed%250),
 	}
 	s.checker = NewChecker(s.isHostUndisturbed, s.resumedAt)
+	s.onArrival = s.checker.RequestStarted
 	script := generateScript(s.random, cfg.Length)
 	var result Result
 	for _, f := range script {
@@ -215,7 +217,7 @@
 	if engine {
 		u.entry.Service, u.entry.Models = engineGroup, []string{"m"}
 	}
-	u.handler = standin.NewUpstream(u.entry.ID, engine, s.stoppedStreams, s.checker.RequestStarted)
+	u.handler = standin.NewUpstream(u.entry.ID, engine, s.stoppedStreams, s.onArrival)
 	address, err := s.serve(s.network+"252:0", u.handler)
 	if err != nil {
 		return err
