Read and log the limit that an upstream names in its answers

An engine got more requests than it takes, and neither log nor metrics showed that it had named a limit, so that the hypotheses could not be told apart. The limit is now read (Verdict.RateLimit) and logged with each request. Nothing keeps to it yet.

--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -36,6 +36,7 @@
 	attempts       int
 	attempt        quetzalhook.Attempt // the latest one
 	eventsBefore   int                 // events that earlier attempts received
+	rateLimit      float64             // that the upstream has named in its latest answer; 0 for none
 	mayHaveRun     bool                // an upstream may have run the request
 	usageCounted   bool
 	failedResponse *bufferedResponse // error response of an upstream, returned to the caller if no other attempt follows
@@ -164,6 +165,9 @@
 	if x.table != nil {
 		fields["table"] = x.table.Version
 	}
+	if x.rateLimit > 0 {
+		fields["upstream-limit"] = x.rateLimit
+	}
 	if err == nil {
 		first := x.elapsed()
 		if !x.stream.firstEventTime.IsZero() {
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -76,7 +76,7 @@
 // returned AttemptEnd is also valid if there is an error.
 func (x *exchange) runAttempt(ctx context.Context, ticket quetzalhook.Ticket, a quetzalhook.Attempt) (quetzalhook.AttemptEnd, error) {
 	x.attempts++
-	x.attempt, x.eventsBefore = a, x.stream.events
+	x.attempt, x.eventsBefore, x.rateLimit = a, x.stream.events, 0
 	resp, err := x.send(ctx, a)
 	if err != nil {
 		var e *connection.Error
@@ -88,6 +88,7 @@
 	}
 	defer resp.Body.Close()
 	end := quetzalhook.AttemptEnd{End: quetzalhook.EndFinished, Verdict: x.gateway.deps.Protocol.ParseAnswer(resp.Status, resp.Header)}
+	x.rateLimit = end.Verdict.RateLimit
 	if end.Verdict.NotRun {
 		resp.Discard()
 		end.End = quetzalhook.EndNotSent
--- a/protocol.go
+++ b/protocol.go
@@ -77,6 +77,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// RateLimit is the number of requests per second that the upstream takes from all
+	// hosts together; 0 means that the answer names no limit.
+	RateLimit float64
 }
 
 // Protocol reads and writes the headers of requests and answers.
