Add a failing test of the limit that an engine names

Callers are not hurt at once, but the engine in need gets what it cannot take. In virtual time, three hosts send 12 requests a second to three engines, one of which names a limit of 1 a second in its answers. On the code as it is, it gets more than 11 requests in 4 s, long after all hosts have been told.

--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -54,6 +55,8 @@
 	delay    time.Duration
 	cut      map[string]bool
 	unusable map[quetzalhook.UpstreamID]bool // upstreams that no host may send to; the schedulers do not know this
+	limits   map[string]float64              // that engines name in their answers
+	arrivals map[string][]time.Time          // at engines
 }
 
 func newTestCluster(t *testing.T) *testCluster {
@@ -61,6 +64,7 @@
 	c := &testCluster{
 		t: t, network: peer.NewNetwork(clock, 1), hosts: make(map[string]*Dispatcher), leader: "h0", leaders: map[int]string{1: "h2"},
 		cut: make(map[string]bool), unusable: make(map[quetzalhook.UpstreamID]bool), tickets: make(map[string]quetzalhook.Ticket),
+		limits: make(map[string]float64), arrivals: make(map[string][]time.Time),
 	}
 	c.setFaults()
 	log := logrus.New()
@@ -188,6 +192,77 @@
 	fmt.Fprintln(&c.out)
 }
 
+// serve submits a request on a host and plays the engine that gets it: the answer
+// begins after 100 ms and ends after 500 ms.
+func (c *testCluster) serve(host, id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	t := c.hosts[host].Submit(ctx, quetzalhook.Request{
+		ID: quetzalhook.RequestID(id), Service: "s", Model: "m", PromptTokens: 100, MaxTokens: 10, CallerTimeout: 5 * time.Second, Attempts: 1,
+		Class: quetzalhook.NewClass("c", 0, quetzalhook.WithTTFTTarget(time.Second)),
+	})
+	defer t.Close()
+	a, err := t.Next(ctx)
+	if err != nil {
+		return
+	}
+	engine := string(a.Upstream.ID)
+	c.change(func() { c.arrivals[engine] = append(c.arrivals[engine], time.Now()) })
+	time.Sleep(100 * time.Millisecond)
+	verdict := quetzalhook.Verdict{HasLoad: true, Running: 1}
+	c.change(func() { verdict.RateLimit = c.limits[engine] })
+	t.Observe(verdict)
+	t.Progress(1)
+	time.Sleep(400 * time.Millisecond)
+	t.End(quetzalhook.AttemptEnd{End: quetzalhook.EndFinished, Verdict: verdict, Tokens: 10})
+}
+
+// mostArrivals returns the largest number of requests that an engine has got in 4 s
+// since a given time.
+func (c *testCluster) mostArrivals(engine string, since time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	most := 0
+	for i, first := range c.arrivals[engine] {
+		n := 0
+		for _, at := range c.arrivals[engine][i:] {
+			if at.Sub(first) < 4*time.Second {
+				n++
+			}
+		}
+		if !first.Before(since) {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
+// load sends requests from all hosts in turn.
+func (c *testCluster) load(perSecond int, duration time.Duration) {
+	begin := time.Now()
+	var requests sync.WaitGroup
+	for i := 0; time.Since(begin) < duration; i++ {
+		requests.Go(func() { c.serve(fmt.Sprintf("h%d", i%3), fmt.Sprintf("r%d-%d", begin.UnixMilli(), i)) })
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+	requests.Wait()
+}
+
+// measureLoad sends requests from all hosts in turn, and compares how many each
+// engine got in 4 s at the most with the limit that it names.
+func (c *testCluster) measureLoad(perSecond int, duration time.Duration) {
+	begin := time.Now()
+	c.load(perSecond, duration)
+	for _, engine := range slices.Sorted(maps.Keys(c.arrivals)) {
+		most := c.mostArrivals(engine, begin)
+		if limit := c.limits[engine]; limit > 0 {
+			fmt.Fprintf(&c.out, "%s keeps to its limit: %v, is used: %v\n", engine, float64(most) <= 1.5*4*limit+5, most > 0)
+			continue
+		}
+		fmt.Fprintf(&c.out, "%s gets a share: %v\n", engine, most >= perSecond)
+	}
+}
+
 func (c *testCluster) run(line string) {
 	f := strings.Fields(line)
 	n := func(i int) int {
@@ -217,6 +292,22 @@
 		fmt.Fprintf(&c.out, "%s estimates %.1f foreign requests\n", f[1], c.hosts[f[1]].groups.scheduler(0).load().Foreign)
 	case "progress": // id tokens
 		c.tickets[f[1]].Progress(n(2))
+	case "limit": // engine, requests a second or 0
+		limit, err := strconv.ParseFloat(f[2], 64)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.change(func() { c.limits[f[1]] = limit })
+	case "load", "measure-load": // requests a second, duration
+		d, err := time.ParseDuration(f[2])
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		if f[0] == "load" {
+			c.load(n(1), d)
+		} else {
+			c.measureLoad(n(1), d)
+		}
 	case "leader": // host [group]
 		c.change(func() {
 			if len(f) > 2 {
@@ -270,18 +361,26 @@
 //   - with several groups of engines, a request waits in one group while another
 //     has free slots, or the leader of a group does not receive a request.
 func TestDispatching(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			var out string
-			synctest.Test(t, func(t *testing.T) {
-				c := newTestCluster(t)
-				defer c.close()
-				for line := range strings.Lines(d.Input) {
-					c.run(strings.TrimSpace(line))
-				}
-				out = c.out.String()
-			})
-			return out
+	for _, path := range []string{"testdata/dispatching", "testdata/groups"} {
+		runScripts(t, path)
+	}
+}
+
+// Guards against an engine that gets more requests than the limit that it names, or
+// that is not used any more.
+func TestNamedLimit(t *testing.T) { runScripts(t, "testdata/limits") }
+
+func runScripts(t *testing.T, path string) {
+	datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+		var out string
+		synctest.Test(t, func(t *testing.T) {
+			c := newTestCluster(t)
+			defer c.close()
+			for line := range strings.Lines(d.Input) {
+				c.run(strings.TrimSpace(line))
+			}
+			out = c.out.String()
 		})
+		return out
 	})
 }
