Keep to the limits that upstreams name in their answers

An engine in need named the requests a second that it takes, passed on to callers by every host, and got as many as before: 13 in 4 s with a limit of 1.2 a second (12 allowed).

Cause: nothing acted on the limit. Hosts choose upstreams by what they model of them, and had no place for what an upstream asks. Ruled out: that each host kept the limit for itself, or that it reached the leader late (the rate did not change at all, and one leader placed all these requests). Instances of plain services had the same fault.

internal/traffic/throttle holds the limits. The leader of a group of engines places the requests of all hosts within a limit; hosts that choose on their own divide it, and only as many send as the upstream takes requests a second, so that the bursts of many hosts do not add up. This works because every request passes one of the two choices, and each takes from one bucket for the whole fleet.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -38,6 +38,7 @@
 	"quetzalhook/internal/state/timing"
 	"quetzalhook/internal/traffic/balance"
 	"quetzalhook/internal/traffic/retry"
+	"quetzalhook/internal/traffic/throttle"
 )
 
 // Adapter holds the implementations with which a host accesses its platform.
@@ -114,9 +115,9 @@
 	h.pool = connection.NewPool(clock)
 	budget := retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	h.serviceDispatcher = balance.NewDispatcher(balance.New(settings.Region, random), budget, clock)
+	h.serviceDispatcher = balance.NewDispatcher(balance.New(settings.Region, random, balance.WithLimits(throttle.New(throttle.WithRank(h.limitRank)))), budget, clock)
 	h.engineDispatcher = dispatcher.New(dispatcher.Settings{
-		Host: settings.Host, Leader: h.leader, Position: h.position, Usable: h.follower.IsUsable,
+		Host: settings.Host, Leader: h.leader, LimitRank: h.limitRank, Position: h.position, Usable: h.follower.IsUsable,
 		Budget: retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount),
 		Caches: adapter.Caches, Settled: h.settled(cacheSettleTime),
 	}, h.peers, clock, log)
--- a/internal/entry/host/leader.go
+++ b/internal/entry/host/leader.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 
@@ -89,5 +90,17 @@
 	return "dispatcher-" + strconv.Itoa(group)
 }
 
+// limitRank returns the rank of this host among the live hosts for an upstream, by
+// rendezvous hash, and their number.
+func (h *Host) limitRank(id quetzalhook.UpstreamID) (rank, hosts int) {
+	live := []quetzalhook.HostID{h.settings.Host}
+	for _, m := range h.members.Members() {
+		if !m.Draining && m.IsAlive(maxSharingSilence) {
+			live = append(live, m.Host)
+		}
+	}
+	return slices.Index(rendezvous.Rank("limit-"+string(id), live), h.settings.Host), len(live)
+}
+
 // position returns the position of this host among the live hosts, in [0, 1).
 func (h *Host) position() float64 { return h.currentSnapshot().position }
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/state/timing"
+	"quetzalhook/internal/traffic/throttle"
 )
 
 const (
@@ -56,6 +57,9 @@
 	// Position returns the position of this host among all live hosts, in
 	// [0, 1). It selects the group for requests without a long shared prompt.
 	Position func() float64
+	// LimitRank divides the limits that engines name between the hosts that place
+	// requests because they cannot reach the leader; nil if there is one host.
+	LimitRank throttle.RankFunc
 	// Usable reports whether this host may still send to an upstream.
 	Usable func(quetzalhook.Upstream) bool
 	// Budget is this host's share of the retry limit of all hosts.
@@ -106,11 +110,12 @@
 // work does not run before Start.
 func New(settings Settings, peers quetzalhook.Peers, clock quetzalhook.Clock, log logrus.FieldLogger) *Dispatcher {
 	d := &Dispatcher{
-		settings: settings, peers: peers, clock: clock, log: log, groups: newGroups(clock, log), budget: settings.Budget,
+		settings: settings, peers: peers, clock: clock, log: log, budget: settings.Budget,
 		cachePoller: cachePoller{lastRead: make(map[quetzalhook.UpstreamID]cacheRead)}, events: make(map[int][]event),
 		tickets: make(map[quetzalhook.RequestID]*ticket), unavailable: make(map[quetzalhook.HostID]time.Time),
 		answeredAt: make(map[quetzalhook.HostID]time.Time),
 	}
+	d.groups = newGroups(clock, log, d.limitRank)
 	peers.Handle(assignKind, d.handleAssign)
 	peers.Handle(reportKind, d.handleReport)
 	peers.Handle(syncKind, d.handleSync)
@@ -119,6 +124,17 @@
 	return d
 }
 
+// limitRank returns how the limits of the engines in a group are divided: the leader
+// places the requests of all hosts and uses them whole.
+func (d *Dispatcher) limitRank(group int) throttle.RankFunc {
+	return func(id quetzalhook.UpstreamID) (rank, hosts int) {
+		if d.settings.LimitRank == nil || d.settings.Leader(group) == d.settings.Host {
+			return 0, 1
+		}
+		return d.settings.LimitRank(id)
+	}
+}
+
 // Start runs the periodic work in the background until Close.
 func (d *Dispatcher) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -73,7 +73,7 @@
 		name := fmt.Sprintf("h%d", i)
 		end := c.network.Endpoint(quetzalhook.HostID(name))
 		d := New(Settings{
-			Host: quetzalhook.HostID(name), Leader: c.leaderOf, Position: c.position(i), Usable: c.usable, Budget: &fixedBudget{left: 5},
+			Host: quetzalhook.HostID(name), Leader: c.leaderOf, LimitRank: func(quetzalhook.UpstreamID) (int, int) { return i, 3 }, Position: c.position(i), Usable: c.usable, Budget: &fixedBudget{left: 5},
 		}, end, clock, log)
 		c.network.Join(end, func() quetzalhook.Member { return quetzalhook.Member{} })
 		c.hosts[name] = d
--- a/internal/fleet/dispatcher/group_scheduler.go
+++ b/internal/fleet/dispatcher/group_scheduler.go
@@ -19,6 +19,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/traffic/schedule"
+	"quetzalhook/internal/traffic/throttle"
 )
 
 // tickInterval is the time between two ticks of the schedulers.
@@ -53,9 +54,9 @@
 	lastSync  map[quetzalhook.HostID]time.Time             // when a host last sent its list of running requests
 }
 
-func newGroupScheduler(clock quetzalhook.Clock, log logrus.FieldLogger) *groupScheduler {
+func newGroupScheduler(clock quetzalhook.Clock, log logrus.FieldLogger, limits *throttle.Limits) *groupScheduler {
 	return &groupScheduler{
-		clock: clock, log: log, scheduler: schedule.New(),
+		clock: clock, log: log, scheduler: schedule.New(schedule.WithLimits(limits)),
 		waiters: make(map[quetzalhook.RequestID]*waiter), owners: make(map[quetzalhook.RequestID]quetzalhook.HostID),
 		lastSync: make(map[quetzalhook.HostID]time.Time),
 	}
@@ -118,9 +119,7 @@
 // applyEvents updates the scheduler with the events that a host reports.
 func (s *groupScheduler) applyEvents(events []event) {
 	for _, e := range events {
-		if e.EngineRequests > 0 {
-			s.observe(e.ID, e.EngineRequests)
-		}
+		s.observe(e.ID, e.EngineRequests, e.RateLimit)
 		if e.End == 0 {
 			s.progress(e.ID, e.Tokens)
 		} else {
@@ -167,12 +166,36 @@
 	s.apply(s.scheduler.Progress(s.clock.Now(), id, tokens))
 }
 
-// observe records the number of requests that the engine of a request has
-// reported.
-func (s *groupScheduler) observe(id quetzalhook.RequestID, requests int) {
+// observe records the number of requests that the engine of a request has reported,
+// and the limit that it has named. An answer with neither says nothing; one with the
+// number of requests only, that there is no limit.
+func (s *groupScheduler) observe(id quetzalhook.RequestID, requests int, rateLimit float64) {
+	if requests == 0 && rateLimit == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if requests > 0 {
+		s.scheduler.Observe(now, id, requests)
+	}
+	if engine, changed := s.scheduler.ObserveLimit(now, id, rateLimit); changed {
+		s.log.WithFields(logrus.Fields{"upstream": engine, "per-second": rateLimit}).Info("limit of an engine changed")
+	}
+}
+
+// limits returns the limits that engines have named within the last d.
+func (s *groupScheduler) limits(d time.Duration) map[quetzalhook.UpstreamID]throttle.Named {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler.Limits(s.clock.Now(), d)
+}
+
+// addLimits records limits that engines have named to another host.
+func (s *groupScheduler) addLimits(named map[quetzalhook.UpstreamID]throttle.Named) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.scheduler.Observe(s.clock.Now(), id, requests)
+	s.scheduler.AddLimits(s.clock.Now(), named)
 }
 
 // end records the end of a request.
--- a/internal/fleet/dispatcher/message.go
+++ b/internal/fleet/dispatcher/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"quetzalhook"
+	"quetzalhook/internal/traffic/throttle"
 )
 
 // Kinds of calls between hosts.
@@ -88,6 +89,9 @@
 type syncRequest struct {
 	Group   int                     `cbor:"1,keyasint,omitempty"`
 	Running []quetzalhook.RequestID `cbor:"2,keyasint,omitempty"`
+	// Limits holds the limits that engines have recently named to the host, so that a
+	// new leader knows them.
+	Limits map[quetzalhook.UpstreamID]throttle.Named `cbor:"3,keyasint,omitempty"`
 }
 
 // adoptRequest sends the leader of a group the running requests that it does not
@@ -128,6 +132,9 @@
 	Failed bool `cbor:"6,keyasint,omitempty"`
 	// Moved reports that another upstream answered at the engine's address.
 	Moved bool `cbor:"7,keyasint,omitempty"`
+	// RateLimit is the limit that the engine has named, in requests a second; 0 means
+	// that there is none or, without EngineRequests, no new answer.
+	RateLimit float64 `cbor:"8,keyasint,omitempty"`
 }
 
 func (e event) end() quetzalhook.AttemptEnd {
--- a/internal/fleet/dispatcher/sync.go
+++ b/internal/fleet/dispatcher/sync.go
@@ -93,8 +93,9 @@
 	if leader == "" {
 		return
 	}
+	limits := d.groups.scheduler(group).limits(recentLimits)
 	var unknown []quetzalhook.RequestID
-	if !d.call(ctx, leader, syncKind, syncRequest{Group: group, Running: running}, &unknown) || len(unknown) == 0 {
+	if !d.call(ctx, leader, syncKind, syncRequest{Group: group, Running: running, Limits: limits}, &unknown) || len(unknown) == 0 {
 		return
 	}
 	var adoptions []adoption
@@ -108,12 +109,18 @@
 	d.call(ctx, leader, adoptKind, adoptRequest{Group: group, Adoptions: adoptions}, nil)
 }
 
+// recentLimits is how long ago an engine must have named a limit for a sync to report
+// it: an older one may have ended since.
+const recentLimits = 3 * syncInterval
+
 func (d *Dispatcher) handleSync(_ context.Context, from quetzalhook.HostID, body []byte) ([]byte, error) {
 	var req syncRequest
 	if err := cbor.Unmarshal(body, &req); err != nil {
 		return nil, &Error{Op: "sync", Kind: ErrorProtocol, Err: err}
 	}
-	return cbor.Marshal(d.groups.scheduler(req.Group).sync(from, req.Running))
+	scheduler := d.groups.scheduler(req.Group)
+	scheduler.addLimits(req.Limits)
+	return cbor.Marshal(scheduler.sync(from, req.Running))
 }
 
 func (d *Dispatcher) handleAdopt(_ context.Context, from quetzalhook.HostID, body []byte) ([]byte, error) {
--- a/internal/fleet/dispatcher/ticket.go
+++ b/internal/fleet/dispatcher/ticket.go
@@ -31,6 +31,7 @@
 	tokens         int       // output tokens received
 	reportedAt     time.Time // when the last progress event was added
 	engineRequests int       // last number that the engine has reported, until sent to the leader; 0 if none
+	rateLimit      float64   // last limit that the engine has named, until sent to the leader; 0 if none
 }
 
 // Submit implements quetzalhook.Dispatcher.
@@ -105,17 +106,26 @@
 }
 
 // Observe implements quetzalhook.Ticket. The next event reports the observed load
-// to the leader.
+// and limit to the leader.
 func (t *ticket) Observe(v quetzalhook.Verdict) {
-	if !v.HasLoad {
-		return
+	requests := 0
+	if v.HasLoad {
+		requests = max(v.Running+v.Waiting, 1) // including this one
 	}
 	d := t.dispatcher
 	d.mu.Lock()
-	t.engineRequests = v.Running + v.Waiting
+	t.engineRequests, t.rateLimit = requests, v.RateLimit
 	current := t.current
 	d.mu.Unlock()
-	d.groups.scheduler(d.groups.groupOf(current)).observe(t.request.ID, v.Running+v.Waiting)
+	d.groups.scheduler(d.groups.groupOf(current)).observe(t.request.ID, requests, v.RateLimit)
+}
+
+// takeObserved returns the observed load and limit that were not sent to the leader
+// yet. The caller holds Dispatcher.mu.
+func (t *ticket) takeObserved() (requests int, rateLimit float64) {
+	requests, rateLimit = t.engineRequests, t.rateLimit
+	t.engineRequests, t.rateLimit = 0, 0
+	return requests, rateLimit
 }
 
 // Progress implements quetzalhook.Ticket.
@@ -131,8 +141,9 @@
 		return
 	}
 	group := d.groups.groupOf(t.current)
-	d.events[group] = append(d.events[group], event{ID: t.request.ID, Tokens: tokens, EngineRequests: t.engineRequests})
-	t.reportedAt, t.engineRequests = now, 0
+	requests, rateLimit := t.takeObserved()
+	d.events[group] = append(d.events[group], event{ID: t.request.ID, Tokens: tokens, EngineRequests: requests, RateLimit: rateLimit})
+	t.reportedAt = now
 	d.mu.Unlock()
 	d.groups.scheduler(group).progress(t.request.ID, tokens)
 }
@@ -140,14 +151,19 @@
 // End implements quetzalhook.Ticket.
 func (t *ticket) End(e quetzalhook.AttemptEnd) {
 	d := t.dispatcher
+	if e.Verdict.NotRun && e.Verdict.RateLimit > 0 {
+		t.Observe(e.Verdict)
+	}
 	d.mu.Lock()
 	current := t.current
 	t.current = ""
 	delete(d.tickets, t.request.ID)
 	group := d.groups.groupOf(current)
 	if current != "" {
+		requests, rateLimit := t.takeObserved()
 		d.events[group] = append(d.events[group], event{
 			ID: t.request.ID, Tokens: e.Tokens, End: e.End, NotRun: e.Verdict.NotRun, Failed: e.Verdict.Failed, Moved: e.Verdict.Moved,
+			EngineRequests: requests, RateLimit: rateLimit,
 		})
 	}
 	d.mu.Unlock()
--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -3,7 +3,8 @@
 // load reported in responses.
 //
 // It is designed for short calls that occupy one slot each, sent by several hosts
-// that do not know of each other's calls. It does no I/O, starts no goroutine and
+// that do not know of each other's calls; they divide the limits that upstreams name
+// by their rank. It does no I/O, starts no goroutine and
 // reads no clock.
 package balance
 
@@ -14,6 +15,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/traffic/reliability"
+	"quetzalhook/internal/traffic/throttle"
 )
 
 const (
@@ -47,14 +49,25 @@
 	upstreams map[quetzalhook.UpstreamID]*upstream
 	services  map[string][]*upstream
 	random    *rand.Rand
+	limits    *throttle.Limits
 }
 
+// Option sets one property of a Balancer.
+type Option func(*Balancer)
+
+// WithLimits sets how the balancer keeps to the limits that upstreams name.
+func WithLimits(l *throttle.Limits) Option { return func(b *Balancer) { b.limits = l } }
+
 // New returns a balancer for a host in a region; random breaks ties.
-func New(region quetzalhook.Region, random *rand.Rand) *Balancer {
-	return &Balancer{
-		region: region, random: random,
+func New(region quetzalhook.Region, random *rand.Rand, opts ...Option) *Balancer {
+	b := &Balancer{
+		region: region, random: random, limits: throttle.New(),
 		upstreams: make(map[quetzalhook.UpstreamID]*upstream), services: make(map[string][]*upstream),
 	}
+	for _, opt := range opts {
+		opt(b)
+	}
+	return b
 }
 
 // SetUpstreams replaces the upstreams. The state of upstreams that remain is kept;
@@ -66,6 +79,7 @@
 		u := b.upstreams[info.ID]
 		if u == nil || u.info.Started != info.Started || u.info.Address != info.Address {
 			u = &upstream{}
+			b.limits.Retain(func(id quetzalhook.UpstreamID) bool { return id != info.ID })
 		}
 		u.info = info
 		next[info.ID] = u
@@ -74,15 +88,17 @@
 		}
 	}
 	b.upstreams = next
+	b.limits.Retain(func(id quetzalhook.UpstreamID) bool { return next[id] != nil })
 }
 
 // Choose returns the upstream of a service with the lowest cost for the next call,
-// without those in tried, or false if there is none.
+// without those in tried and those whose limits do not allow it, or false if there
+// is none.
 func (b *Balancer) Choose(now time.Time, service string, tried []quetzalhook.UpstreamID) (quetzalhook.Upstream, bool) {
 	var best *upstream
 	lowest := math.Inf(1)
 	for _, u := range b.services[service] {
-		if contains(tried, u.info.ID) {
+		if contains(tried, u.info.ID) || !b.limits.Allows(now, u.info.ID) {
 			continue
 		}
 		cost := u.load(now) / float64(max(u.info.Slots, 1))
@@ -132,9 +148,10 @@
 }
 
 // Started records that a call was sent.
-func (b *Balancer) Started(id quetzalhook.UpstreamID) {
+func (b *Balancer) Started(now time.Time, id quetzalhook.UpstreamID) {
 	if u := b.upstreams[id]; u != nil {
 		u.inFlight++
+		b.limits.Start(now, id)
 	}
 }
 
@@ -148,6 +165,9 @@
 	if e.Verdict.HasLoad {
 		u.othersLoad, u.reportedAt = max(e.Verdict.Running+e.Verdict.Waiting-u.inFlight, 0), now
 	}
+	if e.End == quetzalhook.EndFinished || e.Verdict.RateLimit > 0 {
+		b.limits.Observe(now, id, e.Verdict.RateLimit)
+	}
 	switch {
 	case e.End == quetzalhook.EndFinished && !e.Verdict.Failed:
 		u.record.Succeeded(now)
--- a/internal/traffic/balance/balance_test.go
+++ b/internal/traffic/balance/balance_test.go
@@ -14,7 +14,7 @@
 )
 
 // Guards against calls to an upstream that is full, has failed or is gone while
-// another one is available, and against an upstream that is avoided indefinitely.
+// another one is available, more calls to an upstream than the limit that it names, and against an upstream that is avoided indefinitely.
 func TestChoices(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		now := time.Unix(1000, 0)
@@ -45,12 +45,15 @@
 						tried = append(tried, quetzalhook.UpstreamID(id))
 					}
 					fmt.Fprintln(&out, startCalls(b, now, 1, tried))
-				case "end": // upstream, end of the attempt, [running waiting]
+				case "end": // upstream, end of the attempt, [running waiting [limit]]
 					e := quetzalhook.AttemptEnd{End: ends[f[2]]}
 					e.Verdict.NotRun, e.Verdict.Failed = f[2] == "full", f[2] == "failed"
 					if len(f) > 3 {
 						e.Verdict = quetzalhook.Verdict{HasLoad: true, Running: number(t, f[3]), Waiting: number(t, f[4]), Slots: 6}
 					}
+					if len(f) > 5 {
+						e.Verdict.RateLimit = float64(number(t, f[5]))
+					}
 					b.Ended(now, quetzalhook.UpstreamID(f[1]), e)
 				case "wait":
 					d, err := time.ParseDuration(f[1])
@@ -85,7 +88,7 @@
 		if !ok {
 			return "none"
 		}
-		b.Started(u.ID)
+		b.Started(now, u.ID)
 		counts[u.ID]++
 	}
 	var parts []string
--- a/internal/traffic/balance/dispatcher.go
+++ b/internal/traffic/balance/dispatcher.go
@@ -109,7 +109,7 @@
 	}
 	t.sent++
 	t.current = u.ID
-	d.balancer.Started(u.ID)
+	d.balancer.Started(now, u.ID)
 	return u, true, nil
 }
 
--- a/internal/traffic/schedule/engine.go
+++ b/internal/traffic/schedule/engine.go
@@ -258,8 +258,8 @@
 		float64(e.memory+memory)+foreign <= maxMemoryShare*float64(e.info.MemoryTokens)
 }
 
-// canAccept reports whether a request may be sent to the engine now: the engine
-// has room, and at most maxBacklogMs of work precede the request.
+// canAccept reports whether the engine has room for a request, and at most
+// maxBacklogMs of work precede it.
 func (e *engine) canAccept(r *requestState) bool {
 	return e.hasRoom(r.memory) && e.workAhead(r)*e.slowness <= maxBacklogMs
 }
--- a/internal/traffic/schedule/place.go
+++ b/internal/traffic/schedule/place.go
@@ -74,7 +74,7 @@
 		if !e.isSuspect(now) {
 			cheapest, healthy = &best, true
 		}
-		if !e.canAccept(r) {
+		if !s.canAccept(now, e, r) {
 			continue
 		}
 		if c := s.evaluate(now, r, e, source); c.cost < cheapest.cost {
--- a/internal/traffic/schedule/schedule.go
+++ b/internal/traffic/schedule/schedule.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"quetzalhook"
+	"quetzalhook/internal/traffic/throttle"
 )
 
 const (
@@ -85,15 +86,33 @@
 	sequence uint64
 	// holders maps the hash of a prompt part to the engines that have it cached.
 	holders   map[uint64]map[*engine]struct{}
+	limits    *throttle.Limits
 	decisions []Decision
 }
 
+// Option sets one property of a Scheduler.
+type Option func(*Scheduler)
+
+// WithLimits sets how the scheduler keeps to the limits that engines name.
+func WithLimits(l *throttle.Limits) Option { return func(s *Scheduler) { s.limits = l } }
+
 // New returns a scheduler without engines.
-func New() *Scheduler {
-	return &Scheduler{
+func New(opts ...Option) *Scheduler {
+	s := &Scheduler{
 		engines: make(map[quetzalhook.UpstreamID]*engine), pools: make(map[string]*pool),
 		requests: make(map[quetzalhook.RequestID]*requestState), holders: make(map[uint64]map[*engine]struct{}),
+		limits: throttle.New(),
 	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// canAccept reports whether a request may be sent to an engine now: the limit that
+// the engine names allows it, and the engine has room.
+func (s *Scheduler) canAccept(now time.Time, e *engine, r *requestState) bool {
+	return e.canAccept(r) && s.limits.Allows(now, e.info.ID)
 }
 
 // setHolder records whether an engine has a prompt part cached.
@@ -136,6 +155,7 @@
 		if e == nil || e.info.Started != info.Started || e.info.Address != info.Address {
 			if e != nil {
 				e.cache.evict(0)
+				s.limits.Retain(func(id quetzalhook.UpstreamID) bool { return id != info.ID })
 			}
 			e = newEngine(info, now)
 			e.cache.onChange = func(hash uint64, cached bool) { s.setHolder(e, hash, cached) }
@@ -156,6 +176,7 @@
 		}
 	}
 	s.engines = next
+	s.limits.Retain(func(id quetzalhook.UpstreamID) bool { return next[id] != nil })
 	s.dispatchAll(now)
 	return s.decisions
 }
@@ -242,6 +263,7 @@
 func (s *Scheduler) startOn(now time.Time, r *requestState, c placement) {
 	s.requests[r.request.ID] = r
 	c.engine.start(now, r, c.prefillTokens, c.fetchMs)
+	s.limits.Start(now, c.engine.info.ID)
 	r.expectedTTFT = c.ttft
 	d := Decision{
 		Request: r.request.ID, Upstream: c.engine.info, Urgency: urgency(r.request), PrefillTokens: c.prefillTokens,
@@ -264,6 +286,7 @@
 	s.requests[q.ID] = r
 	e.advance(now)
 	e.start(now, r, e.prefillTokens(q), 0)
+	s.limits.Start(now, id)
 	if outputTokens > 0 {
 		e.recordFirstToken(now, r)
 		r.outputTokens = outputTokens
@@ -314,6 +337,32 @@
 	}
 }
 
+// ObserveLimit records that the answer to a running request names a limit of its
+// engine, in requests a second, or none if it is 0. It returns the engine, and whether
+// its limit has changed.
+func (s *Scheduler) ObserveLimit(now time.Time, id quetzalhook.RequestID, perSecond float64) (quetzalhook.UpstreamID, bool) {
+	r := s.requests[id]
+	if r == nil || r.engine == nil {
+		return "", false
+	}
+	engine := r.engine.info.ID
+	return engine, s.limits.Observe(now, engine, perSecond)
+}
+
+// Limits returns the limits that engines have named within the last d.
+func (s *Scheduler) Limits(now time.Time, d time.Duration) map[quetzalhook.UpstreamID]throttle.Named {
+	return s.limits.Since(now, d)
+}
+
+// AddLimits records limits that engines have named to another host.
+func (s *Scheduler) AddLimits(now time.Time, named map[quetzalhook.UpstreamID]throttle.Named) {
+	for id, n := range named {
+		if s.engines[id] != nil {
+			s.limits.Observe(now.Add(-n.Age), id, n.PerSecond)
+		}
+	}
+}
+
 // End reports the end of a running or waiting request.
 func (s *Scheduler) End(now time.Time, id quetzalhook.RequestID, end quetzalhook.AttemptEnd) []Decision {
 	s.resetDecisions()
@@ -439,7 +488,7 @@
 			// Reserve an engine: otherwise a large request would wait for ever while
 			// smaller ones take all memory that becomes free.
 			if first.reserved == nil || first.reserved.info.State != quetzalhook.UpstreamReady {
-				first.reserved = p.leastMemoryUsed()
+				first.reserved = s.leastMemoryUsed(now, p)
 			}
 			if first.reserved == e {
 				return
@@ -449,7 +498,7 @@
 			if r.request.Class.Tier() != first.request.Class.Tier() {
 				break
 			}
-			if isTried(r.request, e.info.ID) || !e.canAccept(r) {
+			if isTried(r.request, e.info.ID) || !s.canAccept(now, e, r) {
 				continue
 			}
 			c := s.evaluate(now, r, e, s.longestHolder(now, r.request))
@@ -487,12 +536,15 @@
 	return true
 }
 
-// leastMemoryUsed returns the engine with the least memory in use.
-func (p *pool) leastMemoryUsed() *engine {
-	best := p.engines[0]
+// leastMemoryUsed returns the engine of a pool with the least memory in use, among
+// those whose limits allow a request unless there are none.
+func (s *Scheduler) leastMemoryUsed(now time.Time, p *pool) *engine {
+	var best *engine
+	bestAllowed := false
 	for _, e := range p.engines {
-		if e.memory < best.memory {
-			best = e
+		allowed := s.limits.Allows(now, e.info.ID)
+		if best == nil || allowed && !bestAllowed || allowed == bestAllowed && e.memory < best.memory {
+			best, bestAllowed = e, allowed
 		}
 	}
 	return best
