Hold crashes shortly after the first event against a prompt, too

A part that crashes an engine after it has sent some events was never put in quarantine: the first event counted as an answer, which clears a part. Whether an event gets out before the crash depends on the number of tokens in an event and the speed of the engine, so that a deployment of another kind would still have lost engine after engine.

An attempt now counts as starting until 500 ms after its first event, and as answered after that or at its complete end.

--- a/internal/fleet/isolator/isolator.go
+++ b/internal/fleet/isolator/isolator.go
@@ -1,8 +1,8 @@
 // Package isolator keeps requests away from engines that would crash them.
 //
 // An Isolator is a dispatcher before the one that selects engines. When attempts
-// fail before their first event, it checks whether their engine has crashed, and
-// records the prompt parts of these requests in a quarantine.Table. It refuses
+// fail before or shortly after their first event, it checks whether their engine has
+// crashed, and records the prompt parts of these requests in a quarantine.Table. It refuses
 // requests that match a quarantine, also those that wait for an engine.
 //
 // Hosts exchange their tables: each change is sent to a few hosts, which pass on
@@ -155,7 +155,7 @@
 	return &quetzalhook.Refusal{Kind: quetzalhook.RefuseQuarantine, RetryAfter: q.Until().Sub(now)}
 }
 
-// addAnswer records that an engine has begun to answer a request.
+// addAnswer records that an engine has answered a request.
 func (i *Isolator) addAnswer(parts []quarantine.Part) {
 	now := i.clock.Now()
 	i.mu.Lock()
@@ -173,7 +173,7 @@
 	}
 }
 
-// addFailure records that an attempt failed before its first event. Unless the
+// addFailure records that an attempt failed as its answer began. Unless the
 // engine is known to have crashed, it starts a check of the engine.
 func (i *Isolator) addFailure(u quetzalhook.Upstream, parts []quarantine.Part) {
 	run := quarantine.EngineRun{Upstream: u.ID, Started: u.Started}
@@ -200,7 +200,7 @@
 	i.table.AddCrash(now, run, at, failed...)
 	for _, parts := range failed {
 		i.log.WithFields(logrus.Fields{"upstream": run.Upstream, "shared-parts": describe(parts), "ms": now.Sub(at).Milliseconds()}).
-			Info("engine crashed before it answered")
+			Info("engine crashed as its answer began")
 	}
 	i.applyImposed()
 	i.announce()
--- a/internal/fleet/isolator/ticket.go
+++ b/internal/fleet/isolator/ticket.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"quetzalhook"
 	"quetzalhook/internal/traffic/quarantine"
@@ -13,12 +14,19 @@
 	quetzalhook.Ticket
 	isolator *Isolator
 	parts    []quarantine.Part
-	upstream quetzalhook.Upstream // of the current attempt
-	// answered is set once an engine has begun to answer; a later failure does not
-	// concern the prompt.
+	// upstream and firstEvent, which is zero before the first event, belong to the
+	// current attempt.
+	upstream   quetzalhook.Upstream
+	firstEvent time.Time
+	// answered is set once an engine has answered for startTime, or completely; a later
+	// failure does not concern the prompt.
 	answered bool
 }
 
+// startTime is the time after the first event for which an engine that crashes may
+// have crashed because of the request. Some events may arrive before the crash.
+const startTime = 500 * time.Millisecond
+
 // Submit implements quetzalhook.Dispatcher.
 func (i *Isolator) Submit(ctx context.Context, r quetzalhook.Request) quetzalhook.Ticket {
 	next := i.settings.Next.Submit(ctx, r)
@@ -45,7 +53,7 @@
 		t.Ticket.End(quetzalhook.AttemptEnd{End: quetzalhook.EndNotSent})
 		return quetzalhook.Attempt{}, refusal
 	}
-	t.upstream = a.Upstream
+	t.upstream, t.firstEvent = a.Upstream, time.Time{}
 	return a, nil
 }
 
@@ -80,7 +88,19 @@
 // Progress implements quetzalhook.Ticket.
 func (t *ticket) Progress(tokens int) {
 	t.Ticket.Progress(tokens)
-	t.markAnswered()
+	switch now := t.isolator.clock.Now(); {
+	case t.answered:
+	case t.firstEvent.IsZero():
+		t.firstEvent = now
+	case now.Sub(t.firstEvent) >= startTime:
+		t.markAnswered()
+	}
+}
+
+// isStarting reports whether the current attempt has no event yet, or only for less
+// than startTime.
+func (t *ticket) isStarting() bool {
+	return t.firstEvent.IsZero() || t.isolator.clock.Now().Sub(t.firstEvent) < startTime
 }
 
 func (t *ticket) markAnswered() {
@@ -97,7 +117,7 @@
 	case e.Verdict.Failed:
 	case e.End == quetzalhook.EndFinished:
 		t.markAnswered()
-	case e.End == quetzalhook.EndBroken && !t.answered:
+	case e.End == quetzalhook.EndBroken && !t.answered && t.isStarting():
 		t.isolator.addFailure(t.upstream, t.parts)
 	}
 }
--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -1,7 +1,8 @@
 // Package quarantine finds parts of prompts that crash the engines that begin to
 // answer them, so that requests with these parts can be refused.
 //
-// A crash implicates the requests that waited for their first event on the engine.
+// A crash implicates the requests whose answers were to begin, or had just begun, on
+// the engine.
 // A part is put in quarantine after several crashes, at different times, that
 // implicate requests with it, if no request with it was answered since the first
 // of them. A part that was answered before needs more crashes. A crash that a
@@ -109,15 +110,14 @@
 type crash struct {
 	run      EngineRun
 	at       time.Time
-	requests [][]Part // shared parts of the requests without an event
+	requests [][]Part // shared parts of the implicated requests
 	// answeredBefore and answeredAfter hold the parts of requests that were answered
 	// before and after the crash.
 	answeredBefore, answeredAfter partSet
 	answersSeen                   int64 // by this host before the crash became known
 }
 
-// implicates reports whether a request with the part waited for its first event on
-// the engine.
+// implicates reports whether a request with the part is implicated.
 func (c *crash) implicates(p Part) bool {
 	return slices.ContainsFunc(c.requests, func(r []Part) bool { return slices.Contains(r, p) })
 }
@@ -253,8 +253,8 @@
 	return list
 }
 
-// AddAnswer records that an engine began to answer a request with the parts. It
-// reports whether that changes a fact that other hosts should know.
+// AddAnswer records that an engine answered a request with the parts. It reports
+// whether that changes a fact that other hosts should know.
 func (t *Table) AddAnswer(now time.Time, request []Part) bool {
 	t.answers++
 	changed := false
@@ -281,8 +281,8 @@
 	return changed
 }
 
-// AddCrash records that an engine has crashed at a given time while requests, of
-// which the shared parts are given, waited for their first events.
+// AddCrash records that an engine has crashed at a given time, and the shared parts
+// of the implicated requests.
 func (t *Table) AddCrash(now time.Time, run EngineRun, at time.Time, requests ...[]Part) {
 	t.mergeCrash(now, run, at, requests)
 	t.update(now)
