Count the first start of a host as a disturbance in the soak

The case is allowed: a host is bound 4 s after its start, which is why undisturbedSince counts each start as a disturbance. The start that begins a run was not recorded.

--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -91,6 +91,9 @@
 	exited := make(chan struct{})
 	h.command, h.exited, h.exitExpected, h.stopped = c, exited, false, time.Time{}
 	h.boot++
+	if now := time.Now(); now.After(h.disturbedUntil) {
+		h.disturbedUntil = now
+	}
 	go func() {
 		err := c.Wait()
 		_ = out.Close()
