Name the cause when a stored quarantine has no parts

An object of the store that is valid JSON without parts was logged with an error that wraps nil; formatting it panicked inside the logger, which printed the panic instead of the cause. The script of the isolator now has three kinds of objects that cannot be read, and prints why each is ignored: before, the second line was %!v(PANIC=Error method: ...), now "the quarantine has no parts".

--- a/internal/fleet/isolator/isolator_test.go
+++ b/internal/fleet/isolator/isolator_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"slices"
 	"strings"
 	"sync"
@@ -14,6 +13,7 @@
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"quetzalhook"
 	"quetzalhook/internal/fleet/peer"
@@ -27,6 +27,7 @@
 	network *peer.Network
 	store   *memory.Store
 	hosts   map[string]*Isolator
+	logs    map[string]*logtest.Hook
 	out     strings.Builder
 	waiting sync.WaitGroup
 
@@ -41,7 +42,8 @@
 func newTestCluster(t *testing.T) *testCluster {
 	c := &testCluster{
 		t: t, network: peer.NewNetwork(quetzalhook.ClockFunc(time.Now), 1), store: memory.New(), hosts: make(map[string]*Isolator), leader: "a",
-		cut: make(map[string]bool), crashed: make(map[quetzalhook.UpstreamID]bool), silent: make(map[quetzalhook.UpstreamID]bool),
+		logs: make(map[string]*logtest.Hook),
+		cut:  make(map[string]bool), crashed: make(map[quetzalhook.UpstreamID]bool), silent: make(map[quetzalhook.UpstreamID]bool),
 	}
 	c.network.SetFaults(peer.NetworkFaults{Delay: 5 * time.Millisecond, Cut: func(x, y quetzalhook.HostID) bool {
 		c.mu.Lock()
@@ -52,8 +54,8 @@
 }
 
 func (c *testCluster) start(name string) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log, logged := logtest.NewNullLogger()
+	c.logs[name] = logged
 	end := c.network.Endpoint(quetzalhook.HostID(name))
 	i := New(Settings{
 		Next: c, Detector: c, Store: c.store,
@@ -219,9 +221,17 @@
 			c.t.Fatal(err)
 		}
 		fmt.Fprintf(&c.out, "stored: %d\n", len(list.Objects))
+	case "ignored": // HOST: prints why it ignored stored quarantines
+		for _, e := range c.logs[f[1]].AllEntries() {
+			if e.Message == "stored quarantine ignored" {
+				fmt.Fprintf(&c.out, "%v: %v\n", e.Data["key"], e.Data[logrus.ErrorKey])
+			}
+		}
 	case "corrupt":
-		if _, err := c.store.Put(c.t.Context(), keyPrefix+"x", []byte("no record"), 0); err != nil {
-			c.t.Fatal(err)
+		for name, value := range map[string]string{"x": "no record", "y": "{}", "z": `{"parts":["no part"]}`} {
+			if _, err := c.store.Put(c.t.Context(), keyPrefix+name, []byte(value), 0); err != nil {
+				c.t.Fatal(err)
+			}
 		}
 	}
 	synctest.Wait()
--- a/internal/fleet/isolator/store.go
+++ b/internal/fleet/isolator/store.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"quetzalhook"
 	"quetzalhook/internal/state/timing"
@@ -68,7 +69,11 @@
 // may differ; the table rejects an end that is too far away.
 func (i *Isolator) loadObject(o quetzalhook.Object) {
 	var r record
-	if err := json.Unmarshal(o.Value, &r); err != nil || len(r.Parts) == 0 {
+	err := json.Unmarshal(o.Value, &r)
+	if err == nil && len(r.Parts) == 0 {
+		err = errors.New("the quarantine has no parts")
+	}
+	if err != nil {
 		i.log.WithError(&Error{Op: "load", Kind: ErrorCorrupt, Err: err}).WithField("key", o.Key).Warn("stored quarantine ignored")
 		return
 	}
