--- a/internal/fleet/isolator/isolator.go
+++ b/internal/fleet/isolator/isolator.go
@@ -8,7 +8,8 @@
 // Hosts exchange their tables: each change is sent to a few hosts, which pass on
 // what is new to them, and every second each host compares its table with that of
 // a few others. The leader keeps the quarantines in the store, so that they outlive
-// the loss of all hosts. A host needs neither to apply a quarantine that it knows.
+// the loss of all hosts. A host that reaches neither other hosts nor the store still
+// applies the quarantines that it knows.
 package isolator
 
 import (
--- a/internal/fleet/isolator/ticket.go
+++ b/internal/fleet/isolator/ticket.go
@@ -34,6 +34,8 @@
 	if len(parts) == 0 {
 		return next
 	}
+	// A repeated request is a stream that moves to another engine: its answer has
+	// begun before.
 	return &ticket{Ticket: next, isolator: i, parts: parts, answered: r.Repeat}
 }
 
--- a/internal/traffic/quarantine/suspect.go
+++ b/internal/traffic/quarantine/suspect.go
@@ -16,7 +16,7 @@
 	first    int // index of the first group of crashes that implicates the part
 	groups   int // number of such groups
 	requests int // implicated requests with the part
-	answered bool
+	answered bool // before one of the crashes
 }
 
 // groupCrashes groups crashes, which are in the order of time, by crashSeparation.
