--- a/internal/traffic/quarantine/suspect.go
+++ b/internal/traffic/quarantine/suspect.go
@@ -13,9 +13,9 @@
 	// evidence is the number of crashes; of several at the same time it counts the
 	// share that implicate the part.
 	evidence float64
-	first    int // index of the first group of crashes that implicates the part
-	groups   int // number of such groups
-	requests int // implicated requests with the part
+	first    int  // index of the first group of crashes that implicates the part
+	groups   int  // number of such groups
+	requests int  // implicated requests with the part
 	answered bool // before one of the crashes
 }
 
