Take the profile from a datagram that was overtaken

TestHostsTogether under 16 runs at a time on one processor: one host, up and heard, could not be called for 4 s: 'address of the host is not known'. Callers of such a host would be sent nowhere else; withdrawals and configuration passed it by.

Cause: a host tells its addresses in its greeting and then in every fourth round. If a heartbeat overtakes the greeting, the receiver knows the host by the heartbeat alone and drops the greeting as a replay. After a restart on other ports it kept the addresses of the last run.

Evidence: 'datagram is not newer than the last one accepted' and 'datagram not sent ... to=' in the log of the failed run. TestOvertakenProfile failed before: got address "" and the address of the last run.

The profile of an incarnation does not change, so taking it from an older datagram is safe; the state in such a datagram is still ignored. Nothing is sent to a host without an address any more.

--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -277,6 +277,11 @@
 		known = g.addProfile(now, profile{Host: p.Host, Incarnation: p.Incarnation})
 	}
 	if p.Sequence <= known.sequence {
+		// The sender's profile is the same during an incarnation, and may be in no
+		// other datagram for some seconds.
+		if own, ok := p.ownProfile(); ok {
+			g.addProfile(now, own)
+		}
 		return nil, errReplay
 	}
 	if !known.leftAt.IsZero() {
@@ -293,10 +298,11 @@
 // receiver: it uses only the sender's profile and answers with a greeting, at most
 // once per replyInterval to each host. A datagram without that profile is ignored.
 func (g *gossip) handleGreeting(now time.Time, p packet) (*datagram, error) {
-	if len(p.Profiles) == 0 || p.Profiles[0].Host != p.Host || p.Profiles[0].Incarnation != p.Incarnation {
+	own, ok := p.ownProfile()
+	if !ok {
 		return nil, nil
 	}
-	known := g.addProfile(now, p.Profiles[0])
+	known := g.addProfile(now, own)
 	if !known.leftAt.IsZero() || !known.lastReply.IsZero() && now.Sub(known.lastReply) < replyInterval {
 		return nil, nil
 	}
--- a/internal/fleet/member/gossip_test.go
+++ b/internal/fleet/member/gossip_test.go
@@ -199,6 +199,49 @@
 	}
 }
 
+// Guards against a live host that has no address, or that of its last run, because
+// the datagram with its profile was overtaken.
+func TestOvertakenProfile(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		sim := newSimulation(t, 1, 1)
+		g := sim.hosts[address(0)]
+		sender := newGossip(Self{Host: "b", Incarnation: 2, Heartbeat: "b:1", Peer: "b:2"}, []byte("secret"), nil)
+		if listed {
+			g.applyHostList(sim.now, []quetzalhook.HostStatus{{Host: "b", Incarnation: 1, HeartbeatAddress: "a:1", PeerAddress: "a:2"}})
+		}
+		sender.addProfile(sim.now, g.profile())
+		sender.updateCells()
+		greeting, err := sender.newGreeting(address(0), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sender.peers[g.self.Host].lastHeard = sim.now
+		heartbeats, err := sender.heartbeats(sim.now, false)
+		if err != nil || len(heartbeats) != 1 {
+			t.Fatalf("heartbeats: got %d, %v, want 1", len(heartbeats), err)
+		}
+		if _, err := g.receive(sim.now, heartbeats[0].data); err != nil {
+			t.Fatal(err)
+		}
+		out, err := g.tick(sim.now, Report{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, d := range out {
+			if d.to == "" {
+				t.Errorf("listed %v: got a datagram to an unknown address", listed)
+			}
+		}
+		if _, err := g.receive(sim.now, greeting.data); err != errReplay {
+			t.Errorf("listed %v, overtaken greeting: got %v, want %v", listed, err, errReplay)
+		}
+		m := g.members(sim.now)[0]
+		if got, want := m.PeerAddress, "b:2"; got != want || m.Incarnation != 2 {
+			t.Errorf("listed %v: got address %q of incarnation %d, want %q of 2", listed, got, m.Incarnation, want)
+		}
+	}
+}
+
 // Guards against hosts of other cells whose size is unknown until their profile
 // arrives, so that each cell chooses another host as the largest. The list of
 // hosts contains everything that the choice needs.
--- a/internal/fleet/member/message.go
+++ b/internal/fleet/member/message.go
@@ -51,6 +51,14 @@
 	WantsSummary bool                    `cbor:"10,keyasint,omitempty"` // asks for the summary of the receiver's cell
 }
 
+// ownProfile returns the profile of the sender, or false if it is not included.
+func (p packet) ownProfile() (profile, bool) {
+	if len(p.Profiles) == 0 || p.Profiles[0].Host != p.Host || p.Profiles[0].Incarnation != p.Incarnation {
+		return profile{}, false
+	}
+	return p.Profiles[0], true
+}
+
 // hostState is the state that a host reports of itself. Work is in tokens.
 type hostState struct {
 	Draining        bool                          `cbor:"1,keyasint,omitempty"`
--- a/internal/fleet/member/send.go
+++ b/internal/fleet/member/send.go
@@ -61,7 +61,7 @@
 func (g *gossip) heartbeats(now time.Time, round bool) ([]datagram, error) {
 	var targets []*peer
 	for _, p := range g.cellPeers {
-		if p.leftAt.IsZero() && !p.lastHeard.IsZero() && !g.blocked(p.profile.Host) && (round || p.silence(now) < goneAfter) {
+		if g.isReachable(p) && !p.lastHeard.IsZero() && (round || p.silence(now) < goneAfter) {
 			targets = append(targets, p)
 		}
 	}
@@ -204,7 +204,7 @@
 	}
 	var out []datagram
 	for _, p := range g.cellPeers {
-		if p.leftAt.IsZero() && !g.blocked(p.profile.Host) && p.silence(now) < goneAfter {
+		if g.isReachable(p) && p.silence(now) < goneAfter {
 			out = append(out, datagram{to: p.profile.Heartbeat, data: g.seal.seal(p.profile.Incarnation, body)})
 		}
 	}
