Exchange quarantines with the same few hosts

Every second, for 10 s after a start and while there are crashes, a host compared its quarantines with three random hosts, and sent changes to eight random ones. Each call to a new host opens a connection, which is kept for a minute: in a fleet of 295 hosts every host was soon connected to all others.

Cause: random partners over connections that cost memory and a handshake. The cost of a host grew with the fleet.

A leak of requests was ruled out by the small site, garbage by the live heap, which grew as well. TestExchangeUsesFewHosts failed before: calls to 37 to 42 of 47 hosts in 25 s.

A host now has eight fixed partners among the live hosts: the next by name, which connects all hosts in a ring, and those that rank first for it.

The same test shows the quarantine on all 48 hosts 1 s after the third crash.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -122,7 +122,7 @@
 		Caches: adapter.Caches, Settled: h.settled(cacheSettleTime),
 	}, h.peers, clock, log)
 	h.isolator = isolator.New(isolator.Settings{
-		Next: h.engineDispatcher, Detector: adapter.Crashes, Store: adapter.Store,
+		Host: settings.Host, Next: h.engineDispatcher, Detector: adapter.Crashes, Store: adapter.Store,
 		IsLeader: func() bool { return h.leader(0) == settings.Host }, Duration: setting.Seconds(settings.QuarantineS),
 	}, h.peers, clock, log)
 	if err := h.assembleDuties(); err != nil {
--- a/internal/fleet/isolator/exchange.go
+++ b/internal/fleet/isolator/exchange.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"quetzalhook"
+	"quetzalhook/internal/fleet/rendezvous"
 	"quetzalhook/internal/state/timing"
 	"quetzalhook/internal/traffic/quarantine"
 )
@@ -17,11 +17,11 @@
 const exchangeKind = "quarantine-exchange"
 
 const (
-	// fanOut is the number of hosts to which a host sends new facts. Each of them
-	// passes on what is new to it: with 8, they reach 2,800 hosts in four steps.
+	// fanOut is the number of partners, to which a host sends new facts. Each of them
+	// passes on what is new to it.
 	fanOut = 8
-	// compareFanOut is the number of hosts with which a host compares its facts every
-	// compareInterval, to make up for calls that were lost.
+	// compareFanOut is the number of partners with which a host compares its facts
+	// every compareInterval, to make up for calls that were lost.
 	compareFanOut   = 3
 	compareInterval = time.Second
 	// startPeriod is the time after its start for which a host without facts compares
@@ -53,13 +53,13 @@
 			return
 		case <-ticker.C:
 			if i.hasFacts() || i.clock.Now().Sub(i.started) < startPeriod {
-				i.forEach(ctx, i.pickHosts(compareFanOut), i.compareWith)
+				i.forEach(ctx, i.partners(compareFanOut), i.compareWith)
 			}
 		case <-i.changed:
 			if !timing.Sleep(ctx, batchDelay) {
 				return
 			}
-			i.forEach(ctx, i.pickHosts(fanOut), i.sendTo)
+			i.forEach(ctx, i.partners(fanOut), i.sendTo)
 		}
 	}
 }
@@ -73,16 +73,37 @@
 	return !i.table.Facts(now).IsEmpty()
 }
 
-// pickHosts returns up to n random live hosts.
-func (i *Isolator) pickHosts(n int) []quetzalhook.HostID {
-	var hosts []quetzalhook.HostID
+// partners returns up to n live hosts, the same ones as long as they live, so that
+// a host keeps connections to a few others and not to the whole fleet. The first is
+// the next host by name, which makes a ring of all hosts: each of them is a partner
+// of another. The others are those that rank first for this host, so that news need
+// few steps.
+func (i *Isolator) partners(n int) []quetzalhook.HostID {
+	var hosts []quetzalhook.HostID // sorted by name, as Members returns them
+	next := 0
 	for _, m := range i.peers.Members() {
-		if m.IsAlive(maxSilence) {
-			hosts = append(hosts, m.Host)
+		if !m.IsAlive(maxSilence) {
+			continue
+		}
+		if m.Host < i.settings.Host {
+			next++
+		}
+		hosts = append(hosts, m.Host)
+	}
+	if len(hosts) == 0 {
+		return nil
+	}
+	successor := hosts[next%len(hosts)]
+	list := []quetzalhook.HostID{successor}
+	for _, h := range rendezvous.Rank(string(i.settings.Host), hosts) {
+		if len(list) == n {
+			break
+		}
+		if h != successor {
+			list = append(list, h)
 		}
 	}
-	rand.Shuffle(len(hosts), func(a, b int) { hosts[a], hosts[b] = hosts[b], hosts[a] })
-	return hosts[:min(n, len(hosts))]
+	return list
 }
 
 // forEach calls f for all hosts at the same time and waits for the calls.
--- a/internal/fleet/isolator/isolator.go
+++ b/internal/fleet/isolator/isolator.go
@@ -41,6 +41,7 @@
 
 // Settings configures an Isolator.
 type Settings struct {
+	Host quetzalhook.HostID
 	// Next selects the engines.
 	Next     quetzalhook.Dispatcher
 	Detector quetzalhook.CrashDetector
--- a/internal/fleet/isolator/isolator_test.go
+++ b/internal/fleet/isolator/isolator_test.go
@@ -32,6 +32,7 @@
 	waiting sync.WaitGroup
 
 	mu      sync.Mutex
+	called  map[string]map[quetzalhook.HostID]bool // hosts that each host has called
 	leader  string
 	cut     map[string]bool
 	crashed map[quetzalhook.UpstreamID]bool
@@ -42,8 +43,9 @@
 func newTestCluster(t *testing.T) *testCluster {
 	c := &testCluster{
 		t: t, network: peer.NewNetwork(quetzalhook.ClockFunc(time.Now), 1), store: memory.New(), hosts: make(map[string]*Isolator), leader: "a",
-		logs: make(map[string]*logtest.Hook),
-		cut:  make(map[string]bool), crashed: make(map[quetzalhook.UpstreamID]bool), silent: make(map[quetzalhook.UpstreamID]bool),
+		logs:   make(map[string]*logtest.Hook),
+		called: make(map[string]map[quetzalhook.HostID]bool),
+		cut:    make(map[string]bool), crashed: make(map[quetzalhook.UpstreamID]bool), silent: make(map[quetzalhook.UpstreamID]bool),
 	}
 	c.network.SetFaults(peer.NetworkFaults{Delay: 5 * time.Millisecond, Cut: func(x, y quetzalhook.HostID) bool {
 		c.mu.Lock()
@@ -53,18 +55,34 @@
 	return c
 }
 
+// testPeers records the hosts that a host calls.
+type testPeers struct {
+	quetzalhook.Peers
+	cluster *testCluster
+	host    string
+}
+
+// Call implements quetzalhook.Peers.
+func (p testPeers) Call(ctx context.Context, to quetzalhook.HostID, kind string, body []byte) ([]byte, error) {
+	p.cluster.mu.Lock()
+	p.cluster.called[p.host][to] = true
+	p.cluster.mu.Unlock()
+	return p.Peers.Call(ctx, to, kind, body)
+}
+
 func (c *testCluster) start(name string) {
 	log, logged := logtest.NewNullLogger()
 	c.logs[name] = logged
 	end := c.network.Endpoint(quetzalhook.HostID(name))
+	c.called[name] = make(map[quetzalhook.HostID]bool)
 	i := New(Settings{
-		Next: c, Detector: c, Store: c.store,
+		Host: quetzalhook.HostID(name), Next: c, Detector: c, Store: c.store,
 		IsLeader: func() bool {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			return c.leader == name
 		},
-	}, end, quetzalhook.ClockFunc(time.Now), log)
+	}, testPeers{end, c, name}, quetzalhook.ClockFunc(time.Now), log)
 	c.network.Join(end, func() quetzalhook.Member { return quetzalhook.Member{} })
 	c.hosts[name] = i
 	i.Start()
@@ -267,3 +285,34 @@
 		return out
 	})
 }
+
+// Guards against hosts that open connections to all others, so that the cost of a
+// host grows with the fleet, and against tables that no longer reach all hosts.
+func TestExchangeUsesFewHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster(t)
+		const n = 48
+		for i := range n {
+			c.play(fmt.Sprintf("start h%02d", i))
+		}
+		for i := range 3 {
+			c.play("answer h00 e0 B")
+			c.play(fmt.Sprintf("crash h%02d e%d D", i*16, i+1))
+			c.play("sleep 1s")
+		}
+		for name, i := range c.hosts {
+			if got, want := len(i.Quarantines()), 1; got != want {
+				t.Errorf("%s: got %d quarantines 1 s after the last crash, want %d", name, got, want)
+			}
+		}
+		time.Sleep(20 * time.Second)
+		for name := range c.hosts {
+			c.stop(name)
+		}
+		for name, hosts := range c.called {
+			if got := len(hosts); got > fanOut {
+				t.Errorf("%s: got calls to %d hosts, want at most %d", name, got, fanOut)
+			}
+		}
+	})
+}
