--- a/internal/bench/scenario/scenario_test.go
+++ b/internal/bench/scenario/scenario_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"quetzalhook/internal/entry/setting"
 	"quetzalhook/internal/state/invariant"
 )
@@ -12,7 +14,11 @@
 // requests that are lost when an engine crashes or a host is killed, and against
 // callers that are sent to a host that cannot serve yet.
 func TestRunUnderFaults(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, TimestampFormat: "15:04:05.000"})
 	result, err := Run(t.Context(), Settings{
+		Log: log, HostLog: log,
 		Seed: 1, Duration: 5 * time.Second, Scale: 0.6, TokenRate: 400, Policy: setting.PolicyOwn,
 		Faults: []string{FaultEngineCrash, FaultHostKill},
 	})
