Rank requests by the priority of the customer, then by that of the route

Callers of an urgent route were refused while patient requests of the same customers were served.

Cause: the priority of a customer replaced that of the route. All ten customers of this site have one, so that the three kinds of its streams were in the same tier. Within a tier a request that is late goes behind one that is not, and stock-recon has 2 s where order-tag has 400 ms.

Ruled out: several leaders (one host decided all), the order of the queue, memory of the engines, an engine that is released.

Tiers have no gaps, since engines distinguish ten urgencies. Deployments without priorities of customers keep their order.

TestTiers failed before: stock-recon and order-tag in one tier.

--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -77,18 +77,15 @@
 	if x.inbound, err = x.gateway.deps.Protocol.Decode(x.r.Header); err != nil {
 		return rejection(http.StatusBadRequest, ErrorRequest, err.Error())
 	}
-	priority := x.route.Priority
+	var owner *routing.Customer
 	if x.table.HasCustomers() && !x.route.Public {
-		owner := x.table.Customer(x.inbound.Key)
+		owner = x.table.Customer(x.inbound.Key)
 		if owner == nil {
 			return rejection(http.StatusUnauthorized, ErrorKey, "the key is missing or unknown")
 		}
 		x.customer = owner.ID
-		if owner.Priority != nil {
-			priority = *owner.Priority
-		}
 	}
-	x.class = quetzalhook.NewClass(quetzalhook.ClassName(x.route.Name), quetzalhook.Tier(min(max(priority, 0), maxTier)),
+	x.class = quetzalhook.NewClass(quetzalhook.ClassName(x.route.Name), x.table.Tier(x.route, owner),
 		quetzalhook.WithTTFTTarget(x.route.LatencyTarget), quetzalhook.WithGapTarget(x.route.GapTarget))
 	x.timeout = x.route.Timeout
 	if x.timeout <= 0 || x.inbound.CallerTimeout > 0 && x.inbound.CallerTimeout < x.timeout {
@@ -105,8 +102,6 @@
 }
 
 const (
-	// maxTier limits priorities to the range of quetzalhook.Tier.
-	maxTier = 255
 	// defaultTimeout applies if neither the route nor the caller sets a
 	// timeout.
 	defaultTimeout = time.Minute
--- a/internal/record/routing/table.go
+++ b/internal/record/routing/table.go
@@ -7,8 +7,10 @@
 package routing
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -137,7 +139,8 @@
 type Customer struct {
 	ID   quetzalhook.CustomerID `cbor:"1,keyasint"`
 	Keys []KeyHash              `cbor:"2,keyasint"`
-	// Priority overrides the priority of the route if it is not nil.
+	// Priority ranks the customer's requests before the priority of the route if it
+	// is not nil; see Table.Tier.
 	Priority *int `cbor:"3,keyasint"`
 }
 
@@ -152,8 +155,27 @@
 	hosts    map[string][]*Route // by host name, longest prefix first
 	services map[string]*Service
 	keys     map[KeyHash]*Customer
+	ranks    []rank // of all requests, the most urgent first
 }
 
+// rank orders requests: by the priority of the customer, or of the route if the
+// customer has none, and then by that of the route.
+type rank struct{ first, route int }
+
+func rankOf(r *Route, customerPriority *int) rank {
+	if customerPriority == nil {
+		return rank{r.Priority, r.Priority}
+	}
+	return rank{*customerPriority, r.Priority}
+}
+
+func (a rank) compare(b rank) int {
+	return cmp.Or(cmp.Compare(a.first, b.first), cmp.Compare(a.route, b.route))
+}
+
+// maxTier is the highest quetzalhook.Tier.
+const maxTier = 255
+
 // Index builds the maps for lookups. Call it once, before the table is shared
 // between goroutines.
 func (t *Table) Index() {
@@ -175,6 +197,48 @@
 			t.keys[k] = &t.Customers[i]
 		}
 	}
+	t.ranks = t.allRanks()
+}
+
+// allRanks returns the ranks that requests can have, in order.
+func (t *Table) allRanks() []rank {
+	customers := make(map[int]*int) // by priority
+	hasOwn := true                  // all customers have a priority
+	for i := range t.Customers {
+		if p := t.Customers[i].Priority; p != nil {
+			customers[*p] = p
+		} else {
+			hasOwn = false
+		}
+	}
+	var ranks []rank
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if r.Public || !t.HasCustomers() || !hasOwn {
+			ranks = append(ranks, rankOf(r, nil))
+		}
+		if r.Public {
+			continue
+		}
+		for _, p := range customers {
+			ranks = append(ranks, rankOf(r, p))
+		}
+	}
+	slices.SortFunc(ranks, rank.compare)
+	return slices.Compact(ranks)
+}
+
+// Tier returns the tier of a request on a route, from a customer or nil. Requests of
+// customers with the same priority keep the order of their routes, so that those of
+// a patient route do not delay those of an urgent one. Tiers have no gaps, because
+// engines distinguish only a few of them.
+func (t *Table) Tier(r *Route, c *Customer) quetzalhook.Tier {
+	var own *int
+	if c != nil {
+		own = c.Priority
+	}
+	i, _ := slices.BinarySearchFunc(t.ranks, rankOf(r, own), rank.compare)
+	return quetzalhook.Tier(min(i, maxTier))
 }
 
 // Route returns the route of a request: among the routes with its host name, the
--- a/internal/record/routing/table_test.go
+++ b/internal/record/routing/table_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
+
+	"quetzalhook"
 )
 
 // Guards against a request that gets the route of another host name or of a
@@ -43,3 +45,40 @@
 		return out.String()
 	})
 }
+
+// Guards against a patient route of a customer with a priority that is served before
+// an urgent one of the same or of an equal customer.
+func TestTiers(t *testing.T) {
+	datadriven.RunTest(t, "testdata/tiers", func(t *testing.T, d *datadriven.TestData) string {
+		table := &Table{}
+		var out strings.Builder
+		for line := range strings.Lines(d.Input) {
+			var name string
+			var priority int
+			n, err := fmt.Sscan(line[strings.Index(line, " "):], &name, &priority)
+			switch verb, _, _ := strings.Cut(line, " "); {
+			case verb == "route" && n == 2, verb == "public" && n == 2:
+				table.Routes = append(table.Routes, Route{Name: name, Priority: priority, Public: verb == "public"})
+			case verb == "customer" && n == 2:
+				table.Customers = append(table.Customers, Customer{ID: quetzalhook.CustomerID(name), Priority: &priority})
+			case verb == "customer" && n == 1:
+				table.Customers = append(table.Customers, Customer{ID: quetzalhook.CustomerID(name)})
+			default:
+				t.Fatalf("line %q: %v", line, err)
+			}
+		}
+		table.Index()
+		for i := range table.Routes {
+			r := &table.Routes[i]
+			if r.Public || !table.HasCustomers() {
+				fmt.Fprintf(&out, "%s: %d\n", r.Name, table.Tier(r, nil))
+				continue
+			}
+			for j := range table.Customers {
+				c := &table.Customers[j]
+				fmt.Fprintf(&out, "%s of %s: %d\n", r.Name, c.ID, table.Tier(r, c))
+			}
+		}
+		return out.String()
+	})
+}
