Log the connections of a request, and how far a stop had come

Around a stop, the log could not tell a request whose connection was closed as it began from one that was cut at the limit of the stop. After a refusal, it could not tell whether the next attempt used the connection of the refused one. Requests are now logged with the number of their connection to the upstream and its reuse, with the requests and the age of the caller's connection, and with the time since SIGTERM.

A gateway sets the hooks of its server itself (Attach), since it needs two of them.

--- a/internal/entry/connection/error.go
+++ b/internal/entry/connection/error.go
@@ -23,7 +23,9 @@
 	Upstream quetzalhook.UpstreamID
 	// Reused reports that the connection had been used for other requests before.
 	Reused bool
-	Err    error
+	// Connection is the number of the connection, or 0 if none was used.
+	Connection int64
+	Err        error
 }
 
 // Error implements error.
--- a/internal/entry/connection/exchange.go
+++ b/internal/entry/connection/exchange.go
@@ -57,6 +57,8 @@
 	Body io.ReadCloser
 	// Reused reports that the connection had been used for other requests before.
 	Reused bool
+	// Connection is the number of the connection, unique in the pool.
+	Connection int64
 }
 
 // exchange is a request and its response on a connection.
@@ -94,10 +96,10 @@
 		if ctx.Err() != nil {
 			err = errors.Wrap(context.Cause(ctx), err.Error())
 		}
-		return nil, &Error{Op: "answer", Kind: ErrorBroken, Upstream: t.ID, Reused: x.reused, Err: err}
+		return nil, &Error{Op: "answer", Kind: ErrorBroken, Upstream: t.ID, Reused: x.reused, Connection: c.number, Err: err}
 	}
 	return &Response{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Reused: x.reused,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Reused: x.reused, Connection: c.number,
 		Body: &body{exchange: x, response: resp},
 	}, nil
 }
@@ -203,7 +205,7 @@
 	}
 	if err != io.EOF {
 		b.exchange.finish(false, 0)
-		return n, &Error{Op: "answer", Kind: ErrorBroken, Upstream: b.exchange.target.ID, Reused: b.exchange.reused, Err: err}
+		return n, &Error{Op: "answer", Kind: ErrorBroken, Upstream: b.exchange.target.ID, Reused: b.exchange.reused, Connection: b.exchange.conn.number, Err: err}
 	}
 	if !b.atEOF {
 		b.atEOF = true
--- a/internal/entry/connection/pool.go
+++ b/internal/entry/connection/pool.go
@@ -52,6 +52,7 @@
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
+	number int64
 	reader *bufio.Reader
 	// allowance bounds the bytes of a response header; see limitHeader.
 	allowance *io.LimitedReader
@@ -163,7 +164,8 @@
 		}
 		p.discard(t.key(), c)
 	}
-	if err := p.reserve(t); err != nil {
+	number, err := p.reserve(t)
+	if err != nil {
 		return nil, err
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", t.Address)
@@ -172,7 +174,7 @@
 		return nil, &Error{Op: "dial", Kind: ErrorNotSent, Upstream: t.ID, Err: err}
 	}
 	allowance := &io.LimitedReader{R: raw, N: math.MaxInt64}
-	return &conn{Conn: raw, allowance: allowance, reader: bufio.NewReaderSize(allowance, readBufferSize)}, nil
+	return &conn{Conn: raw, number: number, allowance: allowance, reader: bufio.NewReaderSize(allowance, readBufferSize)}, nil
 }
 
 // takeIdle removes the most recently used idle connection from the pool and returns
@@ -195,13 +197,14 @@
 	return nil
 }
 
-// reserve counts a connection that is about to be opened. At the limit, it closes
-// the least recently used idle connection, or fails if there is none.
-func (p *Pool) reserve(t Target) error {
+// reserve counts a connection that is about to be opened and returns its number. At
+// the limit, it closes the least recently used idle connection, or fails if there is
+// none.
+func (p *Pool) reserve(t Target) (int64, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		return &Error{Op: "dial", Kind: ErrorNotSent, Upstream: t.ID, Err: errors.New("the pool is closed")}
+		return 0, &Error{Op: "dial", Kind: ErrorNotSent, Upstream: t.ID, Err: errors.New("the pool is closed")}
 	}
 	g := p.groups[t.key()]
 	if g == nil {
@@ -210,7 +213,7 @@
 	}
 	if t.MaxConnections > 0 && g.open >= t.MaxConnections {
 		if len(g.idle) == 0 {
-			return &Error{Op: "dial", Kind: ErrorLimit, Upstream: t.ID, Err: errors.Errorf("%d connections are open", g.open)}
+			return 0, &Error{Op: "dial", Kind: ErrorLimit, Upstream: t.ID, Err: errors.Errorf("%d connections are open", g.open)}
 		}
 		_ = g.idle[0].Conn.Close()
 		g.idle = g.idle[1:]
@@ -218,7 +221,7 @@
 	}
 	g.open++
 	p.opened++
-	return nil
+	return p.opened, nil
 }
 
 // release subtracts a closed connection, or one that could not be opened, from the
--- a/internal/entry/gateway/conns.go
+++ b/internal/entry/gateway/conns.go
@@ -30,36 +30,62 @@
 
 // callerConn is the state of one connection.
 type callerConn struct {
+	opened   time.Time
+	requests int // used only by the goroutine that serves the connection
+
+	// The following fields are guarded by callerConns.mu.
 	state http.ConnState
 	since time.Time
 	idle  *time.Timer // closes the connection; nil unless it is idle
 }
 
+// connKey is the key of a connection's *callerConn in the context of its requests.
+type connKey struct{}
+
 func newCallerConns(timeout func() time.Duration) *callerConns {
 	return &callerConns{timeout: timeout, conns: make(map[net.Conn]*callerConn)}
 }
 
-// ConnState closes idle connections of callers. It must be set as the ConnState
-// hook of the http.Server.
-func (g *Gateway) ConnState(c net.Conn, state http.ConnState) { g.callers.onStateChange(c, state) }
+// Attach makes the gateway follow the connections of a server whose handler it is. It
+// must be called before the server serves.
+func (g *Gateway) Attach(s *http.Server) {
+	s.ConnState = g.callers.onStateChange
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, g.callers.add(c))
+	}
+}
+
+// add starts to follow a connection.
+func (cs *callerConns) add(c net.Conn) *callerConn {
+	now := time.Now()
+	n := &callerConn{opened: now, since: now}
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.conns[c] = n
+	return n
+}
 
 // onStateChange starts a timer for a connection that becomes idle and stops it
 // on any other change of state.
 func (cs *callerConns) onStateChange(c net.Conn, state http.ConnState) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if old := cs.conns[c]; old != nil && old.idle != nil {
-		old.idle.Stop()
+	n := cs.conns[c]
+	if n == nil {
+		return
+	}
+	if n.idle != nil {
+		n.idle.Stop()
+		n.idle = nil
 	}
 	if state == http.StateClosed || state == http.StateHijacked {
 		delete(cs.conns, c)
 		return
 	}
-	n := &callerConn{state: state, since: time.Now()}
+	n.state, n.since = state, time.Now()
 	if state == http.StateIdle {
 		n.idle = time.AfterFunc(cs.timeout(), func() { _ = c.Close() })
 	}
-	cs.conns[c] = n
 }
 
 // closeUnused closes the connections without a request, and returns the number of
--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -22,6 +22,7 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	start   time.Time
+	conn    *callerConn // of the caller; nil if the server is not attached
 
 	table    *routing.Table
 	route    *routing.Route
@@ -36,6 +37,8 @@
 	attempts       int
 	attempt        quetzalhook.Attempt // the latest one
 	eventsBefore   int                 // events that earlier attempts received
+	connection     int64               // to the upstream, in its latest attempt; 0 if nothing was sent
+	reused         bool                // the connection had been used for other requests
 	rateLimit      float64             // that the upstream has named in its latest answer; 0 for none
 	mayHaveRun     bool                // an upstream may have run the request
 	usageCounted   bool
@@ -163,6 +166,7 @@
 	if x.rateLimit > 0 {
 		fields["upstream-limit"] = x.rateLimit
 	}
+	x.addConnFields(fields)
 	if err == nil {
 		first := x.elapsed()
 		if !x.stream.firstEventTime.IsZero() {
@@ -194,10 +198,22 @@
 func (x *exchange) failureFields() logrus.Fields {
 	return logrus.Fields{
 		"request": x.inbound.ID, "upstream": x.attempt.Upstream.ID, "attempt-events": x.stream.events - x.eventsBefore,
+		"connection": x.connection, "connection-reused": x.reused,
 		"shared-parts": formatParts(quetzalhook.SharedParts(x.inbound.Parts)),
 	}
 }
 
+// addConnFields adds the use of the caller's connection to the log fields and, during
+// a stop, how long before the request the stop began.
+func (x *exchange) addConnFields(fields logrus.Fields) {
+	if x.conn != nil {
+		fields["conn-requests"], fields["conn-age-ms"] = x.conn.requests, time.Since(x.conn.opened).Milliseconds()
+	}
+	if stop := x.gateway.drainStart.Load(); stop != nil {
+		fields["stopping-ms"] = x.start.Sub(*stop).Milliseconds()
+	}
+}
+
 // formatParts returns the hashes of prompt parts in hexadecimal, as callers send
 // them, separated by commas.
 func formatParts(parts []quetzalhook.PromptPart) string {
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -73,12 +73,12 @@
 // Gateway is an http.Handler that relays requests to upstreams. It is safe for
 // concurrent use.
 type Gateway struct {
-	deps     Deps
-	draining atomic.Bool
-	open     atomic.Int64
-	callers  *callerConns
-	streams  *streams
-	moves    sync.WaitGroup
+	deps       Deps
+	drainStart atomic.Pointer[time.Time] // nil until Drain is called
+	open       atomic.Int64
+	callers    *callerConns
+	streams    *streams
+	moves      sync.WaitGroup
 }
 
 // New returns a Gateway. Close must be called after its last request.
@@ -99,7 +99,10 @@
 }
 
 // Drain makes every later response ask the caller to close the connection.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+func (g *Gateway) Drain() {
+	now := g.deps.Clock.Now()
+	g.drainStart.CompareAndSwap(nil, &now)
+}
 
 // Open returns the number of requests in progress.
 func (g *Gateway) Open() int { return int(g.open.Load()) }
@@ -109,7 +112,11 @@
 	g.open.Add(1)
 	defer g.open.Add(-1)
 	x := &exchange{gateway: g, w: w, r: r, start: g.deps.Clock.Now()}
-	if g.draining.Load() {
+	x.conn, _ = r.Context().Value(connKey{}).(*callerConn)
+	if x.conn != nil {
+		x.conn.requests++
+	}
+	if g.drainStart.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	x.serve()
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -58,7 +58,7 @@
 		CountUsage: func(c quetzalhook.CustomerID) { env.record(&env.usage, string(c)) }, Observer: env, Region: "r", Clock: clock, Log: log,
 	})
 	env.server = httptest.NewUnstartedServer(env.gateway)
-	env.server.Config.ConnState = env.gateway.ConnState
+	env.gateway.Attach(env.server.Config)
 	env.server.Config.ErrorLog = nil
 	env.server.Start()
 	return env
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -77,16 +77,21 @@
 func (x *exchange) runAttempt(ctx context.Context, ticket quetzalhook.Ticket, a quetzalhook.Attempt) (quetzalhook.AttemptEnd, error) {
 	x.attempts++
 	x.attempt, x.eventsBefore, x.rateLimit = a, x.stream.events, 0
+	x.connection, x.reused = 0, false
 	resp, err := x.send(ctx, a)
 	if err != nil {
 		var e *connection.Error
-		if errors.As(err, &e) && e.Kind != connection.ErrorBroken {
-			return quetzalhook.AttemptEnd{End: quetzalhook.EndNotSent}, err
+		if errors.As(err, &e) {
+			if e.Kind != connection.ErrorBroken {
+				return quetzalhook.AttemptEnd{End: quetzalhook.EndNotSent}, err
+			}
+			x.connection, x.reused = e.Connection, e.Reused
 		}
 		x.mayHaveRun = true
 		return quetzalhook.AttemptEnd{End: quetzalhook.EndBroken}, err
 	}
 	defer resp.Body.Close()
+	x.connection, x.reused = resp.Connection, resp.Reused
 	end := quetzalhook.AttemptEnd{End: quetzalhook.EndFinished, Verdict: x.gateway.deps.Protocol.ParseAnswer(resp.Status, resp.Header)}
 	x.rateLimit = end.Verdict.RateLimit
 	if end.Verdict.NotRun {
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -197,9 +197,10 @@
 	h.wg.Go(func() { h.runDuties(ctx) })
 	h.wg.Go(func() { h.followUpstreams(ctx) })
 	h.callerServer = &http.Server{
-		Handler: h.gateway, ConnState: h.gateway.ConnState, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: h.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: nil,
 	}
+	h.gateway.Attach(h.callerServer)
 	directory := h.adapter.Directory(h.hosts, listTTL(h.settings))
 	for address, server := range map[string]*http.Server{
 		h.settings.Listen.Callers:           h.callerServer,
--- a/internal/entry/host/listener_test.go
+++ b/internal/entry/host/listener_test.go
@@ -59,7 +59,8 @@
 		conns = append(conns, c)
 	}
 	g := gateway.New(gateway.Deps{Tables: noTable{}, Protocol: noHeaders{}, Observer: ignored{}, Clock: quetzalhook.ClockFunc(time.Now), Log: discard()})
-	server := &http.Server{Handler: g, ConnState: g.ConnState}
+	server := &http.Server{Handler: g}
+	g.Attach(server)
 	defer func() { _ = server.Close() }()
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(l) }()
