Close callers' connections without cutting a request that begins

Callers with kept connections sent a request around the time at which the host closed idle ones, in a stop or after the idle timeout. The request reached its upstream, and the caller got no answer.

Cause: a connection counts as idle until net/http has read the header of the next request. What closed it, closeUnused or the timer, and the start of the request did not exclude each other. The state change waited for the lock that closeUnused held, and the request went on afterwards.

Now the host never closes such a connection itself. It sets the read deadline to the past, so that the goroutine that reads decides: either it has read a request, which then takes the deadline back and is served, or it has not and closes the connection. The deadline is not set while unread data has arrived (MSG_PEEK, shared with the pool). Each connection has a lock of its own, so that a request does not wait while others are closed.

The same cause elsewhere: http.Server.IdleTimeout of the serve command works by a read deadline too; its stop uses http.Server.Shutdown, which drops requests that are read late, and is not changed here. The pool of connections to upstreams takes and closes idle ones under one lock.

--- a/internal/entry/connection/dial.go
+++ b/internal/entry/connection/dial.go
@@ -10,6 +10,7 @@
 package connection
 
 import (
+	"cmp"
 	"net"
 	"syscall"
 	"time"
@@ -56,20 +57,32 @@
 // isIdle reports whether an unused connection can be reused: it is open and no data
 // has arrived on it.
 func isIdle(c net.Conn) bool {
+	_, err := peek(c)
+	return err == unix.EAGAIN || err == unix.EWOULDBLOCK
+}
+
+// HasInput reports whether data has arrived on a connection that nobody has read.
+// Another goroutine may be reading from the connection.
+func HasInput(c net.Conn) bool {
+	n, err := peek(c)
+	return err == nil && n > 0
+}
+
+// peek returns the number of bytes, at most 1, that a read would return now. It
+// returns EAGAIN if the read would block, or if the connection cannot tell.
+func peek(c net.Conn) (int, error) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, unix.EAGAIN
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	idle := false
 	var buffer [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		idle = err == unix.EAGAIN || err == unix.EWOULDBLOCK
-		return true
+	n, peekErr := 0, error(nil)
+	err = raw.Control(func(fd uintptr) {
+		n, _, peekErr = unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && idle
+	return n, cmp.Or(err, peekErr)
 }
--- a/internal/entry/gateway/conns.go
+++ b/internal/entry/gateway/conns.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
+
+	"quetzalhook/internal/entry/connection"
 )
 
 const (
@@ -28,15 +32,19 @@
 	conns map[net.Conn]*callerConn
 }
 
-// callerConn is the state of one connection.
+// callerConn is one connection. It is never closed directly, since that could cut a
+// request that the server is reading: a deadline in the past makes the server close
+// it, unless a request has been read.
 type callerConn struct {
+	net.Conn
 	opened   time.Time
 	requests int // used only by the goroutine that serves the connection
 
-	// The following fields are guarded by callerConns.mu.
-	state http.ConnState
-	since time.Time
-	idle  *time.Timer // closes the connection; nil unless it is idle
+	mu      sync.Mutex
+	state   http.ConnState
+	since   time.Time
+	idle    *time.Timer // closes the connection; nil unless it is idle
+	expired bool        // the read deadline is in the past
 }
 
 // connKey is the key of a connection's *callerConn in the context of its requests.
@@ -58,47 +66,87 @@
 // add starts to follow a connection.
 func (cs *callerConns) add(c net.Conn) *callerConn {
 	now := time.Now()
-	n := &callerConn{opened: now, since: now}
+	n := &callerConn{Conn: c, opened: now, since: now}
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.conns[c] = n
 	return n
 }
 
-// onStateChange starts a timer for a connection that becomes idle and stops it
-// on any other change of state.
+// onStateChange follows the state of a connection. The server calls it with StateActive
+// once it has read the header of a request, and before it handles the request.
 func (cs *callerConns) onStateChange(c net.Conn, state http.ConnState) {
 	cs.mu.Lock()
-	defer cs.mu.Unlock()
 	n := cs.conns[c]
-	if n == nil {
-		return
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(cs.conns, c)
+	}
+	cs.mu.Unlock()
+	if n != nil {
+		n.setState(state, cs.timeout)
 	}
+}
+
+// setState starts a timer for a connection that becomes idle and stops it on any other
+// change of state.
+func (n *callerConn) setState(state http.ConnState, timeout func() time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	if n.idle != nil {
 		n.idle.Stop()
 		n.idle = nil
 	}
-	if state == http.StateClosed || state == http.StateHijacked {
-		delete(cs.conns, c)
-		return
-	}
 	n.state, n.since = state, time.Now()
-	if state == http.StateIdle {
-		n.idle = time.AfterFunc(cs.timeout(), func() { _ = c.Close() })
+	switch {
+	case state == http.StateIdle:
+		since := n.since
+		n.idle = time.AfterFunc(timeout(), func() { n.closeIdle(since) })
+	case state == http.StateActive && n.expired:
+		n.expired = false
+		_ = n.SetReadDeadline(time.Time{}) // an error shows when the body is read
 	}
 }
 
+// closeIdle closes the connection if it has been idle since the given time. It tries
+// again until the state has changed.
+func (n *callerConn) closeIdle(since time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.state == http.StateIdle && n.since.Equal(since) {
+		n.expire()
+		n.idle.Reset(closeInterval)
+	}
+}
+
+// closeUnused closes the connection if it has no request.
+func (n *callerConn) closeUnused() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.state == http.StateIdle || n.state == http.StateNew && time.Since(n.since) >= newConnTimeout {
+		n.expire()
+	}
+}
+
+// expire makes the server close the connection, unless a request is there. n.mu must
+// be locked.
+func (n *callerConn) expire() {
+	if connection.HasInput(n.Conn) {
+		return
+	}
+	n.expired = true
+	_ = n.SetReadDeadline(time.Unix(0, 0)) // fails only if the connection is closed
+}
+
 // closeUnused closes the connections without a request, and returns the number of
 // those that remain.
 func (cs *callerConns) closeUnused() int {
 	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	for c, s := range cs.conns {
-		if s.state == http.StateIdle || s.state == http.StateNew && time.Since(s.since) >= newConnTimeout {
-			_ = c.Close()
-		}
+	conns := slices.Collect(maps.Values(cs.conns))
+	cs.mu.Unlock()
+	for _, n := range conns {
+		n.closeUnused()
 	}
-	return len(cs.conns)
+	return len(conns)
 }
 
 // CloseConns closes the connections of callers once they have no request, and waits
