Log an unreadable record once, and tell other hosts of it

A record of an upstream, or a configuration, that cannot be decoded was decoded and logged again at every list of a host that did not know it from before: with ten lists of one odd record of each kind, 20 lines. The same host kept no entry for it, so that a host that pulls changes from it could keep the sound record that the odd one had replaced, until its next full list.

The follower now remembers the version of a record that it has rejected, until the record changes or is gone, and keeps a removed entry for it, as for a deleted record.

--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -98,13 +98,17 @@
 	table        *Table
 	tableVersion quetzalhook.Version
 	entries      map[quetzalhook.UpstreamID]*entry
-	upstreams    []quetzalhook.Upstream   // result of Upstreams; replaced, never modified
-	outdated     bool                     // whether upstreams must be rebuilt from entries
-	latest       quetzalhook.Version      // version of the newest known change of upstreams
-	complete     quetzalhook.Version      // all upstream changes up to it are known
-	purged       quetzalhook.Version      // some removals up to it may be unknown here
-	contacts     map[string]*storeContact // by prefix
-	changed      chan struct{}            // closed and replaced at each change
+	// rejected holds the versions of the stored records that cannot be decoded, and
+	// rejectedTable that of the table, so that each is logged once.
+	rejected      map[quetzalhook.UpstreamID]quetzalhook.Version
+	rejectedTable quetzalhook.Version
+	upstreams     []quetzalhook.Upstream   // result of Upstreams; replaced, never modified
+	outdated      bool                     // whether upstreams must be rebuilt from entries
+	latest        quetzalhook.Version      // version of the newest known change of upstreams
+	complete      quetzalhook.Version      // all upstream changes up to it are known
+	purged        quetzalhook.Version      // some removals up to it may be unknown here
+	contacts      map[string]*storeContact // by prefix
+	changed       chan struct{}            // closed and replaced at each change
 }
 
 // Option sets one property of a Follower.
@@ -124,7 +128,8 @@
 ) *Follower {
 	f := &Follower{
 		host: host, store: store, peers: peers, source: source, clock: clock, log: log, inv: inv,
-		entries: make(map[quetzalhook.UpstreamID]*entry), changed: make(chan struct{}),
+		entries: make(map[quetzalhook.UpstreamID]*entry), rejected: make(map[quetzalhook.UpstreamID]quetzalhook.Version),
+		changed:  make(chan struct{}),
 		settled:  func() bool { return true },
 		contacts: map[string]*storeContact{source.TableKey: {lastAnswer: clock.Now()}, source.UpstreamPrefix: {lastAnswer: clock.Now()}},
 	}
@@ -395,8 +400,17 @@
 	if o.Key != f.source.TableKey || o.Deleted {
 		return
 	}
+	f.mu.Lock()
+	isRejected := o.Version <= f.rejectedTable
+	f.mu.Unlock()
+	if isRejected {
+		return
+	}
 	t, err := f.source.DecodeTable(o.Value)
 	if err != nil {
+		f.mu.Lock()
+		f.rejectedTable = o.Version
+		f.mu.Unlock()
 		f.log.WithError(err).WithField("revision", o.Version).Error("decoding routing table failed; the previous one stays in force")
 		return
 	}
--- a/internal/record/routing/upstreams.go
+++ b/internal/record/routing/upstreams.go
@@ -32,6 +32,11 @@
 			f.remove(now, id, e, list.Version, list.afterOutage)
 		}
 	}
+	for id := range f.rejected {
+		if !listed[id] {
+			delete(f.rejected, id)
+		}
+	}
 	if list.Version > f.complete {
 		// Upstreams may have been added and removed since the last list without
 		// this host seeing it. A host whose state is older than this list needs the
@@ -55,6 +60,7 @@
 	id := f.upstreamID(o)
 	e := f.entries[id]
 	if o.Deleted {
+		delete(f.rejected, id)
 		f.removeByID(now, id, o.Version)
 		f.complete = max(f.complete, o.Version)
 		return
@@ -63,14 +69,17 @@
 		return
 	}
 	f.complete = max(f.complete, o.Version)
+	if o.Version <= f.rejected[id] {
+		return
+	}
 	u, err := f.source.DecodeUpstream(id, o.Value)
 	if err != nil {
 		f.log.WithError(err).WithField("revision", o.Version).Warn("decoding upstream record failed; upstream not used")
-		if e != nil && e.removed.IsZero() {
-			f.remove(now, id, e, o.Version, false)
-		}
+		f.rejected[id] = o.Version
+		f.removeByID(now, id, o.Version)
 		return
 	}
+	delete(f.rejected, id)
 	f.setUpstream(u, o.Version)
 }
 
