Bound a stop by its own times, and refuse what cannot end in them

Requests that came late in a stop, or were still open at its end, got no answer: the host cut them at the limit, also those that no upstream had. Their callers could not know that nothing had run.

Causes: - The listener closed only after the lease was given up and the entry removed from the list of hosts, which take up to a term and 2 s if the store does not answer. The host took requests all the while. - A request was taken whatever its timeout, up to the last moment. - At the limit the host closed the connections, and a request that waited for an upstream or for the first byte of an answer ended with them.

Now the times of a stop follow from stop-s and answer-life-s alone (stopTimes). The calls to the store run beside the rest. Once callers have lists without this host, a request whose timeout passes after the end is answered with 503, "not run", and a Retry-After of 1 ms (Stop.takes; after its body, before it is submitted, so that it counts for no budget or usage). 0.2 s before the end, the requests in progress are ended: with 503 if nothing was sent, 504 otherwise; only a response that has begun is cut. Before callers know other hosts every request is taken, since most end far before their timeout. The attempts count as left by the caller, not as failures of the upstream. One log line each, of kind host-stopping.

Readiness is not changed: it is 503 from the signal on. The serve command (internal/entry/node) has the same fault at the end of its stop.

--- a/cmd/quetzalhook/host_test.go
+++ b/cmd/quetzalhook/host_test.go
@@ -31,6 +31,7 @@
 // configuration: it answers every request with 503.
 type testHost struct {
 	callers   string // address for callers
+	store     *standin.Store
 	terminate func() // does what SIGTERM does
 	done      chan error
 }
@@ -44,7 +45,7 @@
 		server.Close()
 	})
 	inner, ready := freePort(t), freePort(t)
-	h := &testHost{callers: fmt.Sprintf("127.0.0.1:%d", freePort(t)), done: make(chan error, 1)}
+	h := &testHost{store: store, callers: fmt.Sprintf("127.0.0.1:%d", freePort(t)), done: make(chan error, 1)}
 	settings := fmt.Sprintf(`host: one
 zone: z
 region: r
@@ -104,6 +105,31 @@
 	h.awaitStop(t)
 }
 
+// Guards against a stopping host that takes requests for longer, or ends later, because
+// its store does not answer.
+func TestStopWithoutStore(t *testing.T) {
+	h := startTestHost(t)
+	h.store.SetFaults(standin.StoreFaults{Silent: true})
+	start := time.Now()
+	h.terminate()
+	for time.Since(start) < 10*time.Second {
+		c, err := net.Dial("tcp", h.callers)
+		if err != nil {
+			break
+		}
+		_ = c.Close()
+		time.Sleep(10 * time.Millisecond)
+	}
+	// A host with stop-s 3 takes requests for half of 3 s - 700 ms.
+	if got, want := time.Since(start), 1600*time.Millisecond; got > want {
+		t.Errorf("listener open after the signal: got %v, want less than %v", got, want)
+	}
+	h.awaitStop(t)
+	if got, want := time.Since(start), 3*time.Second; got > want {
+		t.Errorf("stopped after the signal: got %v, want less than %v", got, want)
+	}
+}
+
 // waitListening waits until something answers at url.
 func waitListening(t *testing.T, url string) {
 	t.Helper()
--- a/internal/entry/gateway/conns.go
+++ b/internal/entry/gateway/conns.go
@@ -149,23 +149,6 @@
 	return len(conns)
 }
 
-// CloseConns closes the connections of callers once they have no request, and waits
-// until all are closed or ctx ends. The listener must be closed before. It replaces
-// http.Server.Shutdown, which drops a request that is read after its start without
-// an answer.
-func (g *Gateway) CloseConns(ctx context.Context) error {
-	ticker := time.NewTicker(closeInterval)
-	defer ticker.Stop()
-	for g.callers.closeUnused() > 0 {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-	return nil
-}
-
 func (g *Gateway) idleTimeout() time.Duration {
 	if t, _ := g.deps.Tables.Table(); t != nil && t.Limits.IdleTimeout > 0 {
 		return t.Limits.IdleTimeout
--- a/internal/entry/gateway/error.go
+++ b/internal/entry/gateway/error.go
@@ -32,6 +32,8 @@
 	ErrorTimeout ErrorKind = "timeout"
 	// ErrorBroken reports that the upstream failed after the request was sent.
 	ErrorBroken ErrorKind = "upstream-broken"
+	// ErrorStopping reports that a stopping host has no time for the request.
+	ErrorStopping ErrorKind = "host-stopping"
 	// ErrorCallerGone reports that the caller disconnected.
 	ErrorCallerGone ErrorKind = "caller-gone"
 )
--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -55,7 +55,7 @@
 func (x *exchange) serve() {
 	err := x.prepare()
 	if err == nil {
-		ctx, cancel := context.WithTimeout(x.r.Context(), x.timeout)
+		ctx, cancel := x.gateway.withLimits(x.r.Context(), x.timeout)
 		err = x.relay(ctx)
 		cancel()
 	}
@@ -101,7 +101,10 @@
 	if x.service == nil {
 		return rejection(http.StatusServiceUnavailable, ErrorNoRoute, "the service of the route is not configured")
 	}
-	return x.readBody()
+	if err := x.readBody(); err != nil {
+		return err
+	}
+	return x.checkStop()
 }
 
 const (
@@ -209,8 +212,8 @@
 	if x.conn != nil {
 		fields["conn-requests"], fields["conn-age-ms"] = x.conn.requests, time.Since(x.conn.opened).Milliseconds()
 	}
-	if stop := x.gateway.drainStart.Load(); stop != nil {
-		fields["stopping-ms"] = x.start.Sub(*stop).Milliseconds()
+	if s := x.gateway.stop.Load(); s != nil {
+		fields["stopping-ms"] = x.start.Sub(s.Start).Milliseconds()
 	}
 }
 
@@ -233,6 +236,8 @@
 		return own
 	case x.r.Context().Err() != nil:
 		return &Error{Op: "relay", Kind: ErrorCallerGone, Status: statusCallerGone, Message: "the caller disconnected"}
+	case x.ctx != nil && context.Cause(x.ctx) == errStopping:
+		return x.endedByStop()
 	case x.mayHaveRun && errors.Is(err, errTimeout):
 		return &Error{Op: "relay", Kind: ErrorTimeout, Status: http.StatusGatewayTimeout, Message: "no complete answer in time"}
 	case x.mayHaveRun:
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -73,12 +73,14 @@
 // Gateway is an http.Handler that relays requests to upstreams. It is safe for
 // concurrent use.
 type Gateway struct {
-	deps       Deps
-	drainStart atomic.Pointer[time.Time] // nil until Drain is called
-	open       atomic.Int64
-	callers    *callerConns
-	streams    *streams
-	moves      sync.WaitGroup
+	deps    Deps
+	stop    atomic.Pointer[Stop] // nil until Drain is called
+	ended   context.Context      // ends with the time for a stop
+	end     context.CancelFunc
+	open    atomic.Int64
+	callers *callerConns
+	streams *streams
+	moves   sync.WaitGroup
 }
 
 // New returns a Gateway. Close must be called after its last request.
@@ -88,6 +90,7 @@
 	}
 	g := &Gateway{deps: deps, streams: newStreams()}
 	g.callers = newCallerConns(g.idleTimeout)
+	g.ended, g.end = context.WithCancel(context.Background())
 	return g
 }
 
@@ -95,15 +98,10 @@
 // before.
 func (g *Gateway) Close() error {
 	g.moves.Wait()
+	g.end()
 	return nil
 }
 
-// Drain makes every later response ask the caller to close the connection.
-func (g *Gateway) Drain() {
-	now := g.deps.Clock.Now()
-	g.drainStart.CompareAndSwap(nil, &now)
-}
-
 // Open returns the number of requests in progress.
 func (g *Gateway) Open() int { return int(g.open.Load()) }
 
@@ -116,7 +114,7 @@
 	if x.conn != nil {
 		x.conn.requests++
 	}
-	if g.drainStart.Load() != nil {
+	if g.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	x.serve()
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -34,7 +34,7 @@
 		for errors.Is(err, errMoved) {
 			end, err = x.resumeMoved(ctx, &ticket)
 		}
-		if err != nil && x.r.Context().Err() != nil {
+		if err != nil && (x.r.Context().Err() != nil || context.Cause(ctx) == errStopping) {
 			end.End = quetzalhook.EndCallerGone
 		}
 		ticket.End(end)
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -194,7 +194,10 @@
 
 // Close stops the background work, waits for orders that are being sent and
 // releases the role. If the store fails, the role ends when its term does.
-func (l *Lease) Close() error {
+func (l *Lease) Close() error { return l.Leave(context.Background()) }
+
+// Leave is Close with a limit: when ctx ends, no more calls to the store are made.
+func (l *Lease) Leave(ctx context.Context) error {
 	l.mu.Lock()
 	l.closing = true
 	l.mu.Unlock()
@@ -203,7 +206,7 @@
 		<-l.done
 	}
 	l.activeOrders.Wait()
-	ctx, cancel := context.WithTimeout(context.Background(), l.term)
+	ctx, cancel := context.WithTimeout(ctx, l.term)
 	defer cancel()
 	return l.release(ctx)
 }
