Send a request once at most on each connection

An order that an upstream has refused may come to it again. Where that upstream writes its refusal once more on the kept connection, the copy names the same request, and was taken for the answer to the attempt that ran: the order was sent to another upstream too, or its caller was told 503 'not-run'.

The identifier of a request tells answers to different requests apart, but not answers to two attempts of one.

--- a/internal/entry/connection/connection_test.go
+++ b/internal/entry/connection/connection_test.go
@@ -192,7 +192,8 @@
 }
 
 // exchangeOnce sends one request and describes its response. Fields: the request ID
-// and the options fresh, body=BYTES, limit=CONNECTIONS and timeout=MS.
+// and the options fresh, body=BYTES, sent-on=CONNECTION, limit=CONNECTIONS and
+// timeout=MS.
 func exchangeOnce(p *Pool, address string, fields []string) string {
 	r := &Request{Method: "POST", URI: "/path?q=1", Host: "h", Header: http.Header{"Id": {fields[0]}}}
 	r.Answers = func(h http.Header) bool { return h.Get("Id") == "" || h.Get("Id") == fields[0] }
@@ -206,6 +207,8 @@
 			r.Fresh = true
 		case "body":
 			r.Body = []byte(strings.Repeat("x", n))
+		case "sent-on":
+			r.SentOn = append(r.SentOn, int64(n))
 		case "limit":
 			t.MaxConnections = n
 		case "timeout":
--- a/internal/entry/connection/exchange.go
+++ b/internal/entry/connection/exchange.go
@@ -41,6 +41,10 @@
 	// Fresh requires a new connection. The upstream may have closed an idle one
 	// unnoticed, which would leave the outcome of the request unknown.
 	Fresh bool
+	// SentOn lists the numbers of the connections on which this request was sent
+	// before. They are not used for it again, because a second copy of the answer
+	// to the earlier attempt could not be told from the answer to this one.
+	SentOn []int64
 	// Answers reports, from the header of a response, whether the response is for
 	// this request. If it is nil, every response is accepted.
 	Answers func(http.Header) bool
@@ -78,7 +82,7 @@
 // ends, the connection is closed, even while the body is read. Errors are of type
 // *Error.
 func (p *Pool) Do(ctx context.Context, t Target, r *Request) (*Response, error) {
-	c, err := p.get(ctx, t, r.Fresh)
+	c, err := p.get(ctx, t, r)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/connection/pool.go
+++ b/internal/entry/connection/pool.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -151,11 +152,10 @@
 	}
 }
 
-// get returns an idle connection or opens a new one. If fresh is set, it always
-// opens a new one.
-func (p *Pool) get(ctx context.Context, t Target, fresh bool) (*conn, error) {
-	for !fresh {
-		c := p.takeIdle(t.key())
+// get returns an idle connection that the request may use, or opens a new one.
+func (p *Pool) get(ctx context.Context, t Target, r *Request) (*conn, error) {
+	for !r.Fresh {
+		c := p.takeIdle(t.key(), r.SentOn)
 		if c == nil {
 			break
 		}
@@ -177,17 +177,21 @@
 	return &conn{Conn: raw, number: number, allowance: allowance, reader: bufio.NewReaderSize(allowance, readBufferSize)}, nil
 }
 
-// takeIdle removes the most recently used idle connection from the pool and returns
-// it, or nil if there is none.
-func (p *Pool) takeIdle(k key) *conn {
+// takeIdle removes the most recently used idle connection whose number is not among
+// excluded from the pool and returns it, or nil if there is none.
+func (p *Pool) takeIdle(k key, excluded []int64) *conn {
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g := p.groups[k]
-	for g != nil && len(g.idle) > 0 {
-		last := len(g.idle) - 1
-		c := g.idle[last]
-		g.idle = g.idle[:last]
+	if g == nil {
+		return nil
+	}
+	for i, c := range slices.Backward(g.idle) {
+		if slices.Contains(excluded, c.number) {
+			continue
+		}
+		g.idle = slices.Delete(g.idle, i, i+1)
 		if now.Before(c.expiry) {
 			return c
 		}
--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -39,6 +39,7 @@
 	eventsBefore   int                 // events that earlier attempts received
 	connection     int64               // to the upstream, in its latest attempt; 0 if nothing was sent
 	reused         bool                // the connection had been used for other requests
+	sentOn         []int64             // connections on which attempts were answered; the others are closed
 	rateLimit      float64             // that the upstream has named in its latest answer; 0 for none
 	mayHaveRun     bool                // an upstream may have run the request
 	usageCounted   bool
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -252,6 +252,7 @@
 func (u *scriptedUpstream) serve(c net.Conn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
+	written := "" // last answer on the connection
 	for {
 		request, err := http.ReadRequest(r)
 		if err != nil {
@@ -272,6 +273,8 @@
 			case step == "reset":
 				_ = c.(*net.TCPConn).SetLinger(0)
 				return
+			case step == "again": // write the last answer on the connection once more, if any
+				_, _ = io.WriteString(c, written)
 			case step == "until-moved":
 				u.announceLeaving()
 				<-u.runStopped
@@ -295,6 +298,7 @@
 				if err != nil {
 					panic(err)
 				}
+				written = text
 				_, _ = io.WriteString(c, text)
 			}
 		}
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -92,6 +92,7 @@
 	}
 	defer resp.Body.Close()
 	x.connection, x.reused = resp.Connection, resp.Reused
+	x.sentOn = append(x.sentOn, resp.Connection)
 	end := quetzalhook.AttemptEnd{End: quetzalhook.EndFinished, Verdict: x.gateway.deps.Protocol.ParseAnswer(resp.Status, resp.Header)}
 	x.rateLimit = end.Verdict.RateLimit
 	if end.Verdict.NotRun {
@@ -144,7 +145,7 @@
 		ID: a.Upstream.ID, Address: a.Upstream.Address, Started: a.Upstream.Started, MaxConnections: x.gateway.connectionLimit(x.service),
 	}
 	return deps.Pool.Do(ctx, target, &connection.Request{
-		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
+		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body, SentOn: x.sentOn,
 		Answers: func(h http.Header) bool { return deps.Protocol.IsAnswerTo(h, x.inbound.ID) },
 	})
 }
