Never report not-run after an attempt that may have run

Where an upstream refused a request that an earlier one may have run, and no attempt followed, the caller was told 503 with the outcome 'not-run'. So it was for a stream that may run only once, moved before its first event to an engine that refused it: the run had begun at the first engine.

The error of the latest attempt was reported although it tells nothing of the attempts before. Errors that promise 'not run' are now replaced by 502 (504 after the timeout) if any attempt may have run.

--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -228,12 +228,13 @@
 	return strings.Join(hashes, ",")
 }
 
-// callerError returns the error to send to the caller for any failure.
+// callerError returns the error to send to the caller for any failure. A refusal
+// tells the outcome of the latest attempt only, not that of earlier ones.
 func (x *exchange) callerError(err error) *Error {
 	var own *Error
 	var refusal *quetzalhook.Refusal
 	switch {
-	case errors.As(err, &own):
+	case errors.As(err, &own) && !(x.mayHaveRun && impliesNotRun(own.Status)):
 		return own
 	case x.r.Context().Err() != nil:
 		return &Error{Op: "relay", Kind: ErrorCallerGone, Status: statusCallerGone, Message: "the caller disconnected"}
