--- a/internal/record/routing/table.go
+++ b/internal/record/routing/table.go
@@ -96,13 +96,18 @@
 	CanMove bool `cbor:"6,keyasint"`
 }
 
+// maxTokenTransfer bounds TokenTransfer: a copy of a few tokens that takes longer
+// is never worth it.
+const maxTokenTransfer = time.Minute
+
 // TokenTransfer returns the time to copy one token of KV cache to another
 // engine; 0 means that the engines cannot copy KV cache.
 func (e *Engine) TokenTransfer() time.Duration {
 	if e.LinkBits <= 0 {
 		return 0
 	}
-	return time.Duration(float64(e.TokenBytes) * 8 / e.LinkBits * float64(time.Second))
+	seconds := min(float64(e.TokenBytes)*8/e.LinkBits, maxTokenTransfer.Seconds())
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // Scaling holds the limits and prices for ordering upstreams of a service. Min
