Wait for the last request before the next script of the gateway

With -race, TestRequests failed in 1 of 12 runs of the code as it was (load average 20 on 8 processors): a script set the stall limit while the request of a caller that had disconnected in the script before was still read it to log its end. Each script now begins only when no request is open. The checks are unchanged.

--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -379,6 +379,9 @@
 //	took-less DURATION       prints a line if the last request took longer
 //	cut-only                 prints only whether the last response was cut
 func (env *testEnvironment) runScript(t *testing.T, input string) string {
+	for env.gateway.Open() > 0 { // of a caller that disconnected in an earlier script
+		time.Sleep(time.Millisecond)
+	}
 	env.mu.Lock()
 	env.offers, env.ends, env.usage, env.results, env.moves, env.moveFails = nil, nil, nil, nil, nil, ""
 	env.mu.Unlock()
