Accept answers without a request ID on new connections only

A refusal whose copy names no request, written once more on a kept connection, was taken for the answer to the next request there: a caller was told 'not run' for a request that ran, and an order was sent once more.

An answer without an identifier was accepted for any request. It is now accepted on a new connection only, where no other request can be meant, and that connection is not reused. Elsewhere it is skipped like an answer to another request. A request without an identifier gets a new connection.

Protocol.IsAnswerTo becomes AnswerID, since 'names none' and 'names this one' now differ; the acceptance is checked in the connection tests. There, the second request got the copy (503 'full') before, and gets its own 200 now.

--- a/internal/entry/connection/connection_test.go
+++ b/internal/entry/connection/connection_test.go
@@ -195,8 +195,10 @@
 // and the options fresh, body=BYTES, sent-on=CONNECTION, limit=CONNECTIONS and
 // timeout=MS.
 func exchangeOnce(p *Pool, address string, fields []string) string {
-	r := &Request{Method: "POST", URI: "/path?q=1", Host: "h", Header: http.Header{"Id": {fields[0]}}}
-	r.Answers = func(h http.Header) bool { return h.Get("Id") == "" || h.Get("Id") == fields[0] }
+	r := &Request{
+		Method: "POST", URI: "/path?q=1", Host: "h", Header: http.Header{"Id": {fields[0]}},
+		ID: fields[0], AnswerID: func(h http.Header) string { return h.Get("Id") },
+	}
 	t := Target{ID: "u", Address: address}
 	timeout := 2 * time.Second
 	for _, option := range fields[1:] {
--- a/internal/entry/connection/exchange.go
+++ b/internal/entry/connection/exchange.go
@@ -45,9 +45,12 @@
 	// before. They are not used for it again, because a second copy of the answer
 	// to the earlier attempt could not be told from the answer to this one.
 	SentOn []int64
-	// Answers reports, from the header of a response, whether the response is for
-	// this request. If it is nil, every response is accepted.
-	Answers func(http.Header) bool
+	// ID identifies the request, and AnswerID returns the ID that the header of a
+	// response names, or "". A response that names no request is accepted only on a
+	// new connection, which is not reused after it: elsewhere it may be a copy of a
+	// response to another request. If AnswerID is nil, every response is accepted.
+	ID       string
+	AnswerID func(http.Header) string
 }
 
 // Response is a response whose body has not been read.
@@ -71,6 +74,7 @@
 	target  Target
 	conn    *conn
 	reused  bool
+	unnamed bool       // the response names no request
 	written chan error // result of writing the request
 	// cancelClose ends the watch that closes the connection when the context ends. It
 	// returns false if the connection was closed already.
@@ -141,7 +145,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.Answers == nil || r.Answers(resp.Header) {
+		if x.isAnswer(r, resp.Header) {
 			return resp, nil
 		}
 		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
@@ -159,6 +163,16 @@
 	return nil, errors.Errorf("no response to the request among the first %d on the connection", maxResponses)
 }
 
+// isAnswer reports whether the response with the header h is for the request.
+func (x *exchange) isAnswer(r *Request, h http.Header) bool {
+	if r.AnswerID == nil {
+		return true
+	}
+	id := r.AnswerID(h)
+	x.unnamed = id == ""
+	return id == r.ID && !x.unnamed || x.unnamed && !x.reused
+}
+
 // Discard drops the body. It keeps the connection if the rest of a short body
 // arrives within discardTimeout, and closes it otherwise.
 func (r *Response) Discard() {
@@ -216,7 +230,7 @@
 		// The end of a response without a length is the end of its connection, which
 		// cannot be reused.
 		framed := b.response.ContentLength >= 0 || len(b.response.TransferEncoding) > 0
-		reusable := framed && !b.response.Close && b.exchange.requestWritten()
+		reusable := framed && !b.response.Close && !b.exchange.unnamed && b.exchange.requestWritten()
 		b.exchange.finish(reusable, keepAliveTimeout(b.response.Header.Get("Keep-Alive")))
 	}
 	return n, io.EOF
--- a/internal/entry/connection/pool.go
+++ b/internal/entry/connection/pool.go
@@ -154,7 +154,8 @@
 
 // get returns an idle connection that the request may use, or opens a new one.
 func (p *Pool) get(ctx context.Context, t Target, r *Request) (*conn, error) {
-	for !r.Fresh {
+	fresh := r.Fresh || r.AnswerID != nil && r.ID == ""
+	for !fresh {
 		c := p.takeIdle(t.key(), r.SentOn)
 		if c == nil {
 			break
--- a/internal/entry/gateway/protocol_test.go
+++ b/internal/entry/gateway/protocol_test.go
@@ -67,9 +67,8 @@
 	}
 }
 
-func (testProtocol) IsAnswerTo(h http.Header, id quetzalhook.RequestID) bool {
-	echoed := h.Get("Request-Id")
-	return echoed == "" || echoed == string(id)
+func (testProtocol) AnswerID(h http.Header) quetzalhook.RequestID {
+	return quetzalhook.RequestID(h.Get("Request-Id"))
 }
 
 func (testProtocol) ParseAnswer(status int, h http.Header) quetzalhook.Verdict {
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -146,7 +146,7 @@
 	}
 	return deps.Pool.Do(ctx, target, &connection.Request{
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body, SentOn: x.sentOn,
-		Answers: func(h http.Header) bool { return deps.Protocol.IsAnswerTo(h, x.inbound.ID) },
+		ID: string(x.inbound.ID), AnswerID: func(h http.Header) string { return string(deps.Protocol.AnswerID(h)) },
 	})
 }
 
--- a/protocol.go
+++ b/protocol.go
@@ -91,8 +91,9 @@
 	Forward(h http.Header) http.Header
 	// Encode adds the headers for o to the forwarded headers.
 	Encode(h http.Header, o Outbound)
-	// IsAnswerTo reports whether an answer belongs to a request.
-	IsAnswerTo(h http.Header, id RequestID) bool
+	// AnswerID returns the ID of the request that an answer belongs to; empty if the
+	// answer names none.
+	AnswerID(h http.Header) RequestID
 	// ParseAnswer returns what the status and the headers of an answer tell about the
 	// request and the upstream.
 	ParseAnswer(status int, h http.Header) Verdict
