Reject a configuration document that is nested deeply

Cause: the YAML parser recurses, and keeps the path of each value as text, so that its memory grows with the square of the depth.

The tokens are now checked before they are parsed. More than 50 levels of brackets and indented collections, or more than 50 tags, anchors and aliases on a line, are a mistake with its position. A sound document has six levels.

--- a/internal/record/configuration/parse.go
+++ b/internal/record/configuration/parse.go
@@ -11,6 +11,7 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
 	"github.com/goccy/go-yaml/token"
 )
@@ -23,7 +24,11 @@
 // Parse decodes a YAML document and validates it. Its error is an *Error that
 // lists all mistakes, up to maxMistakes.
 func Parse(data []byte) (*Document, error) {
-	file, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
+	tokens := lexer.Tokenize(string(data))
+	if m := checkNesting(tokens); m != nil {
+		return nil, &Error{Op: "parse", Kind: ErrorInvalid, Mistakes: []Mistake{*m}}
+	}
+	file, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		return nil, &Error{Op: "parse", Kind: ErrorInvalid, Mistakes: []Mistake{syntaxMistake(err)}}
 	}
