Replace a lease object that another program has overwritten

While an object of a role could not be decoded, no host could hold the role: each challenge failed, and the holder that did not renew was not replaced, so that usage was not reported and no upstream was ordered until somebody repaired the object. A token of 2^64-1 was followed by 0. A term of 9,223,372,036,854,775,807 ms or below 0 overflowed or freed the role at once.

An object that cannot be decoded, with a token larger than its version, or with a term that no host writes, now counts as held by an unknown host for one term and the margin. Then it is replaced. The next token follows the version of the object: each token was given with a write, so that no earlier one is larger. Orders with unknown outcome that were in the object are lost with it. Each challenge meanwhile returns the cause, which its caller logs.

TestLease, script odd.txt: before, b did not hold the role 33 s after the object of a was overwritten, and the token after 2^64-1 was 0.

--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -75,6 +75,7 @@
 	docKnown   bool // whether doc and version may serve as the base of a write
 	doc        document
 	version    quetzalhook.Version
+	odd        error                // why the object could not be decoded, or nil
 	seenAt     time.Time            // when this host first saw version
 	sentAt     map[string]time.Time // send times of writes whose answer was lost, by nonce
 	ownIntents map[string]sendState // intents of this incarnation, by order ID
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -16,7 +16,8 @@
 
 // Guards against a takeover before term + margin, a released role that others
 // cannot take at once, an intent that is wrongly removed or kept, and a lost
-// answer that is treated as a failure or a success.
+// answer that is treated as a failure or a success, and an object of another
+// program after which no host can hold the role.
 func TestLease(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		ctx := context.Background()
@@ -75,6 +76,17 @@
 			t.Fatal(bad)
 		}
 		*now = now.Add(d)
+	case "overwrite": // by another program
+		o, bad := s.Get(ctx, "lease/"+string(RoleController))
+		if bad == nil {
+			_, bad = s.Put(ctx, o.Key, []byte(strings.Join(f[2:], " ")), o.Version)
+		}
+		if bad != nil {
+			t.Fatal(bad)
+		}
+	case "fencing":
+		token, _ := l.Fencing()
+		return fmt.Sprint(token)
 	case "lose":
 		s.SetFaults(memory.Faults{LoseAnswers: 1})
 	case "outage":
--- a/internal/fleet/lease/step.go
+++ b/internal/fleet/lease/step.go
@@ -96,6 +96,9 @@
 		return l.fail("challenge", KindStore, err)
 	}
 	if !l.isFree() {
+		if l.odd != nil {
+			return l.fail("challenge", KindStore, l.odd)
+		}
 		l.pruneOwnIntents(l.doc)
 		return l.removeOwnIntents(ctx)
 	}
@@ -303,15 +306,18 @@
 		return errors.Errorf("stale read of %s: version %d after %d", l.key, o.Version, l.version)
 	}
 	var d document
+	l.odd = nil
 	if o.Version > 0 {
-		if d, err = decode(o.Value); err != nil {
-			return errors.Wrapf(err, "decode %s", l.key)
+		if d, err = l.interpret(o); err != nil {
+			l.odd = errors.Wrapf(err, "decode %s", l.key)
 		}
 	}
 	if l.seenAt.IsZero() || o.Version != l.version {
 		l.seenAt = l.clock.Now()
 	}
-	l.checkSingleHolder(d)
+	if l.odd == nil {
+		l.checkSingleHolder(d)
+	}
 	l.doc, l.version, l.docKnown = d, o.Version, true
 	if sentAt, ok := l.sentAt[d.Nonce]; ok {
 		l.applyWrite(d, o.Version, sentAt)
@@ -319,6 +325,31 @@
 	return nil
 }
 
+// unknownHolder stands for the holder in an object that cannot be decoded.
+const unknownHolder = "?"
+
+// maxStoredTerms is the longest term, in terms of this host, that a host may have
+// written.
+const maxStoredTerms = 10
+
+// interpret decodes the object. If another program has overwritten it, interpret
+// returns an error and a document that keeps the role taken for a term, since the
+// holder may not know yet. The fencing token in it is the version: each token was
+// given by a write, so that none is larger.
+func (l *Lease) interpret(o quetzalhook.Object) (document, error) {
+	d, err := decode(o.Value)
+	if err == nil && d.Fencing > uint64(o.Version) {
+		err = errors.Errorf("fencing token %d at version %d", d.Fencing, o.Version)
+	}
+	if most := maxStoredTerms * l.term.Milliseconds(); err == nil && (d.TermMS < 0 || d.TermMS > most) {
+		err = errors.Errorf("term of %d ms", d.TermMS)
+	}
+	if err != nil {
+		return document{Holder: unknownHolder, Fencing: uint64(o.Version), TermMS: l.term.Milliseconds()}, err
+	}
+	return d, nil
+}
+
 // checkSingleHolder checks the invariants that no other process holds the
 // role during this host's term and that fencing tokens never decrease.
 func (l *Lease) checkSingleHolder(d document) {
