Reject host entries that no host writes

An odd entry among those of the hosts was taken for a host: one whose heartbeat address is a name, which is looked up in the loop that sends the heartbeats to all hosts; one under another key with the name of a live host and a larger incarnation, which replaces that host; one with port 70000 or with 1e300 processors. One that could not be decoded was logged at each list.

An entry now counts if its key is that of its host, its addresses are IP:PORT with a port of 1 to 65535, as the settings require of each host, and its processors are between 0 and 65,536. An odd one is logged once per version.

TestOddEntries replaces TestUnreadableEntry: the case "rubbish" is one of its twelve. The hosts of the tests have IP addresses now, as real ones do, in place of "a:1".

That a lookup delays heartbeats is from reading the code (member/service.go, send).

--- a/internal/fleet/registration/registration.go
+++ b/internal/fleet/registration/registration.go
@@ -6,8 +6,11 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
+	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"quetzalhook"
@@ -23,6 +26,10 @@
 	maxRetryPause = 5 * time.Second
 	// leaveTimeout bounds the removal of the entry at a planned shutdown.
 	leaveTimeout = 2 * time.Second
+	// maxProcessors bounds the processor time of a host, in cores.
+	maxProcessors = 1 << 16
+	// maxLogged is the number of odd entries that are remembered as logged.
+	maxLogged = 1000
 )
 
 // entry is the stored value of a host.
@@ -46,11 +53,14 @@
 
 	cancel context.CancelFunc
 	done   chan struct{}
+
+	mu  sync.Mutex
+	odd map[string]quetzalhook.Version // versions of the odd entries that were logged, by key
 }
 
 // New returns a registry that registers self.
 func New(store quetzalhook.Store, self quetzalhook.HostStatus, log logrus.FieldLogger) *Registry {
-	return &Registry{store: store, self: self, log: log}
+	return &Registry{store: store, self: self, log: log, odd: make(map[string]quetzalhook.Version)}
 }
 
 // Start registers this host in the background, until it succeeds or Close is
@@ -148,9 +158,11 @@
 	}
 	var hosts []quetzalhook.HostStatus
 	for _, o := range list.Objects {
-		var e entry
-		if err := json.Unmarshal(o.Value, &e); err != nil || e.Host == "" {
-			r.log.WithField("key", o.Key).Warn("host entry cannot be decoded")
+		e, err := decode(o)
+		if err != nil {
+			if r.isNewOdd(o) {
+				r.log.WithError(err).WithField("key", o.Key).WithField("revision", o.Version).Warn("host entry cannot be decoded")
+			}
 			continue
 		}
 		hosts = append(hosts, quetzalhook.HostStatus{
@@ -161,6 +173,44 @@
 	return hosts, nil
 }
 
+// decode decodes the entry of a host. An entry with values that no host writes is an
+// error: a name for an address, which is looked up, delays the heartbeats to all
+// hosts, and an entry under another key could replace that of a live host.
+func decode(o quetzalhook.Object) (entry, error) {
+	var e entry
+	if err := json.Unmarshal(o.Value, &e); err != nil {
+		return e, errors.WithStack(err)
+	}
+	if e.Host == "" || o.Key != keyPrefix+string(e.Host) {
+		return e, errors.Errorf("entry of host %.64q", e.Host)
+	}
+	for _, address := range []string{e.Heartbeat, e.Peer, e.Callers} {
+		a, err := netip.ParseAddrPort(address)
+		if address != "" && (err != nil || a.Port() == 0) {
+			return e, errors.Errorf("address %.64q is not of the form IP:PORT", address)
+		}
+	}
+	if e.Processors < 0 || e.Processors > maxProcessors {
+		return e, errors.Errorf("%g processors", e.Processors)
+	}
+	return e, nil
+}
+
+// isNewOdd reports whether an entry that cannot be decoded is seen for the first
+// time.
+func (r *Registry) isNewOdd(o quetzalhook.Object) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.odd[o.Key] == o.Version {
+		return false
+	}
+	if len(r.odd) >= maxLogged {
+		clear(r.odd)
+	}
+	r.odd[o.Key] = o.Version
+	return true
+}
+
 // ErrorKind classifies the errors of this package.
 type ErrorKind string
 
--- a/internal/fleet/registration/registration_test.go
+++ b/internal/fleet/registration/registration_test.go
@@ -1,10 +1,13 @@
 package registration
 
 import (
+	"fmt"
 	"io"
+	"strings"
 	"testing"
 
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"quetzalhook"
 	"quetzalhook/internal/platform/memory"
@@ -14,8 +17,8 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return New(store, quetzalhook.HostStatus{
-		Host: host, Incarnation: incarnation, Zone: "z", HeartbeatAddress: string(host) + ":1", PeerAddress: string(host) + ":2",
-		Region: "r", Address: string(host) + ":3", Processors: 0.8,
+		Host: host, Incarnation: incarnation, Zone: "z", HeartbeatAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2",
+		Region: "r", Address: "10.0.0.1:3", Processors: 0.8,
 	}, log)
 }
 
@@ -58,19 +61,35 @@
 	}
 }
 
-// Guards against an entry that cannot be decoded and makes the whole list fail.
-func TestUnreadableEntry(t *testing.T) {
+// Guards against an odd entry that makes the whole list fail, that is taken for a
+// host, that replaces another host, or that is logged at each list.
+func TestOddEntries(t *testing.T) {
 	ctx := t.Context()
 	store := memory.New()
-	if _, err := store.Put(ctx, "hosts/x", []byte("rubbish"), 0); err != nil {
-		t.Fatal(err)
+	odd := []string{
+		"rubbish", "null", `{"host":""}`, `{"host":"a","incarnation":9000000000000000000,"heartbeat":"10.0.0.1:1"}`,
+		`{"host":"x4","heartbeat":"host.example:70"}`, `{"host":"x5","peer":"10.0.0.1:70000"}`, `{"host":"x6","callers":"10.0.0.1:0"}`,
+		`{"host":"x7","processors":1e300}`, `{"host":"x8","processors":-1}`, `{"host":"x9","incarnation":-1}`, `{"host":["x10"]}`,
+		strings.Repeat("[", 10_001) + strings.Repeat("]", 10_001),
+	}
+	for i, value := range odd {
+		if _, err := store.Put(ctx, fmt.Sprintf("hosts/x%d", i), []byte(value), 0); err != nil {
+			t.Fatal(err)
+		}
 	}
 	r := newRegistry(store, "a", 1)
+	log, logged := logtest.NewNullLogger()
+	r.log = log
 	if err := r.register(ctx); err != nil {
 		t.Fatal(err)
 	}
-	list, err := r.Hosts(ctx)
-	if err != nil || len(list) != 1 || list[0] != r.self {
-		t.Errorf("hosts: got %v, %v, want %v only", list, err, r.self)
+	for range 3 {
+		list, err := r.Hosts(ctx)
+		if err != nil || len(list) != 1 || list[0] != r.self {
+			t.Errorf("hosts: got %v, %v, want %v only", list, err, r.self)
+		}
+	}
+	if got, want := len(logged.AllEntries()), len(odd); got != want {
+		t.Errorf("log lines: got %d, want %d", got, want)
 	}
 }
