Freeze a window again whose object was overwritten

The object of a frozen window that another program had overwritten kept the usage of every eighth window from being reported: one that cannot be decoded failed each read, and one with a far later window passed for a window that needs no report.

An object with a negative window, one more than eight windows ahead, a negative count, or one that cannot be decoded is logged and counts as one of no window, so that the window is frozen again in its place. A reporter that has sent the window keeps the counts that it sent.

--- a/internal/record/invoice/invoice_test.go
+++ b/internal/record/invoice/invoice_test.go
@@ -246,6 +246,16 @@
 		c.receiver.setFaults(0, f[1] == "down")
 	case "store":
 		c.store.SetFaults(memory.Faults{Outage: f[1] == "down"})
+	case "odd": // another program writes the objects of all windows
+		for i := range frozenObjects {
+			key, base := fmt.Sprintf("usage/%d", i), quetzalhook.Version(0)
+			if o, err := c.store.Get(c.t.Context(), key); err == nil {
+				base = o.Version
+			}
+			if _, err := c.store.Put(c.t.Context(), key, []byte(f[1]), base); err != nil {
+				c.t.Fatal(err)
+			}
+		}
 	case "lose-changes":
 		c.store.SetFaults(memory.Faults{LoseAnswers: 3})
 	}
@@ -254,7 +264,8 @@
 // Guards against a window that is not reported, or is reported twice with different
 // counts by two hosts that both act as holder of the duty. The faults are a holder
 // that is killed, stopped or paused, lost answers, and outages of the store or the
-// platform. Also guards against lost counts of a killed host.
+// platform, and objects of another program. Also guards against lost counts of a
+// killed host.
 func TestReports(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
--- a/internal/record/invoice/reporter.go
+++ b/internal/record/invoice/reporter.go
@@ -69,6 +69,16 @@
 	Counts tally.Counts `json:"counts"`
 }
 
+// isSound reports whether a reporter can have frozen f. Its clock may be ahead.
+func (f frozenCounts) isSound(current tally.Window) bool {
+	for _, n := range f.Counts {
+		if n < 0 {
+			return false
+		}
+	}
+	return f.Window >= 0 && f.Window <= current+frozenObjects
+}
+
 // Reporter freezes and reports windows while its host holds the duty. It is not
 // safe for concurrent use.
 type Reporter struct {
@@ -177,7 +187,7 @@
 		return counts, nil
 	}
 	key := fmt.Sprintf("usage/%d", w%frozenObjects)
-	stored, version, err := r.readFrozen(ctx, key)
+	stored, version, err := r.readFrozen(ctx, key, r.counter.At(now))
 	if err != nil {
 		return nil, err
 	}
@@ -210,8 +220,10 @@
 }
 
 // readFrozen returns the frozen window that an object holds, and the store version
-// of the object. The version is 0 if the object does not exist.
-func (r *Reporter) readFrozen(ctx context.Context, key string) (frozenCounts, quetzalhook.Version, error) {
+// of the object. The version is 0 if the object does not exist. An object that no
+// reporter has written, which another program has overwritten, is logged; it counts
+// as one of no window, so that it is replaced.
+func (r *Reporter) readFrozen(ctx context.Context, key string, current tally.Window) (frozenCounts, quetzalhook.Version, error) {
 	o, err := r.store.Get(ctx, key)
 	var e *quetzalhook.StoreError
 	if errors.As(err, &e) && e.Kind == quetzalhook.StoreNotFound {
@@ -221,8 +233,13 @@
 		return frozenCounts{}, 0, &Error{Op: "read", Kind: ErrorStore, Err: err}
 	}
 	var f frozenCounts
-	if err := json.Unmarshal(o.Value, &f); err != nil {
-		return frozenCounts{}, 0, &Error{Op: "read", Kind: ErrorStore, Err: err}
+	err = json.Unmarshal(o.Value, &f)
+	if err == nil && !f.isSound(current) {
+		err = fmt.Errorf("window %d with %d counts", f.Window, len(f.Counts))
+	}
+	if err != nil {
+		r.log.WithError(err).WithField("key", key).WithField("revision", o.Version).Warn("frozen window cannot be decoded; freezing again")
+		return frozenCounts{Window: -1}, o.Version, nil
 	}
 	if f.Counts == nil {
 		f.Counts = make(tally.Counts)
