Replace an odd object in the place of a quarantine

While an object that is not a quarantine stood under the key of one, the leader tried to store the quarantine again every 250 ms, with two calls and a log line each, and a host that started later did not learn of it from the store. A stored quarantine with a count that no host writes was imposed.

After a conflict the leader now replaces an object that holds something else. A quarantine with a count below 1 or above 2^20 is not merged, neither from the store nor from another host.

--- a/internal/fleet/isolator/isolator_test.go
+++ b/internal/fleet/isolator/isolator_test.go
@@ -18,6 +18,7 @@
 	"quetzalhook"
 	"quetzalhook/internal/fleet/peer"
 	"quetzalhook/internal/platform/memory"
+	"quetzalhook/internal/traffic/quarantine"
 )
 
 // testCluster runs the isolators of several hosts in virtual time. It also
@@ -245,6 +246,23 @@
 				fmt.Fprintf(&c.out, "%v: %v\n", e.Data["key"], e.Data[logrus.ErrorKey])
 			}
 		}
+	case "overwrite": // PART TEXT: an odd object in the place of a quarantine
+		f[2] = strings.Join(f[2:], " ")
+		key, base := storeKey(quarantine.Fact{Parts: []quarantine.Part{{Hash: uint64(f[1][0]), Model: "m"}}}), quetzalhook.Version(0)
+		if o, err := c.store.Get(c.t.Context(), key); err == nil {
+			base = o.Version
+		}
+		if _, err := c.store.Put(c.t.Context(), key, []byte(f[2]), base); err != nil {
+			c.t.Fatal(err)
+		}
+	case "not-stored": // HOST: prints how often a quarantine was not stored
+		n := 0
+		for _, e := range c.logs[f[1]].AllEntries() {
+			if e.Message == "quarantine not stored" {
+				n++
+			}
+		}
+		fmt.Fprintf(&c.out, "not stored: %d\n", n)
 	case "corrupt":
 		for name, value := range map[string]string{"x": "no record", "y": "{}", "z": `{"parts":["no part"]}`} {
 			if _, err := c.store.Put(c.t.Context(), keyPrefix+name, []byte(value), 0); err != nil {
--- a/internal/fleet/isolator/store.go
+++ b/internal/fleet/isolator/store.go
@@ -134,6 +134,7 @@
 		o, getErr := i.settings.Store.Get(ctx, storeKey(f))
 		if getErr == nil {
 			i.loadObject(o)
+			i.replaceOdd(f.Key(), o.Version)
 		} else if quetzalhook.StoreKind(getErr, "") == quetzalhook.StoreNotFound {
 			i.forget(f.Key())
 		}
@@ -161,6 +162,16 @@
 	i.log.WithError(err).Debug("quarantine not deleted from the store")
 }
 
+// replaceOdd makes the next save replace the object of a quarantine if it holds
+// something else, which another program has written.
+func (i *Isolator) replaceOdd(key string, version quetzalhook.Version) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.stored[key].version != version {
+		i.stored[key] = storedQuarantine{version: version}
+	}
+}
+
 func (i *Isolator) forget(key string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/internal/traffic/quarantine/facts.go
+++ b/internal/traffic/quarantine/facts.go
@@ -44,6 +44,10 @@
 	AnsweredAfter  []Part        `cbor:"5,keyasint,omitempty"`
 }
 
+// maxCount bounds Fact.Count. The duration of a quarantine grows up to a far smaller
+// count.
+const maxCount = 1 << 20
+
 // Fact is a quarantine; Left is negative if it has expired.
 type Fact struct {
 	Parts   []Part        `cbor:"1,keyasint" json:"parts"`
@@ -122,7 +126,7 @@
 }
 
 func (t *Table) mergeQuarantine(now time.Time, f Fact) bool {
-	if len(f.Parts) == 0 || len(f.Parts) > maxParts || f.Left > MaxDuration || f.Left < -retention || f.Age < 0 {
+	if len(f.Parts) == 0 || len(f.Parts) > maxParts || f.Left > MaxDuration || f.Left < -retention || f.Age < 0 || f.Count < 1 || f.Count > maxCount {
 		return false
 	}
 	q := t.quarantines[f.Key()]
