Pass on only events of a stream, and each once

Neither the content nor the order of events was checked.

Events are now checked before they are passed on: only the fields of the event-stream format and those that the platform's protocol names, data with one numeric ID, IDs that increase. A resumed stream goes on with the very next event where the IDs had no gaps so far. The stream is then resumed if the route allows it, and cut otherwise. An engine that resumes and sends no event completes the stream only if its response is framed and a series of events: the first one had broken off after the last event. Another type or an encoding is no stream.

The scripts of slow streams sent the same event again and again, which is no sound stream; they now send increasing IDs and check the same. So does TestSlowCallerIsNoStall.

--- a/internal/entry/connection/exchange.go
+++ b/internal/entry/connection/exchange.go
@@ -59,6 +59,9 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is not known.
 	Length int64
+	// Framed reports that the response itself tells where its body ends. Otherwise the
+	// body ends with the connection.
+	Framed bool
 	// Body returns io.EOF only after the complete body. The caller must close it. If
 	// it is closed before io.EOF, the connection is closed too.
 	Body io.ReadCloser
@@ -106,9 +109,10 @@
 		}
 		return nil, &Error{Op: "answer", Kind: ErrorBroken, Upstream: t.ID, Reused: x.reused, Connection: c.number, Err: err}
 	}
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	return &Response{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Reused: x.reused, Connection: c.number,
-		Body: &body{exchange: x, response: resp},
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framed: framed, Reused: x.reused, Connection: c.number,
+		Body: &body{exchange: x, response: resp, framed: framed},
 	}, nil
 }
 
@@ -212,6 +216,7 @@
 type body struct {
 	exchange *exchange
 	response *http.Response
+	framed   bool
 	atEOF    bool
 }
 
@@ -227,10 +232,9 @@
 	}
 	if !b.atEOF {
 		b.atEOF = true
-		// The end of a response without a length is the end of its connection, which
+		// The end of a response that is not framed is the end of its connection, which
 		// cannot be reused.
-		framed := b.response.ContentLength >= 0 || len(b.response.TransferEncoding) > 0
-		reusable := framed && !b.response.Close && !b.exchange.unnamed && b.exchange.requestWritten()
+		reusable := b.framed && !b.response.Close && !b.exchange.unnamed && b.exchange.requestWritten()
 		b.exchange.finish(reusable, keepAliveTimeout(b.response.Header.Get("Keep-Alive")))
 	}
 	return n, io.EOF
--- a/internal/entry/gateway/endless_test.go
+++ b/internal/entry/gateway/endless_test.go
@@ -84,12 +84,13 @@
 	defer env.close()
 	env.gateway.deps.StallLimit = 50 * time.Millisecond
 	const events = 1200
-	event := "id: 1\ndata: " + strings.Repeat("x", 8<<10) + "\n\n"
+	event := "\ndata: " + strings.Repeat("x", 8<<10) + "\n\n"
+	const size = events * (len("id: 1000") + len("\ndata: ") + 8<<10 + len("\n\n"))
 	u := newScriptedUpstream(t)
 	u.answerAll = func(c net.Conn) {
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", events*len(event))
-		for range events {
-			if _, err := io.WriteString(c, event); err != nil {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size)
+		for i := range events {
+			if _, err := fmt.Fprintf(c, "id: %d%s", 1000+i, event); err != nil {
 				return
 			}
 		}
@@ -108,7 +109,7 @@
 		t.Fatal(err)
 	}
 	got, err := io.Copy(io.Discard, resp.Body)
-	if want := int64(events * len(event)); err != nil || got != want {
+	if want := int64(size); err != nil || got != want {
 		t.Errorf("stream to a slow caller: got %d bytes and %v, want %d", got, err, want)
 	}
 }
--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -176,8 +176,8 @@
 		if !x.stream.firstEventTime.IsZero() {
 			first = x.stream.firstEventTime.Sub(x.start)
 		}
-		fields["first-ms"], fields["tokens"], fields["gap-ms"] = first.Milliseconds(), x.stream.events, x.stream.maxGap.Milliseconds()
-		deps.Observer.Served(x.class, x.customer, first, x.stream.maxGap, x.stream.events)
+		fields["first-ms"], fields["tokens"], fields["gap-ms"] = first.Milliseconds(), x.stream.events.count, x.stream.maxGap.Milliseconds()
+		deps.Observer.Served(x.class, x.customer, first, x.stream.maxGap, x.stream.events.count)
 		deps.Log.WithFields(fields).Info("request served")
 		return
 	}
@@ -201,7 +201,7 @@
 // prompt parts.
 func (x *exchange) failureFields() logrus.Fields {
 	return logrus.Fields{
-		"request": x.inbound.ID, "upstream": x.attempt.Upstream.ID, "attempt-events": x.stream.events - x.eventsBefore,
+		"request": x.inbound.ID, "upstream": x.attempt.Upstream.ID, "attempt-events": x.stream.events.count - x.eventsBefore,
 		"connection": x.connection, "connection-reused": x.reused,
 		"shared-parts": formatParts(quetzalhook.SharedParts(x.inbound.Parts)),
 	}
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -285,7 +285,7 @@
 				pause, text, _ := strings.Cut(strings.TrimPrefix(step, "drip "), " ")
 				repeatText(c, pause, -1, text)
 				return
-			case strings.HasPrefix(step, "slow "): // write TEXT N times
+			case strings.HasPrefix(step, "slow "): // write TEXT N times, with "#" replaced by the number
 				fields := strings.SplitN(step, " ", 4)
 				n, _ := strconv.Atoi(fields[2])
 				repeatText(c, fields[1], n, fields[3])
@@ -316,9 +316,9 @@
 	if err != nil {
 		panic(err)
 	}
-	for ; n != 0; n-- {
+	for i := 1; n < 0 || i <= n; i++ {
 		time.Sleep(interval)
-		if _, err := io.WriteString(w, unquoted); err != nil {
+		if _, err := io.WriteString(w, strings.ReplaceAll(unquoted, "#", strconv.Itoa(i))); err != nil {
 			return
 		}
 	}
--- a/internal/entry/gateway/protocol_test.go
+++ b/internal/entry/gateway/protocol_test.go
@@ -75,3 +75,5 @@
 	moved := status == http.StatusMisdirectedRequest
 	return quetzalhook.Verdict{Moved: moved, NotRun: moved || h.Get("Not-Run") != ""}
 }
+
+func (testProtocol) IsEventField(name, _ []byte) bool { return string(name) == "weights" }
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -22,6 +22,10 @@
 // attempt may follow, or the dispatcher refuses it.
 func (x *exchange) relay(ctx context.Context) error {
 	x.ctx = ctx
+	x.stream.events.protocol = x.gateway.deps.Protocol
+	if x.route.IsRepeatable() {
+		x.stream.events.continueAfter(x.inbound.LastEvent)
+	}
 	ticket := x.gateway.deps.Dispatcher.Submit(ctx, x.request())
 	defer func() { ticket.Close() }()
 	var last error
@@ -66,7 +70,7 @@
 // mayRepeat reports whether a request that an upstream may have run may be sent
 // again.
 func (x *exchange) mayRepeat() bool {
-	if x.route.Kind == routing.KindStream && x.stream.headerSent && x.stream.lastEventID == "" {
+	if x.route.Kind == routing.KindStream && x.stream.headerSent && len(x.stream.events.lastID) == 0 {
 		return false // without an event ID another upstream cannot resume
 	}
 	return x.route.IsRepeatable()
@@ -76,7 +80,7 @@
 // returned AttemptEnd is also valid if there is an error.
 func (x *exchange) runAttempt(ctx context.Context, ticket quetzalhook.Ticket, a quetzalhook.Attempt) (quetzalhook.AttemptEnd, error) {
 	x.attempts++
-	x.attempt, x.eventsBefore, x.rateLimit = a, x.stream.events, 0
+	x.attempt, x.eventsBefore, x.rateLimit = a, x.stream.events.count, 0
 	x.connection, x.reused = 0, false
 	resp, err := x.send(ctx, a)
 	if err != nil {
@@ -109,7 +113,7 @@
 	case x.route.Kind == routing.KindStream && resp.Status == http.StatusOK:
 		x.gateway.streams.add(a.Upstream.ID, x)
 		err = x.finishMove(x.copyStream(ticket, resp))
-		end.Tokens = x.stream.events
+		end.Tokens = x.stream.events.count
 	case x.stream.headerSent:
 		err = &Error{
 			Op: "relay", Kind: ErrorBroken, Status: http.StatusBadGateway,
@@ -139,7 +143,7 @@
 	h := x.header.Clone()
 	deps.Protocol.Encode(h, quetzalhook.Outbound{
 		Customer: x.customer, Upstream: a.Upstream.ID, CallerTimeout: x.timeout - x.elapsed(), Urgency: a.Urgency,
-		HasUrgency: x.service.Engine != nil, LastEvent: x.stream.lastEventID, Source: a.Source, KVHandle: x.kvHandle,
+		HasUrgency: x.service.Engine != nil, LastEvent: string(x.stream.events.lastID), Source: a.Source, KVHandle: x.kvHandle,
 	})
 	target := connection.Target{
 		ID: a.Upstream.ID, Address: a.Upstream.Address, Started: a.Upstream.Started, MaxConnections: x.gateway.connectionLimit(x.service),
--- a/internal/entry/gateway/relocate.go
+++ b/internal/entry/gateway/relocate.go
@@ -250,7 +250,7 @@
 	m.cancel()
 	log := x.gateway.deps.Log.WithField("request", x.inbound.ID).WithField("upstream", x.attempt.Upstream.ID).WithField("destination", m.attempt.Upstream.ID)
 	if m.kvHandle != "" {
-		log.WithField("events", x.stream.events).WithError(m.err).Info("stream moved")
+		log.WithField("events", x.stream.events.count).WithError(m.err).Info("stream moved")
 		x.completedMove = m
 		return errMoved
 	}
@@ -265,7 +265,7 @@
 // stream from the engine that continues it. It replaces the ticket with the one
 // of the move.
 func (x *exchange) resumeMoved(ctx context.Context, ticket *quetzalhook.Ticket) (quetzalhook.AttemptEnd, error) {
-	(*ticket).End(quetzalhook.AttemptEnd{End: quetzalhook.EndFinished, Tokens: x.stream.events})
+	(*ticket).End(quetzalhook.AttemptEnd{End: quetzalhook.EndFinished, Tokens: x.stream.events.count})
 	(*ticket).Close()
 	m := x.completedMove
 	*ticket, x.completedMove, x.kvHandle = m.ticket, nil, m.kvHandle
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"quetzalhook"
 	"quetzalhook/internal/entry/connection"
 )
@@ -20,54 +23,101 @@
 // stream is the state of a streamed response. It spans all upstreams that
 // contribute to the response.
 type stream struct {
-	headerSent     bool   // the response header was written to the caller, or is about to be
-	lastEventID    string // of the last event that upstreams sent
-	events         int    // number of events with an ID
+	headerSent     bool // the response header was written to the caller, or is about to be
+	events         eventChecker
 	firstEventTime time.Time
 	lastEventTime  time.Time
 	maxGap         time.Duration // longest time between two reads of complete events
 }
 
-// copyStream passes on complete events as they arrive. The header is sent with
-// the first event, so that the caller can still get another response if the
-// upstream breaks before it.
+// copyStream passes on complete events as they arrive. What is no event ends the
+// attempt and is not passed on. The header is sent with the first event, so that the
+// caller can still get another response if the upstream breaks before it.
 func (x *exchange) copyStream(ticket quetzalhook.Ticket, resp *connection.Response) error {
+	if err := checkEventStream(resp.Header); err != nil {
+		return err
+	}
 	control := http.NewResponseController(x.w)
 	var pending []byte
 	buffer := make([]byte, readSize)
 	stall := watchStall(resp.Body, stallLimit(x.gateway.deps.StallLimit, x.class))
 	defer stall.stop()
+	events := &x.stream.events
+	events.startUpstream()
+	atStart := true
 	for {
 		n, err := resp.Body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
-		complete := completeEventsLen(pending)
+		if atStart {
+			trimmed := bytes.TrimPrefix(pending, byteOrderMark)
+			atStart = len(trimmed) == len(pending) && bytes.HasPrefix(byteOrderMark, pending)
+			pending = trimmed
+		}
+		before := events.count
+		complete, unsound := events.check(pending)
 		if complete > 0 {
-			before := x.stream.events
 			stall.pause()
 			if err := x.forwardEvents(control, ticket, resp, pending[:complete]); err != nil {
 				return err
 			}
-			stall.resume(x.stream.events > before)
+			stall.resume(events.count > before)
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		switch {
-		case err == io.EOF && len(pending) == 0 && x.stream.events > 0:
-			return nil
+		case unsound != nil:
+			return brokenStream("the stream has what is no event", unsound)
+		case err == io.EOF && len(pending) > 0:
+			return brokenStream("the stream ended within an event or without one", showBytes(pending))
+		case err == io.EOF && events.upstream == 0 && !isEmptyRest(events, resp):
+			return brokenStream("the stream ended within an event or without one", nil)
 		case err == io.EOF:
-			return &Error{Op: "relay", Kind: ErrorBroken, Status: http.StatusBadGateway, Message: "the stream ended within an event or without one"}
+			return nil
 		case err != nil:
 			return stall.explain(err)
 		case len(pending) > maxEventSize:
-			return &Error{Op: "relay", Kind: ErrorBroken, Status: http.StatusBadGateway, Message: "an event is too long"}
+			return brokenStream("an event is too long", showBytes(pending))
 		}
 	}
 }
 
+// brokenStream returns the error of an upstream whose stream must not go on. The
+// cause is logged and not sent to the caller.
+func brokenStream(message string, cause error) error {
+	return &Error{Op: "relay", Kind: ErrorBroken, Status: http.StatusBadGateway, Message: message, Err: cause}
+}
+
+func showBytes(data []byte) error {
+	return errors.Errorf("%d bytes, which begin with %q", len(data), data[:min(len(data), maxShownBytes)])
+}
+
+// checkEventStream returns an error if the header says that the body is not a series
+// of events. A missing type is not an error.
+func checkEventStream(h http.Header) error {
+	if encoding := h.Get("Content-Encoding"); encoding != "" && !strings.EqualFold(encoding, "identity") {
+		return brokenStream("the stream is encoded", errors.Errorf("encoding %q", encoding[:min(len(encoding), maxShownBytes)]))
+	}
+	if contentType := h.Get("Content-Type"); contentType != "" && !isEventStream(contentType) {
+		return brokenStream("the response is not a series of events", errors.Errorf("type %q", contentType[:min(len(contentType), maxShownBytes)]))
+	}
+	return nil
+}
+
+func isEventStream(contentType string) bool {
+	mediaType, _, _ := strings.Cut(contentType, ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
+// isEmptyRest reports whether a response without events completes the stream: an
+// earlier upstream sent the last event and broke before the end. An end of the
+// connection does not tell that nothing is missing.
+func isEmptyRest(events *eventChecker, resp *connection.Response) bool {
+	return events.count > 0 && resp.Framed && isEventStream(resp.Header.Get("Content-Type"))
+}
+
 // forwardEvents writes complete events to the caller, after the response header
 // if they are the first.
 func (x *exchange) forwardEvents(control *http.ResponseController, ticket quetzalhook.Ticket, resp *connection.Response, events []byte) error {
-	now := x.gateway.deps.Clock.Now()
-	x.recordEvents(now, events)
+	x.recordTimes(x.gateway.deps.Clock.Now())
 	if !x.stream.headerSent {
 		x.countUsage()
 		copyHeader(x.w.Header(), x.gateway.deps.Protocol.AnswerHeaders(resp.Header))
@@ -80,20 +130,12 @@
 	if err := control.Flush(); err != nil {
 		return err
 	}
-	ticket.Progress(x.stream.events)
+	ticket.Progress(x.stream.events.count)
 	return nil
 }
 
-// recordEvents counts the events, and records the last event ID and the times
-// between events.
-func (x *exchange) recordEvents(now time.Time, events []byte) {
-	for line := range bytes.Lines(events) {
-		line = bytes.TrimRight(line, "\r\n")
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			x.stream.lastEventID = string(bytes.TrimSpace(id))
-			x.stream.events++
-		}
-	}
+// recordTimes records the times between events.
+func (x *exchange) recordTimes(now time.Time) {
 	if x.stream.firstEventTime.IsZero() {
 		x.stream.firstEventTime = now
 	} else {
@@ -101,16 +143,3 @@
 	}
 	x.stream.lastEventTime = now
 }
-
-// completeEventsLen returns the length of the complete events at the start of
-// data, which end with the last empty line.
-func completeEventsLen(data []byte) int {
-	end := 0
-	if i := bytes.LastIndex(data, []byte("\n\n")); i >= 0 {
-		end = i + 2
-	}
-	if i := bytes.LastIndex(data, []byte("\r\n\r\n")); i >= 0 {
-		end = max(end, i+4)
-	}
-	return end
-}
--- a/protocol.go
+++ b/protocol.go
@@ -97,6 +97,9 @@
 	// ParseAnswer returns what the status and the headers of an answer tell about the
 	// request and the upstream.
 	ParseAnswer(status int, h http.Header) Verdict
+	// IsEventField reports whether an event of a streamed answer may have a line of
+	// this name and value, besides the fields of the event-stream format.
+	IsEventField(name, value []byte) bool
 	// AnswerHeaders returns the headers of an answer that are forwarded to the caller.
 	AnswerHeaders(h http.Header) http.Header
 }
