--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -40,6 +40,7 @@
 			&cli.IntFlag{Name: "hosts", Value: 6, Usage: "number of hosts in a run", Sources: cli.EnvVars("SOAK_HOSTS")},
 			&cli.IntFlag{Name: "callers", Value: 24, Usage: "number of callers in a run", Sources: cli.EnvVars("SOAK_CALLERS")},
 			&cli.DurationFlag{Name: "length", Value: 20 * time.Second, Usage: "time during which faults are injected", Sources: cli.EnvVars("SOAK_LENGTH")},
+			&cli.StringSliceFlag{Name: "kinds", Usage: "`KINDS` of faults to inject, each NAME or NAME/VARIANT; default: all", Sources: cli.EnvVars("SOAK_KINDS")},
 			&cli.StringFlag{Name: "regressions", Usage: "`FILE` with lines SEED HOSTS LENGTH to run instead; text after # is a comment", Sources: cli.EnvVars("SOAK_REGRESSIONS")},
 			&cli.StringFlag{Name: "logs", Usage: "`DIRECTORY` for the logs of failed seeds; default: the temporary directory", Sources: cli.EnvVars("SOAK_LOGS")},
 		},
@@ -74,7 +75,7 @@
 // plannedRuns returns the settings of each run: one for each line of the file in
 // --regressions, or else one for each seed from --seed on.
 func plannedRuns(cmd *cli.Command) ([]soak.Settings, error) {
-	base := soak.Settings{Program: cmd.String("program"), Hosts: cmd.Int("hosts"), Callers: cmd.Int("callers"), Length: cmd.Duration("length")}
+	base := soak.Settings{Program: cmd.String("program"), Hosts: cmd.Int("hosts"), Callers: cmd.Int("callers"), Length: cmd.Duration("length"), Kinds: cmd.StringSlice("kinds")}
 	if base.Hosts < 1 || base.Callers < 1 || base.Length <= 0 {
 		return nil, errors.Errorf("--hosts %d, --callers %d and --length %v must be positive", base.Hosts, base.Callers, base.Length)
 	}
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -45,8 +45,8 @@
 	exitExpected bool          // a signal that ends the process was sent
 	// disturbedUntil is the end of the last disturbance; it may lie in the future.
 	disturbedUntil time.Time
-	// stopped is when SIGTERM was sent to the current process, or zero.
-	stopped time.Time
+	// stopped is when SIGTERM was last sent, and reloaded when SIGHUP was.
+	stopped, reloaded time.Time
 }
 
 // peerSecret authenticates the hosts of a run to each other.
@@ -89,7 +89,7 @@
 		return &Error{Op: "start", Kind: ErrorSetup, Err: err}
 	}
 	exited := make(chan struct{})
-	h.command, h.exited, h.exitExpected, h.stopped = c, exited, false, time.Time{}
+	h.command, h.exited, h.exitExpected = c, exited, false
 	h.boot++
 	if now := time.Now(); now.After(h.disturbedUntil) {
 		h.disturbedUntil = now
@@ -119,10 +119,12 @@
 	case syscall.SIGKILL:
 		h.exitExpected = true
 	case syscall.SIGTERM:
-		h.exitExpected = true
-		if h.stopped.IsZero() {
+		if !h.exitExpected {
 			h.stopped = time.Now()
 		}
+		h.exitExpected = true
+	case syscall.SIGHUP:
+		h.reloaded = time.Now()
 	}
 	_ = h.command.Process.Signal(s) // fails if the process has exited already
 }
@@ -158,12 +160,17 @@
 	return h.disturbedUntil.Add(stableWindow).Before(t)
 }
 
-// state returns the number of starts and the time of SIGTERM, zero if none was
-// sent.
-func (h *host) state() (boot int, stopped time.Time) {
+// starts returns the number of starts.
+func (h *host) starts() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.boot
+}
+
+func (h *host) plannedWork(undisturbed bool) PlannedWork {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.boot, h.stopped
+	return PlannedWork{Stop: h.stopped, Reload: h.reloaded, Undisturbed: undisturbed}
 }
 
 func (h *host) close() {
