Skip an odd item of the platform's list of upstreams

In `quetzalhook serve`, one item of the platform's list of upstreams that could not be decoded hid all others, and also the orders that took effect, without which no order with unknown outcome is resolved.

The functions that split a response move to internal/platform/fragment, and this client decodes the upstreams and the orders one by one with them. An odd item is logged once and skipped. The list of hosts stays as strict as it was: a window is billed without a host that is not listed.

TestOddItems, five odd upstreams between two sound ones and an odd order between two: before, both calls failed; now both sound ones are returned.

--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -98,7 +98,7 @@
 	log = log.WithField("host", settings.Host)
 	n := &Node{
 		settings: settings, log: log, clock: boottime.Clock{}, meter: meter.New(), inv: invariant.New(log),
-		store: store, provider: provider.New(settings.Platform), pool: relay.NewPool(),
+		store: store, provider: provider.New(settings.Platform, log), pool: relay.NewPool(),
 	}
 	n.region.Store(quetzalhook.Region(""))
 	if err := n.build(); err != nil {
--- a/platform/elements.go
+++ b/internal/platform/fragment/fragment.go
@@ -1,4 +1,8 @@
-package platform
+// Package fragment splits JSON text into the members of an object or the elements of
+// an array. It finds the end of a value without decoding it and without recursion,
+// since encoding/json rejects a whole text if one value in it is nested too deeply or
+// is not JSON. What it returns is decoded, and thereby checked, one value at a time.
+package fragment
 
 import (
 	"bytes"
@@ -6,21 +10,15 @@
 	"github.com/pkg/errors"
 )
 
-// The functions below split JSON text into the members of an object or the
-// elements of an array. They find the end of a value without decoding it and
-// without recursion, since encoding/json rejects a whole text if one value in it
-// is nested too deeply or is not JSON. What they return is decoded, and thereby
-// checked, one value at a time.
-
 var errMalformed = errors.New("not JSON or not complete")
 
-// members calls visit with each name, without quotes, and value of a JSON object.
-func members(object []byte, visit func(name, value []byte) error) error {
+// Members calls visit with each name, without quotes, and value of a JSON object.
+func Members(object []byte, visit func(name, value []byte) error) error {
 	return split(object, '{', '}', visit)
 }
 
-// elements calls visit with each element of a JSON array. It accepts null.
-func elements(array []byte, visit func(value []byte) error) error {
+// Elements calls visit with each element of a JSON array. It accepts null.
+func Elements(array []byte, visit func(value []byte) error) error {
 	if len(array) == 0 || string(array) == "null" {
 		return nil
 	}
--- a/internal/platform/provider/client.go
+++ b/internal/platform/provider/client.go
@@ -17,12 +17,16 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"quetzalhook"
+	"quetzalhook/internal/platform/fragment"
 )
 
 const (
@@ -39,16 +43,20 @@
 type Client struct {
 	base string
 	http *http.Client
+	log  logrus.FieldLogger
 
 	closed context.Context // ends at Close
 	close  context.CancelFunc
 
 	reads, writes atomic.Int64
+
+	mu  sync.Mutex
+	odd map[uint64]struct{} // digests of items that could not be decoded and were logged
 }
 
 // New returns a client for the platform at address, host:port.
-func New(address string) *Client {
-	c := &Client{base: "http://" + address}
+func New(address string, log logrus.FieldLogger) *Client {
+	c := &Client{base: "http://" + address, log: log, odd: make(map[uint64]struct{})}
 	c.closed, c.close = context.WithCancel(context.Background())
 	c.http = &http.Client{Transport: &http.Transport{
 		IdleConnTimeout:     idleTimeout,
@@ -80,8 +88,8 @@
 // Upstreams implements quetzalhook.Provisioner. It sets only ID, Zone, Cheap and
 // State.
 func (c *Client) Upstreams(ctx context.Context) ([]quetzalhook.Upstream, error) {
-	var items UpstreamList
-	if err := c.read(ctx, "upstreams", "", PathUpstreams, &items); err != nil {
+	items, err := c.readUpstreams(ctx, "upstreams")
+	if err != nil {
 		return nil, err
 	}
 	list := make([]quetzalhook.Upstream, len(items.Upstreams))
@@ -93,13 +101,65 @@
 	return list, nil
 }
 
+// readUpstreams reads the list of upstreams and of the orders that took effect.
+func (c *Client) readUpstreams(ctx context.Context, op string) (UpstreamList, error) {
+	var list UpstreamList
+	err := c.read(ctx, op, "", PathUpstreams, func(body []byte) error {
+		return fragment.Members(body, func(name, value []byte) (err error) {
+			switch string(name) {
+			case "upstreams":
+				list.Upstreams, err = decodeItems[UpstreamItem](c, op, value)
+			case "orders":
+				list.Orders, err = decodeItems[string](c, op, value)
+			}
+			return err
+		})
+	})
+	return list, err
+}
+
+// decodeItems decodes the elements of a list. One that cannot be decoded is logged
+// and skipped, so that it does not hide the others.
+func decodeItems[T any](c *Client, op string, list []byte) ([]T, error) {
+	var items []T
+	err := fragment.Elements(list, func(data []byte) error {
+		var item T
+		if err := json.Unmarshal(data, &item); err != nil {
+			if c.isNewOdd(data) {
+				c.log.WithError(err).WithField("op", op).WithField("bytes", len(data)).Warn("cannot decode an item of the platform; skipping it")
+			}
+			return nil
+		}
+		items = append(items, item)
+		return nil
+	})
+	return items, err
+}
+
 // Orders implements quetzalhook.Provisioner.
 func (c *Client) Orders(ctx context.Context) ([]string, error) {
-	var items UpstreamList
-	err := c.read(ctx, "orders", "", PathUpstreams, &items)
+	items, err := c.readUpstreams(ctx, "orders")
 	return items.Orders, err
 }
 
+// maxLogged is the number of odd items that are remembered as logged.
+const maxLogged = 100
+
+// isNewOdd reports whether an item that cannot be decoded is seen for the first time.
+func (c *Client) isNewOdd(data []byte) bool {
+	key := xxhash.Sum64(data)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.odd[key]; ok {
+		return false
+	}
+	if len(c.odd) >= maxLogged {
+		clear(c.odd)
+	}
+	c.odd[key] = struct{}{}
+	return true
+}
+
 // Report implements quetzalhook.UsageSink.
 func (c *Client) Report(ctx context.Context, window string, fencing uint64, body []byte) error {
 	return c.write(ctx, call{op: "report", method: http.MethodPost, key: window, path: PathUsage + url.PathEscape(window), body: body, fencing: fencing})
@@ -108,7 +168,9 @@
 // Hosts implements quetzalhook.HostLister.
 func (c *Client) Hosts(ctx context.Context) ([]quetzalhook.HostStatus, error) {
 	var items []HostItem
-	if err := c.read(ctx, "hosts", "", PathHosts, &items); err != nil {
+	// An odd item is an error: usage is billed without a host that is not listed.
+	err := c.read(ctx, "hosts", "", PathHosts, func(body []byte) error { return json.Unmarshal(body, &items) })
+	if err != nil {
 		return nil, err
 	}
 	list := make([]quetzalhook.HostStatus, len(items))
@@ -132,7 +194,7 @@
 	}
 }
 
-func (c *Client) read(ctx context.Context, op, key, path string, result any) error {
+func (c *Client) read(ctx context.Context, op, key, path string, decode func(body []byte) error) error {
 	c.reads.Add(1)
 	ctx, cancel := c.callContext(ctx)
 	defer cancel()
@@ -148,7 +210,11 @@
 	if err := checkStatus(op, key, resp); err != nil {
 		return err
 	}
-	if err := json.NewDecoder(resp.Body).Decode(result); err != nil {
+	body, err := io.ReadAll(resp.Body)
+	if err == nil {
+		err = decode(body)
+	}
+	if err != nil {
 		return c.transportError(op, key, quetzalhook.StoreUnavailable, err)
 	}
 	return nil
