Don't take the end of a stream that a late copy call stops for its completion

A resumable stream ended after 16 of 40 events and looked complete. The call that stops its run for a move had been given up without an answer, the stream broke off and was resumed at the same engine, and the call arrived then: it stopped the second run. A stream without a length just ends, and no move was in progress any more that would have explained it.

An engine whose answer to that call is unknown is now remembered until the end of the request: a stream from it that has neither length nor chunks does not count as complete. In return, a stream whose framing ends counts as complete whatever became of the move, which was cut before.

--- a/internal/entry/connection/exchange.go
+++ b/internal/entry/connection/exchange.go
@@ -59,8 +59,8 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is not known.
 	Length int64
-	// Framed reports that the response itself tells where its body ends. Otherwise the
-	// body ends with the connection.
+	// Framed reports that the body has a length or is chunked. Otherwise it ends with
+	// its connection, and its end does not show that it is complete.
 	Framed bool
 	// Body returns io.EOF only after the complete body. The caller must close it. If
 	// it is closed before io.EOF, the connection is closed too.
--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -50,6 +50,9 @@
 	kvHandle      string          // engine and handle of the KV cache from which the next attempt continues; empty unless the request was moved
 	activeMove    *relocation     // in progress; guarded by streams.mu
 	completedMove *relocation     // whose attempt continues the stream
+	// unknownStops lists engines that may still stop a run of the request, because the
+	// outcome of a move is unknown.
+	unknownStops []quetzalhook.UpstreamID
 }
 
 // serve handles the request and writes the response or an error.
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -112,7 +112,7 @@
 	switch {
 	case x.route.Kind == routing.KindStream && resp.Status == http.StatusOK:
 		x.gateway.streams.add(a.Upstream.ID, x)
-		err = x.finishMove(x.copyStream(ticket, resp))
+		err = x.finishMove(x.copyStream(ticket, resp), resp.Framed)
 		end.Tokens = x.stream.events.count
 	case x.stream.headerSent:
 		err = &Error{
--- a/internal/entry/gateway/relocate.go
+++ b/internal/entry/gateway/relocate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -233,30 +234,33 @@
 // finishMove is called when the stream at an engine has ended with err. If a
 // move may have stopped the run, finishMove waits for the move to end, and
 // returns errMoved if the run can continue. Otherwise it returns err, or an
-// error if the stream looks complete although the run may have been stopped.
-func (x *exchange) finishMove(err error) error {
-	s := x.gateway.streams
-	s.remove(x.attempt.Upstream.ID, x)
+// error if the stream looks complete although the run may have been stopped. Without
+// a handle, a framed stream that is complete was not stopped.
+func (x *exchange) finishMove(err error, framed bool) error {
+	source := x.attempt.Upstream.ID
+	x.gateway.streams.remove(source, x)
 	m := x.activeMove
-	if m == nil {
-		return err
-	}
 	x.activeMove = nil
-	if !m.markEnded() {
-		m.cancel() // the run at the source was not stopped
-		return err
-	}
-	<-m.done
-	m.cancel()
-	log := x.gateway.deps.Log.WithField("request", x.inbound.ID).WithField("upstream", x.attempt.Upstream.ID).WithField("destination", m.attempt.Upstream.ID)
-	if m.kvHandle != "" {
-		log.WithField("events", x.stream.events.count).WithError(m.err).Info("stream moved")
-		x.completedMove = m
-		return errMoved
+	switch {
+	case m == nil:
+	case !m.markEnded(): // the run at the source was not stopped
+		m.cancel()
+	default:
+		<-m.done
+		m.cancel()
+		log := x.gateway.deps.Log.WithField("request", x.inbound.ID).WithField("upstream", source).WithField("destination", m.attempt.Upstream.ID)
+		if m.kvHandle != "" {
+			log.WithField("events", x.stream.events.count).WithError(m.err).Info("stream moved")
+			x.completedMove = m
+			return errMoved
+		}
+		log.WithError(m.err).WithField("stopped", m.stopped).Info("stream not moved")
+		if m.stopped {
+			x.unknownStops = append(x.unknownStops, source)
+		}
 	}
-	log.WithError(m.err).WithField("stopped", m.stopped).Info("stream not moved")
-	if err == nil && m.stopped {
-		return &Error{Op: "relay", Kind: ErrorBroken, Status: http.StatusBadGateway, Message: "the run was stopped for a move that failed", Err: m.err}
+	if err == nil && !framed && slices.Contains(x.unknownStops, source) {
+		return &Error{Op: "relay", Kind: ErrorBroken, Status: http.StatusBadGateway, Message: "the run may have been stopped for a move that failed"}
 	}
 	return err
 }
