Measure the end of a run from the arrival of the close

An end of a run by a close now counts from the packet that brought it. The bound stays.

The test prints the runs and the gateway's log of a request that fails.

--- a/internal/entry/gateway/faults_test.go
+++ b/internal/entry/gateway/faults_test.go
@@ -47,7 +47,9 @@
 			f := newFaultyFleet(t, seed)
 			results := f.play(t)
 			for _, r := range results {
-				f.check(t, r)
+				if problems := f.check(r); len(problems) > 0 {
+					t.Errorf("%s%s: %s\n%s%s", r.path, r.id, strings.Join(problems, "; "), f.describeRuns(r.id), f.logOf(r.id))
+				}
 			}
 		})
 	}
@@ -57,7 +59,7 @@
 // once all upstreams are done.
 func (f *faultyFleet) play(t *testing.T) []result {
 	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log.SetOutput(&f.log)
 	pool := connection.NewPool(quetzalhook.ClockFunc(time.Now))
 	g := New(Deps{
 		Tables: f, Protocol: testProtocol{}, Dispatcher: f, Mover: f, Pool: pool, HostCount: func() int { return 1 },
@@ -136,10 +138,10 @@
 	return r
 }
 
-// check compares what the caller of a request saw with what the upstreams ran.
-func (f *faultyFleet) check(t *testing.T, r result) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// check compares what the caller of a request saw with what the upstreams ran, and
+// returns the differences.
+func (f *faultyFleet) check(r result) (problems []string) {
+	add := func(format string, args ...any) { problems = append(problems, fmt.Sprintf(format, args...)) }
 	runs := f.runs[r.id]
 	begun := 0
 	for i, later := range runs {
@@ -148,28 +150,49 @@
 		}
 		for _, earlier := range runs[:i] {
 			if got := earlier.end.Sub(later.start); got > maxOverlap {
-				t.Errorf("%s%s: got a run that went on for %v beside the next one, want at most %v", r.path, r.id, got, maxOverlap)
+				add("got a run that went on for %v beside the next one, want at most %v", got, maxOverlap)
 			}
 		}
 	}
-	isStream := r.path == "/chat/" || r.path == "/draft/"
 	if mayRepeat := r.path == "/draft/" || r.path == "/lookup/"; begun > 1 && !mayRepeat {
-		t.Errorf("%s%s: got %d runs, want 1", r.path, r.id, begun)
+		add("got %d runs, want 1", begun)
 	}
 	if impliesNotRun(r.status) && begun > 0 {
-		t.Errorf("%s%s: got %d runs and status %d, want none", r.path, r.id, begun, r.status)
+		add("got %d runs and status %d, want none", begun, r.status)
 	}
 	if r.status != http.StatusOK || r.err != nil {
-		return
+		return problems
 	}
 	want := plainBody(r.id)
-	if isStream {
+	if r.path == "/chat/" || r.path == "/draft/" {
 		want = ""
 		for n := 1; n <= eventCount(r.id); n++ {
 			want += eventText(r.id, n)
 		}
 	}
 	if r.body != want || begun == 0 {
-		t.Errorf("%s%s: got %q after %d runs, want %q", r.path, r.id, r.body, begun, want)
+		add("got %q after %d runs, want %q", r.body, begun, want)
 	}
+	return problems
+}
+
+// describeRuns returns the runs of a request with their times after the first one.
+func (f *faultyFleet) describeRuns(id string) string {
+	var b strings.Builder
+	for _, r := range f.runs[id] {
+		first := f.runs[id][0].start
+		fmt.Fprintf(&b, "run at %s, continued=%v, events=%d, %v to %v\n", r.address, r.continued, r.events, r.start.Sub(first), r.end.Sub(first))
+	}
+	return b.String()
+}
+
+// logOf returns the lines of the gateway's log on a request.
+func (f *faultyFleet) logOf(id string) string {
+	var b strings.Builder
+	for line := range strings.Lines(f.log.String()) {
+		if strings.Contains(line, "request="+id+" ") {
+			b.WriteString(line)
+		}
+	}
+	return b.String()
 }
--- a/internal/entry/gateway/fleet_test.go
+++ b/internal/entry/gateway/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -16,6 +17,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"quetzalhook"
 	"quetzalhook/internal/record/routing"
 )
@@ -27,6 +30,7 @@
 	upstreams []quetzalhook.Upstream
 	listeners []net.Listener
 	conns     sync.WaitGroup
+	log       bytes.Buffer // of the gateway, which writes one line at a time
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -97,11 +101,11 @@
 	return r
 }
 
-func (f *faultyFleet) end(r *run) {
+func (f *faultyFleet) end(r *run, at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if r.end.IsZero() {
-		r.end = time.Now()
+		r.end = at
 	}
 }
 
@@ -145,6 +149,7 @@
 	address string
 	written []string      // complete answers
 	gone    chan struct{} // closed when the gateway has closed the connection
+	goneAt  time.Time     // when the close arrived; read after gone is closed
 }
 
 func (f *faultyFleet) serve(c net.Conn, address string) {
@@ -157,6 +162,7 @@
 		for r := bufio.NewReader(c); ; {
 			request, err := http.ReadRequest(r)
 			if err != nil {
+				u.goneAt = lastPacketTime(c, err)
 				return
 			}
 			if _, err := io.Copy(io.Discard, request.Body); err != nil {
@@ -173,6 +179,36 @@
 	}
 }
 
+// lastPacketTime returns when the end of a connection arrived that a read has reported
+// as err. The read may return much later on a busy machine.
+func lastPacketTime(c net.Conn, err error) time.Time {
+	now := time.Now()
+	raw, rawErr := c.(*net.TCPConn).SyscallConn()
+	if rawErr != nil || err != io.EOF {
+		return now
+	}
+	_ = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			now = now.Add(-time.Duration(info.Last_ack_recv) * time.Millisecond)
+		}
+	})
+	return now
+}
+
+// now returns the time or, if it is earlier, the time when the gateway closed the
+// connection.
+func (u *faultyConn) now() time.Time {
+	now := time.Now()
+	select {
+	case <-u.gone:
+		if u.goneAt.Before(now) {
+			return u.goneAt
+		}
+	default:
+	}
+	return now
+}
+
 var idHeader = regexp.MustCompile(`Request-Id: .*\r\n`)
 
 // answer handles a request and reports whether the connection can be kept.
@@ -190,7 +226,7 @@
 		return u.write([]string{"503 Full", "429 Full", "421 Moved"}[f.pick(3)], id, "Not-Run: 1\r\n", strings.Repeat("x", f.pick(9)), 10)
 	}
 	work := f.begin(id, u.address, from)
-	defer f.end(work)
+	defer func() { f.end(work, u.now()) }()
 	if strings.HasPrefix(r.URL.Path, "/chat/") || strings.HasPrefix(r.URL.Path, "/draft/") {
 		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if there is none
 		return u.stream(work, id, last)
