Don't run a call again whose response has begun

A call that may be repeated got a response of over 128 KB, which broke off after the caller had its beginning. It was sent to a second upstream, whose answer could not be used: that run was wasted and drew on the budget of repeats, and the caller's connection was aborted only after it.

Cause: the check whether a begun response can continue was made for streams only. It now holds for every response: only a stream with an event ID can go on elsewhere.

--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -70,8 +70,8 @@
 // mayRepeat reports whether a request that an upstream may have run may be sent
 // again.
 func (x *exchange) mayRepeat() bool {
-	if x.route.Kind == routing.KindStream && x.stream.headerSent && len(x.stream.events.lastID) == 0 {
-		return false // without an event ID another upstream cannot resume
+	if x.stream.headerSent && (x.route.Kind != routing.KindStream || len(x.stream.events.lastID) == 0) {
+		return false // only a stream can continue, after the last event ID
 	}
 	return x.route.IsRepeatable()
 }
