Show only the line that is no event in the log

A stream that ends within an event is logged with the number of bytes left, not with their text, which may be a customer's answer. A line that is no event is still shown, up to 80 bytes.

--- a/internal/entry/gateway/event.go
+++ b/internal/entry/gateway/event.go
@@ -11,7 +11,7 @@
 	"quetzalhook"
 )
 
-// maxShownBytes bounds how much of what an upstream sent is quoted in an error.
+// maxShownBytes bounds how much of a line that an upstream sent is quoted in an error.
 const maxShownBytes = 80
 
 // byteOrderMark may precede the first event of a response. It is not passed on, since
@@ -75,18 +75,16 @@
 		if n > 0 && line[n-1] == '\r' {
 			line = line[:n-1]
 		}
-		var err error
-		if len(line) == 0 {
-			err = c.addEvent(e)
-		} else {
-			err = c.addLine(&e, line)
-		}
-		if err != nil {
-			return 0, errors.Errorf("%v: %q", err, data[:min(length, maxShownBytes)])
-		}
 		if len(line) == 0 {
+			if err := c.addEvent(e); err != nil {
+				first, _, _ := bytes.Cut(data, []byte{'\n'})
+				return 0, errors.Errorf("%v: %q", err, first[:min(len(first), maxShownBytes)])
+			}
 			return length, nil
 		}
+		if err := c.addLine(&e, line); err != nil {
+			return 0, errors.Errorf("%v: %q", err, line[:min(len(line), maxShownBytes)])
+		}
 	}
 }
 
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -67,7 +67,7 @@
 		case unsound != nil:
 			return brokenStream("the stream has what is no event", unsound)
 		case err == io.EOF && len(pending) > 0:
-			return brokenStream("the stream ended within an event or without one", showBytes(pending))
+			return brokenStream("the stream ended within an event or without one", errors.Errorf("%d bytes", len(pending)))
 		case err == io.EOF && events.upstream == 0 && !isEmptyRest(events, resp):
 			return brokenStream("the stream ended within an event or without one", nil)
 		case err == io.EOF:
@@ -75,7 +75,7 @@
 		case err != nil:
 			return stall.explain(err)
 		case len(pending) > maxEventSize:
-			return brokenStream("an event is too long", showBytes(pending))
+			return brokenStream("an event is too long", errors.Errorf("%d bytes", len(pending)))
 		}
 	}
 }
@@ -86,10 +86,6 @@
 	return &Error{Op: "relay", Kind: ErrorBroken, Status: http.StatusBadGateway, Message: message, Err: cause}
 }
 
-func showBytes(data []byte) error {
-	return errors.Errorf("%d bytes, which begin with %q", len(data), data[:min(len(data), maxShownBytes)])
-}
-
 // checkEventStream returns an error if the header says that the body is not a series
 // of events. A missing type is not an error.
 func checkEventStream(h http.Header) error {
