--- a/internal/bench/soak/caller.go
+++ b/internal/bench/soak/caller.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -49,6 +51,7 @@
 	serial      int
 	rests       bool // leaves its connections idle for long between two requests
 	direct      bool // connects to hosts without a proxy
+	plain       bool // sends no streams
 }
 
 func newCaller(s *system, i int) *caller {
@@ -122,6 +125,13 @@
 	return nil
 }
 
+func (c *caller) addressOf(h *host) string {
+	if c.direct {
+		return net.JoinHostPort(h.ip, strconv.Itoa(callersPort))
+	}
+	return h.callers.Address()
+}
+
 // send sends a random request to h and records its response. It waits as long as
 // Retry-After asks for, up to a third of the request's timeout.
 func (c *caller) send(ctx context.Context, h *host) {
@@ -133,7 +143,11 @@
 		Body: fmt.Sprintf("body of %s %d", c.name, c.serial), Key: stableKey(customer), Timeout: 2500 * time.Millisecond,
 	}
 	repeatable := false
-	switch n := c.random.IntN(100); {
+	n := c.random.IntN(100)
+	if c.plain {
+		n = 50 + n/2
+	}
+	switch {
 	case n < 30:
 		call.Path, call.Stream, call.Timeout = "/chat/x?y=1", true, streamTimeout
 	case n < 50:
@@ -149,11 +163,7 @@
 	call.PromptGroup = c.random.IntN(promptGroups)
 	sent := time.Now()
 	s.checker.RequestSent(sent, h.name, customer, repeatable, call)
-	address := h.callers.Address()
-	if c.direct {
-		address = net.JoinHostPort(h.ip, strconv.Itoa(callersPort))
-	}
-	res := call.Send(ctx, c.client, address)
+	res := call.Send(ctx, c.client, c.addressOf(h))
 	if ctx.Err() != nil {
 		return
 	}
@@ -174,7 +184,7 @@
 	crowdDelay = 2 * time.Millisecond // of their requests, at most
 )
 
-// noticedConn calls onEnd when a read ends the connection.
+// noticedConn calls onEnd when the peer closes the connection.
 type noticedConn struct {
 	net.Conn
 	onEnd func()
@@ -182,41 +192,47 @@
 
 func (c noticedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if err != nil {
+	if err != nil && !errors.Is(err, net.ErrClosed) {
 		c.onEnd()
 	}
 	return n, err
 }
 
-// gather opens the connections of a crowd to h and calls begin. Each caller sends
-// its next request as soon as one of the connections is closed, or before at any
-// time within the time of a stop. gather returns when all requests have ended.
-func (s *system) gather(ctx context.Context, h *host, number int, begin func()) {
+// gather opens the connections of a crowd to h and calls begin. Half of the callers
+// send a request once the host has closed the first of their connections, the
+// others at any time until then. gather returns when all requests have ended.
+func (s *system) gather(h *host, number int, begin func()) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
 	closing := make(chan struct{})
 	var once sync.Once
 	var opened, ended sync.WaitGroup
 	start := make(chan struct{})
 	for i := range crowdSize {
 		c := newCaller(s, number*crowdSize+i)
-		c.name, c.direct = fmt.Sprintf("crowd-%d-%d", number, i), true
-		c.client.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, network, address)
-			return noticedConn{conn, func() { once.Do(func() { close(closing) }) }}, err
-		}
-		limit := stopLimit
+		c.name, c.direct, c.plain = fmt.Sprintf("crowd-%d-%d", number, i), true, true
+		rest := maxRest
 		if i%2 == 0 {
-			limit = time.Duration(c.random.Int64N(int64(stopLimit)))
+			rest = time.Duration(c.random.Int64N(int64(maxRest)))
+		} else {
+			c.client.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := new(net.Dialer).DialContext(ctx, network, address)
+				return noticedConn{conn, func() { once.Do(func() { close(closing) }) }}, err
+			}
 		}
 		opened.Add(1)
 		ended.Go(func() {
 			defer c.client.CloseIdleConnections()
-			c.send(ctx, h)
+			if resp, err := c.client.Get("http://" + c.addressOf(h)); err == nil { // has no route
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
 			opened.Done()
 			<-start
 			select {
 			case <-closing:
 				time.Sleep(time.Duration(c.random.Int64N(int64(crowdDelay))))
-			case <-time.After(limit):
+			case <-time.After(rest):
 			}
 			c.send(ctx, h)
 		})
--- a/internal/bench/soak/fault.go
+++ b/internal/bench/soak/fault.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -209,7 +208,7 @@
 		case "crowd":
 			gathered := make(chan struct{})
 			during.Go(func() {
-				s.gather(context.Background(), h, f.target, func() {
+				s.gather(h, f.target, func() {
 					begin = time.Now()
 					h.signal(syscall.SIGTERM)
 					close(gathered)
