Send long orders late in a stop while the store is silent

A request that a host takes late in its stop and cuts at the limit could not be seen: callers have other hosts 3 s after SIGTERM, and a silent store, while which a host listens on, excused every request.

The fault rolling-outage stops all hosts one after another while the store is silent, and each stop has callers that send long orders at any time of it. A fault of the store alone no longer excuses what happens to orders without a key, as the users' rule has it; the new route has such orders.

--- a/internal/bench/soak/caller.go
+++ b/internal/bench/soak/caller.go
@@ -32,8 +32,6 @@
 	// maxRest is the longest time for which callers use an idle connection, as the
 	// users' do.
 	maxRest = idleTimeout * 4 / 5
-	// longShare is the percentage of streams that are long.
-	longShare = 5
 )
 
 // caller sends one request at a time and reuses its connections.
@@ -51,13 +49,23 @@
 	serial      int
 	rests       bool // leaves its connections idle for long between two requests
 	direct      bool // connects to hosts without a proxy
-	plain       bool // sends no streams
+	mix         requestMix
 }
 
+// requestMix selects the requests of a caller: percentiles from which they are drawn,
+// and the percentage of streams, and of orders without a key, that are long.
+type requestMix struct{ from, to, long int }
+
+var (
+	mixOfAll   = requestMix{from: 0, to: 100, long: 5}
+	mixOfPlain = requestMix{from: 50, to: 100}           // no streams
+	mixOfLong  = requestMix{from: 70, to: 80, long: 100} // orders without a key
+)
+
 func newCaller(s *system, i int) *caller {
 	random := rand.New(rand.NewPCG(s.settings.Seed, uint64(100+i)))
 	return &caller{
-		sys: s, name: fmt.Sprintf("c%d", i), random: random, client: newClient(), sticky: i%3 == 0, rests: i%4 == 3, ttlFactor: 1 + 2*(i%2), avoidUntil: make(map[string]time.Time),
+		sys: s, name: fmt.Sprintf("c%d", i), random: random, client: newClient(), sticky: i%3 == 0, rests: i%4 == 3, mix: mixOfAll, ttlFactor: 1 + 2*(i%2), avoidUntil: make(map[string]time.Time),
 	}
 }
 
@@ -143,21 +151,22 @@
 		Body: fmt.Sprintf("body of %s %d", c.name, c.serial), Key: stableKey(customer), Timeout: 2500 * time.Millisecond,
 	}
 	repeatable := false
-	n := c.random.IntN(100)
-	if c.plain {
-		n = 50 + n/2
-	}
-	switch {
+	switch n := c.mix.from + c.random.IntN(c.mix.to-c.mix.from); {
 	case n < 30:
 		call.Path, call.Stream, call.Timeout = "/chat/x?y=1", true, streamTimeout
 	case n < 50:
 		call.Path, call.Stream, call.Timeout, repeatable = "/draft/x", true, streamTimeout, true
-	case n < 80:
+	case n < 70:
 		call.Path = "/order/x"
+	case n < 80:
+		customer, call.Key, call.Path = "", "", "/open/x"
+		if c.random.IntN(100) < c.mix.long {
+			call.ID, call.Timeout = call.ID+standin.LongSuffix, longTimeout
+		}
 	default:
 		call.Path, call.Method, call.Body, repeatable = "/lookup/x?q=a%20b", http.MethodGet, "", true
 	}
-	if call.Stream && c.random.IntN(100) < longShare {
+	if call.Stream && c.random.IntN(100) < c.mix.long {
 		call.ID, call.Timeout = call.ID+standin.LongSuffix, longTimeout
 	}
 	call.PromptGroup = c.random.IntN(promptGroups)
@@ -167,7 +176,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	s.checker.ResponseReceived(time.Now(), call.ID, res, h.plannedWork(s.isUndisturbed(sent)))
+	s.checker.ResponseReceived(time.Now(), call.ID, res, h.plannedWork(s.isUndisturbed(sent, call.Key != "")))
 	s.countRequest(res.Status == http.StatusOK && res.Complete)
 	if res.Status == 0 || !res.Complete {
 		c.avoidUntil[c.lastAddress] = time.Now().Add(avoidTime)
@@ -201,7 +210,8 @@
 // gather opens the connections of a crowd to h and calls begin. Half of the callers
 // send a request once the host has closed the first of their connections, the
 // others at any time until then. gather returns when all requests have ended.
-func (s *system) gather(h *host, number int, begin func()) {
+func (s *system) gather(h *host, begin func()) {
+	number := int(s.groups.Add(1))
 	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
 	defer cancel()
 	closing := make(chan struct{})
@@ -210,7 +220,7 @@
 	start := make(chan struct{})
 	for i := range crowdSize {
 		c := newCaller(s, number*crowdSize+i)
-		c.name, c.direct, c.plain = fmt.Sprintf("crowd-%d-%d", number, i), true, true
+		c.name, c.direct, c.mix = fmt.Sprintf("crowd-%d-%d", number, i), true, mixOfPlain
 		rest := maxRest
 		if i%2 == 0 {
 			rest = time.Duration(c.random.Int64N(int64(maxRest)))
@@ -243,6 +253,26 @@
 	ended.Wait()
 }
 
+// lateCallers is the number of callers of sendLate.
+const lateCallers = 5
+
+// sendLate sends long requests to h at any time within the time of a stop, as
+// callers do that have no other list of hosts. It returns when they have ended.
+func (s *system) sendLate(h *host) {
+	number := int(s.groups.Add(1))
+	var ended sync.WaitGroup
+	for i := range lateCallers {
+		c := newCaller(s, number*lateCallers+i)
+		c.name, c.direct, c.mix = fmt.Sprintf("late-%d-%d", number, i), true, mixOfLong
+		ended.Go(func() {
+			defer c.client.CloseIdleConnections()
+			time.Sleep(time.Duration(c.random.Int64N(int64(stopLimit))))
+			c.send(context.Background(), h)
+		})
+	}
+	ended.Wait()
+}
+
 func (s *system) countRequest(served bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/bench/soak/fault.go
+++ b/internal/bench/soak/fault.go
@@ -36,7 +36,9 @@
 	name string
 	// planned marks maintenance work, which must not cut off any request. About a
 	// third of the scripts consist of such faults only.
-	planned     bool
+	planned bool
+	// store marks faults of the store only.
+	store       bool
 	weight      int
 	minDuration time.Duration
 	maxDuration time.Duration
@@ -54,8 +56,9 @@
 		{name: "pause", weight: 3, minDuration: 50 * time.Millisecond, maxDuration: 6 * time.Second, inject: (*system).pauseHost},
 		{name: "kill", weight: 3, minDuration: 100 * time.Millisecond, maxDuration: 2 * time.Second, inject: (*system).killHost},
 		{name: "herd", weight: 1, minDuration: 100 * time.Millisecond, maxDuration: time.Second, inject: (*system).killMost},
-		{name: "stop", planned: true, weight: 4, minDuration: 100 * time.Millisecond, maxDuration: time.Second, variants: []string{"", "crowd", "hangup", "configure"}, inject: (*system).stopHost},
+		{name: "stop", planned: true, weight: 4, minDuration: 100 * time.Millisecond, maxDuration: time.Second, variants: []string{"", "crowd", "late", "hangup", "configure"}, inject: (*system).stopHost},
 		{name: "rolling", planned: true, weight: 1, minDuration: 100 * time.Millisecond, maxDuration: time.Second, inject: (*system).stopAll},
+		{name: "rolling-outage", store: true, weight: 1, minDuration: 100 * time.Millisecond, maxDuration: time.Second, inject: (*system).stopAllInOutage},
 		{name: "stop-kill", weight: 1, minDuration: 100 * time.Millisecond, maxDuration: 7 * time.Second, inject: (*system).killStopping},
 		{name: "odd-entry", planned: true, weight: 2, minDuration: 100 * time.Millisecond, maxDuration: 5 * time.Second, variants: standin.OddVariants, inject: (*system).putOddEntry},
 		{name: "hangup", planned: true, weight: 1, inject: (*system).reloadHost},
@@ -67,7 +70,7 @@
 		{name: "duty-link", weight: 1, minDuration: 500 * time.Millisecond, maxDuration: 6 * time.Second, variants: modes, inject: link(func(h *host) *Proxy { return h.duties })},
 		{name: "upstream-link", weight: 2, minDuration: 100 * time.Millisecond, maxDuration: 4 * time.Second, variants: modes, inject: (*system).disturbUpstreamLink},
 		{name: "upstream", weight: 5, minDuration: 500 * time.Millisecond, maxDuration: 5 * time.Second, variants: slices.Sorted(maps.Keys(upstreamFaults)), inject: (*system).injectUpstreamFault},
-		{name: "store", weight: 2, minDuration: 500 * time.Millisecond, maxDuration: 9 * time.Second, variants: []string{"refuse", "busy", "silent", "reset", "slow", "lost", "late"}, inject: (*system).injectStoreFault},
+		{name: "store", store: true, weight: 2, minDuration: 500 * time.Millisecond, maxDuration: 9 * time.Second, variants: []string{"refuse", "busy", "silent", "reset", "slow", "lost", "late"}, inject: (*system).injectStoreFault},
 		{name: "duties-down", weight: 1, minDuration: 500 * time.Millisecond, maxDuration: 6 * time.Second, inject: (*system).stopDuties},
 	}
 }
@@ -208,13 +211,16 @@
 		case "crowd":
 			gathered := make(chan struct{})
 			during.Go(func() {
-				s.gather(h, f.target, func() {
+				s.gather(h, func() {
 					begin = time.Now()
 					h.signal(syscall.SIGTERM)
 					close(gathered)
 				})
 			})
 			<-gathered
+		case "late":
+			during.Go(func() { s.sendLate(h) })
+			h.signal(syscall.SIGTERM)
 		case "hangup", "configure":
 			during.Go(func() {
 				for range 3 {
@@ -245,12 +251,22 @@
 func (s *system) stopAll(f fault) {
 	var stops sync.WaitGroup
 	for i := range s.hosts {
-		stops.Go(func() { s.stopHost(fault{target: f.target + i, duration: f.duration}) })
+		stops.Go(func() { s.stopHost(fault{target: f.target + i, duration: f.duration, variant: f.variant}) })
 		time.Sleep(f.duration)
 	}
 	stops.Wait()
 }
 
+// stopAllInOutage stops the hosts one after another while the store is silent, so
+// that callers have no list without them.
+func (s *system) stopAllInOutage(f fault) {
+	var outage sync.WaitGroup
+	outage.Go(func() { s.injectStoreFault(fault{duration: stopLimit, variant: "silent"}) })
+	f.variant = "late"
+	s.stopAll(f)
+	outage.Wait()
+}
+
 // killStopping kills a host in the middle of its planned stop.
 func (s *system) killStopping(f fault) {
 	for _, h := range s.claim([]*host{s.host(f)}) {
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -43,6 +43,7 @@
 			{Name: "chat", Prefix: "/chat/", Service: engineGroup, Kind: "streaming", Timeout: longTimeout, LatencyTarget: 500 * time.Millisecond, Attempts: 1},
 			{Name: "draft", Prefix: "/draft/", Service: engineGroup, Kind: "streaming", Timeout: longTimeout, LatencyTarget: time.Second, Attempts: 2, Priority: 1, Resumable: true},
 			{Name: "order", Prefix: "/order/", Service: serviceGroup, Kind: "unsafe", Timeout: plainTimeout, LatencyTarget: 300 * time.Millisecond, Attempts: 3, Priority: 2},
+			{Name: "open", Prefix: "/open/", Service: serviceGroup, Kind: "unsafe", Timeout: longTimeout, LatencyTarget: 300 * time.Millisecond, Attempts: 3, Priority: 2, Public: true},
 			{Name: "lookup", Prefix: "/lookup/", Service: serviceGroup, Kind: "safe", Timeout: plainTimeout, LatencyTarget: 300 * time.Millisecond, Attempts: 2, Priority: 2},
 			{Name: "marker", Prefix: markerPath(number), Service: serviceGroup, Kind: "safe", Timeout: plainTimeout, LatencyTarget: 300 * time.Millisecond, Attempts: 2, Priority: 2, Public: true},
 		},
--- a/internal/bench/soak/system.go
+++ b/internal/bench/soak/system.go
@@ -19,6 +19,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quetzalhook"
@@ -82,6 +83,7 @@
 	servers        []*http.Server
 	nextUpstream   int // number of the next upstream, from which its ID and port follow
 	wg             sync.WaitGroup
+	groups         atomic.Int64 // number of groups of callers that faults have added
 	// configureMu serializes changes of the configuration.
 	configureMu sync.Mutex
 
@@ -89,7 +91,8 @@
 	random         *rand.Rand
 	upstreams      []*upstream
 	claimed        map[*host]bool                   // hosts that a fault is stopping and starting
-	disturbedUntil time.Time                        // end of the last unplanned fault
+	disturbedUntil time.Time                        // end of the last unplanned fault, other than of the store
+	storeUntil     time.Time                        // end of the last fault of the store
 	resumed        map[quetzalhook.HostID]time.Time // when a host was last resumed after a pause
 	config         standin.Configuration
 	rotatingKey    string // key that the next configuration withdraws
@@ -287,14 +290,10 @@
 			break
 		}
 		k := byName[f.kind]
-		if !k.planned {
-			s.disturb(time.Now().Add(f.duration))
-		}
+		s.disturb(k, time.Now().Add(f.duration))
 		faults.Go(func() {
 			k.inject(s, f)
-			if !k.planned {
-				s.disturb(time.Now())
-			}
+			s.disturb(k, time.Now())
 		})
 	}
 	faults.Wait()
@@ -313,21 +312,27 @@
 	}
 }
 
-// disturb records that an unplanned fault is active until the given time.
-func (s *system) disturb(until time.Time) {
+// disturb records that a fault of kind k is active until the given time, unless it
+// is planned.
+func (s *system) disturb(k faultKind, until time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if until.After(s.disturbedUntil) {
-		s.disturbedUntil = until
+	end := &s.disturbedUntil
+	if k.store {
+		end = &s.storeUntil
+	}
+	if !k.planned && until.After(*end) {
+		*end = until
 	}
 }
 
 // isUndisturbed reports whether the last unplanned fault ended more than
-// stableWindow before since.
-func (s *system) isUndisturbed(since time.Time) bool {
+// stableWindow before since. Requests that are not keyed must not suffer from
+// faults of the store.
+func (s *system) isUndisturbed(since time.Time, keyed bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.disturbedUntil.Add(stableWindow).Before(since)
+	return s.disturbedUntil.Add(stableWindow).Before(since) && (!keyed || s.storeUntil.Add(stableWindow).Before(since))
 }
 
 func (s *system) isHostUndisturbed(name quetzalhook.HostID, since time.Time) bool {
@@ -385,7 +390,7 @@
 
 func (s *system) recordDuty(d standin.DutyCall) {
 	s.mu.Lock()
-	disturbed := time.Since(s.disturbedUntil) < resumeSlack
+	disturbed := time.Since(s.disturbedUntil) < resumeSlack || time.Since(s.storeUntil) < resumeSlack
 	s.mu.Unlock()
 	s.checker.DutyCalled(d, disturbed)
 }
