Free the copy of a moved run that no engine takes over

Where the destination refused a moved run or could not be reached, or the caller left meanwhile, the copy stayed and held memory and a slot at the destination until it expired there.

--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -379,9 +379,7 @@
 //	took-less DURATION       prints a line if the last request took longer
 //	cut-only                 prints only whether the last response was cut
 func (env *testEnvironment) runScript(t *testing.T, input string) string {
-	for env.gateway.Open() > 0 { // of a caller that disconnected in an earlier script
-		time.Sleep(time.Millisecond)
-	}
+	env.awaitRequests()
 	env.mu.Lock()
 	env.offers, env.ends, env.usage, env.results, env.moves, env.moveFails = nil, nil, nil, nil, nil, ""
 	env.mu.Unlock()
@@ -445,6 +443,7 @@
 			out.WriteString(env.send(t, rest, name))
 		}
 	}
+	env.awaitRequests()
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	fmt.Fprintf(&out, "attempts: %s\n", strings.Join(env.ends, " "))
@@ -466,6 +465,15 @@
 	return out.String()
 }
 
+// awaitRequests waits for the end of all requests and moves. A caller has its answer
+// before its request ends.
+func (env *testEnvironment) awaitRequests() {
+	for env.gateway.Open() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	env.gateway.moves.Wait()
+}
+
 func parseDuration(t *testing.T, text string) time.Duration {
 	d, err := time.ParseDuration(text)
 	if err != nil {
--- a/internal/entry/gateway/relocate.go
+++ b/internal/entry/gateway/relocate.go
@@ -265,6 +265,13 @@
 	return err
 }
 
+// dropCopy frees a copy from which no run has continued.
+func (g *Gateway) dropCopy(kvHandle string) {
+	if err := g.freeCopy(kvHandle); err != nil {
+		g.deps.Log.WithField("kv-handle", kvHandle).WithError(err).Info("copy not freed")
+	}
+}
+
 // resumeMoved ends the attempt at the source and passes on the rest of a moved
 // stream from the engine that continues it. It replaces the ticket with the one
 // of the move.
@@ -277,6 +284,7 @@
 	x.kvHandle = ""
 	if end.End == quetzalhook.EndNotSent {
 		end.End = quetzalhook.EndBroken // the request ran before the move
+		x.gateway.moves.Go(func() { x.gateway.dropCopy(m.kvHandle) })
 	}
 	return end, err
 }
