Send at the end of the idle timeout, and move streams while copies fail

- An engine leaves during faults of copy calls, so that streams are moved.
- A host that is still running at the end of the time for its stop writes its goroutines to its log.

--- a/internal/bench/soak/caller.go
+++ b/internal/bench/soak/caller.go
@@ -209,10 +209,11 @@
 
 // gather opens the connections of a crowd to h and calls begin. Half of the callers
 // send a request once the host has closed the first of their connections, the
-// others at any time until then. gather returns when all requests have ended.
+// others at any time until then or, if begin is nil, at the end of the idle
+// timeout. gather returns when all requests have ended.
 func (s *system) gather(h *host, begin func()) {
 	number := int(s.groups.Add(1))
-	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), idleTimeout+stopLimit)
 	defer cancel()
 	closing := make(chan struct{})
 	var once sync.Once
@@ -221,14 +222,18 @@
 	for i := range crowdSize {
 		c := newCaller(s, number*crowdSize+i)
 		c.name, c.direct, c.mix = fmt.Sprintf("crowd-%d-%d", number, i), true, mixOfPlain
-		rest := maxRest
-		if i%2 == 0 {
-			rest = time.Duration(c.random.Int64N(int64(maxRest)))
-		} else {
-			c.client.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		transport, rest := c.client.Transport.(*http.Transport), maxRest
+		if begin == nil {
+			transport.IdleConnTimeout, rest = 2*idleTimeout, idleTimeout+time.Duration(c.random.Int64N(int64(crowdDelay)))-crowdDelay/2
+		}
+		switch {
+		case i%2 != 0:
+			transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := new(net.Dialer).DialContext(ctx, network, address)
 				return noticedConn{conn, func() { once.Do(func() { close(closing) }) }}, err
 			}
+		case begin != nil:
+			rest = time.Duration(c.random.Int64N(int64(rest)))
 		}
 		opened.Add(1)
 		ended.Go(func() {
@@ -237,18 +242,21 @@
 				_, _ = io.Copy(io.Discard, resp.Body)
 				_ = resp.Body.Close()
 			}
+			restEnd := time.After(rest)
 			opened.Done()
 			<-start
 			select {
 			case <-closing:
 				time.Sleep(time.Duration(c.random.Int64N(int64(crowdDelay))))
-			case <-time.After(rest):
+			case <-restEnd:
 			}
 			c.send(ctx, h)
 		})
 	}
 	opened.Wait()
-	begin()
+	if begin != nil {
+		begin()
+	}
 	close(start)
 	ended.Wait()
 }
--- a/internal/bench/soak/fault.go
+++ b/internal/bench/soak/fault.go
@@ -57,6 +57,7 @@
 		{name: "kill", weight: 3, minDuration: 100 * time.Millisecond, maxDuration: 2 * time.Second, inject: (*system).killHost},
 		{name: "herd", weight: 1, minDuration: 100 * time.Millisecond, maxDuration: time.Second, inject: (*system).killMost},
 		{name: "stop", planned: true, weight: 4, minDuration: 100 * time.Millisecond, maxDuration: time.Second, variants: []string{"", "crowd", "late", "hangup", "configure"}, inject: (*system).stopHost},
+		{name: "idle", planned: true, weight: 1, inject: func(s *system, f fault) { s.gather(s.host(f), nil) }},
 		{name: "rolling", planned: true, weight: 1, minDuration: 100 * time.Millisecond, maxDuration: time.Second, inject: (*system).stopAll},
 		{name: "rolling-outage", store: true, weight: 1, minDuration: 100 * time.Millisecond, maxDuration: time.Second, inject: (*system).stopAllInOutage},
 		{name: "stop-kill", weight: 1, minDuration: 100 * time.Millisecond, maxDuration: 7 * time.Second, inject: (*system).killStopping},
@@ -238,6 +239,7 @@
 		}
 		if !h.wait(stopLimit) && h.undisturbedSince(begin) {
 			s.checker.Fail(CheckGracefulStop, "%s is still running %v after SIGTERM", h.name, stopLimit)
+			h.signal(syscall.SIGQUIT) // writes its goroutines to its log
 		}
 		time.Sleep(f.duration)
 		during.Wait()
@@ -300,7 +302,8 @@
 }
 
 // injectUpstreamFault makes an upstream, or all for every second target, mishandle
-// a fraction of the requests.
+// a fraction of the requests. An engine leaves during faults of moves, so that there
+// are some.
 func (s *system) injectUpstreamFault(f fault) {
 	set := func(faults standin.UpstreamFaults) func() {
 		return func() {
@@ -313,10 +316,27 @@
 			}
 		}
 	}
-	s.withDisturbance(nil, set(upstreamFaults[f.variant]), func() {
+	var leave sync.WaitGroup
+	s.withDisturbance(nil, func() {
+		set(upstreamFaults[f.variant])()
+		if strings.HasPrefix(f.variant, "move-") {
+			leave.Go(func() { s.leaveUpstream(fault{target: s.engineFrom(f.target)}) })
+		}
+	}, func() {
 		f.target = 0
 		set(standin.UpstreamFaults{})()
 	}, f.duration)
+	leave.Wait()
+}
+
+// engineFrom returns the number of the first engine from upstream number i on.
+func (s *system) engineFrom(i int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.upstreams[i%len(s.upstreams)].entry.Service != engineGroup {
+		i++
+	}
+	return i
 }
 
 // upstreamFaults holds the faults of upstreams by variant.
