Send nothing to an upstream that has said that it leaves

An upstream that leaves says so in its answers, with Server-Leaving: 1. No host read the header: while the store was away, slow or still listed the upstream as ready, new requests went on to it until it was gone.

The package notice keeps what an upstream has told, for one start of it. Each host asks it in the last check before a send, whoever placed the request (engines: Next; plain services: Choose), so the answer binds the host at once. The host marks the upstream as leaving in the list that its dispatchers and the gateway get: the schedulers place elsewhere, caches are not read, and streams move as with an entry that says draining. An entry that names the time later corrects the time of the move. The leader learns it by an event and by syncs, the other hosts by the leader's answers, so that a host that places alone knows it too. The notice ends when the list has a later start, or a minute after the upstream is in no list any more.

Seen failing with one part taken out at a time: without the check, the 30 requests after the answer all reach the engine (TestLeavingEngine) and a call does (TestChoices); without the event the leader's 30 requests do, without the list in answers those of a host that places alone, without the one in syncs those of the next leader.

--- a/internal/entry/gateway/relocate.go
+++ b/internal/entry/gateway/relocate.go
@@ -38,6 +38,7 @@
 // plannedStop is the announced stop of an engine.
 type plannedStop struct {
 	timer *time.Timer
+	timed bool // the engine has announced when it stops
 	due   bool // less than moveLeadTime is left: new streams are moved at once
 }
 
@@ -60,14 +61,18 @@
 			continue
 		}
 		leaves[u.ID] = true
-		if s.leaving[u.ID] != nil {
-			continue
+		if stop := s.leaving[u.ID]; stop != nil {
+			if stop.timed || u.LeavesIn <= 0 {
+				continue
+			}
+			stop.timer.Stop() // so far only the answers have told that it leaves
 		}
 		leavesIn := u.LeavesIn
 		if leavesIn <= 0 {
 			leavesIn = g.deps.DefaultLeaveTime
 		}
-		s.leaving[u.ID] = &plannedStop{timer: time.AfterFunc(max(leavesIn-moveLeadTime, 0), func() { g.moveStreams(u.ID) })}
+		due := s.leaving[u.ID] != nil && s.leaving[u.ID].due
+		s.leaving[u.ID] = &plannedStop{timed: u.LeavesIn > 0, due: due, timer: time.AfterFunc(max(leavesIn-moveLeadTime, 0), func() { g.moveStreams(u.ID) })}
 	}
 	for id, stop := range s.leaving {
 		if !leaves[id] { // the engine has gone or was restarted
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -37,6 +37,7 @@
 	"quetzalhook/internal/state/invariant"
 	"quetzalhook/internal/state/timing"
 	"quetzalhook/internal/traffic/balance"
+	"quetzalhook/internal/traffic/notice"
 	"quetzalhook/internal/traffic/retry"
 	"quetzalhook/internal/traffic/throttle"
 )
@@ -79,6 +80,7 @@
 	peers             *peer.Service
 	registry          *registration.Registry
 	follower          *routing.Follower
+	notices           *notice.Notices
 	pool              *connection.Pool
 	serviceDispatcher *balance.Dispatcher
 	engineDispatcher  *dispatcher.Dispatcher
@@ -112,14 +114,16 @@
 		return nil, err
 	}
 	h.follower = routing.New(settings.Host, adapter.Store, h.peers, adapter.RoutingSource, clock, log, h.inv, routing.WithSettled(h.settled(watchSettleTime)))
+	h.notices = notice.New(notice.WithReport(h.logNotice))
 	h.pool = connection.NewPool(clock)
 	budget := retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	h.serviceDispatcher = balance.NewDispatcher(balance.New(settings.Region, random, balance.WithLimits(throttle.New(throttle.WithRank(h.limitRank)))), budget, clock)
+	h.serviceDispatcher = balance.NewDispatcher(balance.New(settings.Region, random, balance.WithLimits(throttle.New(throttle.WithRank(h.limitRank))), balance.WithNotices(h.notices)), budget, clock)
 	h.engineDispatcher = dispatcher.New(dispatcher.Settings{
 		Host: settings.Host, Leader: h.leader, LimitRank: h.limitRank, Position: h.position, Usable: h.follower.IsUsable,
-		Budget: retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount),
-		Caches: adapter.Caches, Settled: h.settled(cacheSettleTime),
+		Notices: h.notices,
+		Budget:  retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount),
+		Caches:  adapter.Caches, Settled: h.settled(cacheSettleTime),
 	}, h.peers, clock, log)
 	h.isolator = isolator.New(isolator.Settings{
 		Host: settings.Host, Next: h.engineDispatcher, Detector: adapter.Crashes, Store: adapter.Store,
@@ -258,10 +262,13 @@
 // gateway until ctx ends.
 func (h *Host) followUpstreams(ctx context.Context) {
 	for {
+		noticed := h.notices.Changed()
 		table, changed := h.follower.Table()
 		wait := minUpdateInterval
 		if table != nil {
 			list := h.follower.Upstreams()
+			h.notices.Retain(h.clock.Now(), list)
+			list = h.notices.Mark(list)
 			wait += time.Duration(len(list)) * updateIntervalPerUpstream
 			engines, services := splitByKind(table, list)
 			h.serviceDispatcher.SetUpstreams(services)
@@ -273,12 +280,23 @@
 		}
 		select {
 		case <-changed:
+		case <-noticed:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// logNotice logs that an upstream leaves.
+func (h *Host) logNotice(c notice.Change) {
+	from := c.From
+	if from == "" {
+		from = h.settings.Host
+	}
+	h.log.WithFields(logrus.Fields{"upstream": c.Upstream, "notice": "leaving", "from": from, "age-ms": c.Age.Milliseconds()}).
+		Info("notice of an upstream")
+}
+
 // splitByKind splits a list of upstreams into engines and plain services. It adds
 // the engine settings of the routing table to the engines.
 func splitByKind(table *routing.Table, list []quetzalhook.Upstream) (engines, services []quetzalhook.Upstream) {
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/state/timing"
+	"quetzalhook/internal/traffic/notice"
 	"quetzalhook/internal/traffic/throttle"
 )
 
@@ -62,6 +63,8 @@
 	LimitRank throttle.RankFunc
 	// Usable reports whether this host may still send to an upstream.
 	Usable func(quetzalhook.Upstream) bool
+	// Notices holds what upstreams ask of this host; nil for one of its own.
+	Notices *notice.Notices
 	// Budget is this host's share of the retry limit of all hosts.
 	Budget Budget
 	// Caches lists the prompt parts that engines have cached; nil turns polling
@@ -109,6 +112,9 @@
 // New returns a dispatcher and registers its handlers with peers. The periodic
 // work does not run before Start.
 func New(settings Settings, peers quetzalhook.Peers, clock quetzalhook.Clock, log logrus.FieldLogger) *Dispatcher {
+	if settings.Notices == nil {
+		settings.Notices = notice.New()
+	}
 	d := &Dispatcher{
 		settings: settings, peers: peers, clock: clock, log: log, budget: settings.Budget,
 		cachePoller: cachePoller{lastRead: make(map[quetzalhook.UpstreamID]cacheRead)}, events: make(map[int][]event),
@@ -297,6 +303,7 @@
 	if err := cbor.Unmarshal(reply, &answer); err != nil {
 		return c, false, &Error{Op: "assign", Kind: ErrorProtocol, Err: err}
 	}
+	d.settings.Notices.Learn(d.clock.Now(), leader, answer.Left)
 	switch {
 	case answer.Busy:
 		c.busy = true
@@ -317,7 +324,7 @@
 	}
 	d.assignCalls.Add(1)
 	scheduler := d.groups.scheduler(req.Group)
-	scheduler.applyEvents(req.Events)
+	d.applyEvents(from, scheduler, req.Events)
 	var c decision
 	var err error
 	if req.Offer {
@@ -331,7 +338,7 @@
 		defer cancel()
 		c, err = scheduler.assign(ctx, from, req.Request.request())
 	}
-	answer := assignAnswer{Busy: c.busy}
+	answer := assignAnswer{Busy: c.busy, Left: d.settings.Notices.Left(d.clock.Now(), recentNotices)}
 	switch {
 	case err != nil || c.busy: // still queued, or an offer that was declined
 	case c.refusal != nil:
--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -48,6 +48,8 @@
 	hosts   map[string]*Dispatcher
 	tickets map[string]quetzalhook.Ticket
 	out     strings.Builder
+	list    []quetzalhook.Upstream // of engines
+	spreads int
 
 	mu       sync.Mutex     // guards the fields that the dispatchers' goroutines read
 	leader   string         // of the first group
@@ -135,11 +137,30 @@
 			ID: quetzalhook.UpstreamID(fmt.Sprintf("e%d", i)), Service: "s", Models: []quetzalhook.Model{"m"}, Slots: slots,
 		})
 	}
+	c.list = list
 	for _, d := range c.hosts {
 		d.SetUpstreams(list)
 	}
 }
 
+// spread submits requests on a host one after the other, ends them, and prints how
+// many each engine got.
+func (c *testCluster) spread(host string, count int) {
+	counts := make(map[string]int)
+	c.spreads++
+	for i := range count {
+		t := c.submit(host, fmt.Sprintf("s%d-%d", c.spreads, i), 5*time.Second)
+		a, err := t.Next(context.Background())
+		if err != nil {
+			counts["refused"]++
+			continue
+		}
+		counts[string(a.Upstream.ID)]++
+		t.End(quetzalhook.AttemptEnd{End: quetzalhook.EndFinished})
+	}
+	fmt.Fprintln(&c.out, strings.TrimPrefix(fmt.Sprint(counts), "map"))
+}
+
 // fill submits requests on a host one after the other and prints how many were
 // placed in each group.
 func (c *testCluster) fill(host, prefix string, count int) {
@@ -290,6 +311,14 @@
 		c.tickets[f[1]].Progress(1)
 	case "foreign": // host: prints its scheduler's estimate of requests it was not told of
 		fmt.Fprintf(&c.out, "%s estimates %.1f foreign requests\n", f[1], c.hosts[f[1]].groups.scheduler(0).load().Foreign)
+	case "leaving": // id: its engine answers that it leaves
+		c.tickets[f[1]].Observe(quetzalhook.Verdict{Leaving: true})
+	case "spread": // host, requests: prints how many each engine got
+		c.spread(f[1], n(2))
+	case "relist": // all hosts take the list of engines, with those marked that they know to leave
+		for _, d := range c.hosts {
+			d.SetUpstreams(d.settings.Notices.Mark(c.list))
+		}
 	case "progress": // id tokens
 		c.tickets[f[1]].Progress(n(2))
 	case "limit": // engine, requests a second or 0
@@ -370,6 +399,10 @@
 // that is not used any more.
 func TestNamedLimit(t *testing.T) { runScripts(t, "testdata/limits") }
 
+// Guards against a request that reaches an engine after the engine has told the host
+// that it leaves, and against a leader or a lone host that learns nothing of it.
+func TestLeavingEngine(t *testing.T) { runScripts(t, "testdata/leaving") }
+
 func runScripts(t *testing.T, path string) {
 	datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 		var out string
--- a/internal/fleet/dispatcher/group_scheduler.go
+++ b/internal/fleet/dispatcher/group_scheduler.go
@@ -119,6 +119,9 @@
 // applyEvents updates the scheduler with the events that a host reports.
 func (s *groupScheduler) applyEvents(events []event) {
 	for _, e := range events {
+		if e.ID == "" {
+			continue
+		}
 		s.observe(e.ID, e.EngineRequests, e.RateLimit)
 		if e.End == 0 {
 			s.progress(e.ID, e.Tokens)
--- a/internal/fleet/dispatcher/message.go
+++ b/internal/fleet/dispatcher/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"quetzalhook"
+	"quetzalhook/internal/traffic/notice"
 	"quetzalhook/internal/traffic/throttle"
 )
 
@@ -92,6 +93,8 @@
 	// Limits holds the limits that engines have recently named to the host, so that a
 	// new leader knows them.
 	Limits map[quetzalhook.UpstreamID]throttle.Named `cbor:"3,keyasint,omitempty"`
+	// Left lists the engines that leave, as the host knows.
+	Left []notice.Left `cbor:"4,keyasint,omitempty"`
 }
 
 // adoptRequest sends the leader of a group the running requests that it does not
@@ -116,6 +119,8 @@
 	Source     string                 `cbor:"5,keyasint,omitempty"`
 	// Busy declines an offer, because no engine can take the request at once.
 	Busy bool `cbor:"6,keyasint,omitempty"`
+	// Left lists the engines that have recently begun to leave.
+	Left []notice.Left `cbor:"7,keyasint,omitempty"`
 }
 
 // event reports the progress or the end of a request.
@@ -135,6 +140,9 @@
 	// RateLimit is the limit that the engine has named, in requests a second; 0 means
 	// that there is none or, without EngineRequests, no new answer.
 	RateLimit float64 `cbor:"8,keyasint,omitempty"`
+	// Left lists engines that have told the host that they leave. The event concerns
+	// no request.
+	Left []notice.Left `cbor:"9,keyasint,omitempty"`
 }
 
 func (e event) end() quetzalhook.AttemptEnd {
--- a/internal/fleet/dispatcher/sync.go
+++ b/internal/fleet/dispatcher/sync.go
@@ -42,15 +42,23 @@
 	return events
 }
 
-func (d *Dispatcher) handleReport(_ context.Context, _ quetzalhook.HostID, body []byte) ([]byte, error) {
+func (d *Dispatcher) handleReport(_ context.Context, from quetzalhook.HostID, body []byte) ([]byte, error) {
 	var req reportRequest
 	if err := cbor.Unmarshal(body, &req); err != nil {
 		return nil, &Error{Op: "report", Kind: ErrorProtocol, Err: err}
 	}
-	d.groups.scheduler(req.Group).applyEvents(req.Events)
+	d.applyEvents(from, d.groups.scheduler(req.Group), req.Events)
 	return nil, nil
 }
 
+// applyEvents takes over the events that a host reports for a group.
+func (d *Dispatcher) applyEvents(from quetzalhook.HostID, scheduler *groupScheduler, events []event) {
+	for _, e := range events {
+		d.settings.Notices.Learn(d.clock.Now(), from, e.Left)
+	}
+	scheduler.applyEvents(events)
+}
+
 // call sends a message to a leader and decodes the answer into result unless it
 // is nil. It reports success.
 func (d *Dispatcher) call(ctx context.Context, leader quetzalhook.HostID, kind string, message, result any) bool {
@@ -95,7 +103,8 @@
 	}
 	limits := d.groups.scheduler(group).limits(recentLimits)
 	var unknown []quetzalhook.RequestID
-	if !d.call(ctx, leader, syncKind, syncRequest{Group: group, Running: running, Limits: limits}, &unknown) || len(unknown) == 0 {
+	message := syncRequest{Group: group, Running: running, Limits: limits, Left: d.settings.Notices.Left(d.clock.Now(), 0)}
+	if !d.call(ctx, leader, syncKind, message, &unknown) || len(unknown) == 0 {
 		return
 	}
 	var adoptions []adoption
@@ -113,6 +122,9 @@
 // it: an older one may have ended since.
 const recentLimits = 3 * syncInterval
 
+// recentNotices is how long the answers of a leader name an engine that leaves.
+const recentNotices = 3 * syncInterval
+
 func (d *Dispatcher) handleSync(_ context.Context, from quetzalhook.HostID, body []byte) ([]byte, error) {
 	var req syncRequest
 	if err := cbor.Unmarshal(body, &req); err != nil {
@@ -120,6 +132,7 @@
 	}
 	scheduler := d.groups.scheduler(req.Group)
 	scheduler.addLimits(req.Limits)
+	d.settings.Notices.Learn(d.clock.Now(), from, req.Left)
 	return cbor.Marshal(scheduler.sync(from, req.Running))
 }
 
--- a/internal/fleet/dispatcher/ticket.go
+++ b/internal/fleet/dispatcher/ticket.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"quetzalhook"
+	"quetzalhook/internal/traffic/notice"
 )
 
 // maxUnusable bounds how often one call of Next accepts an assignment to an
@@ -28,6 +29,7 @@
 
 	// The fields below are guarded by Dispatcher.mu.
 	current        quetzalhook.UpstreamID
+	started        int64     // start of the current upstream
 	tokens         int       // output tokens received
 	reportedAt     time.Time // when the last progress event was added
 	engineRequests int       // last number that the engine has reported, until sent to the leader; 0 if none
@@ -66,7 +68,7 @@
 			return quetzalhook.Attempt{}, c.refusal
 		}
 		t.start(c.attempt)
-		if t.dispatcher.settings.Usable(c.attempt.Upstream) {
+		if t.dispatcher.mayUse(c.attempt.Upstream) {
 			t.attempts++
 			return c.attempt, nil
 		}
@@ -75,6 +77,12 @@
 	return quetzalhook.Attempt{}, &quetzalhook.Refusal{Kind: quetzalhook.RefuseNoUpstream, RetryAfter: retryAfter}
 }
 
+// mayUse reports whether this host may send a request to an upstream now, whoever
+// has placed it there.
+func (d *Dispatcher) mayUse(u quetzalhook.Upstream) bool {
+	return d.settings.Usable(u) && d.settings.Notices.Allows(d.clock.Now(), u.ID, u.Started)
+}
+
 // checkRetry returns a refusal if the request may not be attempted once more. The
 // first attempt is always allowed.
 func (t *ticket) checkRetry() error {
@@ -99,15 +107,30 @@
 func (t *ticket) start(a quetzalhook.Attempt) {
 	d := t.dispatcher
 	d.mu.Lock()
-	t.current, t.tokens, t.reportedAt = a.Upstream.ID, 0, time.Time{}
+	t.current, t.started, t.tokens, t.reportedAt = a.Upstream.ID, a.Upstream.Started, 0, time.Time{}
 	d.tickets[t.request.ID] = t
 	d.mu.Unlock()
 	d.groups.scheduler(d.groups.groupOf(a.Upstream.ID)).adopt(d.settings.Host, t.request, a.Upstream.ID, 0)
 }
 
+// notice records what the answer of the current upstream asks of this host, and
+// reports that it leaves to the leader.
+func (t *ticket) notice(v quetzalhook.Verdict) {
+	d := t.dispatcher
+	now := d.clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if t.current == "" || !d.settings.Notices.Observe(now, t.current, t.started, v) {
+		return
+	}
+	group := d.groups.groupOf(t.current)
+	d.events[group] = append(d.events[group], event{Left: []notice.Left{{Upstream: t.current, Started: t.started}}})
+}
+
 // Observe implements quetzalhook.Ticket. The next event reports the observed load
 // and limit to the leader.
 func (t *ticket) Observe(v quetzalhook.Verdict) {
+	t.notice(v)
 	requests := 0
 	if v.HasLoad {
 		requests = max(v.Running+v.Waiting, 1) // including this one
@@ -153,6 +176,8 @@
 	d := t.dispatcher
 	if e.Verdict.NotRun && e.Verdict.RateLimit > 0 {
 		t.Observe(e.Verdict)
+	} else {
+		t.notice(e.Verdict)
 	}
 	d.mu.Lock()
 	current := t.current
--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"quetzalhook"
+	"quetzalhook/internal/traffic/notice"
 	"quetzalhook/internal/traffic/reliability"
 	"quetzalhook/internal/traffic/throttle"
 )
@@ -50,6 +51,7 @@
 	services  map[string][]*upstream
 	random    *rand.Rand
 	limits    *throttle.Limits
+	notices   *notice.Notices
 }
 
 // Option sets one property of a Balancer.
@@ -58,10 +60,13 @@
 // WithLimits sets how the balancer keeps to the limits that upstreams name.
 func WithLimits(l *throttle.Limits) Option { return func(b *Balancer) { b.limits = l } }
 
+// WithNotices sets what upstreams ask of this host.
+func WithNotices(n *notice.Notices) Option { return func(b *Balancer) { b.notices = n } }
+
 // New returns a balancer for a host in a region; random breaks ties.
 func New(region quetzalhook.Region, random *rand.Rand, opts ...Option) *Balancer {
 	b := &Balancer{
-		region: region, random: random, limits: throttle.New(),
+		region: region, random: random, limits: throttle.New(), notices: notice.New(),
 		upstreams: make(map[quetzalhook.UpstreamID]*upstream), services: make(map[string][]*upstream),
 	}
 	for _, opt := range opts {
@@ -92,13 +97,13 @@
 }
 
 // Choose returns the upstream of a service with the lowest cost for the next call,
-// without those in tried and those whose limits do not allow it, or false if there
-// is none.
+// without those in tried and those that it must not use now, or false if there is
+// none.
 func (b *Balancer) Choose(now time.Time, service string, tried []quetzalhook.UpstreamID) (quetzalhook.Upstream, bool) {
 	var best *upstream
 	lowest := math.Inf(1)
 	for _, u := range b.services[service] {
-		if contains(tried, u.info.ID) || !b.limits.Allows(now, u.info.ID) {
+		if contains(tried, u.info.ID) || !b.mayUse(now, u) {
 			continue
 		}
 		cost := u.load(now) / float64(max(u.info.Slots, 1))
@@ -120,6 +125,11 @@
 	return best.info, true
 }
 
+// mayUse reports whether this host may send a call to an upstream now.
+func (b *Balancer) mayUse(now time.Time, u *upstream) bool {
+	return b.notices.Allows(now, u.info.ID, u.info.Started) && b.limits.Allows(now, u.info.ID)
+}
+
 const (
 	// avoidedCost ranks avoided upstreams after all others.
 	avoidedCost = 1000
@@ -155,6 +165,11 @@
 	}
 }
 
+// Answered records what the header of an answer tells about an upstream.
+func (b *Balancer) Answered(now time.Time, u quetzalhook.Upstream, v quetzalhook.Verdict) {
+	b.notices.Observe(now, u.ID, u.Started, v)
+}
+
 // Ended records the end of a call that was recorded by Started.
 func (b *Balancer) Ended(now time.Time, id quetzalhook.UpstreamID, e quetzalhook.AttemptEnd) {
 	u := b.upstreams[id]
--- a/internal/traffic/balance/balance_test.go
+++ b/internal/traffic/balance/balance_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"quetzalhook"
+	"quetzalhook/internal/traffic/notice"
 )
 
 // Guards against calls to an upstream that is full, has failed or is gone while
@@ -55,6 +56,12 @@
 						e.Verdict.RateLimit = float64(number(t, f[5]))
 					}
 					b.Ended(now, quetzalhook.UpstreamID(f[1]), e)
+				case "leaving", "told": // upstream that tells this host, or another one, that it leaves
+					if f[0] == "leaving" {
+						b.Answered(now, quetzalhook.Upstream{ID: quetzalhook.UpstreamID(f[1])}, quetzalhook.Verdict{Leaving: true})
+						break
+					}
+					b.notices.Learn(now, "h", []notice.Left{{Upstream: quetzalhook.UpstreamID(f[1])}})
 				case "wait":
 					d, err := time.ParseDuration(f[1])
 					if err != nil {
--- a/internal/traffic/balance/dispatcher.go
+++ b/internal/traffic/balance/dispatcher.go
@@ -67,7 +67,7 @@
 	sent       int // calls so far
 	mayHaveRun int // attempts that may have run the request
 	tried      []quetzalhook.UpstreamID
-	current    quetzalhook.UpstreamID
+	current    quetzalhook.Upstream
 }
 
 // Next implements quetzalhook.Ticket.
@@ -108,14 +108,21 @@
 		return quetzalhook.Upstream{}, false, &quetzalhook.Refusal{Kind: quetzalhook.RefuseRetryBudget, RetryAfter: refusalRetryAfter}
 	}
 	t.sent++
-	t.current = u.ID
+	t.current = u
 	d.balancer.Started(now, u.ID)
 	return u, true, nil
 }
 
-// Observe implements quetzalhook.Ticket; it does nothing, because End takes the
-// load from the verdict of the ended attempt.
-func (t *ticket) Observe(quetzalhook.Verdict) {}
+// Observe implements quetzalhook.Ticket. End takes the load from the verdict of the
+// ended attempt.
+func (t *ticket) Observe(v quetzalhook.Verdict) {
+	if t.current.ID != "" {
+		d := t.dispatcher
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.balancer.Answered(d.clock.Now(), t.current, v)
+	}
+}
 
 // Progress implements quetzalhook.Ticket; it does nothing, because calls to plain
 // services stream no tokens.
@@ -123,20 +130,22 @@
 
 // End implements quetzalhook.Ticket.
 func (t *ticket) End(e quetzalhook.AttemptEnd) {
-	if t.current == "" {
+	if t.current.ID == "" {
 		return
 	}
 	d := t.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.balancer.Ended(d.clock.Now(), t.current, e)
+	now := d.clock.Now()
+	d.balancer.Answered(now, t.current, e.Verdict)
+	d.balancer.Ended(now, t.current.ID, e)
 	if e.End == quetzalhook.EndBroken {
 		t.mayHaveRun++
 	}
-	if !slices.Contains(t.tried, t.current) {
-		t.tried = append(t.tried, t.current)
+	if !slices.Contains(t.tried, t.current.ID) {
+		t.tried = append(t.tried, t.current.ID)
 	}
-	t.current = ""
+	t.current = quetzalhook.Upstream{}
 }
 
 // Close implements quetzalhook.Ticket.
--- a/protocol.go
+++ b/protocol.go
@@ -80,6 +80,8 @@
 	// RateLimit is the number of requests per second that the upstream takes from all
 	// hosts together; 0 means that the answer names no limit.
 	RateLimit float64
+	// Leaving reports that the upstream leaves and takes no new requests.
+	Leaving bool
 }
 
 // Protocol reads and writes the headers of requests and answers.
