Keep away from an upstream for as long as its Retry-After asks

A worker that turns a request away with 503 may add Retry-After: it wants nothing from this host for so long. No host read it: every refused request was followed by the next ones 50 ms (engines) or 30 ms (plain services) later.

The package notice keeps the pause beside the word that an upstream leaves, for one host and one start. The last check before a send refuses the upstream until the pause ends; of several pauses the one that ends last counts, since each binds until its own end. The host names the upstreams in the call for an assignment (Request.Barred, none without notices), so that the leader places its requests elsewhere and those of other hosts as before. Requests of a service whose upstreams all pause wait at their host, not in the leader's queue, if the caller has the time, or are refused with the time until the first end, at most a third of what the caller has left. After a pause the host sends one request, and twice as many in each step of up to 100 ms, six times. Caches of engines that pause are not read. A pause is cut at 10 minutes; a date or another value that is no number counts as 1 s, a negative one as none; each is logged.

Seen failing: with the check of the pause taken out, all 20 requests reach the engine that pauses (TestPausingEngine), and a=5 b=5 instead of b=10 calls (TestChoices); without the check at the send, or without the steps, 20 requests return in the first 100 ms instead of 1, 2, 4, 8, 5. TestNoticesHoldAndEnd fails with the check out.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -153,6 +153,8 @@
 	h.meter.Publish("engine-crashes", func() any { return h.isolator.Crashes() })
 	h.meter.Publish("table-revision", func() any { revision, _ := h.follower.Versions(); return revision })
 	h.meter.Publish("store-age-ms", func() any { return h.follower.StoreAge().Milliseconds() })
+	h.meter.Publish("upstreams-leaving", func() any { leaving, _ := h.notices.Counts(h.clock.Now()); return leaving })
+	h.meter.Publish("upstreams-paused", func() any { _, paused := h.notices.Counts(h.clock.Now()); return paused })
 	h.meter.Publish("invariants", func() any { return h.inv.Counts() })
 }
 
@@ -287,14 +289,21 @@
 	}
 }
 
-// logNotice logs that an upstream leaves.
+// logNotice logs what an upstream asks of this host.
 func (h *Host) logNotice(c notice.Change) {
 	from := c.From
 	if from == "" {
 		from = h.settings.Host
 	}
-	h.log.WithFields(logrus.Fields{"upstream": c.Upstream, "notice": "leaving", "from": from, "age-ms": c.Age.Milliseconds()}).
-		Info("notice of an upstream")
+	fields := logrus.Fields{"upstream": c.Upstream, "notice": c.Word, "from": from, "age-ms": c.Age.Milliseconds()}
+	if c.Word == notice.Pause {
+		fields["pause-ms"] = c.For.Milliseconds()
+	}
+	if c.Text != "" {
+		h.log.WithFields(fields).WithField("value", c.Text).Warn("notice of an upstream with an odd value")
+		return
+	}
+	h.log.WithFields(fields).Info("notice of an upstream")
 }
 
 // splitByKind splits a list of upstreams into engines and plain services. It adds
--- a/internal/fleet/dispatcher/cache.go
+++ b/internal/fleet/dispatcher/cache.go
@@ -90,6 +90,9 @@
 	limit := make(chan struct{}, maxCacheReads)
 	var wg sync.WaitGroup
 	for _, u := range d.cachePoller.takeDue(d.clock.Now(), isLed) {
+		if !d.settings.Notices.Allows(d.clock.Now(), u.ID, u.Started) {
+			continue
+		}
 		limit <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-limit }()
--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -181,6 +182,34 @@
 	fmt.Fprintf(&c.out, "placed by group: %v, not placed: %d\n", placed, refused)
 }
 
+// crowd submits requests on a host at the same time, and prints how many are placed
+// in each 100 ms, and how many are refused.
+func (c *testCluster) crowd(host string, count int, callerTimeout time.Duration) {
+	placed := make(map[int]int)
+	refused := make(map[string]int)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	begin := time.Now()
+	for i := range count {
+		t := c.submit(host, fmt.Sprintf("c%d", i), callerTimeout)
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+			defer cancel()
+			_, err := t.Next(ctx)
+			mu.Lock()
+			defer mu.Unlock()
+			var r *quetzalhook.Refusal
+			if errors.As(err, &r) {
+				refused[fmt.Sprintf("%s %v", r.Kind, r.RetryAfter.Round(100*time.Millisecond))]++
+				return
+			}
+			placed[int(time.Since(begin)/(100*time.Millisecond))]++
+		})
+	}
+	wg.Wait()
+	fmt.Fprintln(&c.out, "placed", strings.TrimPrefix(fmt.Sprint(placed), "map"), "refused", strings.TrimPrefix(fmt.Sprint(refused), "map"))
+}
+
 func (c *testCluster) submit(host, id string, callerTimeout time.Duration) quetzalhook.Ticket {
 	t := c.hosts[host].Submit(context.Background(), quetzalhook.Request{
 		ID: quetzalhook.RequestID(id), Service: "s", Model: "m", PromptTokens: 100, MaxTokens: 10, CallerTimeout: callerTimeout, Attempts: 2,
@@ -313,6 +342,14 @@
 		fmt.Fprintf(&c.out, "%s estimates %.1f foreign requests\n", f[1], c.hosts[f[1]].groups.scheduler(0).load().Foreign)
 	case "leaving": // id: its engine answers that it leaves
 		c.tickets[f[1]].Observe(quetzalhook.Verdict{Leaving: true})
+	case "pauses": // id, duration: its engine refuses it and wants no requests for so long
+		d, err := time.ParseDuration(f[2])
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.tickets[f[1]].End(quetzalhook.AttemptEnd{End: quetzalhook.EndNotSent, Verdict: quetzalhook.Verdict{NotRun: true, Pause: d}})
+	case "crowd": // host, requests, timeout-ms: prints when they are placed, by 100 ms
+		c.crowd(f[1], n(2), time.Duration(n(3))*time.Millisecond)
 	case "spread": // host, requests: prints how many each engine got
 		c.spread(f[1], n(2))
 	case "relist": // all hosts take the list of engines, with those marked that they know to leave
@@ -403,6 +440,11 @@
 // that it leaves, and against a leader or a lone host that learns nothing of it.
 func TestLeavingEngine(t *testing.T) { runScripts(t, "testdata/leaving") }
 
+// Guards against a request that reaches an engine which wants none from its host for a
+// while, against hosts that stay away although they were not told, and against a
+// crowd that returns at once when all engines have paused.
+func TestPausingEngine(t *testing.T) { runScripts(t, "testdata/pauses") }
+
 func runScripts(t *testing.T, path string) {
 	datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 		var out string
--- a/internal/fleet/dispatcher/message.go
+++ b/internal/fleet/dispatcher/message.go
@@ -36,6 +36,7 @@
 	CallerTimeout time.Duration            `cbor:"15,keyasint,omitempty"`
 	Tried         []quetzalhook.UpstreamID `cbor:"16,keyasint,omitempty"`
 	Repeatable    bool                     `cbor:"17,keyasint,omitempty"`
+	Barred        []quetzalhook.Bar        `cbor:"18,keyasint,omitempty"`
 }
 
 // toWire returns the encoding of a request.
@@ -44,7 +45,7 @@
 		ID: r.ID, Customer: r.Customer, Class: r.Class.Name(), Tier: r.Class.Tier(), Target: r.Class.TTFTTarget(),
 		GapTarget: r.Class.GapTarget(), Model: r.Model, Service: r.Service, PromptTokens: r.PromptTokens,
 		MaxTokens: r.MaxTokens, LengthHint: r.LengthHint, Region: r.Region, CallerTimeout: r.CallerTimeout, Tried: r.Tried,
-		Repeatable: r.Repeatable,
+		Repeatable: r.Repeatable, Barred: r.Barred,
 	}
 	for _, p := range r.Parts {
 		w.Hashes, w.Tokens = append(w.Hashes, p.Hash), append(w.Tokens, p.Tokens)
@@ -58,7 +59,7 @@
 		ID: w.ID, Customer: w.Customer, Model: w.Model, Service: w.Service, PromptTokens: w.PromptTokens,
 		Class:     quetzalhook.NewClass(w.Class, w.Tier, quetzalhook.WithTTFTTarget(w.Target), quetzalhook.WithGapTarget(w.GapTarget)),
 		MaxTokens: w.MaxTokens, LengthHint: w.LengthHint, Region: w.Region, CallerTimeout: w.CallerTimeout, Tried: w.Tried,
-		Repeatable: w.Repeatable,
+		Repeatable: w.Repeatable, Barred: w.Barred,
 	}
 	for i := range min(len(w.Hashes), len(w.Tokens)) {
 		r.Parts = append(r.Parts, quetzalhook.PromptPart{Hash: w.Hashes[i], Tokens: w.Tokens[i]})
--- a/internal/fleet/dispatcher/ticket.go
+++ b/internal/fleet/dispatcher/ticket.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"quetzalhook"
+	"quetzalhook/internal/state/timing"
 	"quetzalhook/internal/traffic/notice"
 )
 
@@ -14,6 +15,15 @@
 // until the leader knows that the upstream is not usable.
 const maxUnusable = 4
 
+// maxBarred bounds the assignments to upstreams that this host may not use since they
+// pause or leave. A request waits for the end of a pause with the leader, and then may
+// have to wait for some steps of the return.
+const maxBarred = 16
+
+// maxPauseRetryAfter bounds the wait that a refusal suggests while all upstreams
+// pause.
+const maxPauseRetryAfter = 10 * time.Second
+
 // retryAfter is the wait that a refusal suggests to the caller when the request
 // was not retried.
 const retryAfter = 300 * time.Millisecond
@@ -55,7 +65,9 @@
 	if err := t.checkRetry(); err != nil {
 		return quetzalhook.Attempt{}, err
 	}
-	for range maxUnusable {
+	unusable, barred := 0, 0
+	for unusable < maxUnusable && barred < maxBarred {
+		t.request.Barred = t.dispatcher.settings.Notices.Barred(t.dispatcher.clock.Now())
 		if t.callerTimeout > 0 {
 			t.request.CallerTimeout = max(t.callerTimeout-t.dispatcher.clock.Now().Sub(t.submittedAt), time.Millisecond)
 		}
@@ -64,23 +76,77 @@
 			t.dispatcher.groups.cancel(t.request.ID)
 			return quetzalhook.Attempt{}, err
 		}
+		if c.refusal != nil && c.refusal.Kind == quetzalhook.RefusePause && t.maySleep(c.refusal.RetryAfter) {
+			if !timing.Sleep(ctx, c.refusal.RetryAfter) {
+				return quetzalhook.Attempt{}, context.Cause(ctx)
+			}
+			barred++
+			continue
+		}
 		if c.refusal != nil {
-			return quetzalhook.Attempt{}, c.refusal
+			return quetzalhook.Attempt{}, t.honourable(c.refusal)
 		}
 		t.start(c.attempt)
-		if t.dispatcher.mayUse(c.attempt.Upstream) {
+		switch t.dispatcher.use(c.attempt.Upstream) {
+		case mayUse:
 			t.attempts++
 			return c.attempt, nil
+		case isBarred:
+			// The engine has not failed, and may be used later.
+			t.end(quetzalhook.AttemptEnd{End: quetzalhook.EndCallerGone})
+			barred++
+		case isUnusable:
+			t.End(quetzalhook.AttemptEnd{End: quetzalhook.EndNotSent})
+			unusable++
 		}
-		t.End(quetzalhook.AttemptEnd{End: quetzalhook.EndNotSent})
+	}
+	if barred == maxBarred {
+		return quetzalhook.Attempt{}, &quetzalhook.Refusal{Kind: quetzalhook.RefuseOverload, RetryAfter: retryAfter}
 	}
 	return quetzalhook.Attempt{}, &quetzalhook.Refusal{Kind: quetzalhook.RefuseNoUpstream, RetryAfter: retryAfter}
 }
 
-// mayUse reports whether this host may send a request to an upstream now, whoever
-// has placed it there.
-func (d *Dispatcher) mayUse(u quetzalhook.Upstream) bool {
-	return d.settings.Usable(u) && d.settings.Notices.Allows(d.clock.Now(), u.ID, u.Started)
+// maxPauseShare is the share of the time left of its caller for which a request waits
+// until the pause of all its upstreams ends.
+const maxPauseShare = 0.5
+
+// maySleep reports whether a request can wait for d and still be served.
+func (t *ticket) maySleep(d time.Duration) bool {
+	return d <= maxPauseRetryAfter && (t.callerTimeout == 0 || float64(d) <= maxPauseShare*float64(t.request.CallerTimeout))
+}
+
+// honourable returns a refusal whose wait its caller honours: at most a third of the
+// time that the caller has left.
+func (t *ticket) honourable(r *quetzalhook.Refusal) *quetzalhook.Refusal {
+	if r.Kind != quetzalhook.RefusePause {
+		return r
+	}
+	wait := min(r.RetryAfter, maxPauseRetryAfter)
+	if t.callerTimeout > 0 {
+		wait = min(wait, t.request.CallerTimeout/3)
+	}
+	return &quetzalhook.Refusal{Kind: quetzalhook.RefuseOverload, RetryAfter: max(wait, retryAfter)}
+}
+
+// use is whether a host may use an upstream.
+type use int
+
+const (
+	mayUse     use = iota
+	isBarred       // it leaves or pauses, by its own word
+	isUnusable     // it is gone
+)
+
+// use returns whether this host may send a request to an upstream now, whoever has
+// placed it there. It counts the request if so.
+func (d *Dispatcher) use(u quetzalhook.Upstream) use {
+	switch {
+	case !d.settings.Usable(u):
+		return isUnusable
+	case !d.settings.Notices.Take(d.clock.Now(), u.ID, u.Started):
+		return isBarred
+	}
+	return mayUse
 }
 
 // checkRetry returns a refusal if the request may not be attempted once more. The
@@ -173,6 +239,20 @@
 
 // End implements quetzalhook.Ticket.
 func (t *ticket) End(e quetzalhook.AttemptEnd) {
+	current := t.end(e)
+	if current == "" {
+		return
+	}
+	if e.End == quetzalhook.EndBroken {
+		t.possibleRuns++
+	}
+	if !slices.Contains(t.request.Tried, current) {
+		t.request.Tried = append(t.request.Tried, current)
+	}
+}
+
+// end ends the current attempt and returns its upstream, or "" if there is none.
+func (t *ticket) end(e quetzalhook.AttemptEnd) quetzalhook.UpstreamID {
 	d := t.dispatcher
 	if e.Verdict.NotRun && e.Verdict.RateLimit > 0 {
 		t.Observe(e.Verdict)
@@ -192,16 +272,10 @@
 		})
 	}
 	d.mu.Unlock()
-	if current == "" {
-		return
-	}
-	d.groups.scheduler(group).end(t.request.ID, e)
-	if e.End == quetzalhook.EndBroken {
-		t.possibleRuns++
-	}
-	if !slices.Contains(t.request.Tried, current) {
-		t.request.Tried = append(t.request.Tried, current)
+	if current != "" {
+		d.groups.scheduler(group).end(t.request.ID, e)
 	}
+	return current
 }
 
 // Close implements quetzalhook.Ticket.
--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -162,9 +162,25 @@
 	if u := b.upstreams[id]; u != nil {
 		u.inFlight++
 		b.limits.Start(now, id)
+		b.notices.Take(now, id, u.info.Started)
 	}
 }
 
+// Wait returns the time until an upstream of a service wants calls from this host; 0
+// means now.
+func (b *Balancer) Wait(now time.Time, service string) time.Duration {
+	least := time.Duration(math.MaxInt64)
+	for _, u := range b.services[service] {
+		if least = min(least, b.notices.Wait(now, u.info.ID, u.info.Started)); least == 0 {
+			return 0
+		}
+	}
+	if len(b.services[service]) == 0 {
+		return 0
+	}
+	return least
+}
+
 // Answered records what the header of an answer tells about an upstream.
 func (b *Balancer) Answered(now time.Time, u quetzalhook.Upstream, v quetzalhook.Verdict) {
 	b.notices.Observe(now, u.ID, u.Started, v)
--- a/internal/traffic/balance/balance_test.go
+++ b/internal/traffic/balance/balance_test.go
@@ -62,6 +62,14 @@
 						break
 					}
 					b.notices.Learn(now, "h", []notice.Left{{Upstream: quetzalhook.UpstreamID(f[1])}})
+				case "pause": // upstream, duration: it wants no calls for so long
+					pause, err := time.ParseDuration(f[2])
+					if err != nil {
+						t.Fatal(err)
+					}
+					b.Answered(now, quetzalhook.Upstream{ID: quetzalhook.UpstreamID(f[1])}, quetzalhook.Verdict{NotRun: true, Pause: pause})
+				case "until": // prints the time until an upstream may be used
+					fmt.Fprintln(&out, b.Wait(now, "s"))
 				case "wait":
 					d, err := time.ParseDuration(f[1])
 					if err != nil {
--- a/internal/traffic/balance/dispatcher.go
+++ b/internal/traffic/balance/dispatcher.go
@@ -18,6 +18,11 @@
 	maxWaitShare = 0.5
 	// refusalRetryAfter is the RetryAfter of refusals.
 	refusalRetryAfter = 250 * time.Millisecond
+	// maxRetryAfter bounds the RetryAfter of a refusal while all upstreams pause, and
+	// honouredShare is the part of their time for which callers wait as it tells
+	// them: one third.
+	maxRetryAfter = 10 * time.Second
+	honouredShare = 3
 )
 
 // Dispatcher makes a Balancer usable for concurrent requests. It implements
@@ -98,11 +103,7 @@
 	}
 	u, ok := d.balancer.Choose(now, t.request.Service, t.tried)
 	if !ok {
-		limit := time.Duration(maxWaitShare * float64(t.request.Class.TTFTTarget()))
-		if len(t.tried) == 0 || now.Sub(t.submitted) >= limit {
-			return quetzalhook.Upstream{}, false, &quetzalhook.Refusal{Kind: quetzalhook.RefuseOverload, RetryAfter: refusalRetryAfter}
-		}
-		return quetzalhook.Upstream{}, false, nil
+		return quetzalhook.Upstream{}, false, t.refusal(now)
 	}
 	if t.sent > 0 && !d.budget.Take(now, t.request.Service) {
 		return quetzalhook.Upstream{}, false, &quetzalhook.Refusal{Kind: quetzalhook.RefuseRetryBudget, RetryAfter: refusalRetryAfter}
@@ -113,6 +114,22 @@
 	return u, true, nil
 }
 
+// refusal returns the refusal of a call that no upstream can take now, or nil if it
+// is worth while to wait: for a place, or for the end of a pause.
+func (t *ticket) refusal(now time.Time) error {
+	waited := now.Sub(t.submitted)
+	left := time.Duration(maxWaitShare*float64(t.request.Class.TTFTTarget())) - waited
+	pause := t.dispatcher.balancer.Wait(now, t.request.Service)
+	if left > 0 && (pause > 0 && pause < left || pause == 0 && len(t.tried) > 0) {
+		return nil
+	}
+	longest := maxRetryAfter
+	if t.request.CallerTimeout > 0 {
+		longest = min(longest, (t.request.CallerTimeout-waited)/honouredShare)
+	}
+	return &quetzalhook.Refusal{Kind: quetzalhook.RefuseOverload, RetryAfter: max(refusalRetryAfter, min(pause, longest))}
+}
+
 // Observe implements quetzalhook.Ticket. End takes the load from the verdict of the
 // ended attempt.
 func (t *ticket) Observe(v quetzalhook.Verdict) {
--- a/internal/traffic/schedule/engine.go
+++ b/internal/traffic/schedule/engine.go
@@ -54,6 +54,17 @@
 	return r.sequence < o.sequence
 }
 
+// barredFor returns the time for which an engine wants no requests from the host of
+// r, as known when r was submitted.
+func (r *requestState) barredFor(now time.Time, e *engine) time.Duration {
+	for _, b := range r.request.Barred {
+		if b.Upstream == e.info.ID && b.Started >= e.info.Started {
+			return max(r.submitted.Add(b.For).Sub(now), 0)
+		}
+	}
+	return 0
+}
+
 // predictedOutput returns the expected number of output tokens.
 func predictedOutput(r quetzalhook.Request) int {
 	switch {
--- a/internal/traffic/schedule/place.go
+++ b/internal/traffic/schedule/place.go
@@ -67,7 +67,7 @@
 	healthy := false
 	for _, e := range r.pool.engines {
 		e.advance(now)
-		if isTried(r.request, e.info.ID) {
+		if !isOpen(now, e, r) {
 			continue
 		}
 		cheapest := &suspect
--- a/internal/traffic/schedule/schedule.go
+++ b/internal/traffic/schedule/schedule.go
@@ -109,10 +109,16 @@
 	return s
 }
 
-// canAccept reports whether a request may be sent to an engine now: the limit that
-// the engine names allows it, and the engine has room.
+// isOpen reports whether a request may use an engine at all: the engine is ready, has
+// not failed or refused it, and wants requests from its host.
+func isOpen(now time.Time, e *engine, r *requestState) bool {
+	return e.info.State == quetzalhook.UpstreamReady && !isTried(r.request, e.info.ID) && r.barredFor(now, e) == 0
+}
+
+// canAccept reports whether a request may be sent to an engine now: it may use the
+// engine, the limit that the engine names allows it, and the engine has room.
 func (s *Scheduler) canAccept(now time.Time, e *engine, r *requestState) bool {
-	return e.canAccept(r) && s.limits.Allows(now, e.info.ID)
+	return isOpen(now, e, r) && e.canAccept(r) && s.limits.Allows(now, e.info.ID)
 }
 
 // setHolder records whether an engine has a prompt part cached.
@@ -200,7 +206,7 @@
 		s.unregister(old) // the host submits a request again only after it gave up the last attempt
 	}
 	r := s.newRequestState(now, q)
-	if r.pool.allTried(q) {
+	if r.pool.allTried(now, r) {
 		r.request.Tried = nil // engines that refused it may have room by now
 	}
 	return r
@@ -216,6 +222,11 @@
 		s.refuse(r, quetzalhook.RefuseNoUpstream, minRetryAfter)
 		return s.decisions
 	}
+	// The request waits at its host, so that it does not hold up those of others.
+	if wait := p.barredFor(now, r); wait > 0 {
+		s.refuseFor(r, quetzalhook.RefusePause, wait)
+		return s.decisions
+	}
 	// If queued requests precede this one, the engines are full, so placement is
 	// not attempted.
 	if p.waiting.workAhead(now, q.Class.Tier()) == 0 && s.start(now, r) {
@@ -243,9 +254,13 @@
 // refuse adds the refusal of a request that has not started. RetryAfter is half
 // of the expected wait, from minRetryAfter to maxRetryAfter.
 func (s *Scheduler) refuse(r *requestState, kind quetzalhook.RefuseKind, wait time.Duration) {
+	s.refuseFor(r, kind, min(max(wait/2, minRetryAfter), maxRetryAfter))
+}
+
+func (s *Scheduler) refuseFor(r *requestState, kind quetzalhook.RefuseKind, retryAfter time.Duration) {
 	s.decisions = append(s.decisions, Decision{
 		Request: r.request.ID, Waiting: s.waiting,
-		Refusal: &quetzalhook.Refusal{Kind: kind, RetryAfter: min(max(wait/2, minRetryAfter), maxRetryAfter)},
+		Refusal: &quetzalhook.Refusal{Kind: kind, RetryAfter: retryAfter},
 	})
 }
 
@@ -487,8 +502,8 @@
 			}
 			// Reserve an engine: otherwise a large request would wait for ever while
 			// smaller ones take all memory that becomes free.
-			if first.reserved == nil || first.reserved.info.State != quetzalhook.UpstreamReady {
-				first.reserved = s.leastMemoryUsed(now, p)
+			if first.reserved == nil || first.reserved.info.State != quetzalhook.UpstreamReady || first.barredFor(now, first.reserved) > 0 {
+				first.reserved = s.leastMemoryUsed(now, p, first)
 			}
 			if first.reserved == e {
 				return
@@ -498,7 +513,7 @@
 			if r.request.Class.Tier() != first.request.Class.Tier() {
 				break
 			}
-			if isTried(r.request, e.info.ID) || !s.canAccept(now, e, r) {
+			if !s.canAccept(now, e, r) {
 				continue
 			}
 			c := s.evaluate(now, r, e, s.longestHolder(now, r.request))
@@ -526,10 +541,24 @@
 	s.startOn(now, r, c)
 }
 
-// allTried reports whether every engine has failed or refused a request.
-func (p *pool) allTried(q quetzalhook.Request) bool {
+// barredFor returns the time until a request may use an engine of the pool, as far as
+// the engines' words to its host go.
+func (p *pool) barredFor(now time.Time, r *requestState) time.Duration {
+	if len(r.request.Barred) == 0 {
+		return 0
+	}
+	least := time.Duration(math.MaxInt64)
 	for _, e := range p.engines {
-		if !isTried(q, e.info.ID) {
+		least = min(least, r.barredFor(now, e))
+	}
+	return least
+}
+
+// allTried reports whether every engine that wants requests from the host of a
+// request has failed or refused it.
+func (p *pool) allTried(now time.Time, r *requestState) bool {
+	for _, e := range p.engines {
+		if !isTried(r.request, e.info.ID) && r.barredFor(now, e) == 0 {
 			return false
 		}
 	}
@@ -537,11 +566,15 @@
 }
 
 // leastMemoryUsed returns the engine of a pool with the least memory in use, among
-// those whose limits allow a request unless there are none.
-func (s *Scheduler) leastMemoryUsed(now time.Time, p *pool) *engine {
+// those whose limits allow a request unless there are none, or nil if the request may
+// use none.
+func (s *Scheduler) leastMemoryUsed(now time.Time, p *pool, r *requestState) *engine {
 	var best *engine
 	bestAllowed := false
 	for _, e := range p.engines {
+		if r.barredFor(now, e) > 0 {
+			continue
+		}
 		allowed := s.limits.Allows(now, e.info.ID)
 		if best == nil || allowed && !bestAllowed || allowed == bestAllowed && e.memory < best.memory {
 			best, bestAllowed = e, allowed
--- a/policy.go
+++ b/policy.go
@@ -35,11 +35,22 @@
 	CallerTimeout time.Duration
 	// Tried lists the upstreams that have failed or refused the request.
 	Tried []UpstreamID
+	// Barred lists the upstreams that the sending host may not use now.
+	Barred []Bar
 	// Attempts is the largest number of attempts in which an upstream may run
 	// the request; 0 means no limit.
 	Attempts int
 }
 
+// Bar keeps a request from one start of an upstream, or an earlier one.
+type Bar struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream UpstreamID
+	Started  int64
+	// For is the time until the bar ends.
+	For time.Duration
+}
+
 // ActionKind selects what the host does for an Action.
 type ActionKind uint8
 
@@ -80,6 +91,9 @@
 	// RefuseLate reports that the target is out of reach for a class whose
 	// late answers have no value.
 	RefuseLate RefuseKind = "late"
+	// RefusePause reports that every upstream wants no requests from the host for a
+	// while, or at all.
+	RefusePause RefuseKind = "pause"
 	// RefuseRetryBudget reports that the retry budget is used up.
 	RefuseRetryBudget RefuseKind = "retry-budget"
 	// RefuseQuarantine reports that parts of the prompt have crashed engines.
--- a/protocol.go
+++ b/protocol.go
@@ -82,6 +82,10 @@
 	RateLimit float64
 	// Leaving reports that the upstream leaves and takes no new requests.
 	Leaving bool
+	// Pause is how long the upstream wants no requests from this host; 0 for none.
+	Pause time.Duration
+	// PauseText is the value that names the pause, if it was cut or is no number.
+	PauseText string
 }
 
 // Protocol reads and writes the headers of requests and answers.
