Move the callers' connections of the gateway to a package of their own

The listener that hands out the kernel's queue before it closes was part of the assembly of the host command, and the connections that are closed without cutting off a request part of the gateway. quetzalhook serve needs both: its planned stop cuts off requests.

Both are now in entry/caller.

--- a/internal/entry/host/listener.go
+++ b/internal/entry/caller/listener.go
@@ -1,4 +1,7 @@
-package host
+// Package caller holds the listener for callers and their connections. It closes both
+// without cutting off a request. http.Server.Shutdown drops a request that is read
+// after its start without an answer.
+package caller
 
 import (
 	"errors"
@@ -15,23 +18,24 @@
 // case callers keep coming.
 const maxQueueDrain = 100 * time.Millisecond
 
-// drainListener is a TCP listener that can be closed without resetting the
+// Listener is a TCP listener that can be closed without resetting the
 // connections that the kernel has accepted but the process has not: callers may
 // have sent requests on them already.
-type drainListener struct {
+type Listener struct {
 	*net.TCPListener
-	drainEnd atomic.Pointer[time.Time] // nil until drain is called
+	drainEnd atomic.Pointer[time.Time] // nil until Drain is called
 	once     sync.Once
 	closed   chan struct{} // closed together with the listener
 }
 
-func newDrainListener(l *net.TCPListener) *drainListener {
-	return &drainListener{TCPListener: l, closed: make(chan struct{})}
+// NewListener returns a Listener that accepts from l.
+func NewListener(l *net.TCPListener) *Listener {
+	return &Listener{TCPListener: l, closed: make(chan struct{})}
 }
 
 // Accept implements net.Listener. While the listener is draining, it returns the
 // remaining connections, and then closes the listener and returns net.ErrClosed.
-func (l *drainListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.TCPListener.Accept()
 	end := l.drainEnd.Load()
 	if end == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -47,7 +51,7 @@
 
 // acceptQueued returns a connection from the kernel's queue, or nil if the queue is
 // empty. A deadline does not tell: it may pass before the queue is looked at.
-func (l *drainListener) acceptQueued() (net.Conn, error) {
+func (l *Listener) acceptQueued() (net.Conn, error) {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return nil, err
@@ -68,7 +72,7 @@
 }
 
 // Close implements net.Listener. Only the first call has an effect.
-func (l *drainListener) Close() error {
+func (l *Listener) Close() error {
 	var err error
 	l.once.Do(func() {
 		err = l.TCPListener.Close()
@@ -77,9 +81,9 @@
 	return err
 }
 
-// drain makes Accept return the remaining connections and close the listener, and
+// Drain makes Accept return the remaining connections and close the listener, and
 // waits until it has done so or done is closed.
-func (l *drainListener) drain(done <-chan struct{}) {
+func (l *Listener) Drain(done <-chan struct{}) {
 	end := time.Now().Add(maxQueueDrain)
 	l.drainEnd.Store(&end)
 	_ = l.SetDeadline(time.Now()) // wakes a waiting Accept; a closed listener needs none
--- a/internal/entry/host/listener_test.go
+++ b/internal/entry/caller/listener_test.go
@@ -1,4 +1,4 @@
-package host
+package caller_test
 
 import (
 	"bufio"
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"quetzalhook"
+	"quetzalhook/internal/entry/caller"
 	"quetzalhook/internal/entry/gateway"
 	"quetzalhook/internal/record/routing"
 )
@@ -46,7 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := newDrainListener(raw.(*net.TCPListener))
+	l := caller.NewListener(raw.(*net.TCPListener))
 	const callers = 50
 	var conns []net.Conn
 	for range callers {
@@ -64,7 +65,7 @@
 	defer func() { _ = server.Close() }()
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(l) }()
-	l.drain(t.Context().Done())
+	l.Drain(t.Context().Done())
 	if err := g.CloseConns(t.Context()); err != nil {
 		t.Errorf("close the connections: got %v, want nil", err)
 	}
--- a/internal/entry/gateway/drain.go
+++ b/internal/entry/gateway/drain.go
@@ -5,16 +5,13 @@
 	"errors"
 	"net/http"
 	"time"
-)
 
-const (
-	// endTime is the time before the end of a stop at which the remaining requests are
-	// ended, so that their callers get an answer.
-	endTime = 200 * time.Millisecond
-	// stoppingRetryAfter is sent to callers that should use another host at once.
-	stoppingRetryAfter = time.Millisecond
+	"quetzalhook/internal/entry/caller"
 )
 
+// stoppingRetryAfter is sent to callers that should use another host at once.
+const stoppingRetryAfter = time.Millisecond
+
 // errStopping is the cause of a request's context that a stop has ended.
 var errStopping = errors.New("the host stops")
 
@@ -32,7 +29,7 @@
 // a refused caller can ask another host at once, one that is cut may have lost its
 // answer.
 func (s *Stop) takes(now time.Time, timeout time.Duration) bool {
-	return now.Before(s.Away) || !now.Add(timeout+endTime).After(s.End)
+	return now.Before(s.Away) || !now.Add(timeout+caller.EndTime).After(s.End)
 }
 
 // Drain makes every later response ask the caller to close the connection, and the
@@ -79,33 +76,13 @@
 // until all are closed. Shortly before the deadline of ctx it ends the remaining
 // requests, so that their callers get an error response unless a response has begun.
 // It returns an error if it had to do so. The listener must be closed before.
-// CloseConns replaces http.Server.Shutdown, which drops a request that is read after
-// its start without an answer.
 func (g *Gateway) CloseConns(ctx context.Context) error {
-	serve, cancel := ctx, context.CancelFunc(func() {})
-	if deadline, ok := ctx.Deadline(); ok {
-		serve, cancel = context.WithDeadline(ctx, deadline.Add(-endTime))
-	}
+	serve, cancel := caller.BeforeEnd(ctx)
 	defer cancel()
-	if g.awaitNoConns(serve) {
-		return nil
-	}
-	g.end()
-	g.awaitNoConns(ctx)
-	return serve.Err()
-}
-
-// awaitNoConns closes unused connections until none remains or ctx ends, and reports
-// whether none remains.
-func (g *Gateway) awaitNoConns(ctx context.Context) bool {
-	ticker := time.NewTicker(closeInterval)
-	defer ticker.Stop()
-	for g.callers.closeUnused() > 0 {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-ticker.C:
-		}
+	err := g.callers.Close(serve)
+	if err != nil {
+		g.end()
+		_ = g.callers.Close(ctx) // the requests have ended; what is left is cut
 	}
-	return true
+	return err
 }
--- a/internal/entry/gateway/drain_test.go
+++ b/internal/entry/gateway/drain_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"quetzalhook/internal/entry/caller"
 )
 
 // Guards against a stopping host that takes requests which it has no time to
@@ -20,8 +22,8 @@
 		{0, time.Minute, true},
 		{3*time.Second - 1, time.Minute, true},
 		{3 * time.Second, time.Minute, false},
-		{3 * time.Second, 4*time.Second - endTime, true},
-		{3 * time.Second, 4*time.Second - endTime + 1, false},
+		{3 * time.Second, 4*time.Second - caller.EndTime, true},
+		{3 * time.Second, 4*time.Second - caller.EndTime + 1, false},
 		{6 * time.Second, 500 * time.Millisecond, true},
 		{7 * time.Second, time.Millisecond, false},
 	} {
@@ -37,7 +39,7 @@
 	const (
 		body  = ` HTTP/1.1\r\nHost: h\r\nApi-Key: key\r\n\r\n`
 		ok    = `HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok`
-		soon  = endTime + 300*time.Millisecond // before the timeouts of the routes
+		soon  = caller.EndTime + 300*time.Millisecond // before the timeouts of the routes
 		event = `HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: x\n\n | hold`
 	)
 	for _, test := range []struct {
@@ -62,7 +64,7 @@
 			env.gateway.Drain(Stop{Start: now, Away: now.Add(test.away), End: now.Add(test.end)})
 			response := make(chan string, 1)
 			go func() { response <- env.send(t, test.request+body, "") }()
-			for env.gateway.callers.closeUnused() == 0 && len(response) == 0 {
+			for env.gateway.callers.CloseUnused() == 0 && len(response) == 0 {
 				runtime.Gosched()
 			}
 			_ = env.server.Listener.Close()
--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"quetzalhook"
+	"quetzalhook/internal/entry/caller"
 	"quetzalhook/internal/record/routing"
 )
 
@@ -22,7 +23,7 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	start   time.Time
-	conn    *callerConn // of the caller; nil if the server is not attached
+	conn    *caller.Conn // of the caller; nil if the server is not attached
 
 	table    *routing.Table
 	route    *routing.Route
@@ -214,7 +215,7 @@
 // a stop, how long before the request the stop began.
 func (x *exchange) addConnFields(fields logrus.Fields) {
 	if x.conn != nil {
-		fields["conn-requests"], fields["conn-age-ms"] = x.conn.requests, time.Since(x.conn.opened).Milliseconds()
+		fields["conn-requests"], fields["conn-age-ms"] = x.conn.Requests(), x.conn.Age().Milliseconds()
 	}
 	if s := x.gateway.stop.Load(); s != nil {
 		fields["stopping-ms"] = x.start.Sub(s.Start).Milliseconds()
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 
 	"quetzalhook"
+	"quetzalhook/internal/entry/caller"
 	"quetzalhook/internal/entry/connection"
 	"quetzalhook/internal/record/routing"
 )
@@ -70,6 +71,9 @@
 	Log    logrus.FieldLogger
 }
 
+// defaultIdleTimeout applies until a routing table sets an idle timeout.
+const defaultIdleTimeout = 30 * time.Second
+
 // Gateway is an http.Handler that relays requests to upstreams. It is safe for
 // concurrent use.
 type Gateway struct {
@@ -78,7 +82,7 @@
 	ended   context.Context      // ends with the time for a stop
 	end     context.CancelFunc
 	open    atomic.Int64
-	callers *callerConns
+	callers *caller.Conns
 	streams *streams
 	moves   sync.WaitGroup
 }
@@ -89,11 +93,22 @@
 		deps.StallLimit = DefaultStallLimit
 	}
 	g := &Gateway{deps: deps, streams: newStreams()}
-	g.callers = newCallerConns(g.idleTimeout)
+	g.callers = caller.NewConns(g.idleTimeout)
 	g.ended, g.end = context.WithCancel(context.Background())
 	return g
 }
 
+// Attach makes the gateway follow the connections of a server whose handler it is. It
+// must be called before the server serves.
+func (g *Gateway) Attach(s *http.Server) { g.callers.Attach(s) }
+
+func (g *Gateway) idleTimeout() time.Duration {
+	if t, _ := g.deps.Tables.Table(); t != nil && t.Limits.IdleTimeout > 0 {
+		return t.Limits.IdleTimeout
+	}
+	return defaultIdleTimeout
+}
+
 // Close waits until no stream is being moved. All requests must have ended
 // before.
 func (g *Gateway) Close() error {
@@ -110,9 +125,9 @@
 	g.open.Add(1)
 	defer g.open.Add(-1)
 	x := &exchange{gateway: g, w: w, r: r, start: g.deps.Clock.Now()}
-	x.conn, _ = r.Context().Value(connKey{}).(*callerConn)
+	x.conn = caller.FromContext(r.Context())
 	if x.conn != nil {
-		x.conn.requests++
+		x.conn.CountRequest()
 	}
 	if g.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"quetzalhook"
+	"quetzalhook/internal/entry/caller"
 	"quetzalhook/internal/entry/connection"
 	"quetzalhook/internal/entry/gateway"
 	"quetzalhook/internal/entry/meter"
@@ -94,7 +95,7 @@
 
 	servers        []*http.Server
 	callerServer   *http.Server
-	callerListener *drainListener
+	callerListener *caller.Listener
 	draining       atomic.Bool
 	memberSnapshot atomic.Pointer[memberSnapshot]
 	cancel         context.CancelFunc
@@ -237,7 +238,7 @@
 		return errors.WithStack(err)
 	}
 	if server == h.callerServer {
-		h.callerListener = newDrainListener(l.(*net.TCPListener))
+		h.callerListener = caller.NewListener(l.(*net.TCPListener))
 		l = h.callerListener
 	}
 	h.servers = append(h.servers, server)
--- a/internal/entry/host/stop.go
+++ b/internal/entry/host/stop.go
@@ -46,7 +46,7 @@
 	// Callers continue to use this host until they replace their cached list of hosts.
 	timing.Sleep(ctx, open)
 	left := h.leaveStore(ctx)
-	h.callerListener.drain(ctx.Done())
+	h.callerListener.Drain(ctx.Done())
 	err := h.gateway.CloseConns(ctx)
 	h.log.WithField("open", h.gateway.Open()).WithField("ms", h.clock.Now().Sub(times.Start).Milliseconds()).Info("host stopped")
 	select {
