Answer the requests that arrive while quetzalhook serve stops

http.Server.Shutdown drops requests that are read after its start, and closing its listener resets what is in the kernel's queue. Stop now drains the listener and closes the connections as the gateway does, and calls Shutdown only for HTTP/2, whose callers it tells which requests have not run.

A socket filter now drops the packets that open connections before the queue is emptied. A caller whose packet is dropped is refused when its kernel repeats it, after 1 s; it has sent nothing. MPTCP sockets take no filter, so the listener does not offer MPTCP. The host command uses the same listener.

A connection with TLS now has 5 s, as with Shutdown.

--- a/internal/entry/caller/conns.go
+++ b/internal/entry/caller/conns.go
@@ -20,6 +20,9 @@
 	// newConnTimeout is how long a stopping host waits for the first request on a
 	// connection that it has accepted.
 	newConnTimeout = 500 * time.Millisecond
+	// newTLSConnTimeout is that for a connection with TLS, whose handshake takes round
+	// trips and, when all callers connect at once, the processor.
+	newTLSConnTimeout = 5 * time.Second
 	// closeInterval is the time between two checks for connections to close.
 	closeInterval = 5 * time.Millisecond
 )
@@ -40,9 +43,10 @@
 // a request has been read.
 type Conn struct {
 	net.Conn
-	raw      net.Conn // without TLS
-	opened   time.Time
-	requests int // used only by the goroutine that serves the connection
+	raw        net.Conn // without TLS
+	opened     time.Time
+	requests   int           // used only by the goroutine that serves the connection
+	newTimeout time.Duration // for the first request, in a stop
 
 	mu      sync.Mutex
 	state   http.ConnState
@@ -91,9 +95,9 @@
 // add starts to follow a connection.
 func (cs *Conns) add(c net.Conn) *Conn {
 	now := time.Now()
-	n := &Conn{Conn: c, raw: c, opened: now, since: now}
+	n := &Conn{Conn: c, raw: c, opened: now, since: now, newTimeout: newConnTimeout}
 	if t, ok := c.(*tls.Conn); ok {
-		n.raw = t.NetConn()
+		n.raw, n.newTimeout = t.NetConn(), newTLSConnTimeout
 	}
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
@@ -154,7 +158,7 @@
 func (c *Conn) closeUnused() (left bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.http2 && (c.state == http.StateIdle || c.state == http.StateNew && time.Since(c.since) >= newConnTimeout) {
+	if !c.http2 && (c.state == http.StateIdle || c.state == http.StateNew && time.Since(c.since) >= c.newTimeout) {
 		c.expire()
 	}
 	return c.http2
--- a/internal/entry/caller/listener.go
+++ b/internal/entry/caller/listener.go
@@ -4,7 +4,10 @@
 package caller
 
 import (
+	"cmp"
+	"context"
 	"errors"
+	"math"
 	"net"
 	"os"
 	"sync"
@@ -15,8 +18,17 @@
 )
 
 // maxQueueDrain bounds the time in which a closing listener accepts connections, in
-// case callers keep coming.
-const maxQueueDrain = 100 * time.Millisecond
+// case the kernel lets more of them in.
+const maxQueueDrain = 500 * time.Millisecond
+
+// dropOpening is a socket filter that drops the packets which open a connection. The
+// caller's kernel repeats them, and is refused once the listener is closed.
+var dropOpening = []unix.SockFilter{
+	{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: 13},         // flags in the TCP header
+	{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, K: 2, Jf: 1}, // SYN
+	{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+	{Code: unix.BPF_RET | unix.BPF_K, K: math.MaxUint32},
+}
 
 // Listener is a TCP listener that can be closed without resetting the
 // connections that the kernel has accepted but the process has not: callers may
@@ -28,9 +40,15 @@
 	closed   chan struct{} // closed together with the listener
 }
 
-// NewListener returns a Listener that accepts from l.
-func NewListener(l *net.TCPListener) *Listener {
-	return &Listener{TCPListener: l, closed: make(chan struct{})}
+// Listen opens a Listener. It does not offer MPTCP, whose sockets take no filter.
+func Listen(ctx context.Context, address string) (*Listener, error) {
+	var cfg net.ListenConfig
+	cfg.SetMultipathTCP(false)
+	l, err := cfg.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Listener{TCPListener: l.(*net.TCPListener), closed: make(chan struct{})}, nil
 }
 
 // Accept implements net.Listener. While the listener is draining, it returns the
@@ -81,9 +99,11 @@
 	return err
 }
 
-// Drain makes Accept return the remaining connections and close the listener, and
-// waits until it has done so or done is closed.
-func (l *Listener) Drain(done <-chan struct{}) {
+// Drain lets no further connection into the queue, makes Accept return the remaining
+// ones and close the listener, and waits until it has done so or done is closed. An
+// error tells that the kernel still let connections in, of which some may be reset.
+func (l *Listener) Drain(done <-chan struct{}) error {
+	filterErr := l.dropOpening()
 	end := time.Now().Add(maxQueueDrain)
 	l.drainEnd.Store(&end)
 	_ = l.SetDeadline(time.Now()) // wakes a waiting Accept; a closed listener needs none
@@ -91,4 +111,18 @@
 	case <-l.closed:
 	case <-done:
 	}
+	return filterErr
+}
+
+func (l *Listener) dropOpening() error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	program := unix.SockFprog{Len: uint16(len(dropOpening)), Filter: &dropOpening[0]}
+	var filterErr error
+	err = raw.Control(func(fd uintptr) {
+		filterErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
+	})
+	return cmp.Or(err, filterErr)
 }
--- a/internal/entry/caller/listener_test.go
+++ b/internal/entry/caller/listener_test.go
@@ -43,15 +43,14 @@
 // their connections wait in the kernel's queue when the listener is closed, or they
 // are read after the stop has begun, which http.Server.Shutdown does not answer.
 func TestDrainListener(t *testing.T) {
-	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := caller.Listen(t.Context(), "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := caller.NewListener(raw.(*net.TCPListener))
 	const callers = 50
 	var conns []net.Conn
 	for range callers {
-		c, err := net.Dial("tcp", raw.Addr().String())
+		c, err := net.Dial("tcp", l.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -65,7 +64,9 @@
 	defer func() { _ = server.Close() }()
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(l) }()
-	l.Drain(t.Context().Done())
+	if err := l.Drain(t.Context().Done()); err != nil {
+		t.Errorf("drain: got %v, want nil", err)
+	}
 	if err := g.CloseConns(t.Context()); err != nil {
 		t.Errorf("close the connections: got %v, want nil", err)
 	}
@@ -79,7 +80,7 @@
 			t.Errorf("caller %d of %d: got %v, want an answer", i, callers, err)
 		}
 	}
-	if c, err := net.Dial("tcp", raw.Addr().String()); err == nil {
+	if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
 		_ = c.Close()
 		t.Error("connection after the stop: got one, want it refused")
 	}
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -215,7 +215,7 @@
 		h.settings.Listen.Directory:         {Handler: directory, ReadHeaderTimeout: headerTimeout},
 		h.settings.Metrics(h.settings.IP()): {Handler: h.meter.Handler(), ReadHeaderTimeout: headerTimeout},
 	} {
-		if err := h.serve(address, server); err != nil {
+		if err := h.serve(ctx, address, server); err != nil {
 			return err
 		}
 	}
@@ -232,14 +232,17 @@
 )
 
 // serve opens a listener and serves it in a goroutine.
-func (h *Host) serve(address string, server *http.Server) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.WithStack(err)
-	}
+func (h *Host) serve(ctx context.Context, address string, server *http.Server) error {
+	var l net.Listener
+	var err error
 	if server == h.callerServer {
-		h.callerListener = caller.NewListener(l.(*net.TCPListener))
+		h.callerListener, err = caller.Listen(ctx, address)
 		l = h.callerListener
+	} else {
+		l, err = net.Listen("tcp", address)
+	}
+	if err != nil {
+		return errors.WithStack(err)
 	}
 	h.servers = append(h.servers, server)
 	h.wg.Go(func() {
--- a/internal/entry/host/stop.go
+++ b/internal/entry/host/stop.go
@@ -46,7 +46,9 @@
 	// Callers continue to use this host until they replace their cached list of hosts.
 	timing.Sleep(ctx, open)
 	left := h.leaveStore(ctx)
-	h.callerListener.Drain(ctx.Done())
+	if err := h.callerListener.Drain(ctx.Done()); err != nil {
+		h.log.WithError(err).Warn("connections may be reset while the listener closes")
+	}
 	err := h.gateway.CloseConns(ctx)
 	h.log.WithField("open", h.gateway.Open()).WithField("ms", h.clock.Now().Sub(times.Start).Milliseconds()).Info("host stopped")
 	select {
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -18,6 +18,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/entry/broker"
+	"quetzalhook/internal/entry/caller"
 	"quetzalhook/internal/entry/front"
 	"quetzalhook/internal/entry/meter"
 	"quetzalhook/internal/entry/operator"
@@ -43,24 +44,26 @@
 
 // Node is an entry host with all its components.
 type Node struct {
-	settings setting.Settings
-	log      logrus.FieldLogger
-	clock    quetzalhook.Clock
-	meter    *meter.Meter
-	inv      *invariant.Registry
-	machine  *chart.Machine
-	store    Store
-	provider *provider.Client
-	broker   *broker.Broker
-	planner  *placement.Planner // nil for the baseline policy
-	pool     *relay.Pool
-	relay    *relay.Relay
-	prober   *probe.Prober
-	front    *front.Front
-	server   *http.Server
-	listener net.Listener
-	records  *records
-	fleet    *fleet
+	settings    setting.Settings
+	log         logrus.FieldLogger
+	clock       quetzalhook.Clock
+	meter       *meter.Meter
+	inv         *invariant.Registry
+	machine     *chart.Machine
+	store       Store
+	provider    *provider.Client
+	broker      *broker.Broker
+	planner     *placement.Planner // nil for the baseline policy
+	pool        *relay.Pool
+	relay       *relay.Relay
+	prober      *probe.Prober
+	front       *front.Front
+	server      *http.Server
+	listener    net.Listener // tcpListener, or TLS on top of it
+	tcpListener *caller.Listener
+	callers     *caller.Conns
+	records     *records
+	fleet       *fleet
 
 	region   atomic.Value // quetzalhook.Region
 	draining atomic.Bool
@@ -159,7 +162,7 @@
 // Requests are refused until the host has received a configuration. The host runs
 // until Stop or Kill is called, even if ctx ends before.
 func (n *Node) Start(ctx context.Context) error {
-	listener, err := n.listen()
+	listener, err := n.listen(ctx)
 	if err != nil {
 		return err
 	}
@@ -178,8 +181,11 @@
 		Handler: n.front, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: nil,
 	}
+	n.callers = caller.NewConns(nil)
+	n.callers.Attach(n.server)
 	n.wg.Go(func() {
-		if err := n.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		err := n.server.Serve(listener)
+		if !errors.Is(err, http.ErrServerClosed) && !(n.draining.Load() && errors.Is(err, net.ErrClosed)) {
 			n.log.WithError(err).Error("listener failed")
 		}
 	})
@@ -189,11 +195,12 @@
 }
 
 // listen opens the listener for callers, with TLS if a certificate is set.
-func (n *Node) listen() (net.Listener, error) {
-	listener, err := net.Listen("tcp", n.settings.Listen)
+func (n *Node) listen(ctx context.Context) (net.Listener, error) {
+	listener, err := caller.Listen(ctx, n.settings.Listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
+	n.tcpListener = listener
 	if n.settings.Certificate == "" {
 		return listener, nil
 	}
--- a/internal/entry/node/stop.go
+++ b/internal/entry/node/stop.go
@@ -37,10 +37,10 @@
 	n.log.WithField("open", n.front.Open()).Info("host draining")
 	_ = n.machine.Fire(eventDrain)
 	n.front.Drain()
-	err := n.server.Shutdown(ctx)
-	if err == nil {
-		err = n.broker.Wait(ctx)
+	if err := n.tcpListener.Drain(ctx.Done()); err != nil {
+		n.log.WithError(err).Warn("connections may be reset while the listener closes")
 	}
+	err := n.awaitRequests(ctx)
 	open := n.front.Open()
 	n.inv.Check(invariant.GracefulStop, err == nil && open == 0, "open", open, "error", err)
 	_ = n.machine.Fire(eventIdle)
@@ -49,6 +49,18 @@
 	return err
 }
 
+// awaitRequests closes all connections of callers once they have no request. It returns
+// an error if ctx ends first.
+func (n *Node) awaitRequests(ctx context.Context) error {
+	if err := n.callers.Close(ctx); err != nil {
+		return err
+	}
+	if err := n.server.Shutdown(ctx); err != nil { // the connections of HTTP/2
+		return err
+	}
+	return n.broker.Wait(ctx)
+}
+
 // Kill stops the host immediately, like a crash: it stores nothing and releases no
 // lease. Unlike a crash, it waits for the goroutines of the host.
 func (n *Node) Kill() {
