Check each line of an event once, however its bytes arrive

An upstream that sends a long event in small pieces kept a processor busy: each read checked the unfinished event again from its start.

The checker now keeps the place and the fields of the unfinished event.

--- a/internal/entry/gateway/event.go
+++ b/internal/entry/gateway/event.go
@@ -29,11 +29,16 @@
 	hasLast  bool
 	gapless  bool // each ID so far was the successor of the one before
 	upstream int  // events of the current upstream
+
+	// The event that is not complete yet.
+	lines   int // length of its complete lines, which are not checked again
+	partial event
 }
 
 // event is what the lines of an event have shown so far.
 type event struct {
 	id      []byte
+	hasID   bool
 	hasData bool
 	hasType bool
 }
@@ -46,10 +51,18 @@
 }
 
 // startUpstream is called before the response of another upstream.
-func (c *eventChecker) startUpstream() { c.upstream = 0 }
+func (c *eventChecker) startUpstream() {
+	c.upstream = 0
+	c.startEvent()
+}
+
+func (c *eventChecker) startEvent() {
+	c.lines, c.partial = 0, event{id: c.partial.id[:0]}
+}
 
 // check returns the length of the complete events at the start of data. The error
-// tells why what comes next is not an event.
+// tells why what comes next is not an event. The next call gets the rest of data, and
+// what follows it.
 func (c *eventChecker) check(data []byte) (int, error) {
 	checked := 0
 	for {
@@ -64,25 +77,26 @@
 // checkEvent checks one event, which ends with an empty line. It returns 0 if data
 // does not contain the empty line yet.
 func (c *eventChecker) checkEvent(data []byte) (int, error) {
-	var e event
-	for length := 0; ; {
-		n := bytes.IndexByte(data[length:], '\n')
+	for {
+		n := bytes.IndexByte(data[c.lines:], '\n')
 		if n < 0 {
 			return 0, nil
 		}
-		line := data[length : length+n]
-		length += n + 1
+		line := data[c.lines : c.lines+n]
+		c.lines += n + 1
 		if n > 0 && line[n-1] == '\r' {
 			line = line[:n-1]
 		}
 		if len(line) == 0 {
-			if err := c.addEvent(e); err != nil {
+			if err := c.addEvent(c.partial); err != nil {
 				first, _, _ := bytes.Cut(data, []byte{'\n'})
 				return 0, errors.Errorf("%v: %q", err, first[:min(len(first), maxShownBytes)])
 			}
+			length := c.lines
+			c.startEvent()
 			return length, nil
 		}
-		if err := c.addLine(&e, line); err != nil {
+		if err := c.addLine(&c.partial, line); err != nil {
 			return 0, errors.Errorf("%v: %q", err, line[:min(len(line), maxShownBytes)])
 		}
 	}
@@ -101,10 +115,10 @@
 		e.hasType = true
 	case "retry":
 	case "id":
-		if e.id != nil {
+		if e.hasID {
 			return errors.New("an event with two IDs")
 		}
-		e.id = bytes.TrimSpace(value)
+		e.id, e.hasID = append(e.id, bytes.TrimSpace(value)...), true
 		if _, ok := parseEventID(e.id); !ok {
 			return errors.New("an event ID that is not a number")
 		}
@@ -120,9 +134,9 @@
 // or without lines are allowed and are not events.
 func (c *eventChecker) addEvent(e event) error {
 	switch {
-	case e.id == nil && (e.hasData || e.hasType):
+	case !e.hasID && (e.hasData || e.hasType):
 		return errors.New("an event without an ID")
-	case e.id == nil:
+	case !e.hasID:
 		return nil
 	case !e.hasData:
 		return errors.New("an event without data")
--- a/internal/entry/gateway/event_test.go
+++ b/internal/entry/gateway/event_test.go
@@ -143,6 +143,38 @@
 // Close implements io.Closer.
 func (b *randomReader) Close() error { return nil }
 
+// countingProtocol counts the lines that the checker asks for.
+type countingProtocol struct {
+	testProtocol
+	lines *int
+}
+
+func (p countingProtocol) IsEventField(name, value []byte) bool {
+	*p.lines++
+	return p.testProtocol.IsEventField(name, value)
+}
+
+// Guards against a check that begins again with each piece of an event.
+func TestEventInPiecesIsCheckedOnce(t *testing.T) {
+	const lines = 500
+	text := strings.Repeat("weights: 1\n", lines) + "id: 1\ndata: x\n\nid: 2\ndata: y\n\n"
+	checked, passed := 0, 0
+	c := eventChecker{protocol: countingProtocol{lines: &checked}}
+	var pending []byte
+	for i := range len(text) {
+		pending = append(pending, text[i])
+		n, err := c.check(pending)
+		if err != nil {
+			t.Fatal(err)
+		}
+		passed += n
+		pending = append(pending[:0], pending[n:]...)
+	}
+	if checked != lines || passed != len(text) || string(c.lastID) != "2" {
+		t.Errorf("got %d lines checked, %d bytes passed, last event %s; want %d, %d, 2", checked, passed, c.lastID, lines, len(text))
+	}
+}
+
 func BenchmarkCheckEvents(b *testing.B) {
 	var data []byte
 	c := eventChecker{protocol: testProtocol{}}
