--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -41,7 +41,7 @@
 			&cli.IntFlag{Name: "callers", Value: 24, Usage: "number of callers in a run", Sources: cli.EnvVars("SOAK_CALLERS")},
 			&cli.DurationFlag{Name: "length", Value: 20 * time.Second, Usage: "time during which faults are injected", Sources: cli.EnvVars("SOAK_LENGTH")},
 			&cli.StringSliceFlag{Name: "kinds", Usage: "`KINDS` of faults to inject, each NAME or NAME/VARIANT; default: all", Sources: cli.EnvVars("SOAK_KINDS")},
-			&cli.StringFlag{Name: "regressions", Usage: "`FILE` with lines SEED HOSTS LENGTH to run instead; text after # is a comment", Sources: cli.EnvVars("SOAK_REGRESSIONS")},
+			&cli.StringFlag{Name: "regressions", Usage: "`FILE` with lines SEED HOSTS LENGTH [KINDS] to run instead; text after # is a comment", Sources: cli.EnvVars("SOAK_REGRESSIONS")},
 			&cli.StringFlag{Name: "logs", Usage: "`DIRECTORY` for the logs of failed seeds; default: the temporary directory", Sources: cli.EnvVars("SOAK_LOGS")},
 		},
 		Action: run,
@@ -91,9 +91,12 @@
 				continue
 			}
 			s := base
-			var length string
-			if _, err := fmt.Sscan(text, &s.Seed, &s.Hosts, &length); err != nil {
-				return nil, errors.Wrapf(err, "line %q of %s is not SEED HOSTS LENGTH", strings.TrimSpace(line), path)
+			var length, kinds string
+			if n, err := fmt.Sscan(text, &s.Seed, &s.Hosts, &length, &kinds); n < 3 {
+				return nil, errors.Wrapf(err, "line %q of %s is not SEED HOSTS LENGTH [KINDS]", strings.TrimSpace(line), path)
+			}
+			if kinds != "" {
+				s.Kinds = strings.Split(kinds, ",")
 			}
 			if s.Length, err = time.ParseDuration(length); err != nil {
 				return nil, errors.Wrapf(err, "line %q of %s", strings.TrimSpace(line), path)
--- a/internal/bench/soak/crash_test.go
+++ b/internal/bench/soak/crash_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
@@ -64,7 +63,7 @@
 			settings: Settings{Seed: seed, Program: program, Directory: t.TempDir(), Hosts: 4}, memory: memory.New(),
 			stoppedStreams: standin.NewStoppedStreams(), random: rand.New(rand.NewPCG(seed, 1)), claimed: make(map[*host]bool),
 			zones:   map[quetzalhook.Zone]quetzalhook.Region{"z-a": "r-a", "z-b": "r-b", "z-c": "r-c"},
-			resumed: make(map[quetzalhook.HostID]time.Time), network: fmt.Sprintf("127.%d.%d.", 1+os.Getpid()%200, 1+seed%250),
+			resumed: make(map[quetzalhook.HostID]time.Time), network: networkOf(seed),
 		},
 		crashes: make(map[uint64][]time.Time), arrivals: make(map[uint64][]standin.Arrival),
 	}
--- a/internal/bench/soak/system.go
+++ b/internal/bench/soak/system.go
@@ -117,8 +117,7 @@
 		settings: cfg, memory: memory.New(), stoppedStreams: standin.NewStoppedStreams(), random: rand.New(rand.NewPCG(cfg.Seed, 1)), claimed: make(map[*host]bool),
 		zones:   map[quetzalhook.Zone]quetzalhook.Region{"z-a": "r-a", "z-b": "r-b", "z-c": "r-c"},
 		resumed: make(map[quetzalhook.HostID]time.Time),
-		// Concurrent runs on one machine need different addresses.
-		network: fmt.Sprintf("127.%d.%d.", 1+os.Getpid()%200, 1+cfg.Seed%250),
+		network: networkOf(cfg.Seed),
 	}
 	s.checker = NewChecker(s.isHostUndisturbed, s.resumedAt)
 	s.onArrival = s.checker.RequestStarted
@@ -142,6 +141,13 @@
 	return result, nil
 }
 
+// networkOf returns the first three parts of the IP addresses of a run. Concurrent
+// runs on one machine, also with the same seed, need different ones.
+func networkOf(seed uint64) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.", 1+pid%200, 1+(seed+uint64(pid/200))%250)
+}
+
 // setUp starts the stand-ins and the hosts and waits until all hosts are ready.
 func (s *system) setUp(ctx context.Context) error {
 	s.store, s.duties = standin.NewStore(s.memory), standin.NewDutyServer(s.recordDuty)
