Answer the requests that are open when the time for a stop of serve has passed

The wait for callers with older lists leaves this time, too. A call that may not be repeated goes on after its caller has left, but not after a stop: its caller got no answer although the host closes the upstream's connection next (TestServiceOutlivesCaller fails without the change of relay/service.go).

--- a/internal/entry/front/auth.go
+++ b/internal/entry/front/auth.go
@@ -77,8 +77,8 @@
 	return notRunError(http.StatusBadRequest, "key-in-request", "the key may only be in the Authorization header", 0)
 }
 
-// watchKey returns a context that ends with the request or when the key is
-// withdrawn, and a function that releases it.
+// watchKey returns a context that ends with the request, when the key is withdrawn or
+// at the end of a stop, and a function that releases it.
 func (x *exchange) watchKey() (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(x.r.Context())
 	withdrawn, release := x.front.deps.Keys.Withdrawn(x.identity.Key)
@@ -87,6 +87,8 @@
 		select {
 		case <-withdrawn:
 			cancel(errWithdrawn)
+		case <-x.front.ended.Done():
+			cancel(relay.ErrStopped)
 		case <-ctx.Done():
 		}
 	}()
--- a/internal/entry/front/error.go
+++ b/internal/entry/front/error.go
@@ -80,6 +80,8 @@
 	case errors.As(err, &result):
 		copied := *result
 		result = &copied
+	case x.ctx != nil && errors.Is(context.Cause(x.ctx), relay.ErrStopped):
+		result = x.endedByStop()
 	case errors.As(err, &relayErr):
 		result = fromRelayError(relayErr)
 	default:
@@ -93,6 +95,16 @@
 	return result
 }
 
+// endedByStop returns the error for a request that was in progress at the end of a
+// stop.
+func (x *exchange) endedByStop() *Error {
+	e := &Error{Op: "serve", Kind: "stopping", Status: http.StatusServiceUnavailable, Message: relay.ErrStopped.Error(), RetryAfter: defaultRetryAfter}
+	if x.sent.Load() {
+		e.Status, e.RetryAfter = http.StatusGatewayTimeout, 0
+	}
+	return e
+}
+
 // fromRelayError converts an error of the relay.
 func fromRelayError(e *relay.Error) *Error {
 	out := &Error{Op: e.Op, Kind: string(e.Kind), Status: http.StatusBadGateway, Message: e.Error(), Outcome: e.Outcome, RetryAfter: e.RetryAfter}
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -91,6 +91,8 @@
 	draining   atomic.Bool
 	inProgress sync.WaitGroup
 	openCount  atomic.Int64
+	ended      context.Context // ends with the time for a stop
+	end        context.CancelFunc
 }
 
 // New returns a Front with a random prefix for its request IDs.
@@ -101,6 +103,7 @@
 	f.mux.HandleFunc("GET /v1/hosts", f.hosts)
 	f.mux.HandleFunc("GET /v1/models", f.models)
 	f.mux.HandleFunc("/", f.route)
+	f.ended, f.end = context.WithCancel(context.Background())
 	if deps.Operator != nil {
 		f.mux.Handle("/operator/", deps.Operator)
 		f.mux.Handle("GET /debug/", deps.Operator)
@@ -123,6 +126,10 @@
 // Drain makes every later response ask the caller to close the connection.
 func (f *Front) Drain() { f.draining.Store(true) }
 
+// End ends the requests in progress, whose callers get an error. It is called shortly
+// before the end of a stop.
+func (f *Front) End() { f.end() }
+
 // Open returns the number of requests in progress.
 func (f *Front) Open() int { return int(f.openCount.Load()) }
 
--- a/internal/entry/node/stop.go
+++ b/internal/entry/node/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"quetzalhook/internal/entry/caller"
 	"quetzalhook/internal/state/chart"
 	"quetzalhook/internal/state/invariant"
 	"quetzalhook/internal/state/timing"
@@ -20,8 +21,8 @@
 // Stop shuts the host down gracefully, without interrupting requests. The other hosts
 // stop listing it, and it continues to serve callers until their cached lists of hosts
 // expire. Then it closes each connection when its request ends and waits for all
-// requests. If ctx ends first, the remaining requests are aborted and Stop returns the
-// error of ctx.
+// requests. Shortly before the deadline of ctx it ends those that remain, so that their
+// callers get an error response unless a response has begun, and returns an error.
 func (n *Node) Stop(ctx context.Context) error {
 	var err error
 	n.stopOnce.Do(func() { err = n.stop(ctx) })
@@ -33,14 +34,20 @@
 	n.log.Info("host stopping; removed from the list of hosts")
 	_ = n.machine.Fire(eventLeave)
 	n.draining.Store(true)
-	timing.Sleep(ctx, n.settings.HostsLifetime+drainNotice)
+	serve, cancel := caller.BeforeEnd(ctx)
+	defer cancel()
+	timing.Sleep(serve, n.settings.HostsLifetime+drainNotice)
 	n.log.WithField("open", n.front.Open()).Info("host draining")
 	_ = n.machine.Fire(eventDrain)
 	n.front.Drain()
 	if err := n.tcpListener.Drain(ctx.Done()); err != nil {
 		n.log.WithError(err).Warn("connections may be reset while the listener closes")
 	}
-	err := n.awaitRequests(ctx)
+	err := n.awaitRequests(serve)
+	if err != nil {
+		n.front.End()
+		_ = n.awaitRequests(ctx) // what is left is cut
+	}
 	open := n.front.Open()
 	n.inv.Check(invariant.GracefulStop, err == nil && open == 0, "open", open, "error", err)
 	_ = n.machine.Fire(eventIdle)
--- a/internal/entry/node/stop_test.go
+++ b/internal/entry/node/stop_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -69,3 +71,48 @@
 		})
 	}
 }
+
+// Guards against requests that get no answer because the time for a stop has passed.
+func TestStopAnswersOpenRequests(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		slots string
+		sent  int64 // to the engine, after the stream
+		want  int
+	}{{"slots: 1", 0, http.StatusServiceUnavailable}, {"slots: 8", 1, http.StatusGatewayTimeout}} {
+		t.Run(test.slots, func(t *testing.T) {
+			c := newTestCluster(t, 100)
+			c.document = strings.Replace(c.document, "slots: 8", test.slots, 1)
+			n := c.start("a")
+			c.configure(n)
+			before := c.engine.Stats().Requests
+			stream := c.chat(n, 2000)
+			if stream == nil {
+				t.Fatal("no response")
+			}
+			defer stream.Body.Close()
+			status := make(chan int, 1)
+			go func() {
+				resp := c.post(n, "/v1/chat/completions", c.secret, `{"model":"m","messages":[{"role":"user","content":"x"}],"metadata":{"output_tokens":2000}}`)
+				if resp == nil {
+					status <- 0
+					return
+				}
+				_ = resp.Body.Close()
+				status <- resp.StatusCode
+			}()
+			c.await("second request", func() bool { return n.broker.Open() == 2 && c.engine.Stats().Requests == before+1+test.sent })
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			if err := n.Stop(ctx); err == nil {
+				t.Error("stop: got no error, want one")
+			}
+			if got := <-status; got != test.want {
+				t.Errorf("status: got %d, want %d", got, test.want)
+			}
+			if body, _ := io.ReadAll(stream.Body); !strings.Contains(string(body), `"kind":"stopping"`) {
+				t.Errorf("stream: got %d bytes without the error, want it at the end", len(body))
+			}
+		})
+	}
+}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -40,6 +40,9 @@
 	maxErrorBody = 16 << 10
 )
 
+// ErrStopped is the cause of a request's context that the end of a stop has ended.
+var ErrStopped = errors.New("the host stopped before the answer was complete")
+
 var (
 	errStalled    = errors.New("the upstream sent nothing within the stall timeout")
 	errIncomplete = errors.New("the upstream's stream ended before the answer was complete")
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -293,11 +294,15 @@
 }
 
 func (h *harness) service(id string, repeatable bool) (relay.ServiceResponse, error) {
+	return h.serviceIn(context.Background(), id, repeatable)
+}
+
+func (h *harness) serviceIn(ctx context.Context, id string, repeatable bool) (relay.ServiceResponse, error) {
 	call := relay.ServiceCall{
 		Request: quetzalhook.Request{ID: quetzalhook.RequestID(id), Model: testModel, Repeatable: repeatable},
 		Method:  http.MethodPost, Path: "/bookings", Body: []byte("body of " + id), Guard: relay.Guard{Secret: testSecret, Sent: new(atomic.Bool)},
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 	defer cancel()
 	ticket, err := h.broker.Submit(ctx, call.Request)
 	if err != nil {
@@ -352,6 +357,28 @@
 	}
 }
 
+// Guards against a call that may not be repeated and ends with its caller, or does not
+// end with a stop, so that its caller gets no answer.
+func TestServiceOutlivesCaller(t *testing.T) {
+	for _, cause := range []error{context.Canceled, relay.ErrStopped} {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		h := newHarness(t, []quetzalhook.Upstream{serviceUpstream(t, func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body) // the server notices the end of the connection afterwards
+			cancel(cause)
+			select {
+			case <-r.Context().Done():
+			case <-time.After(300 * time.Millisecond):
+			}
+		})})
+		_, err := h.serviceIn(ctx, "r1", false)
+		var e *relay.Error
+		stopped := errors.As(err, &e) && e.Outcome == quetzalhook.OutcomeUnknown
+		if want := cause == relay.ErrStopped; stopped != want || !want && err != nil {
+			t.Errorf("%v: got %v, want an error of unknown outcome: %t", cause, err, want)
+		}
+	}
+}
+
 // Guards against responses delivered to the wrong request when a service swaps
 // the responses of two connections.
 func TestServiceAnswersCrossed(t *testing.T) {
--- a/internal/entry/relay/service.go
+++ b/internal/entry/relay/service.go
@@ -93,14 +93,20 @@
 	if clients == nil {
 		return ServiceResponse{}, &Error{Op: "service", Kind: KindNotSent, Outcome: quetzalhook.OutcomeNotRun, Err: errors.New("upstream is not configured")}
 	}
-	// A call that may not be repeated continues after its caller disconnects,
-	// so that its outcome becomes known and a repeat gets the same response.
+	// A call that may not be repeated continues after its caller disconnects, until
+	// the host stops, so that its outcome becomes known and a repeat gets the same
+	// response.
 	parent := attempt.Context()
 	if !call.Request.Repeatable {
 		parent = context.WithoutCancel(parent)
 	}
 	ctx, cancel := context.WithTimeout(parent, serviceTimeout)
 	defer cancel()
+	defer context.AfterFunc(attempt.Context(), func() {
+		if errors.Is(context.Cause(attempt.Context()), ErrStopped) {
+			cancel()
+		}
+	})()
 	var connected atomic.Bool
 	ctx = call.traceSend(ctx, &connected)
 	req, err := r.newServiceRequest(ctx, "http://"+clients.upstream.Address, call)
