Let calls wait for the end of a pause as long as their callers would

While all upstreams of a plain service paused, a call waited for half its target at most, 150 ms, and was then refused, although its caller had seconds left. A call waits if the pause ends within the time for which its caller would honour a Retry-After, a third of what is left, and is refused with that time otherwise.

--- a/internal/traffic/balance/dispatcher.go
+++ b/internal/traffic/balance/dispatcher.go
@@ -115,18 +115,19 @@
 }
 
 // refusal returns the refusal of a call that no upstream can take now, or nil if it
-// is worth while to wait: for a place, or for the end of a pause.
+// waits: for a place, or for the end of a pause as long as its caller would after a
+// refusal.
 func (t *ticket) refusal(now time.Time) error {
 	waited := now.Sub(t.submitted)
 	left := time.Duration(maxWaitShare*float64(t.request.Class.TTFTTarget())) - waited
 	pause := t.dispatcher.balancer.Wait(now, t.request.Service)
-	if left > 0 && (pause > 0 && pause < left || pause == 0 && len(t.tried) > 0) {
-		return nil
-	}
 	longest := maxRetryAfter
 	if t.request.CallerTimeout > 0 {
 		longest = min(longest, (t.request.CallerTimeout-waited)/honouredShare)
 	}
+	if pause > 0 && pause <= longest || pause == 0 && len(t.tried) > 0 && left > 0 {
+		return nil
+	}
 	return &quetzalhook.Refusal{Kind: quetzalhook.RefuseOverload, RetryAfter: max(refusalRetryAfter, min(pause, longest))}
 }
 
