Reject settings that name one address for two listeners

A test of the host command ended once with a nil dereference in Stop (TestHangupDuringStop's package, load average 41): Start keeps its servers by address, so that of two with the same address one is not opened; without the one for callers, the host served nobody and its stop crashed. That is the only way to this line: any failed listener ends Start with an error. The test drew its ports one after the other and could draw one twice.

Settings with such addresses are now a mistake that names both. The tests draw ports that differ.

--- a/cmd/quetzalhook/host_test.go
+++ b/cmd/quetzalhook/host_test.go
@@ -16,15 +16,19 @@
 	"quetzalhook/platform/standin"
 )
 
-// freePort returns a port of loopback that was free a moment ago.
-func freePort(t *testing.T) int {
+// freePorts returns different ports of loopback that were free a moment ago.
+func freePorts(t *testing.T, n int) []int {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	var ports []int
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+	return ports
 }
 
 // testHost is a host that runs in this process, before a store without a
@@ -44,8 +48,9 @@
 		store.Close()
 		server.Close()
 	})
-	inner, ready := freePort(t), freePort(t)
-	h := &testHost{store: store, callers: fmt.Sprintf("127.0.0.1:%d", freePort(t)), done: make(chan error, 1)}
+	ports := freePorts(t, 5)
+	inner, ready := ports[0], ports[1]
+	h := &testHost{store: store, callers: fmt.Sprintf("127.0.0.1:%d", ports[2]), done: make(chan error, 1)}
 	settings := fmt.Sprintf(`host: one
 zone: z
 region: r
@@ -66,7 +71,7 @@
 retry-ratio: 0.2
 retry-slack: 56
 retry-window-s: 10
-`, h.callers, ready, freePort(t), inner, inner+4, freePort(t), server.Listener.Addr().String())
+`, h.callers, ready, ports[3], inner, inner+4, ports[4], server.Listener.Addr().String())
 	path := filepath.Join(t.TempDir(), "host.yaml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/entry/setting/host.go
+++ b/internal/entry/setting/host.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -108,6 +110,10 @@
 	if h.MetricsPort < 0 || h.MetricsPort > maxPort {
 		c.add("metrics-port %d is not a port", h.MetricsPort)
 	}
+	c.distinct(map[string]string{
+		"listen.callers": h.Listen.Callers, "listen.ready": h.Listen.Ready, "listen.directory": h.Listen.Directory,
+		"the address of the metrics": h.metricsAddress(),
+	})
 	for _, s := range []struct {
 		name  string
 		value float64
@@ -156,6 +162,27 @@
 	}
 }
 
+// distinct checks that the addresses on which a host listens differ.
+func (c *fileChecker) distinct(addresses map[string]string) {
+	users := make(map[string]string)
+	for _, name := range slices.Sorted(maps.Keys(addresses)) {
+		address := addresses[name]
+		if other, ok := users[address]; ok && address != "" {
+			c.add("%s %q is also that of %s", name, address, other)
+		}
+		users[address] = name
+	}
+}
+
+// metricsAddress returns the address of the metrics, or "" if the settings that it
+// follows from are invalid.
+func (h Host) metricsAddress() string {
+	if len(h.InnerPorts) == 0 || h.IP() == "" {
+		return ""
+	}
+	return h.Metrics(h.IP())
+}
+
 // IP returns the IP address of this host.
 func (h Host) IP() string {
 	host, _, _ := net.SplitHostPort(h.Listen.Callers) // checked by Validate
