Let upstreams of the soak say that they leave, and ask for pauses

The stand-in can say in every answer that it leaves, and refuse requests with Retry-After. Each seed of the soak gets such notices beside its faults, in series and overlapping, from random numbers of their own, so that its faults stay the same. Two checks compare what upstreams see with the users' rules: leaving-answer and pause; a restart or a freeze of the host since then excuses it, a store that is away does not. A disturbed link to an upstream takes that upstream out, since it may hold requests back.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -7,9 +7,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -135,11 +137,14 @@
 	for _, n := range r.Checked {
 		checks += n
 	}
-	fmt.Printf("seed=%d hosts=%d length=%v faults=%d checks=%d violations=%d served-after-faults=%d/%d\n",
-		s.Seed, s.Hosts, s.Length, len(r.Script), checks, len(r.Violations), r.Served, r.Sent)
+	fmt.Printf("seed=%d hosts=%d length=%v faults=%d checks=%d violations=%d served-during-faults=%d/%d served-after-faults=%d/%d\n",
+		s.Seed, s.Hosts, s.Length, len(r.Script), checks, len(r.Violations), r.ServedDuring, r.SentDuring, r.Served, r.Sent)
 	if len(r.Violations) == 0 {
 		return true, errors.WithStack(os.RemoveAll(s.Directory))
 	}
+	for _, name := range slices.Sorted(maps.Keys(r.Failed)) {
+		fmt.Printf("  %s failed %d of %d times\n", name, r.Failed[name], r.Checked[name])
+	}
 	for _, v := range r.Violations {
 		fmt.Printf("  %s\n", v)
 	}
--- a/internal/bench/soak/checker.go
+++ b/internal/bench/soak/checker.go
@@ -143,6 +143,7 @@
 	holders      map[string]dutyHolder // by subject of the duty
 	stopped      map[quetzalhook.UpstreamID]bool
 	keptLost     int
+	notices      noticeRecord
 	checked      map[Check]int
 	failed       map[Check]int
 	violations   []Violation
@@ -156,7 +157,7 @@
 	return &Checker{
 		isUndisturbed: isUndisturbed, resumedAt: resumedAt, requests: make(map[quetzalhook.RequestID]*request), leavingSince: make(map[quetzalhook.UpstreamID]time.Time),
 		versions: make(map[quetzalhook.HostID]version), confirmed: make(map[int64]time.Time), withdrawn: make(map[string]time.Time),
-		reports: make(map[int64]string), holders: make(map[string]dutyHolder), stopped: make(map[quetzalhook.UpstreamID]bool), checked: make(map[Check]int), failed: make(map[Check]int),
+		reports: make(map[int64]string), holders: make(map[string]dutyHolder), stopped: make(map[quetzalhook.UpstreamID]bool), notices: newNoticeRecord(), checked: make(map[Check]int), failed: make(map[Check]int),
 	}
 }
 
@@ -263,6 +264,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.requests[id]
+	c.noticePassedOn(now, r, res)
 	if res.IsNotRun() {
 		r.refused = true
 		c.check(CheckTrueRefusal, len(r.runs) == 0, "request %s via %s is refused with %d after it ran", id, r.host, res.Status)
--- a/internal/bench/soak/checker_test.go
+++ b/internal/bench/soak/checker_test.go
@@ -24,15 +24,17 @@
 	// disturbed holds the hosts for which no bound is checked.
 	disturbed map[quetzalhook.HostID]bool
 	resumed   map[quetzalhook.HostID]time.Time
+	reset     map[quetzalhook.HostID]time.Time
 	work      PlannedWork
 }
 
 func newDriver(t *testing.T) *driver {
 	d := &driver{
 		t: t, start: time.Unix(1000, 0), now: time.Unix(1000, 0), disturbed: make(map[quetzalhook.HostID]bool),
-		resumed: make(map[quetzalhook.HostID]time.Time), work: PlannedWork{Undisturbed: true},
+		resumed: make(map[quetzalhook.HostID]time.Time), reset: make(map[quetzalhook.HostID]time.Time), work: PlannedWork{Undisturbed: true},
 	}
 	d.checker = NewChecker(func(h quetzalhook.HostID, _ time.Time) bool { return !d.disturbed[h] }, func(h quetzalhook.HostID) time.Time { return d.resumed[h] })
+	d.checker.notices.hasReset = func(h quetzalhook.HostID, since time.Time) bool { return !d.reset[h].Before(since) }
 	return d
 }
 
@@ -50,6 +52,16 @@
 	switch f[0] {
 	case "wait": // ms
 		d.now = d.now.Add(time.Duration(d.number(f[1])) * time.Millisecond)
+	case "reset": // host: it has restarted
+		d.reset[quetzalhook.HostID(f[1])] = d.now
+	case "reached": // id upstream [pause in ms]
+		a := standin.Contact{ID: quetzalhook.RequestID(f[1]), Upstream: quetzalhook.UpstreamID(f[2]), At: d.now}
+		if len(f) > 3 {
+			a.Pause = time.Duration(d.number(f[3])) * time.Millisecond
+		}
+		d.checker.RequestReached(a)
+	case "link-fault": // upstream
+		d.checker.UpstreamCut(quetzalhook.UpstreamID(f[1]))
 	case "disturb":
 		d.disturbed[quetzalhook.HostID(f[1])] = true
 	case "resume":
@@ -58,10 +70,10 @@
 		d.checker.RequestSent(d.now, quetzalhook.HostID(f[2]), f[3], has("repeatable"), standin.Call{
 			ID: quetzalhook.RequestID(f[1]), Method: "POST", Path: "/p", Body: "b", Timeout: 14 * time.Second,
 		})
-	case "ran": // id upstream customer [key] [changed]
+	case "ran": // id upstream customer [key] [changed] [leaves]
 		a := standin.Arrival{
 			ID: quetzalhook.RequestID(f[1]), Upstream: quetzalhook.UpstreamID(f[2]), Customer: f[3], Method: "POST", Path: "/p", Body: "b",
-			HasKey: has("key"), At: d.now,
+			HasKey: has("key"), Leaving: has("leaves"), At: d.now,
 		}
 		if has("changed") {
 			a.Body = "other"
@@ -141,6 +153,9 @@
 	for seed := range uint64(60) {
 		a := generateScript(rand.New(rand.NewPCG(seed, 1)), duration, nil)
 		b := generateScript(rand.New(rand.NewPCG(seed, 1)), duration, nil)
+		if c := addNotices(slices.Clone(a), seed, duration, nil); len(c) <= len(a) || fmt.Sprint(c) != fmt.Sprint(addNotices(slices.Clone(b), seed, duration, nil)) {
+			t.Fatalf("seed %d: got %v with notices, want the same again, and more than %v", seed, c, a)
+		}
 		if got, want := fmt.Sprint(a), fmt.Sprint(b); got != want {
 			t.Fatalf("seed %d: got %v, want %v", seed, got, want)
 		}
--- a/internal/bench/soak/fault.go
+++ b/internal/bench/soak/fault.go
@@ -86,7 +86,9 @@
 func generateScript(random *rand.Rand, duration time.Duration, only []string) []fault {
 	all := kinds()
 	if len(only) > 0 {
-		all = selectKinds(all, only)
+		if all = selectKinds(all, only); len(all) == 0 {
+			return nil
+		}
 	} else if random.IntN(3) == 0 {
 		all = slices.DeleteFunc(all, func(k faultKind) bool { return !k.planned })
 	}
@@ -298,6 +300,7 @@
 // disturbUpstreamLink sets the proxy of an upstream to the mode of the fault.
 func (s *system) disturbUpstreamLink(f fault) {
 	u := s.upstream(f.target)
+	s.checker.UpstreamCut(u.entry.ID)
 	s.withDisturbance(s.hosts, func() { u.proxy.Set(Mode(f.variant)) }, func() { u.proxy.Set(ModePass) }, f.duration)
 }
 
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -87,7 +87,12 @@
 // leaveUpstream starts a replacement for an upstream, announces in the store that
 // the old one leaves, and stops it after leavingServeTime.
 func (s *system) leaveUpstream(f fault) {
-	u := s.replaceUpstream(f.target)
+	s.announceLeaving(s.replaceUpstream(f.target))
+}
+
+// announceLeaving announces in the store that an upstream leaves, and stops it after
+// leavingServeTime.
+func (s *system) announceLeaving(u *upstream) {
 	u.entry.Leaving = true
 	if err := u.entry.Put(s.memory); err != nil {
 		s.checker.Fail(CheckProcess, "%v", err)
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -47,6 +47,9 @@
 	disturbedUntil time.Time
 	// stopped is when SIGTERM was last sent, and reloaded when SIGHUP was.
 	stopped, reloaded time.Time
+	// resetAt is when the process was last started or resumed.
+	resetAt  time.Time
+	isFrozen bool
 }
 
 // peerSecret authenticates the hosts of a run to each other.
@@ -91,6 +94,7 @@
 	exited := make(chan struct{})
 	h.command, h.exited, h.exitExpected = c, exited, false
 	h.boot++
+	h.resetAt = time.Now()
 	if now := time.Now(); now.After(h.disturbedUntil) {
 		h.disturbedUntil = now
 	}
@@ -125,6 +129,10 @@
 		h.exitExpected = true
 	case syscall.SIGHUP:
 		h.reloaded = time.Now()
+	case syscall.SIGSTOP:
+		h.isFrozen = true
+	case syscall.SIGCONT:
+		h.isFrozen, h.resetAt = false, time.Now()
 	}
 	_ = h.command.Process.Signal(s) // fails if the process has exited already
 }
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -10,12 +10,28 @@
 // Guards against a guarantee that the real processes violate under injected
 // faults: one short run with a fixed seed. cmd/soak does longer runs.
 func TestSoak(t *testing.T) {
+	runSoak(t, Settings{Seed: 1, Hosts: 4, Callers: 8, Length: 6 * time.Second},
+		CheckRunOnce, CheckWholeAnswer, CheckUnchanged, CheckConfiguration, CheckReport, CheckHolder)
+}
+
+// Guards against a request that reaches an upstream against its word, that it leaves or
+// wants a pause, while the store fails, and hosts stop and are killed.
+func TestSoakNotices(t *testing.T) {
+	runSoak(t, Settings{
+		Seed: 2, Hosts: 4, Callers: 16, Length: 10 * time.Second,
+		Kinds: []string{"notice-leave", "notice-pause", "store", "stop", "kill"},
+	}, CheckNotice, CheckPause)
+}
+
+// runSoak runs the hosts, and requires that the named checks were made.
+func runSoak(t *testing.T, cfg Settings, required ...Check) {
 	program := filepath.Join(t.TempDir(), "quetzalhook")
 	build := exec.CommandContext(t.Context(), "go", "build", "-o", program, "quetzalhook/cmd/quetzalhook")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v: %s", err, out)
 	}
-	r, err := Run(t.Context(), Settings{Seed: 1, Program: program, Directory: t.TempDir(), Hosts: 4, Callers: 8, Length: 6 * time.Second})
+	cfg.Program, cfg.Directory = program, t.TempDir()
+	r, err := Run(t.Context(), cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -27,7 +43,7 @@
 			t.Logf("fault %s", f)
 		}
 	}
-	for _, name := range []Check{CheckRunOnce, CheckWholeAnswer, CheckUnchanged, CheckConfiguration, CheckReport, CheckHolder} {
+	for _, name := range required {
 		if r.Checked[name] == 0 {
 			t.Errorf("%s: got no check, want some", name)
 		}
--- a/internal/bench/soak/system.go
+++ b/internal/bench/soak/system.go
@@ -97,6 +97,8 @@
 	config         standin.Configuration
 	rotatingKey    string // key that the next configuration withdraws
 	sent           int    // requests since the last reset of both counters
+	sentDuring     int    // requests before that reset
+	servedDuring   int
 	served         int
 }
 
@@ -107,6 +109,10 @@
 	Checked      map[Check]int
 	Violations   []Violation
 	Sent, Served int
+	// SentDuring and ServedDuring count them until recoverBound after the last fault.
+	SentDuring, ServedDuring int
+	// Failed counts the failures of each check, of which Violations keeps the first.
+	Failed map[Check]int
 }
 
 // Run starts the hosts and stand-ins, injects the faults that the seed
@@ -120,8 +126,9 @@
 		network: networkOf(cfg.Seed),
 	}
 	s.checker = NewChecker(s.isHostUndisturbed, s.resumedAt)
+	s.checker.notices.hasReset = s.hasHostReset
 	s.onArrival = s.checker.RequestStarted
-	script := generateScript(s.random, cfg.Length, cfg.Kinds)
+	script := addNotices(generateScript(s.random, cfg.Length, cfg.Kinds), cfg.Seed, cfg.Length, cfg.Kinds)
 	if len(script) == 0 {
 		return Result{}, &Error{Op: "faults", Kind: ErrorScript, Err: fmt.Errorf("no fault of the kinds %q within %v", cfg.Kinds, cfg.Length)}
 	}
@@ -137,7 +144,8 @@
 	result.Checked, result.Violations = s.checker.Results()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	result.Sent, result.Served = s.sent, s.served
+	result.Sent, result.Served, result.SentDuring, result.ServedDuring = s.sent, s.served, s.sentDuring, s.servedDuring
+	result.Failed = s.checker.Failed()
 	return result, nil
 }
 
@@ -236,6 +244,7 @@
 		u.entry.Service, u.entry.Models = engineGroup, []string{"m"}
 	}
 	u.handler = standin.NewUpstream(u.entry.ID, engine, s.stoppedStreams, s.onArrival, s.checker.RequestEnded)
+	u.handler.SetContact(s.checker.RequestReached)
 	address, err := s.serve(s.network+"252:0", u.handler)
 	if err != nil {
 		return err
@@ -288,7 +297,7 @@
 	begin := time.Now()
 	var faults sync.WaitGroup
 	byName := make(map[string]faultKind)
-	for _, k := range kinds() {
+	for _, k := range append(kinds(), noticeKinds()...) {
 		byName[k.name] = k
 	}
 	for _, f := range script {
@@ -305,6 +314,7 @@
 	faults.Wait()
 	timing.Sleep(ctx, recoverBound)
 	s.mu.Lock()
+	s.sentDuring, s.servedDuring = s.sent, s.served
 	s.sent, s.served = 0, 0 // CheckRecovery counts the requests that end from now on
 	s.mu.Unlock()
 	timing.Sleep(ctx, recoveryWindow)
