--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -5,8 +5,7 @@
 // the engine.
 // A part is put in quarantine after several crashes, at different times, that
 // implicate requests with it, if no request with it was answered since the first
-// of them. A part that was answered before needs more crashes, and so does one that
-// shares its requests with several others while hardly any is answered. A crash that a
+// of them. A part that was answered before needs more crashes. A crash that a
 // quarantine explains counts against no other part. Parts that occur together in
 // all these requests, so that they cannot be told apart, are put in quarantine
 // together: only requests with all of them are refused, and a part that is
@@ -29,7 +28,7 @@
 const (
 	// minCrashes is the number of crashes after which a part is put in quarantine,
 	// and minCrashesAnswered that for a part that was answered before the first of
-	// them, or for a vague suspect.
+	// them.
 	minCrashes         = 3
 	minCrashesAnswered = 5
 	// minShare is the share of all crashes that must implicate a part since the first
--- a/internal/traffic/quarantine/suspect.go
+++ b/internal/traffic/quarantine/suspect.go
@@ -17,9 +17,6 @@
 	groups   int  // number of such groups
 	requests int  // implicated requests with the part
 	answered bool // before one of the crashes
-	// vague tells that other parts occur in some of its requests only, of which several
-	// may explain the crashes as well, and that engines answer hardly any request.
-	vague bool
 }
 
 // groupCrashes groups crashes, which are in the order of time, by crashSeparation.
@@ -36,9 +33,9 @@
 }
 
 // mostSuspect returns the part to put in quarantine next, or nil if there is none.
-// A part that was never answered goes before one that was, a vague one after the
-// others, then the part with most evidence, and then that with fewest requests, which
-// explains the crashes most precisely.
+// A part that was never answered goes before one that was, then the part with most
+// evidence, and then that with fewest requests, which explains the crashes most
+// precisely.
 func (t *Table) mostSuspect() *suspect {
 	groups := groupCrashes(slices.DeleteFunc(t.crashesByTime(), t.isExplained))
 	suspects := make(map[Part]*suspect)
@@ -62,7 +59,6 @@
 	}
 	var best *suspect
 	for _, s := range suspects {
-		s.vague = !t.hasAnswers(s, minCrashes) && hasOthers(s)
 		if t.isProven(s, len(groups)-s.first) && (best == nil || s.precedes(best)) {
 			best = s
 		}
@@ -100,44 +96,14 @@
 // in the engines.
 func (t *Table) isProven(s *suspect, groups int) bool {
 	need := float64(minCrashes)
-	if s.answered || s.vague {
+	if s.answered {
 		need = minCrashesAnswered
 	}
 	share := float64(s.groups) / float64(groups)
 	if s.evidence < need-evidenceTolerance || share < minShare {
 		return false
 	}
-	return t.hasAnswers(s, need) || !s.answered && share >= minShareUnanswered
-}
-
-// hasAnswers reports whether engines have answered n requests since the first crash of
-// a suspect.
-func (t *Table) hasAnswers(s *suspect, n float64) bool {
-	return float64(t.answers-s.crashes[0].answersSeen) >= n
-}
-
-// hasOthers reports whether parts that were not answered since occur in only some of
-// the requests of a suspect.
-func hasOthers(s *suspect) bool {
-	counts := make(map[Part]int)
-	for _, c := range s.crashes {
-		for _, r := range c.requests {
-			if !slices.Contains(r, s.part) {
-				continue
-			}
-			for _, p := range r {
-				if !c.answeredAfter.has(p) {
-					counts[p]++
-				}
-			}
-		}
-	}
-	for _, n := range counts {
-		if n < s.requests {
-			return true
-		}
-	}
-	return false
+	return float64(t.answers-s.crashes[0].answersSeen) >= need || !s.answered && share >= minShareUnanswered
 }
 
 // evidenceTolerance allows for rounding in sums of fractions.
@@ -147,9 +113,6 @@
 	if s.answered != o.answered {
 		return !s.answered
 	}
-	if s.vague != o.vague {
-		return o.vague
-	}
 	if math.Abs(s.evidence-o.evidence) > evidenceTolerance {
 		return s.evidence > o.evidence
 	}
