--- a/internal/bench/soak/crash_test.go
+++ b/internal/bench/soak/crash_test.go
@@ -253,7 +253,7 @@
 // engine after engine, and against the refusal of requests that share other parts.
 func TestCrashingPart(t *testing.T) { runCrashScript(t, "testdata/crashes") }
 
-// Guards against the same with two parts, and against the refusal of all requests with the first part of both.
+// Guards against the refusal of all requests with the first part that two crashing ones share.
 func TestTwoCrashingParts(t *testing.T) { runCrashScript(t, "testdata/crashes-two-parts") }
 
 func runCrashScript(t *testing.T, path string) {
--- a/internal/entry/caller/conns.go
+++ b/internal/entry/caller/conns.go
@@ -20,8 +20,8 @@
 	// newConnTimeout is how long a stopping host waits for the first request on a
 	// connection that it has accepted.
 	newConnTimeout = 500 * time.Millisecond
-	// newTLSConnTimeout is that for a connection with TLS, whose handshake takes round
-	// trips and, when all callers connect at once, the processor.
+	// newTLSConnTimeout replaces newConnTimeout for a connection with TLS, whose
+	// handshake takes round trips and processor time.
 	newTLSConnTimeout = 5 * time.Second
 	// closeInterval is the time between two checks for connections to close.
 	closeInterval = 5 * time.Millisecond
@@ -154,7 +154,7 @@
 }
 
 // closeUnused closes the connection if it has no request. It reports whether the
-// connection is left to the server.
+// server closes the connection itself, as it does those of HTTP/2.
 func (c *Conn) closeUnused() (left bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/traffic/notice/notice.go
+++ b/internal/traffic/notice/notice.go
@@ -31,12 +31,11 @@
 	// leavingBar is the time for which a request is kept from an upstream that leaves:
 	// longer than any request waits.
 	leavingBar = time.Hour
+	// unlistedTime is how long the notice of an upstream that is in no list of
+	// upstreams is kept: a list may be incomplete while the store recovers.
+	unlistedTime = time.Minute
 )
 
-// unlistedTime is how long the notice of an upstream that is in no list of upstreams
-// is kept: a list may be incomplete while the store recovers.
-const unlistedTime = time.Minute
-
 // Left is an upstream that leaves, and how long ago a host learned it.
 type Left struct {
 	_        struct{} `cbor:",toarray"`
