--- a/review/_trial/client.go
+++ b/review/_trial/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -77,7 +78,8 @@
 	prefix  string // prompt parts; empty for the order service
 	timeout time.Duration
 	note    string
-	odd     bool // not counted among the sound requests that are lost
+	key     string // empty for that of customer one
+	odd     bool   // not counted among the sound requests that are lost
 }
 
 // send sends a request in the background.
@@ -112,7 +114,7 @@
 	req.Host, req.GetBody = "trial.example", nil
 	req.Header.Set("Quetzalhook-Request-Id", id)
 	req.Header.Set("Quetzalhook-Request-Deadline", fmt.Sprint(r.timeout.Milliseconds()))
-	req.Header.Set("Api-Key", "key-of-one")
+	req.Header.Set("Api-Key", cmp.Or(r.key, "key-of-one"))
 	if r.prefix != "" {
 		req.Header.Set("Quetzalhook-Model", r.model)
 		req.Header.Set("Quetzalhook-Token-Usage", "1460,120")
--- a/review/_trial/main.go
+++ b/review/_trial/main.go
@@ -41,10 +41,12 @@
 
 // cases maps the names of the cases to functions that report whether the rule held.
 var cases = map[string]func(*trial) (bool, error){
-	"memory": (*trial).memory,
 	"seal":   (*trial).seal,
+	"memory": (*trial).memory,
 	"parts":  func(t *trial) (bool, error) { return t.deadlyPart(manyParts) },
 	"bursts": func(t *trial) (bool, error) { return t.deadlyPart(atOnce) },
+	"watch":  (*trial).watch,
+	// One more fault, which is not among the five cases.
 	"models": func(t *trial) (bool, error) { return t.deadlyPart(manyModels) },
 	// A control that holds: three parts, one model, one request a second.
 	"plain": func(t *trial) (bool, error) { return t.deadlyPart(plain) },
@@ -120,7 +122,7 @@
 		}
 		t.workers = append(t.workers, w)
 	}
-	if err := t.put("config/main", configuration()); err != nil {
+	if err := t.put("config/main", configuration(7, "key-8")); err != nil {
 		return err
 	}
 	if err := t.startHosts(); err != nil {
@@ -131,7 +133,9 @@
 	return nil
 }
 
-func configuration() map[string]any {
+// configuration returns a version of the configuration in which customer two has the
+// given keys.
+func configuration(version int, keys ...string) map[string]any {
 	route := func(name, prefix, kind, service string, priority, timeout, target, gap int) map[string]any {
 		return map[string]any{
 			"name": name, "host": "trial.example", "path_prefix": prefix, "kind": kind, "service": service, "priority": priority,
@@ -139,7 +143,7 @@
 		}
 	}
 	return map[string]any{
-		"version": 7,
+		"version": version,
 		"routes": []any{
 			route("defect-ask", "/ask/", "streaming", "model-pool", 0, 15000, 500, 250),
 			route("spec-review", "/review/", "streaming", "model-pool", 2, 12000, 2500, 1000),
@@ -152,8 +156,11 @@
 			},
 			map[string]any{"name": "order-desk", "health_path": "/health", "max_connections": 96},
 		},
-		"limits":  map[string]any{"max_header_bytes": 32768, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 30000},
-		"tenants": []any{map[string]any{"name": "one", "api_keys": []string{"key-of-one"}}},
+		"limits": map[string]any{"max_header_bytes": 32768, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 30000},
+		"tenants": []any{
+			map[string]any{"name": "one", "api_keys": []string{"key-of-one"}},
+			map[string]any{"name": "two", "api_keys": append([]string{"other-key-of-two"}, keys...)},
+		},
 	}
 }
 
@@ -363,3 +370,97 @@
 		pause(t.system.ctx, 55*time.Millisecond)
 	}
 }
+
+const (
+	applyBound    = 2500 * time.Millisecond // config_apply_ms
+	watchRounds   = 9
+	probeInterval = 50 * time.Millisecond
+	probeTime     = 4 * time.Second
+)
+
+// watch checks that a key that is taken away no longer works after config_apply_ms,
+// while half of the hosts, the ones that watch the store, have just been killed.
+func (t *trial) watch() (bool, error) {
+	// The seeds are the hosts that do not watch the store: by their names, those with
+	// the numbers 3, 4 and 6 do.
+	t.seeds = []int{1, 2, 5}
+	if err := t.begin(40, nil); err != nil {
+		return false, err
+	}
+	go t.orders(time.Now().Add(105 * time.Second))
+	late := 0
+	for version := 8; version < 8+watchRounds && t.system.ctx.Err() == nil; version++ {
+		n, err := t.takeKeyAway(version)
+		if err != nil {
+			return false, err
+		}
+		late += n
+	}
+	t.line("requests with a key that were sent later than %v after the confirmation and ran: %d", applyBound, late)
+	return late == 0, nil
+}
+
+// takeKeyAway kills the hosts that watch the store, takes a key away while no host
+// watches it, and returns the number of requests with the key that ran too late.
+func (t *trial) takeKeyAway(version int) (int, error) {
+	pause(t.system.ctx, 4*time.Second)
+	var watching, others []*host
+	for _, h := range t.hosts {
+		if time.Since(time.Unix(0, h.watchedAt.Load())) < 1500*time.Millisecond {
+			watching = append(watching, h)
+		} else {
+			others = append(others, h)
+		}
+	}
+	if len(watching) != 3 {
+		return 0, fmt.Errorf("%d hosts watch the store, not 3", len(watching))
+	}
+	if t.trouble {
+		for _, h := range watching {
+			h.kill()
+		}
+		pause(t.system.ctx, restartDelay/2)
+		for _, h := range watching {
+			for !h.isReady() && t.system.ctx.Err() == nil {
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		ready := time.Now()
+		pause(t.system.ctx, 400*time.Millisecond)
+		for t.watches.Load() > 0 && time.Since(ready) < 4*time.Second {
+			time.Sleep(5 * time.Millisecond)
+		}
+		t.line("the killed hosts are ready for %d ms; open watches: %d", time.Since(ready).Milliseconds(), t.watches.Load())
+	}
+	if err := t.put("config/main", configuration(version, fmt.Sprint("key-", version+1))); err != nil {
+		return 0, err
+	}
+	confirmed := time.Now()
+	key := fmt.Sprint("key-", version)
+	t.line("version %d is confirmed: it takes %s away", version, key)
+	var mu sync.Mutex
+	late, last := 0, time.Duration(0)
+	var probes sync.WaitGroup
+	for time.Since(confirmed) < probeTime {
+		for _, h := range others {
+			sent := time.Since(confirmed)
+			probes.Go(func() {
+				id := fmt.Sprintf("%016x", rand.Uint64())
+				result, ok, _ := t.do(id, fmt.Sprintf("%s:%d", h.ip, callersPort), call{path: "/order/2f", timeout: 3 * time.Second, key: key})
+				t.line("request %s with %s, sent to %s %d ms after the confirmation: %s", id, key, h.name, sent.Milliseconds(), result)
+				mu.Lock()
+				defer mu.Unlock()
+				if ok {
+					last = max(last, sent)
+				}
+				if ok && sent > applyBound {
+					late++
+				}
+			})
+		}
+		pause(t.system.ctx, probeInterval)
+	}
+	probes.Wait()
+	t.line("last request with %s that ran: sent %d ms after the confirmation", key, last.Milliseconds())
+	return late, nil
+}
--- a/review/_trial/system.go
+++ b/review/_trial/system.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -70,6 +71,8 @@
 	servers []*http.Server
 	wg      sync.WaitGroup
 	onDuty  func(standin.DutyCall)
+	watches atomic.Int64 // open calls of watches
+	seeds   []int        // numbers of the hosts that the settings name as seeds
 }
 
 func newSystem(ctx context.Context, r *recorder, program, dir string) *system {
@@ -77,6 +80,7 @@
 	return &system{
 		recorder: r, ctx: ctx, program: program, dir: dir, objects: memory.New(),
 		network: fmt.Sprintf("127.%d.%d.", 1+pid%200, 1+pid/200%250), onDuty: func(standin.DutyCall) {},
+		seeds: []int{1, 2, 3},
 	}
 }
 
@@ -112,10 +116,7 @@
 // startHosts starts the store, the duties and the host processes, and waits until all
 // hosts are ready.
 func (s *system) startHosts() error {
-	store, err := s.serve(s.network+"250:0", standin.NewStore(s.objects))
-	if err != nil {
-		return err
-	}
+	store := standin.NewStore(s.objects)
 	duties, err := s.serve(s.network+"251:0", standin.NewDutyServer(func(d standin.DutyCall) { s.onDuty(d) }))
 	if err != nil {
 		return err
@@ -123,7 +124,19 @@
 	for i, zone := range hostZones {
 		h := &host{system: s, name: fmt.Sprintf("front-%s-%d", zone, i+1), ip: s.network + strconv.Itoa(i+1)}
 		h.settings = filepath.Join(s.dir, h.name+".yaml")
-		if err := h.render(zone, store, duties); err != nil {
+		// Each host has an address of the store of its own, so that its calls are known.
+		address, err := s.serve(s.network+"250:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Query().Has("watch") {
+				h.watchedAt.Store(time.Now().UnixNano())
+				s.watches.Add(1)
+				defer s.watches.Add(-1)
+			}
+			store.ServeHTTP(w, r)
+		}))
+		if err != nil {
+			return err
+		}
+		if err := h.render(zone, address, duties); err != nil {
 			return err
 		}
 		s.hosts = append(s.hosts, h)
@@ -158,6 +171,7 @@
 type host struct {
 	*system
 	name, ip, settings string
+	watchedAt          atomic.Int64 // last call of a watch, in ns since 1970
 
 	mu       sync.Mutex
 	command  *exec.Cmd
@@ -178,9 +192,9 @@
 	if err != nil {
 		return err
 	}
-	seeds := make([]string, 3)
-	for i := range seeds {
-		seeds[i] = fmt.Sprintf("%s%d:8229", h.network, i+1)
+	seeds := make([]string, len(h.seeds))
+	for i, n := range h.seeds {
+		seeds[i] = fmt.Sprintf("%s%d:8229", h.network, n)
 	}
 	seedList, err := json.Marshal(seeds)
 	if err != nil {
@@ -241,6 +255,14 @@
 	return nil
 }
 
+// kill kills the process, which starts again after restartDelay.
+func (h *host) kill() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.line("host %s is killed", h.name)
+	_ = h.command.Process.Kill()
+}
+
 // end kills the process for good.
 func (h *host) end() {
 	h.mu.Lock()
