gateway: pass on only successes that name their request and have a seal

Cause: a response that names no request was accepted on a new connection, and the gateway passed on any success. Nothing read the seal.

A response is accepted only if it names the request, on every connection, and a success only with its seal; anything else may have run.

--- a/internal/entry/connection/connection_test.go
+++ b/internal/entry/connection/connection_test.go
@@ -191,13 +191,14 @@
 	})
 }
 
-// exchangeOnce sends one request and describes its response. Fields: the request ID
-// and the options fresh, body=BYTES, sent-on=CONNECTION, limit=CONNECTIONS and
+// exchangeOnce sends one request and describes its response. Fields: the request ID,
+// or "-" for none, and the options fresh, body=BYTES, sent-on=CONNECTION, limit=CONNECTIONS and
 // timeout=MS.
 func exchangeOnce(p *Pool, address string, fields []string) string {
+	id := strings.TrimPrefix(fields[0], "-")
 	r := &Request{
-		Method: "POST", URI: "/path?q=1", Host: "h", Header: http.Header{"Id": {fields[0]}},
-		ID: fields[0], AnswerID: func(h http.Header) string { return h.Get("Id") },
+		Method: "POST", URI: "/path?q=1", Host: "h", Header: http.Header{"Id": {id}},
+		ID: id, AnswerID: func(h http.Header) string { return h.Get("Id") },
 	}
 	t := Target{ID: "u", Address: address}
 	timeout := 2 * time.Second
--- a/internal/entry/connection/exchange.go
+++ b/internal/entry/connection/exchange.go
@@ -46,13 +46,17 @@
 	// to the earlier attempt could not be told from the answer to this one.
 	SentOn []int64
 	// ID identifies the request, and AnswerID returns the ID that the header of a
-	// response names, or "". A response that names no request is accepted only on a
-	// new connection, which is not reused after it: elsewhere it may be a copy of a
-	// response to another request. If AnswerID is nil, every response is accepted.
+	// response names, or "". Only a response that names the request is accepted: any
+	// other may be a copy of an earlier one, or no response at all. A request without
+	// an ID gets a new connection and a response without one. If AnswerID is nil,
+	// every response is accepted.
 	ID       string
 	AnswerID func(http.Header) string
 }
 
+// isUnnamed reports whether the response to the request cannot be told from others.
+func (r *Request) isUnnamed() bool { return r.AnswerID != nil && r.ID == "" }
+
 // Response is a response whose body has not been read.
 type Response struct {
 	Status int
@@ -77,7 +81,7 @@
 	target  Target
 	conn    *conn
 	reused  bool
-	unnamed bool       // the response names no request
+	oneUse  bool       // a later request must not get a copy of this response
 	written chan error // result of writing the request
 	// cancelClose ends the watch that closes the connection when the context ends. It
 	// returns false if the connection was closed already.
@@ -93,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{pool: p, target: t, conn: c, reused: c.uses > 0, written: make(chan error, 1)}
+	x := &exchange{pool: p, target: t, conn: c, reused: c.uses > 0, oneUse: r.isUnnamed(), written: make(chan error, 1)}
 	c.uses++
 	x.cancelClose = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
 	if ctx.Err() != nil {
@@ -149,7 +153,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if x.isAnswer(r, resp.Header) {
+		if isAnswer(r, resp.Header) {
 			return resp, nil
 		}
 		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
@@ -168,13 +172,8 @@
 }
 
 // isAnswer reports whether the response with the header h is for the request.
-func (x *exchange) isAnswer(r *Request, h http.Header) bool {
-	if r.AnswerID == nil {
-		return true
-	}
-	id := r.AnswerID(h)
-	x.unnamed = id == ""
-	return id == r.ID && !x.unnamed || x.unnamed && !x.reused
+func isAnswer(r *Request, h http.Header) bool {
+	return r.AnswerID == nil || r.AnswerID(h) == r.ID
 }
 
 // Discard drops the body. It keeps the connection if the rest of a short body
@@ -234,7 +233,7 @@
 		b.atEOF = true
 		// The end of a response that is not framed is the end of its connection, which
 		// cannot be reused.
-		reusable := b.framed && !b.response.Close && !b.exchange.unnamed && b.exchange.requestWritten()
+		reusable := b.framed && !b.response.Close && !b.exchange.oneUse && b.exchange.requestWritten()
 		b.exchange.finish(reusable, keepAliveTimeout(b.response.Header.Get("Keep-Alive")))
 	}
 	return n, io.EOF
--- a/internal/entry/connection/pool.go
+++ b/internal/entry/connection/pool.go
@@ -154,7 +154,7 @@
 
 // get returns an idle connection that the request may use, or opens a new one.
 func (p *Pool) get(ctx context.Context, t Target, r *Request) (*conn, error) {
-	fresh := r.Fresh || r.AnswerID != nil && r.ID == ""
+	fresh := r.Fresh || r.isUnnamed()
 	for !fresh {
 		c := p.takeIdle(t.key(), r.SentOn)
 		if c == nil {
--- a/internal/entry/gateway/conns_test.go
+++ b/internal/entry/gateway/conns_test.go
@@ -38,7 +38,7 @@
 				env.setTable(table)
 				env.upstreams["a"] = newScriptedUpstream(t)
 				env.offers = slices.Repeat([]string{"a"}, 2*callers)
-				env.upstreams["a"].steps = slices.Repeat([]string{`HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok`}, 2*callers)
+				env.upstreams["a"].steps = slices.Repeat([]string{`HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\nContent-Length: 2\r\n\r\nok`}, 2*callers)
 				var unanswered [callers]atomic.Bool
 				var rested, wg sync.WaitGroup
 				start := make(chan struct{})
--- a/internal/entry/gateway/drain_test.go
+++ b/internal/entry/gateway/drain_test.go
@@ -36,9 +36,9 @@
 func TestStopAnswersEveryRequest(t *testing.T) {
 	const (
 		body  = ` HTTP/1.1\r\nHost: h\r\nApi-Key: key\r\n\r\n`
-		ok    = `HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok`
+		ok    = `HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\nContent-Length: 2\r\n\r\nok`
 		soon  = caller.EndTime + 300*time.Millisecond // before the timeouts of the routes
-		event = `HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: x\n\n | hold`
+		event = `HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\n\r\nid: 1\ndata: x\n\n | hold`
 	)
 	for _, test := range []struct {
 		name, request, offer, step string
@@ -51,7 +51,7 @@
 		{"in time", "GET /lookup/1", "a", ok, time.Minute, time.Second, "caller: 200 whole", "finished"},
 		{"waits at the end", "GET /lookup/1", "wait", "", time.Minute, soon, "caller: 503 whole retry-after=0.001", ""},
 		{"runs at the end", "GET /lookup/1", "a", "hold", time.Minute, soon, "caller: 504 whole", "caller-gone"},
-		{"stream without an event at the end", "GET /chat/1", "a", `HTTP/1.1 200 OK\r\n\r\n | hold`, time.Minute, soon, "caller: 504 whole", "caller-gone"},
+		{"stream without an event at the end", "GET /chat/1", "a", `HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\n\r\n | hold`, time.Minute, soon, "caller: 504 whole", "caller-gone"},
 		{"stream at the end", "GET /chat/1", "a", event, time.Minute, soon, "caller: 200 cut", "caller-gone"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/entry/gateway/endless_test.go
+++ b/internal/entry/gateway/endless_test.go
@@ -37,11 +37,11 @@
 // memory of a host, keep its connections, or make a caller take what they send for
 // a complete response.
 func TestEndlessUpstreams(t *testing.T) {
-	const event = "HTTP/1.1 200 OK\r\n\r\n"
+	const event = "HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\n\r\n"
 	for _, test := range []struct{ name, path, head, part string }{
 		{"status-line", "/lookup/1", "HTTP/1.1 200 ", "x"},
-		{"header", "/lookup/1", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
-		{"body-without-length", "/order/1", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+		{"header", "/lookup/1", "HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\n", "X: y\r\n"},
+		{"body-without-length", "/order/1", "HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\n\r\n", "x"},
 		{"error-body", "/lookup/1", "HTTP/1.1 500 Failed\r\n\r\n", "x"},
 		{"refusal-body", "/lookup/1", "HTTP/1.1 503 Full\r\nNot-Run: full\r\n\r\n", "x"},
 		{"event", "/chat/1", event, "x"},
@@ -88,7 +88,7 @@
 	const size = events * (len("id: 1000") + len("\ndata: ") + 8<<10 + len("\n\n"))
 	u := newScriptedUpstream(t)
 	u.answerAll = func(c net.Conn) {
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\nContent-Length: %d\r\n\r\n", size)
 		for i := range events {
 			if _, err := fmt.Fprintf(c, "id: %d%s", 1000+i, event); err != nil {
 				return
--- a/internal/entry/gateway/fleet_test.go
+++ b/internal/entry/gateway/fleet_test.go
@@ -240,14 +240,14 @@
 	case n < 14:
 		return u.write("503 Busy", id, "", "busy", 20)
 	case n < 20:
-		_, _ = io.WriteString(u, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\nRequest-Id: "+id+"\r\n\r\nran")
+		_, _ = io.WriteString(u, "HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\nContent-Length: 99\r\nRequest-Id: "+id+"\r\n\r\nran")
 		return false
 	case n < 25:
 		return false
 	case n < 28:
 		return u.wait(work, time.Hour)
 	}
-	return u.write("200 OK", id, "", plainBody(id), 20)
+	return u.write("200 OK", id, "Answer-Seal: s\r\n", plainBody(id), 20)
 }
 
 // write writes an answer, twice with a probability in percent.
@@ -286,7 +286,7 @@
 	if chunked {
 		head, format = "Transfer-Encoding: chunked", "%x\r\n%s\r\n"
 	}
-	_, _ = io.WriteString(u, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\n"+head+"\r\n\r\n")
+	_, _ = io.WriteString(u, "HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\nRequest-Id: "+id+"\r\n"+head+"\r\n\r\n")
 	for n := last + 1; n <= eventCount(id); n++ {
 		event := eventText(id, n)
 		fault := f.pick(1000)
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -294,10 +294,14 @@
 				u.callerGone <- struct{}{}
 				return
 			default:
-				text, err := strconv.Unquote(`"` + step + `"`)
+				unnamed := strings.HasPrefix(step, "unnamed ") // the answer does not name its request
+				text, err := strconv.Unquote(`"` + strings.TrimPrefix(step, "unnamed ") + `"`)
 				if err != nil {
 					panic(err)
 				}
+				if id := request.Header.Get("Request-Id"); id != "" && !unnamed && strings.HasPrefix(text, "HTTP/") && !strings.Contains(text, "Request-Id") {
+					text = strings.Replace(text, "\r\n", "\r\nRequest-Id: "+id+"\r\n", 1)
+				}
 				written = text
 				_, _ = io.WriteString(c, text)
 			}
--- a/internal/entry/gateway/protocol_test.go
+++ b/internal/entry/gateway/protocol_test.go
@@ -73,7 +73,7 @@
 
 func (testProtocol) ParseAnswer(status int, h http.Header) quetzalhook.Verdict {
 	moved := status == http.StatusMisdirectedRequest
-	return quetzalhook.Verdict{Moved: moved, NotRun: moved || h.Get("Not-Run") != ""}
+	return quetzalhook.Verdict{Moved: moved, NotRun: moved || h.Get("Not-Run") != "", Sealed: h.Get("Answer-Seal") != ""}
 }
 
 func (testProtocol) IsEventField(name, _ []byte) bool { return string(name) == "weights" }
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -108,6 +108,13 @@
 		}
 	}
 	x.mayHaveRun = true
+	if isSuccess(resp.Status) && !end.Verdict.Sealed {
+		x.rateLimit = 0
+		return quetzalhook.AttemptEnd{End: quetzalhook.EndBroken}, &Error{
+			Op: "relay", Kind: ErrorBroken, Status: http.StatusBadGateway,
+			Message: "the upstream answered " + strconv.Itoa(resp.Status) + " without its seal",
+		}
+	}
 	ticket.Observe(end.Verdict)
 	switch {
 	case x.route.Kind == routing.KindStream && resp.Status == http.StatusOK:
@@ -136,6 +143,10 @@
 	return end, err
 }
 
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // send sends the request to one upstream and returns the response, whose body is
 // not read yet.
 func (x *exchange) send(ctx context.Context, a quetzalhook.Attempt) (*connection.Response, error) {
--- a/protocol.go
+++ b/protocol.go
@@ -66,6 +66,9 @@
 type Verdict struct {
 	// NotRun reports that the upstream did not run the request and never will.
 	NotRun bool
+	// Sealed reports that the answer has the mark with which upstreams vouch for what
+	// they made. A success without it is not passed on.
+	Sealed bool
 	// Failed reports that the upstream accepted the request and answered with an
 	// internal error.
 	Failed bool
