routing: give up the watch of the store only to hosts that watch it

Cause: the hosts that watch are those that rank first among the live ones, and a host that has just started counts at once, though it does not watch for 3 s. The others stopped in its favour, so that nobody watched.

The script testdata/follower/restart fails on the code before.

Heartbeats say which roles a host is eligible for and which it performs. Only eligible hosts are chosen, and a host that watches goes on until its successors do. Candidates for the lease are counted the same way.

--- a/internal/entry/host/duty.go
+++ b/internal/entry/host/duty.go
@@ -86,7 +86,7 @@
 	}
 	hosts := []quetzalhook.HostID{self}
 	for _, m := range h.members.Members() {
-		if !m.Draining && !m.Unready && m.IsAlive(maxSilence) {
+		if m.Eligible.Has(quetzalhook.RoleLeaseCandidate) && !m.Draining && !m.Unready && m.IsAlive(maxSilence) {
 			hosts = append(hosts, m.Host)
 		}
 	}
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -344,10 +344,30 @@
 	table, upstreams := h.follower.Versions()
 	return member.Report{
 		Draining: h.draining.Load(), Unready: !h.hasTable(), ConfigVersion: table, UpstreamVersion: upstreams,
-		StoreAge: h.follower.StoreAge(),
+		StoreAge: h.follower.StoreAge(), Eligible: h.eligibleRoles(), Active: h.activeRoles(),
 	}
 }
 
+// eligibleRoles returns the roles that this host takes up if the others choose it.
+func (h *Host) eligibleRoles() quetzalhook.Roles {
+	var roles quetzalhook.Roles
+	if h.follower.Eligible() {
+		roles |= quetzalhook.RoleStoreWatcher
+	}
+	if h.settled(leaseSettleTime)() {
+		roles |= quetzalhook.RoleLeaseCandidate
+	}
+	return roles
+}
+
+// activeRoles returns the roles that this host performs.
+func (h *Host) activeRoles() quetzalhook.Roles {
+	if h.follower.Watches() {
+		return quetzalhook.RoleStoreWatcher
+	}
+	return 0
+}
+
 // These are the times after its start for which a host leaves to others what only few
 // hosts do. Until it has heard most other hosts, it would take all of this on itself.
 const (
--- a/internal/fleet/member/message.go
+++ b/internal/fleet/member/message.go
@@ -72,6 +72,8 @@
 	Requests        [quetzalhook.TierCount]uint32 `cbor:"9,keyasint"`
 	Unready         bool                          `cbor:"10,keyasint,omitempty"`
 	UpstreamVersion int64                         `cbor:"11,keyasint,omitempty"`
+	Eligible        quetzalhook.Roles             `cbor:"12,keyasint,omitempty"`
+	Active          quetzalhook.Roles             `cbor:"13,keyasint,omitempty"`
 }
 
 // inFlight is the number of a host's requests on one upstream.
--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -109,6 +109,7 @@
 	purged        quetzalhook.Version      // some removals up to it may be unknown here
 	contacts      map[string]*storeContact // by prefix
 	changed       chan struct{}            // closed and replaced at each change
+	watched       map[string]bool          // prefixes that this host watches
 }
 
 // Option sets one property of a Follower.
@@ -116,7 +117,8 @@
 
 // WithSettled makes the follower watch the store only while settled returns true,
 // that is once the host has heard the other hosts. A host that has heard none
-// takes itself for the only watcher.
+// takes itself for the only watcher. Until then the other hosts do not count it among
+// those that watch; see Eligible.
 func WithSettled(settled func() bool) Option {
 	return func(f *Follower) { f.settled = settled }
 }
@@ -129,7 +131,7 @@
 	f := &Follower{
 		host: host, store: store, peers: peers, source: source, clock: clock, log: log, inv: inv,
 		entries: make(map[quetzalhook.UpstreamID]*entry), rejected: make(map[quetzalhook.UpstreamID]quetzalhook.Version),
-		changed:  make(chan struct{}),
+		changed: make(chan struct{}), watched: make(map[string]bool),
 		settled:  func() bool { return true },
 		contacts: map[string]*storeContact{source.TableKey: {lastAnswer: clock.Now()}, source.UpstreamPrefix: {lastAnswer: clock.Now()}},
 	}
@@ -212,6 +214,30 @@
 	return age
 }
 
+// Eligible reports whether this host would watch the store if it were chosen.
+// Heartbeats carry it, like Watches.
+func (f *Follower) Eligible() bool { return f.settled() }
+
+// Watches reports whether this host watches the store for the table and for the
+// upstreams.
+func (f *Follower) Watches() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.watched) == len(f.contacts)
+}
+
+// setWatched records whether this host watches a prefix.
+func (f *Follower) setWatched(prefix string, watched bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if watched {
+		f.watched[prefix] = true
+	} else {
+		delete(f.watched, prefix)
+	}
+	f.log.WithField("prefix", prefix).WithField("watched", watched).Debug("watch of the store")
+}
+
 // listing is the result of a list call to the store.
 type listing struct {
 	quetzalhook.Listing
@@ -303,6 +329,8 @@
 		return err
 	}
 	defer func() { _ = w.Close() }()
+	f.setWatched(prefix, true)
+	defer f.setWatched(prefix, false)
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
@@ -335,21 +363,27 @@
 	return after
 }
 
-// isWatcher reports whether this host watches the store. Among the hosts of its
-// cell that are alive and get answers from the store, the highest-ranked ones
-// watch once they have settled: maxWatchers in a fleet of one cell, otherwise maxCellWatchers in each
-// cell. The other hosts pull changes from them.
+// isWatcher reports whether this host watches the store. Among the eligible hosts of
+// its cell that are alive and get answers from the store, the highest-ranked ones
+// watch: maxWatchers in a fleet of one cell, otherwise maxCellWatchers in each cell.
+// The other hosts pull changes from them. A host that watches goes on until enough
+// hosts before it do: one that was chosen may not have begun.
 func (f *Follower) isWatcher() bool {
 	if !f.settled() {
 		return false
 	}
+	watches := f.Watches()
 	hosts, count := []quetzalhook.HostID{f.host}, maxWatchers
 	for _, m := range f.peers.Members() {
 		if m.Distant {
 			count = maxCellWatchers
 			continue
 		}
-		if !m.Draining && !m.Unready && m.IsAlive(maxWatcherSilence) && m.StoreAge < maxWatcherSilence {
+		takesPart := m.Eligible.Has(quetzalhook.RoleStoreWatcher)
+		if watches {
+			takesPart = m.Active.Has(quetzalhook.RoleStoreWatcher)
+		}
+		if takesPart && !m.Draining && !m.Unready && m.IsAlive(maxWatcherSilence) && m.StoreAge < maxWatcherSilence {
 			hosts = append(hosts, m.Host)
 		}
 	}
--- a/internal/record/routing/follower_test.go
+++ b/internal/record/routing/follower_test.go
@@ -34,13 +34,15 @@
 // testFleet runs the followers of several hosts in virtual time. Each host has a
 // gate to the store of its own.
 type testFleet struct {
-	t       *testing.T
-	clock   quetzalhook.Clock
-	store   *memory.Store
-	network *peer.Network
-	inv     *invariant.Registry
-	hosts   map[string]*Follower
-	gates   map[string]*gate
+	t            *testing.T
+	clock        quetzalhook.Clock
+	store        *memory.Store
+	network      *peer.Network
+	inv          *invariant.Registry
+	hosts        map[string]*Follower
+	gates        map[string]*gate
+	showWatchers bool
+	killed       []string // hosts that "kill-watchers" has killed last
 }
 
 // gate holds the store that one host uses. While it is closed, the host's calls to
@@ -92,13 +94,20 @@
 	return f
 }
 
-func (f *testFleet) startHost(name string, log logrus.FieldLogger) {
+func (f *testFleet) startHost(name string, log logrus.FieldLogger, opts ...Option) {
 	g := &gate{Store: f.store}
 	endpoint := f.network.Endpoint(quetzalhook.HostID(name))
-	follower := New(quetzalhook.HostID(name), gatedStore{g}, endpoint, testSource, f.clock, log, f.inv)
+	follower := New(quetzalhook.HostID(name), gatedStore{g}, endpoint, testSource, f.clock, log, f.inv, opts...)
 	f.network.Join(endpoint, func() quetzalhook.Member {
 		table, upstreams := follower.Versions()
-		return quetzalhook.Member{ConfigVersion: table, UpstreamVersion: upstreams, StoreAge: follower.StoreAge()}
+		m := quetzalhook.Member{ConfigVersion: table, UpstreamVersion: upstreams, StoreAge: follower.StoreAge()}
+		if follower.Eligible() {
+			m.Eligible = quetzalhook.RoleStoreWatcher
+		}
+		if follower.Watches() {
+			m.Active = quetzalhook.RoleStoreWatcher
+		}
+		return m
 	})
 	f.hosts[name], f.gates[name] = follower, g
 	follower.Start()
@@ -137,6 +146,15 @@
 		slices.Sort(names)
 		lines = append(lines, strings.Join(names, " ")+": "+summary)
 	}
+	if f.showWatchers {
+		watching := 0
+		for _, h := range f.hosts {
+			if h.Watches() {
+				watching++
+			}
+		}
+		lines = append(lines, fmt.Sprintf("hosts that watch the store: %d", watching))
+	}
 	slices.Sort(lines)
 	return strings.Join(lines, "\n") + "\n"
 }
@@ -163,6 +181,31 @@
 		f.store.EndWatches()
 	case "start":
 		f.startHost(w[1], discardLogger())
+	case "kill-watchers": // kills the hosts that watch the store
+		f.killed = nil
+		for name, h := range f.hosts {
+			if h.Watches() {
+				f.killed = append(f.killed, name)
+			}
+		}
+		for _, name := range f.killed {
+			f.network.Leave(quetzalhook.HostID(name))
+			if err := f.hosts[name].Close(); err != nil {
+				f.t.Error(err)
+			}
+			delete(f.hosts, name)
+		}
+	case "restart": // starts the killed hosts, which settle after the given time
+		settle, err := time.ParseDuration(w[1])
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		settled := time.Now().Add(settle)
+		for _, name := range f.killed {
+			f.startHost(name, discardLogger(), WithSettled(func() bool { return !time.Now().Before(settled) }))
+		}
+	case "show-watchers":
+		f.showWatchers = true
 	case "forget-history":
 		f.store.ForgetHistory()
 	case "wait":
@@ -189,8 +232,8 @@
 
 // Guards against a change that a host learns of late or never. The scripts cover
 // an outage of the store for some or all hosts, a store that has dropped its
-// history, and records that expired during an outage, of upstreams that register
-// again and of others.
+// history, records that expired during an outage, of upstreams that register again
+// and of others, and hosts that are killed while they watch.
 func TestFollower(t *testing.T) {
 	datadriven.Walk(t, "testdata/follower", func(t *testing.T, path string) {
 		// A synctest bubble cannot outlive the call for one step, so each step runs
--- a/platform.go
+++ b/platform.go
@@ -191,6 +191,9 @@
 	UpstreamVersion int64
 	// StoreAge is the time since the host last reached the store.
 	StoreAge time.Duration
+	// Eligible holds the roles that the host takes up as soon as it is chosen, Active
+	// those that it performs.
+	Eligible, Active Roles
 	// WithdrawnCount and WithdrawnHash describe the withdrawn keys that the host
 	// knows; hosts that know the same withdrawn keys have the same values.
 	WithdrawnCount int
@@ -201,6 +204,21 @@
 	Processors float64
 }
 
+// Roles is a set of roles that a few hosts perform for all. A host that has just started
+// is not eligible for them, and one that was chosen may need some time to take a role
+// up, so that a host which performs it goes on until its successor is active.
+type Roles uint8
+
+const (
+	// RoleStoreWatcher watches the platform's store.
+	RoleStoreWatcher Roles = 1 << iota
+	// RoleLeaseCandidate competes for the lease.
+	RoleLeaseCandidate
+)
+
+// Has reports whether the set contains all roles of another.
+func (r Roles) Has(other Roles) bool { return r&other == other }
+
 // distantLimit is the age that the latest summary of another cell must be below
 // for its hosts to count as alive. In a fleet of 180 cells the longest time
 // without news of a live host was 65 s.
