quarantine: compare and record all parts of a prompt

Cause: only the first 16 shared parts of a request were recorded with a crash and compared with the quarantines.

Evidence: the log of each crash lists 16 parts, without the one in question.

All parts are compared. Bounds hold for each crash and for all together. A request is named by the hash of all its parts, so that hosts which keep different parts of it still agree on their facts.

--- a/internal/traffic/quarantine/facts.go
+++ b/internal/traffic/quarantine/facts.go
@@ -39,9 +39,34 @@
 type CrashFact struct {
 	Run            EngineRun     `cbor:"1,keyasint"`
 	Age            time.Duration `cbor:"2,keyasint"`
-	Requests       [][]Part      `cbor:"3,keyasint"`
 	AnsweredBefore []Part        `cbor:"4,keyasint,omitempty"`
 	AnsweredAfter  []Part        `cbor:"5,keyasint,omitempty"`
+	Requests       []RequestFact `cbor:"6,keyasint"` // 3 was a list with the model at each part
+}
+
+// RequestFact is a request that a crash implicates. ID stays the same if parts are left
+// out.
+type RequestFact struct {
+	_      struct{} `cbor:",toarray"`
+	ID     uint64
+	Model  quetzalhook.Model
+	Hashes []uint64
+}
+
+func newRequestFact(r implicated) RequestFact {
+	f := RequestFact{ID: r.id, Hashes: make([]uint64, len(r.parts))}
+	for i, p := range r.parts {
+		f.Model, f.Hashes[i] = p.Model, p.Hash
+	}
+	return f
+}
+
+func (f RequestFact) implicated() implicated {
+	r := implicated{id: f.ID, parts: make([]Part, len(f.Hashes))}
+	for i, h := range f.Hashes {
+		r.parts[i] = Part{Model: f.Model, Hash: h}
+	}
+	return r
 }
 
 // maxCount bounds Fact.Count. The duration of a quarantine grows up to a far smaller
@@ -67,8 +92,12 @@
 func (t *Table) Facts(now time.Time) Facts {
 	var f Facts
 	for _, c := range t.crashesByTime() {
+		requests := make([]RequestFact, len(c.requests))
+		for i, r := range c.requests {
+			requests[i] = newRequestFact(r)
+		}
 		f.Crashes = append(f.Crashes, CrashFact{
-			Run: c.run, Age: now.Sub(c.at), Requests: c.requests, AnsweredBefore: c.answeredBefore.list(), AnsweredAfter: c.answeredAfter.list(),
+			Run: c.run, Age: now.Sub(c.at), Requests: requests, AnsweredBefore: c.answeredBefore.list(), AnsweredAfter: c.answeredAfter.list(),
 		})
 	}
 	for _, q := range t.quarantines {
@@ -90,7 +119,7 @@
 	for run, c := range t.crashes {
 		id := string(run.Upstream) + "\x00" + strconv.FormatInt(run.Started, 10)
 		for _, r := range c.requests {
-			add("request", id, r)
+			add("request", id+"\x00"+strconv.FormatUint(r.id, 16), nil)
 		}
 		add("before", id, c.answeredBefore.list())
 		add("after", id, c.answeredAfter.list())
@@ -110,7 +139,11 @@
 		if c.Age < 0 {
 			continue
 		}
-		changed = t.mergeCrash(now, c.Run, now.Add(-c.Age), c.Requests) || changed
+		requests := make([]implicated, len(c.Requests))
+		for i, r := range c.Requests {
+			requests[i] = r.implicated()
+		}
+		changed = t.mergeCrash(now, c.Run, now.Add(-c.Age), requests) || changed
 		if known := t.crashes[c.Run]; known != nil {
 			changed = known.answeredBefore.addAll(c.AnsweredBefore) || changed
 			changed = known.answeredAfter.addAll(c.AnsweredAfter) || changed
@@ -126,7 +159,7 @@
 }
 
 func (t *Table) mergeQuarantine(now time.Time, f Fact) bool {
-	if len(f.Parts) == 0 || len(f.Parts) > maxParts || f.Left > MaxDuration || f.Left < -retention || f.Age < 0 || f.Count < 1 || f.Count > maxCount {
+	if len(f.Parts) == 0 || len(f.Parts) > maxRequestParts || f.Left > MaxDuration || f.Left < -retention || f.Age < 0 || f.Count < 1 || f.Count > maxCount {
 		return false
 	}
 	q := t.quarantines[f.Key()]
--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -18,10 +18,13 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"quetzalhook"
 )
 
@@ -47,10 +50,12 @@
 	// single crash renews.
 	retention = time.Hour
 	// These bounds limit the memory of a table and the size of its facts.
-	maxCrashes     = 128
-	maxRequests    = 32 // for each crash
-	maxParts       = 16 // of each request
-	maxQuarantines = 64
+	maxCrashes      = 128
+	maxRequests     = 32    // for each crash
+	maxRequestParts = 2048  // of each request; see Table.sample
+	maxCrashParts   = 4096  // of all requests of a crash
+	maxTotalParts   = 16384 // of all crashes; see Table.trim
+	maxQuarantines  = 64
 )
 
 // Part is a part of prompts to a model.
@@ -64,11 +69,15 @@
 	return cmp.Or(strings.Compare(string(a.Model), string(b.Model)), cmp.Compare(a.Hash, b.Hash))
 }
 
+// isIn reports whether a request has the part.
+func (p Part) isIn(request []Part) bool {
+	return slices.Contains(request, p)
+}
+
 // SharedParts returns the parts of a request that other requests may have in
-// common, up to a limit.
+// common.
 func SharedParts(r quetzalhook.Request) []Part {
 	shared := quetzalhook.SharedParts(r.Parts)
-	shared = shared[:min(len(shared), maxParts)]
 	parts := make([]Part, 0, len(shared))
 	for _, p := range shared {
 		parts = append(parts, Part{Model: r.Model, Hash: p.Hash})
@@ -110,16 +119,52 @@
 type crash struct {
 	run      EngineRun
 	at       time.Time
-	requests [][]Part // shared parts of the implicated requests
+	requests []implicated
+	// counts holds the number of implicated requests with each part.
+	counts map[Part]int
 	// answeredBefore and answeredAfter hold the parts of requests that were answered
 	// before and after the crash.
 	answeredBefore, answeredAfter partSet
 	answersSeen                   int64 // by this host before the crash became known
 }
 
+// implicated is a request whose answer was to begin, or had just begun, when its engine
+// crashed.
+type implicated struct {
+	id    uint64 // hash of all its shared parts
+	parts []Part // those that are kept
+}
+
+func newImplicated(parts []Part) implicated {
+	return implicated{id: xxhash.Sum64String(key(parts)), parts: parts}
+}
+
 // implicates reports whether a request with the part is implicated.
-func (c *crash) implicates(p Part) bool {
-	return slices.ContainsFunc(c.requests, func(r []Part) bool { return slices.Contains(r, p) })
+func (c *crash) implicates(p Part) bool { return c.counts[p] > 0 }
+
+// count adds the parts of a request to counts.
+func (c *crash) count(request []Part) {
+	for _, p := range request {
+		c.counts[p]++
+	}
+}
+
+// keep removes the parts of all requests for which kept returns false.
+func (c *crash) keep(kept func(Part) bool) {
+	clear(c.counts)
+	for i, r := range c.requests {
+		c.requests[i].parts = slices.DeleteFunc(slices.Clone(r.parts), func(p Part) bool { return !kept(p) })
+		c.count(c.requests[i].parts)
+	}
+}
+
+// size returns the number of parts of all requests.
+func (c *crash) size() int {
+	n := 0
+	for _, r := range c.requests {
+		n += len(r.parts)
+	}
+	return n
 }
 
 // Quarantine is a set of parts; requests with all of them are refused.
@@ -147,7 +192,9 @@
 
 // explains reports whether a request that a crash implicates has all parts of the
 // quarantine.
-func (q *Quarantine) explains(c *crash) bool { return slices.ContainsFunc(c.requests, q.matches) }
+func (q *Quarantine) explains(c *crash) bool {
+	return slices.ContainsFunc(c.requests, func(r implicated) bool { return q.matches(r.parts) })
+}
 
 // isActive reports whether requests with the parts are refused.
 func (q *Quarantine) isActive(now time.Time) bool { return now.Before(q.until) && !q.isLifted() }
@@ -159,7 +206,7 @@
 		if q.cleared.has(p) {
 			continue
 		}
-		if left++; !slices.Contains(request, p) {
+		if left++; !p.isIn(request) {
 			return false
 		}
 	}
@@ -259,12 +306,16 @@
 	t.answers++
 	changed := false
 	for _, p := range request {
-		t.answered.add(p, now)
-		changed = t.watched.has(p) && t.clear(now, p) || changed
+		changed = t.addAnsweredPart(now, p) || changed
 	}
 	return changed
 }
 
+func (t *Table) addAnsweredPart(now time.Time, p Part) bool {
+	t.answered.add(p, now)
+	return t.watched.has(p) && t.clear(now, p)
+}
+
 // clear records that a watched part was answered at a given time.
 func (t *Table) clear(at time.Time, p Part) bool {
 	changed := false
@@ -284,14 +335,19 @@
 // AddCrash records that an engine has crashed at a given time, and the shared parts
 // of the implicated requests.
 func (t *Table) AddCrash(now time.Time, run EngineRun, at time.Time, requests ...[]Part) {
-	t.mergeCrash(now, run, at, requests)
+	var list []implicated
+	for _, r := range requests {
+		if len(r) > 0 {
+			list = append(list, newImplicated(r))
+		}
+	}
+	t.mergeCrash(now, run, at, list)
 	t.update(now)
 }
 
 // mergeCrash adds a crash, or requests to a known one. It reports whether that
 // changed anything.
-func (t *Table) mergeCrash(now time.Time, run EngineRun, at time.Time, requests [][]Part) bool {
-	requests = slices.DeleteFunc(slices.Clone(requests), func(r []Part) bool { return len(r) == 0 })
+func (t *Table) mergeCrash(now time.Time, run EngineRun, at time.Time, requests []implicated) bool {
 	if len(requests) == 0 || now.Sub(at) > retention {
 		return false
 	}
@@ -300,18 +356,22 @@
 		if len(t.crashes) >= maxCrashes && at.Before(t.crashesByTime()[0].at) {
 			return false
 		}
-		c = &crash{run: run, at: at, answeredBefore: make(partSet), answeredAfter: make(partSet), answersSeen: t.answers}
+		c = &crash{run: run, at: at, counts: make(map[Part]int), answeredBefore: make(partSet), answeredAfter: make(partSet), answersSeen: t.answers}
 		t.crashes[run] = c
 	}
 	changed := false
 	for _, r := range requests {
-		if len(c.requests) >= maxRequests || slices.ContainsFunc(c.requests, func(o []Part) bool { return slices.Equal(o, r) }) {
+		if len(c.requests) >= maxRequests || slices.ContainsFunc(c.requests, func(o implicated) bool { return o.id == r.id }) {
 			continue
 		}
-		c.requests = append(c.requests, r[:min(len(r), maxParts)])
-		t.watched.addAll(r)
+		r.parts = t.sample(run, r.parts, min(maxRequestParts, maxCrashParts-c.size()))
+		c.requests = append(c.requests, r)
+		c.count(r.parts)
 		changed = true
-		for _, p := range r {
+	}
+	if changed {
+		for p := range c.counts {
+			t.watched[p] = struct{}{}
 			switch answeredAt, ok := t.answered.last(p); {
 			case ok && answeredAt.After(c.at):
 				c.answeredAfter.addAll([]Part{p})
@@ -323,6 +383,73 @@
 	return changed
 }
 
+// sample returns n parts of a request to an engine that has crashed. It prefers parts
+// that were not answered lately, and chooses differently for each crash: a part is kept
+// in some crashes wherever it stands in the prompt.
+func (t *Table) sample(run EngineRun, request []Part, n int) []Part {
+	if len(request) <= n || n <= 0 {
+		return request[:min(len(request), max(n, 0))]
+	}
+	type ranked struct {
+		part     Part
+		answered int
+		rank     uint64
+	}
+	salt := binary.BigEndian.AppendUint64([]byte(run.Upstream), uint64(run.Started))
+	list := make([]ranked, len(request))
+	for i, p := range request {
+		list[i] = ranked{part: p, rank: xxhash.Sum64(binary.BigEndian.AppendUint64(salt, p.Hash))}
+		if _, ok := t.answered.last(p); ok {
+			list[i].answered = 1
+		}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.answered, b.answered), cmp.Compare(a.rank, b.rank))
+	})
+	sampled := make([]Part, n)
+	for i := range sampled {
+		sampled[i] = list[i].part
+	}
+	return sampled
+}
+
+// countCrashes returns the number of crashes that implicate each part.
+func countCrashes(list []*crash) map[Part]int {
+	crashes := make(map[Part]int)
+	for _, c := range list {
+		for p := range c.counts {
+			crashes[p]++
+		}
+	}
+	return crashes
+}
+
+// trim removes parts of the oldest crashes while there are more than maxTotalParts: a
+// part that only one crash implicates is no evidence yet.
+func (t *Table) trim() {
+	total := 0
+	for _, c := range t.crashes {
+		total += c.size()
+	}
+	if total <= maxTotalParts {
+		return
+	}
+	oldestFirst := t.crashesByTime()
+	crashes := countCrashes(oldestFirst)
+	inSeveral := func(p Part) bool { return crashes[p] > 1 }
+	none := func(Part) bool { return false }
+	for _, kept := range []func(Part) bool{inSeveral, none} {
+		for _, c := range oldestFirst {
+			if total <= maxTotalParts {
+				return
+			}
+			total -= c.size()
+			c.keep(kept)
+			total += c.size()
+		}
+	}
+}
+
 // update extends expired quarantines that a later crash confirms, imposes those
 // that follow from the crashes, and removes what is too old.
 func (t *Table) update(now time.Time) {
@@ -379,10 +506,11 @@
 	for len(t.quarantines) > maxQuarantines {
 		delete(t.quarantines, key(t.firstToEnd().parts))
 	}
+	t.trim()
 	clear(t.watched)
 	for _, c := range t.crashes {
-		for _, r := range c.requests {
-			t.watched.addAll(r)
+		for p := range c.counts {
+			t.watched[p] = struct{}{}
 		}
 	}
 	for _, q := range t.quarantines {
--- a/internal/traffic/quarantine/quarantine_test.go
+++ b/internal/traffic/quarantine/quarantine_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
 	"quetzalhook"
@@ -23,10 +24,14 @@
 //	merge TO FROM               a table merges the facts of another one
 //	match TABLE PART...         print whether a request is refused
 //	active TABLE                print the quarantines in force
+//
+// A part is a letter, or a letter of a model as in D@n; +N stands for N parts that no
+// other request has.
 type tableTest struct {
 	now    time.Time
 	start  time.Time
 	tables map[string]*Table
+	unique uint64 // hash of the last part that one request has
 	out    strings.Builder
 }
 
@@ -37,11 +42,24 @@
 	return c.tables[name]
 }
 
-// testParts returns the parts with the given names, which are single letters.
-func testParts(names []string) []Part {
-	parts := make([]Part, len(names))
-	for i, n := range names {
-		parts[i] = Part{Model: "m", Hash: uint64(n[0])}
+// parts returns the parts with the given names.
+func (c *tableTest) parts(names []string) []Part {
+	model := quetzalhook.Model("m")
+	for _, n := range names {
+		if _, m, ok := strings.Cut(n, "@"); ok {
+			model = quetzalhook.Model(m)
+		}
+	}
+	var parts []Part
+	for _, n := range names {
+		count, err := strconv.Atoi(n)
+		if err != nil {
+			parts = append(parts, Part{Model: model, Hash: uint64(n[0])})
+		}
+		for range count {
+			c.unique++
+			parts = append(parts, Part{Model: model, Hash: 1<<32 + c.unique})
+		}
 	}
 	return parts
 }
@@ -49,7 +67,15 @@
 func formatParts(parts []Part) string {
 	var b strings.Builder
 	for _, p := range parts {
-		b.WriteByte(byte(p.Hash))
+		switch {
+		case p.Hash >= 1<<32:
+			b.WriteByte('+')
+		default:
+			b.WriteByte(byte(p.Hash))
+		}
+		if p.Model != "m" {
+			b.WriteString("@" + string(p.Model))
+		}
 	}
 	return b.String()
 }
@@ -61,19 +87,19 @@
 		d, _ := time.ParseDuration(f[1])
 		c.now = c.start.Add(d)
 	case "crash":
-		c.table(f[1]).AddCrash(c.now, EngineRun{Upstream: quetzalhook.UpstreamID(f[2])}, c.now, testParts(f[3:]))
+		c.table(f[1]).AddCrash(c.now, EngineRun{Upstream: quetzalhook.UpstreamID(f[2])}, c.now, c.parts(f[3:]))
 	case "answer":
-		c.table(f[1]).AddAnswer(c.now, testParts(f[2:]))
+		c.table(f[1]).AddAnswer(c.now, c.parts(f[2:]))
 	case "answers":
 		n, _ := strconv.Atoi(f[2])
 		for range n {
-			c.table(f[1]).AddAnswer(c.now, testParts([]string{"~"}))
+			c.table(f[1]).AddAnswer(c.now, c.parts([]string{"~"}))
 		}
 	case "merge":
 		changed := c.table(f[1]).Merge(c.now, c.table(f[2]).Facts(c.now))
 		fmt.Fprintf(&c.out, "new facts: %v\n", changed)
 	case "match":
-		_, ok := c.table(f[1]).Match(c.now, testParts(f[2:]))
+		_, ok := c.table(f[1]).Match(c.now, c.parts(f[2:]))
 		fmt.Fprintf(&c.out, "refused: %v\n", ok)
 	case "active":
 		list := c.table(f[1]).Active(c.now)
@@ -213,3 +239,52 @@
 		}
 	})
 }
+
+// Guards against memory, messages and exchanges that grow with the number of parts.
+func TestManyPartsStayBounded(t *testing.T) {
+	const maxMessage = 1 << 20 // bytes, a quarter of what hosts accept
+	now := time.Unix(1_000_000, 0)
+	a, b, parts := New(), New(), uint64(0)
+	for n := range 40 {
+		now = now.Add(time.Second)
+		var requests [][]Part
+		for range 4 {
+			request := []Part{{Model: "m", Hash: 1}}
+			for range 2500 {
+				parts++
+				request = append(request, Part{Model: "m", Hash: parts << 20})
+			}
+			requests = append(requests, append(request, Part{Model: "m", Hash: 2}))
+		}
+		a.AddCrash(now, EngineRun{Started: int64(n)}, now, requests...)
+		a.AddAnswer(now, []Part{{Model: "m", Hash: 1}})
+		if n%4 > 0 {
+			continue
+		}
+		total := 0
+		for _, c := range a.crashes {
+			total += c.size()
+		}
+		if total > maxTotalParts {
+			t.Fatalf("parts after %d crashes: got %d, want at most %d", n+1, total, maxTotalParts)
+		}
+		facts := a.Facts(now)
+		body, err := cbor.Marshal(facts)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(body) > maxMessage {
+			t.Fatalf("facts after %d crashes: got %d bytes, want at most %d", n+1, len(body), maxMessage)
+		}
+		b.Merge(now, facts)
+		if b.Merge(now, a.Facts(now)) {
+			t.Fatalf("second merge after %d crashes: got new facts, want none", n+1)
+		}
+		if got, want := b.Digest(), a.Digest(); got != want {
+			t.Fatalf("digests after %d crashes: got %x and %x, want the same", n+1, got, want)
+		}
+	}
+	if _, ok := a.Match(now, []Part{{Model: "m", Hash: 2}}); !ok {
+		t.Error("request with the part of all crashes: got sent, want refused")
+	}
+}
--- a/internal/traffic/quarantine/suspect.go
+++ b/internal/traffic/quarantine/suspect.go
@@ -12,11 +12,11 @@
 	crashes []*crash // in the order of time
 	// evidence is the number of crashes; of several at the same time it counts the
 	// share that implicate the part.
-	evidence float64
-	first    int  // index of the first group of crashes that implicates the part
-	groups   int  // number of such groups
-	requests int  // implicated requests with the part
-	answered bool // before one of the crashes
+	evidence    float64
+	groups      int  // groups of crashes that implicate the part
+	groupsSince int  // all groups since the first that implicates the part
+	requests    int  // implicated requests with the part
+	answered    bool // before one of the crashes
 }
 
 // groupCrashes groups crashes, which are in the order of time, by crashSeparation.
@@ -37,14 +37,18 @@
 // evidence, and then that with fewest requests, which explains the crashes most
 // precisely.
 func (t *Table) mostSuspect() *suspect {
-	groups := groupCrashes(slices.DeleteFunc(t.crashesByTime(), t.isExplained))
-	suspects := make(map[Part]*suspect)
+	crashes := slices.DeleteFunc(t.crashesByTime(), t.isExplained)
+	groups := groupCrashes(crashes)
+	suspects, counts := make(map[Part]*suspect), countCrashes(crashes)
 	for i, group := range groups {
 		for _, c := range group {
-			for p, requests := range c.unansweredParts() {
+			for p, requests := range c.counts {
+				if counts[p] < minCrashes || c.answeredAfter.has(p) {
+					continue
+				}
 				s := suspects[p]
 				if s == nil {
-					s = &suspect{part: p, first: i}
+					s = &suspect{part: p, groupsSince: len(groups) - i}
 					suspects[p] = s
 				}
 				if last := len(s.crashes) - 1; last < 0 || !slices.Contains(group, s.crashes[last]) {
@@ -59,27 +63,13 @@
 	}
 	var best *suspect
 	for _, s := range suspects {
-		if t.isProven(s, len(groups)-s.first) && (best == nil || s.precedes(best)) {
+		if t.isProven(s) && (best == nil || s.precedes(best)) {
 			best = s
 		}
 	}
 	return best
 }
 
-// unansweredParts returns the number of implicated requests of each part that was
-// not answered since.
-func (c *crash) unansweredParts() map[Part]int {
-	counts := make(map[Part]int)
-	for _, r := range c.requests {
-		for _, p := range r {
-			if !c.answeredAfter.has(p) {
-				counts[p]++
-			}
-		}
-	}
-	return counts
-}
-
 // isExplained reports whether a crash has a request that matches a quarantine.
 func (t *Table) isExplained(c *crash) bool {
 	for _, q := range t.quarantines {
@@ -90,16 +80,15 @@
 	return false
 }
 
-// isProven reports whether there is enough evidence against a part, given the number
-// of groups of crashes since the first that implicates it. If many crashes do not
+// isProven reports whether there is enough evidence against a part. If many crashes do not
 // implicate the part, or the engines answer hardly any request, the cause is rather
 // in the engines.
-func (t *Table) isProven(s *suspect, groups int) bool {
+func (t *Table) isProven(s *suspect) bool {
 	need := float64(minCrashes)
 	if s.answered {
 		need = minCrashesAnswered
 	}
-	share := float64(s.groups) / float64(groups)
+	share := float64(s.groups) / float64(s.groupsSince)
 	if s.evidence < need-evidenceTolerance || share < minShare {
 		return false
 	}
@@ -128,15 +117,15 @@
 	var common partSet
 	for _, c := range s.crashes {
 		for _, r := range c.requests {
-			if !slices.Contains(r, s.part) {
+			if !s.part.isIn(r.parts) {
 				continue
 			}
 			if common == nil {
 				common = make(partSet)
-				common.addAll(r)
+				common.addAll(r.parts)
 			}
 			for p := range common {
-				if !slices.Contains(r, p) || c.answeredAfter.has(p) || c.answeredBefore.has(p) && !s.answered {
+				if !p.isIn(r.parts) || c.answeredAfter.has(p) || c.answeredBefore.has(p) && !s.answered {
 					delete(common, p)
 				}
 			}
