quarantine: weigh the evidence against a part over all models

A part that crashes engines whatever model its requests name was never put in quarantine if they name six models in turn: each model had its own evidence.

What is known of a part for one model, crashes and answers, counts for the part of any model too. A part that crashed engines of one model only enters for this model only, and an answer of one model does not clear the others.

--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -58,7 +58,9 @@
 	maxQuarantines  = 64
 )
 
-// Part is a part of prompts to a model.
+// Part is a part of prompts to a model, or to any model if that is empty. What is known
+// of a part for one model is known for any model too, so that requests which name a
+// different model each time do not divide the evidence.
 type Part struct {
 	_     struct{} `cbor:",toarray"`
 	Model quetzalhook.Model
@@ -69,9 +71,12 @@
 	return cmp.Or(strings.Compare(string(a.Model), string(b.Model)), cmp.Compare(a.Hash, b.Hash))
 }
 
+// ofAnyModel returns the part without its model.
+func (p Part) ofAnyModel() Part { return Part{Hash: p.Hash} }
+
 // isIn reports whether a request has the part.
 func (p Part) isIn(request []Part) bool {
-	return slices.Contains(request, p)
+	return slices.ContainsFunc(request, func(o Part) bool { return o.Hash == p.Hash && (p.Model == "" || o.Model == p.Model) })
 }
 
 // SharedParts returns the parts of a request that other requests may have in
@@ -146,6 +151,9 @@
 func (c *crash) count(request []Part) {
 	for _, p := range request {
 		c.counts[p]++
+		if p.Model != "" {
+			c.counts[p.ofAnyModel()]++
+		}
 	}
 }
 
@@ -307,6 +315,9 @@
 	changed := false
 	for _, p := range request {
 		changed = t.addAnsweredPart(now, p) || changed
+		if p.Model != "" {
+			changed = t.addAnsweredPart(now, p.ofAnyModel()) || changed
+		}
 	}
 	return changed
 }
@@ -436,7 +447,7 @@
 	}
 	oldestFirst := t.crashesByTime()
 	crashes := countCrashes(oldestFirst)
-	inSeveral := func(p Part) bool { return crashes[p] > 1 }
+	inSeveral := func(p Part) bool { return crashes[p.ofAnyModel()] > 1 }
 	none := func(Part) bool { return false }
 	for _, kept := range []func(Part) bool{inSeveral, none} {
 		for _, c := range oldestFirst {
--- a/internal/traffic/quarantine/suspect.go
+++ b/internal/traffic/quarantine/suspect.go
@@ -112,7 +112,8 @@
 }
 
 // indistinguishable returns the part of a suspect and the parts that occur in all
-// its requests and about whose answers no more is known.
+// its requests and about whose answers no more is known. A part that occurs with one
+// model only is meant for this model.
 func (t *Table) indistinguishable(s *suspect) []Part {
 	var common partSet
 	for _, c := range s.crashes {
@@ -123,6 +124,9 @@
 			if common == nil {
 				common = make(partSet)
 				common.addAll(r.parts)
+				for _, p := range r.parts {
+					common.addAll([]Part{p.ofAnyModel()})
+				}
 			}
 			for p := range common {
 				if !p.isIn(r.parts) || c.answeredAfter.has(p) || c.answeredBefore.has(p) && !s.answered {
@@ -132,5 +136,10 @@
 		}
 	}
 	common.addAll([]Part{s.part})
+	for p := range common {
+		if p.Model != "" {
+			delete(common, p.ofAnyModel())
+		}
+	}
 	return common.list()
 }
