isolator: send requests with suspected parts one at a time

Cause: crashes at the same time are one piece of evidence, since the loss of a rack looks the same, and a part is either free or in quarantine.

A part that nobody has had an answer to is suspected once three engines have crashed under it, most of those since the first. The leader allows one request with it at a time, for all hosts; the others wait for at most 2 s. An answer ends the suspicion, and the crash of a probe is evidence of its own. A part whose quarantine has expired is suspected too.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -128,7 +128,7 @@
 	}, h.peers, clock, log)
 	h.isolator = isolator.New(isolator.Settings{
 		Host: settings.Host, Next: h.engineDispatcher, Detector: adapter.Crashes, Store: adapter.Store,
-		IsLeader: func() bool { return h.leader(0) == settings.Host }, Duration: setting.Seconds(settings.QuarantineS),
+		Leader: func() quetzalhook.HostID { return h.leader(0) }, Duration: setting.Seconds(settings.QuarantineS),
 	}, h.peers, clock, log)
 	if err := h.assembleDuties(); err != nil {
 		return nil, err
--- a/internal/fleet/isolator/isolator.go
+++ b/internal/fleet/isolator/isolator.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -46,8 +47,9 @@
 	Next     quetzalhook.Dispatcher
 	Detector quetzalhook.CrashDetector
 	Store    quetzalhook.Store
-	// IsLeader reports whether this host writes the quarantines to the store.
-	IsLeader func() bool
+	// Leader returns the host that writes the quarantines to the store, and allows probes
+	// of suspected parts.
+	Leader func() quetzalhook.HostID
 	// Duration is how long a first quarantine lasts.
 	Duration time.Duration
 }
@@ -89,6 +91,7 @@
 	}
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	peers.Handle(exchangeKind, i.handleExchange)
+	peers.Handle(probeKind, i.handleProbe)
 	return i
 }
 
@@ -147,6 +150,18 @@
 	return strings.Join(text, ",")
 }
 
+// maxLoggedParts bounds the parts in a line of the log.
+const maxLoggedParts = 64
+
+// logged returns the last maxLoggedParts parts for the log, and how many are left out.
+func logged(parts []quarantine.Part) string {
+	left := max(len(parts)-maxLoggedParts, 0)
+	if left == 0 {
+		return describe(parts)
+	}
+	return "(" + strconv.Itoa(left) + " more)," + describe(parts[left:])
+}
+
 // match returns the refusal of a request with the parts, or nil. The caller holds
 // i.mu.
 func (i *Isolator) match(now time.Time, parts []quarantine.Part) *quetzalhook.Refusal {
@@ -201,7 +216,7 @@
 	now := i.clock.Now()
 	i.table.AddCrash(now, run, at, failed...)
 	for _, parts := range failed {
-		i.log.WithFields(logrus.Fields{"upstream": run.Upstream, "shared-parts": describe(parts), "ms": now.Sub(at).Milliseconds()}).
+		i.log.WithFields(logrus.Fields{"upstream": run.Upstream, "shared-parts": logged(parts), "ms": now.Sub(at).Milliseconds()}).
 			Info("engine crashed as its answer began")
 	}
 	i.applyImposed()
@@ -251,7 +266,7 @@
 	now := i.clock.Now()
 	imposed := i.table.TakeImposed()
 	for _, q := range imposed {
-		i.log.WithFields(logrus.Fields{"shared-parts": describe(q.Parts()), "count": q.Count(), "s": q.Until().Sub(now).Seconds()}).
+		i.log.WithFields(logrus.Fields{"shared-parts": logged(q.Parts()), "count": q.Count(), "s": q.Until().Sub(now).Seconds()}).
 			Warn("prompt parts crash engines; requests with them are refused")
 	}
 	if len(imposed) == 0 {
--- a/internal/fleet/isolator/isolator_test.go
+++ b/internal/fleet/isolator/isolator_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -39,6 +41,8 @@
 	crashed map[quetzalhook.UpstreamID]bool
 	silent  map[quetzalhook.UpstreamID]bool
 	sent    int // attempts that a host may send
+	engines int // that bursts have used
+	reached int // requests of bursts that were sent
 }
 
 func newTestCluster(t *testing.T) *testCluster {
@@ -78,10 +82,10 @@
 	c.called[name] = make(map[quetzalhook.HostID]bool)
 	i := New(Settings{
 		Host: quetzalhook.HostID(name), Next: c, Detector: c, Store: c.store,
-		IsLeader: func() bool {
+		Leader: func() quetzalhook.HostID {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			return c.leader == name
+			return quetzalhook.HostID(c.leader)
 		},
 	}, testPeers{end, c, name}, quetzalhook.ClockFunc(time.Now), log)
 	c.network.Join(end, func() quetzalhook.Member { return quetzalhook.Member{} })
@@ -220,6 +224,31 @@
 		c.crashed[quetzalhook.UpstreamID(f[2])] = true
 		c.mu.Unlock()
 		ticket.End(quetzalhook.AttemptEnd{End: quetzalhook.EndBroken, Tokens: 1})
+	case "burst": // N PART...: N requests at once, at all hosts, each of which crashes an engine 100 ms after it was sent
+		n, _ := strconv.Atoi(f[1])
+		names := slices.Sorted(maps.Keys(c.hosts))
+		for i := range n {
+			c.engines++
+			engine := fmt.Sprintf("b%d", c.engines)
+			c.waiting.Go(func() {
+				ticket := c.hosts[names[i%len(names)]].Submit(c.t.Context(), testRequest(engine, f[2:]))
+				if _, err := ticket.Next(c.t.Context()); err != nil {
+					return
+				}
+				c.mu.Lock()
+				c.reached++
+				c.mu.Unlock()
+				time.Sleep(100 * time.Millisecond)
+				c.mu.Lock()
+				c.crashed[quetzalhook.UpstreamID(engine)] = true
+				c.mu.Unlock()
+				ticket.End(quetzalhook.AttemptEnd{End: quetzalhook.EndBroken})
+			})
+		}
+	case "reached": // prints how many requests of bursts were sent to engines
+		c.mu.Lock()
+		fmt.Fprintf(&c.out, "sent: %d\n", c.reached)
+		c.mu.Unlock()
 	case "wait": // HOST PART...
 		c.waiting.Go(func() {
 			if c.begin(f[1], "", f[2:]) != nil {
--- a/internal/fleet/isolator/store.go
+++ b/internal/fleet/isolator/store.go
@@ -87,7 +87,7 @@
 // save writes the quarantines that have changed to the store and deletes those that
 // are no longer kept, if this host is the leader.
 func (i *Isolator) save(ctx context.Context) {
-	if !i.settings.IsLeader() {
+	if i.settings.Leader() != i.settings.Host {
 		return
 	}
 	now := i.clock.Now()
--- a/internal/fleet/isolator/ticket.go
+++ b/internal/fleet/isolator/ticket.go
@@ -41,6 +41,9 @@
 
 // Next implements quetzalhook.Ticket.
 func (t *ticket) Next(ctx context.Context) (quetzalhook.Attempt, error) {
+	if err := t.isolator.awaitProbe(ctx, t); err != nil {
+		return quetzalhook.Attempt{}, err
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if refusal := t.isolator.wait(t, cancel); refusal != nil {
--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -237,6 +237,7 @@
 	duration    time.Duration
 	crashes     map[EngineRun]*crash
 	quarantines map[string]*Quarantine
+	suspicions  []*Suspicion
 	watched     partSet // parts in crashes and quarantines
 	answered    recentParts
 	answers     int64 // requests of this host that were answered
@@ -340,6 +341,9 @@
 			changed = q.cleared.addAll([]Part{p}) || changed
 		}
 	}
+	if changed {
+		t.updateSuspicions()
+	}
 	return changed
 }
 
@@ -476,10 +480,11 @@
 			}
 		}
 	}
-	for s := t.mostSuspect(); s != nil; s = t.mostSuspect() {
+	for s := t.mostSuspect(t.isExplained, t.isProven); s != nil; s = t.mostSuspect(t.isExplained, t.isProven) {
 		t.impose(now, t.indistinguishable(s), make(partSet))
 	}
 	t.Expire(now)
+	t.updateSuspicions()
 }
 
 // impose puts parts in quarantine, once more if they were before. Cleared are those
--- a/internal/traffic/quarantine/quarantine_test.go
+++ b/internal/traffic/quarantine/quarantine_test.go
@@ -23,6 +23,7 @@
 //	answers TABLE N             engines begin to answer N requests with other parts
 //	merge TO FROM               a table merges the facts of another one
 //	match TABLE PART...         print whether a request is refused
+//	probe TABLE PART...         print whether a request is sent, as a probe or freely
 //	active TABLE                print the quarantines in force
 //
 // A part is a letter, or a letter of a model as in D@n; +N stands for N parts that no
@@ -101,6 +102,16 @@
 	case "match":
 		_, ok := c.table(f[1]).Match(c.now, c.parts(f[2:]))
 		fmt.Fprintf(&c.out, "refused: %v\n", ok)
+	case "probe":
+		s := c.table(f[1]).Suspect(c.now, c.parts(f[2:]))
+		switch {
+		case s == nil:
+			fmt.Fprintln(&c.out, "sent")
+		case s.BeginProbe(c.now):
+			fmt.Fprintf(&c.out, "sent as a probe of %s\n", formatParts(s.Parts()))
+		default:
+			fmt.Fprintln(&c.out, "held")
+		}
 	case "active":
 		list := c.table(f[1]).Active(c.now)
 		for _, q := range list {
--- a/internal/traffic/quarantine/suspect.go
+++ b/internal/traffic/quarantine/suspect.go
@@ -12,11 +12,13 @@
 	crashes []*crash // in the order of time
 	// evidence is the number of crashes; of several at the same time it counts the
 	// share that implicate the part.
-	evidence    float64
-	groups      int  // groups of crashes that implicate the part
-	groupsSince int  // all groups since the first that implicates the part
-	requests    int  // implicated requests with the part
-	answered    bool // before one of the crashes
+	evidence float64
+	groups   int // groups of crashes that implicate the part
+	// groupsSince and crashesSince are the numbers of all groups and crashes since the
+	// first that implicates the part.
+	groupsSince, crashesSince int
+	requests                  int  // implicated requests with the part
+	answered                  bool // before one of the crashes
 }
 
 // groupCrashes groups crashes, which are in the order of time, by crashSeparation.
@@ -32,14 +34,16 @@
 	return groups
 }
 
-// mostSuspect returns the part to put in quarantine next, or nil if there is none.
+// mostSuspect returns the part that is most likely the cause of the crashes that are
+// not explained, among those that qualify, or nil if there is none.
 // A part that was never answered goes before one that was, then the part with most
 // evidence, and then that with fewest requests, which explains the crashes most
 // precisely.
-func (t *Table) mostSuspect() *suspect {
-	crashes := slices.DeleteFunc(t.crashesByTime(), t.isExplained)
+func (t *Table) mostSuspect(isExplained func(*crash) bool, qualifies func(*suspect) bool) *suspect {
+	crashes := slices.DeleteFunc(t.crashesByTime(), isExplained)
 	groups := groupCrashes(crashes)
 	suspects, counts := make(map[Part]*suspect), countCrashes(crashes)
+	before := 0 // crashes of the groups before
 	for i, group := range groups {
 		for _, c := range group {
 			for p, requests := range c.counts {
@@ -48,7 +52,7 @@
 				}
 				s := suspects[p]
 				if s == nil {
-					s = &suspect{part: p, groupsSince: len(groups) - i}
+					s = &suspect{part: p, groupsSince: len(groups) - i, crashesSince: len(crashes) - before}
 					suspects[p] = s
 				}
 				if last := len(s.crashes) - 1; last < 0 || !slices.Contains(group, s.crashes[last]) {
@@ -60,10 +64,11 @@
 				s.answered = s.answered || c.answeredBefore.has(p)
 			}
 		}
+		before += len(group)
 	}
 	var best *suspect
 	for _, s := range suspects {
-		if t.isProven(s) && (best == nil || s.precedes(best)) {
+		if qualifies(s) && (best == nil || s.precedes(best)) {
 			best = s
 		}
 	}
