platform: bound the responses to the hosts' own calls

Cause: the calls to engines bound the bodies and not the heads, of which net/http reads 10 MB; the calls to the platform bound neither. Nothing bounded all open responses together, and memory-mb was not used.

internal/platform/intake bounds the head and the body of each response, and the memory of all that are open by a share of memory-mb. The soak checks the memory of hosts and has heads without end.

--- a/cmd/quetzalhook/host.go
+++ b/cmd/quetzalhook/host.go
@@ -7,6 +7,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"quetzalhook/internal/entry/host"
 	"quetzalhook/internal/entry/setting"
+	"quetzalhook/internal/platform/intake"
 	"quetzalhook/internal/state/eventlog"
 	"quetzalhook/platform"
 )
@@ -60,12 +62,16 @@
 	if err != nil {
 		return err
 	}
-	store := platform.NewStore(settings.Store, log, platform.WithApplyBound(time.Duration(settings.ApplyMS)*time.Millisecond))
+	limitMemory(settings.Memory())
+	fromPlatform := intake.NewBudget(settings.Memory(), intake.PlatformShare)
+	fromEngines := intake.NewBudget(settings.Memory(), intake.EngineShare)
+	store := platform.NewStore(settings.Store, log,
+		platform.WithApplyBound(time.Duration(settings.ApplyMS)*time.Millisecond), platform.WithBudget(fromPlatform))
 	defer store.Close()
 	h, err := host.New(settings, secret, host.Adapter{
 		Store: store, Protocol: platform.Headers{}, RoutingSource: platform.RoutingSource(settings.Zones),
-		Duties: platform.NewDutyClient(settings.Platform, settings.Host), Caches: platform.NewCacheClient(), Mover: platform.NewMover(),
-		Crashes:   platform.NewCrashDetector(),
+		Duties: platform.NewDutyClient(settings.Platform, settings.Host, fromPlatform),
+		Caches: platform.NewCacheClient(fromEngines), Mover: platform.NewMover(fromEngines), Crashes: platform.NewCrashDetector(fromEngines),
 		Directory: platform.DirectoryHandler, Ready: platform.ReadyHandler,
 	}, log)
 	if err != nil {
@@ -83,6 +89,18 @@
 	return h.Stop(context.WithoutCancel(ctx))
 }
 
+// softMemoryShare is the share of a process's memory above which the garbage collector
+// works harder. What lies beyond is not on its heap, such as the program itself.
+const softMemoryShare = 0.7
+
+// limitMemory makes the garbage collector keep the process below its memory in bytes; 0
+// means that it is not known.
+func limitMemory(memory int64) {
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(softMemoryShare * float64(memory)))
+	}
+}
+
 // logIgnored logs signals that arrive while the host stops.
 func logIgnored(signals <-chan os.Signal, log logrus.FieldLogger) {
 	for s := range signals {
--- a/internal/bench/soak/checker.go
+++ b/internal/bench/soak/checker.go
@@ -62,6 +62,8 @@
 	// CheckProcess fails if a process exits unexpectedly, or a fault cannot be
 	// injected.
 	CheckProcess Check = "process-lives"
+	// CheckMemory fails if a host takes more memory than its settings allow.
+	CheckMemory Check = "memory"
 	// CheckRecovery fails if less than minServedShare of the requests that end more
 	// than recoverBound after the last fault are served.
 	CheckRecovery Check = "recovery"
@@ -181,6 +183,13 @@
 	c.check(name, false, format, args...)
 }
 
+// CheckMemory checks the resident memory of a host.
+func (c *Checker) CheckMemory(host quetzalhook.HostID, mb int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.check(CheckMemory, mb <= hostMemoryMB, "%s has %d MB of memory, want at most %d MB", host, mb, hostMemoryMB)
+}
+
 // Results returns the number of times that each check was made, and the
 // violations.
 func (c *Checker) Results() (checked map[Check]int, violations []Violation) {
--- a/internal/bench/soak/fault.go
+++ b/internal/bench/soak/fault.go
@@ -344,7 +344,7 @@
 
 // upstreamFaults holds the faults of upstreams by variant.
 var upstreamFaults = map[string]standin.UpstreamFaults{
-	"fail": {Fail: 0.3}, "lose": {Lose: 0.3}, "extra": {Extra: 0.3}, "page": {Page: 0.3}, "cut": {Cut: 0.3}, "refuse": {Refuse: 0.5},
+	"fail": {Fail: 0.3}, "lose": {Lose: 0.3}, "extra": {Extra: 0.3}, "page": {Page: 0.3}, "endless": {Endless: 0.5}, "cut": {Cut: 0.3}, "refuse": {Refuse: 0.5},
 	"refuse-twice": {Refuse: 0.5, Twice: 0.5}, "refuse-again": {Refuse: 0.5, Again: 0.5}, "twice": {Twice: 0.3}, "again": {Again: 0.3},
 	"error-head": {ErrorHead: 0.5}, "error-head-cut": {ErrorHead: 0.5, Cut: 0.5}, "unnoticed": {Unnoticed: 300 * time.Millisecond, Stall: 0.3},
 	"move-slow": {MoveSlow: 0.7}, "move-lost": {MoveLost: 0.5}, "move-refuse": {MoveRefuse: 0.7},
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -52,6 +52,9 @@
 	isFrozen bool
 }
 
+// hostMemoryMB is the memory limit of a host in MB.
+const hostMemoryMB = 256
+
 // peerSecret authenticates the hosts of a run to each other.
 const peerSecret = "hosts-of-a-soak"
 
@@ -59,7 +62,7 @@
 func (h *host) writeSettings(zones map[quetzalhook.Zone]quetzalhook.Region, seeds []string) error {
 	s := setting.Host{
 		Host: h.name, Zone: h.zone, Region: zones[h.zone], Zones: zones, InnerPorts: []int{firstInnerPort, lastInnerPort}, Seeds: seeds,
-		Store: h.store.Address(), Platform: h.duties.Address(), ProcessorShare: 1, Processors: 1, MemoryMB: 256,
+		Store: h.store.Address(), Platform: h.duties.Address(), ProcessorShare: 1, Processors: 1, MemoryMB: hostMemoryMB,
 		StopS: stopLimit.Seconds(), AnswerLifeS: 5, LeaseMS: 3000, LeaveMS: float64(leavingBound.Milliseconds()), ApplyMS: 2500, UsageWindowS: 5, UsageDueS: 10,
 		RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10,
 	}
--- a/internal/entry/setting/host.go
+++ b/internal/entry/setting/host.go
@@ -44,7 +44,9 @@
 	// in cores.
 	ProcessorShare float64 `yaml:"processor-share"`
 	Processors     float64 `yaml:"processors"`
-	MemoryMB       int     `yaml:"memory-mb"`
+	// MemoryMB is the memory in MB above which the platform kills the host; 0 means that
+	// it is not known.
+	MemoryMB int `yaml:"memory-mb"`
 	// StopS is the time in seconds after which the platform kills a host that was
 	// told to stop.
 	StopS float64 `yaml:"stop-s"`
@@ -79,6 +81,9 @@
 	QuarantineS float64 `yaml:"quarantine-s"`
 }
 
+// Memory returns the memory of the host in bytes; 0 means that it is not known.
+func (h Host) Memory() int64 { return int64(h.MemoryMB) << 20 }
+
 // LoadHost reads and validates the settings in a file.
 func LoadHost(path string) (Host, error) {
 	var h Host
@@ -131,6 +136,9 @@
 			c.add("%s %g is not positive", s.name, s.value)
 		}
 	}
+	if h.MemoryMB < 0 {
+		c.add("memory-mb %d is negative", h.MemoryMB)
+	}
 	if h.StallS < 0 {
 		c.add("stall-s %g is negative", h.StallS)
 	}
