connection: bound the memory of all open answers together

Each answer was bounded, 64 KB for the head and 128 KB for what is buffered, and nothing bounded all of them: the memory grew with the number of requests.

Heads over 4 KB, and bodies and events over 8 KB, reserve memory from a share of memory-mb. Without memory left, a long body is passed on as it arrives, and a long head or event counts as broken.

--- a/internal/entry/connection/exchange.go
+++ b/internal/entry/connection/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -73,6 +74,22 @@
 	Reused bool
 	// Connection is the number of the connection, unique in the pool.
 	Connection int64
+
+	body *body
+}
+
+// Reserve reserves memory for keeping n bytes of the response until the body is closed.
+// It returns false if the open responses take all memory that they may. A Response that
+// is not from a Pool has no bound.
+func (r *Response) Reserve(n int64) bool {
+	if r.body == nil {
+		return true
+	}
+	if !r.body.exchange.pool.budget.TryReserve(n) {
+		return false
+	}
+	r.body.reserved.Add(n)
+	return true
 }
 
 // exchange is a request and its response on a connection.
@@ -114,9 +131,10 @@
 		return nil, &Error{Op: "answer", Kind: ErrorBroken, Upstream: t.ID, Reused: x.reused, Connection: c.number, Err: err}
 	}
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	b := &body{exchange: x, response: resp, framed: framed}
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framed: framed, Reused: x.reused, Connection: c.number,
-		Body: &body{exchange: x, response: resp, framed: framed},
+		Body: b, body: b,
 	}, nil
 }
 
@@ -140,13 +158,13 @@
 // and complete responses to other requests.
 func (x *exchange) read(r *Request) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
-	defer x.conn.unlimit()
+	defer x.conn.allowance.unlimit()
 	for range maxResponses {
-		x.conn.limitHeader()
+		x.conn.allowance.limitHeader()
 		resp, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil {
-			if x.conn.allowance.N <= 0 {
-				return nil, errors.Errorf("the response header is over %d bytes", maxResponseHeader)
+			if x.conn.allowance.isUsedUp() {
+				return nil, errors.Errorf("the response header is over %d bytes, or one of too many long ones", maxResponseHeader)
 			}
 			return nil, err
 		}
@@ -159,7 +177,7 @@
 		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errors.New("the connection ends with the response to another request")
 		}
-		x.conn.unlimit()
+		x.conn.allowance.unlimit()
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBody))
 		if err != nil {
 			return nil, errors.Wrap(err, "read response to another request")
@@ -190,6 +208,7 @@
 func (x *exchange) finish(reusable bool, limit time.Duration) {
 	x.once.Do(func() {
 		isOpen := x.cancelClose()
+		x.conn.allowance.release()
 		if !reusable || !isOpen || x.conn.reader.Buffered() > 0 {
 			x.pool.discard(x.target.key(), x.conn)
 			return
@@ -217,6 +236,7 @@
 	response *http.Response
 	framed   bool
 	atEOF    bool
+	reserved atomic.Int64 // see Response.Reserve
 }
 
 // Read implements io.Reader.
@@ -242,6 +262,7 @@
 // Close implements io.Closer. Before the end of the body, it also closes the
 // connection.
 func (b *body) Close() error {
+	b.exchange.pool.budget.Release(b.reserved.Swap(0))
 	b.exchange.finish(false, 0)
 	return nil
 }
--- a/internal/entry/connection/pool.go
+++ b/internal/entry/connection/pool.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"math"
 	"net"
 	"slices"
@@ -15,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"quetzalhook"
+	"quetzalhook/internal/platform/intake"
 )
 
 const (
@@ -53,21 +53,13 @@
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
-	number int64
-	reader *bufio.Reader
-	// allowance bounds the bytes of a response header; see limitHeader.
-	allowance *io.LimitedReader
-	uses      int       // requests sent
-	expiry    time.Time // when the connection is closed if idle
+	number    int64
+	reader    *bufio.Reader
+	allowance *allowance // of the bytes of a response header
+	uses      int        // requests sent
+	expiry    time.Time  // when the connection is closed if idle
 }
 
-// limitHeader bounds the bytes that are read from the connection until the next
-// call of unlimit. Reads beyond the limit return io.EOF.
-func (c *conn) limitHeader() { c.allowance.N = maxResponseHeader }
-
-// unlimit ends the limit on bytes read from the connection.
-func (c *conn) unlimit() { c.allowance.N = math.MaxInt64 }
-
 // group holds the connections to one upstream.
 type group struct {
 	idle []*conn // least recently used first
@@ -78,6 +70,7 @@
 type Pool struct {
 	clock  quetzalhook.Clock
 	dialer *net.Dialer
+	budget *intake.Budget // of all open responses
 
 	mu     sync.Mutex
 	groups map[key]*group
@@ -88,9 +81,20 @@
 	wg   sync.WaitGroup
 }
 
+// Option sets one property of a Pool.
+type Option func(*Pool)
+
+// WithBudget bounds the memory that all open responses take together.
+func WithBudget(b *intake.Budget) Option {
+	return func(p *Pool) { p.budget = b }
+}
+
 // NewPool returns an empty pool.
-func NewPool(clock quetzalhook.Clock) *Pool {
+func NewPool(clock quetzalhook.Clock, opts ...Option) *Pool {
 	p := &Pool{clock: clock, dialer: NewDialer(), groups: make(map[key]*group), stop: make(chan struct{})}
+	for _, o := range opts {
+		o(p)
+	}
 	p.wg.Go(p.sweep)
 	return p
 }
@@ -174,7 +178,7 @@
 		p.release(t.key())
 		return nil, &Error{Op: "dial", Kind: ErrorNotSent, Upstream: t.ID, Err: err}
 	}
-	allowance := &io.LimitedReader{R: raw, N: math.MaxInt64}
+	allowance := &allowance{conn: raw, left: math.MaxInt64, budget: p.budget}
 	return &conn{Conn: raw, number: number, allowance: allowance, reader: bufio.NewReaderSize(allowance, readBufferSize)}, nil
 }
 
--- a/internal/entry/gateway/endless_test.go
+++ b/internal/entry/gateway/endless_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -33,6 +34,15 @@
 	return u
 }
 
+// headerNames returns many short header lines with different names.
+func headerNames() string {
+	var b strings.Builder
+	for i := range 40000 {
+		b.WriteString(strconv.FormatInt(int64(i), 36) + ":\n")
+	}
+	return b.String()
+}
+
 // Guards against upstreams that send bytes without end and thereby exhaust the
 // memory of a host, keep its connections, or make a caller take what they send for
 // a complete response.
@@ -41,6 +51,8 @@
 	for _, test := range []struct{ name, path, head, part string }{
 		{"status-line", "/lookup/1", "HTTP/1.1 200 ", "x"},
 		{"header", "/lookup/1", "HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\n", "X: y\r\n"},
+		{"short-header-lines", "/lookup/1", "HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\n", "a:\n"},
+		{"header-names", "/lookup/1", "HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\n", headerNames()},
 		{"body-without-length", "/order/1", "HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\n\r\n", "x"},
 		{"error-body", "/lookup/1", "HTTP/1.1 500 Failed\r\n\r\n", "x"},
 		{"refusal-body", "/lookup/1", "HTTP/1.1 503 Full\r\nNot-Run: full\r\n\r\n", "x"},
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/entry/connection"
+	"quetzalhook/internal/platform/intake"
 	"quetzalhook/internal/record/routing"
 )
 
@@ -52,7 +53,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	clock := quetzalhook.ClockFunc(time.Now)
-	env.pool = connection.NewPool(clock)
+	env.pool = connection.NewPool(clock, connection.WithBudget(intake.NewBudget(hostMemory, intake.AnswerShare)))
 	env.gateway = New(Deps{
 		Tables: env, Protocol: testProtocol{}, Dispatcher: env, Mover: env, Pool: env.pool, HostCount: func() int { return 1 },
 		CountUsage: func(c quetzalhook.CustomerID) { env.record(&env.usage, string(c)) }, Observer: env, Region: "r", Clock: clock, Log: log,
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -18,6 +18,14 @@
 // connection can take, also if the upstream sends without end.
 const maxBufferedResponse = 128 << 10
 
+const (
+	// smallBody is the part of a response, in bytes, that is kept without reserving
+	// memory for it.
+	smallBody = 8 << 10
+	// bufferFactor is the memory that a growing buffer takes, as a multiple of its size.
+	bufferFactor = 3
+)
+
 // relay sends the request to one upstream after another until one answers it, no
 // attempt may follow, or the dispatcher refuses it.
 func (x *exchange) relay(ctx context.Context) error {
@@ -197,29 +205,37 @@
 
 // copyBody passes on a response that is not a stream. A short one is read
 // completely first, so that the request can be repeated if the response breaks
-// off.
+// off. If there is no memory for that, only a very short one is.
 func (x *exchange) copyBody(resp *connection.Response) error {
 	x.countUsage()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, smallBody))
 	if err != nil {
 		return err
 	}
+	limit := smallBody
+	if len(body) == smallBody && resp.Reserve(bufferFactor*maxBufferedResponse) {
+		limit = maxBufferedResponse
+		rest, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse-smallBody))
+		if err != nil {
+			return err
+		}
+		body = append(body, rest...)
+	}
 	buffered := &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
 	if resp.Status >= http.StatusInternalServerError && x.route.IsRepeatable() {
 		x.failedResponse = nil
-		if len(body) < maxBufferedResponse { // otherwise the body may not be complete
+		if len(body) < limit { // otherwise the body may not be complete
 			x.failedResponse = buffered
 		}
 		return &Error{Op: "relay", Kind: ErrorBroken, Status: http.StatusBadGateway, Message: "the upstream answered " + strconv.Itoa(resp.Status)}
 	}
-	if len(body) < maxBufferedResponse {
+	if len(body) < limit {
 		return buffered.writeTo(x)
 	}
 	return x.copyLongBody(resp, body)
 }
 
-// copyLongBody passes on a response of at least maxBufferedResponse bytes, of
-// which prefix has been read.
+// copyLongBody passes on a response of which prefix has been read.
 func (x *exchange) copyLongBody(resp *connection.Response, prefix []byte) error {
 	copyHeader(x.w.Header(), x.gateway.deps.Protocol.AnswerHeaders(resp.Header))
 	if resp.Length >= 0 {
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -44,7 +44,7 @@
 	defer stall.stop()
 	events := &x.stream.events
 	events.startUpstream()
-	atStart := true
+	atStart, limit := true, smallBody
 	for {
 		n, err := resp.Body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
@@ -74,8 +74,10 @@
 			return nil
 		case err != nil:
 			return stall.explain(err)
-		case len(pending) > maxEventSize:
-			return brokenStream("an event is too long", errors.Errorf("%d bytes", len(pending)))
+		case len(pending) > limit && limit < maxEventSize && resp.Reserve(bufferFactor*maxEventSize):
+			limit = maxEventSize
+		case len(pending) > limit:
+			return brokenStream("an event is too long, or one of too many long ones", errors.Errorf("%d bytes", len(pending)))
 		}
 	}
 }
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -30,6 +30,7 @@
 	"quetzalhook/internal/fleet/peer"
 	"quetzalhook/internal/fleet/provisioner"
 	"quetzalhook/internal/fleet/registration"
+	"quetzalhook/internal/platform/intake"
 	"quetzalhook/internal/record/invoice"
 	"quetzalhook/internal/record/routing"
 	"quetzalhook/internal/record/tally"
@@ -116,7 +117,7 @@
 	}
 	h.follower = routing.New(settings.Host, adapter.Store, h.peers, adapter.RoutingSource, clock, log, h.inv, routing.WithSettled(h.settled(watchSettleTime)))
 	h.notices = notice.New(notice.WithReport(h.logNotice))
-	h.pool = connection.NewPool(clock)
+	h.pool = connection.NewPool(clock, connection.WithBudget(intake.NewBudget(settings.Memory(), intake.AnswerShare)))
 	budget := retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	h.serviceDispatcher = balance.NewDispatcher(balance.New(settings.Region, random, balance.WithLimits(throttle.New(throttle.WithRank(h.limitRank))), balance.WithNotices(h.notices)), budget, clock)
