relay: bound the answers that quetzalhook serve reads

An upstream whose answer has no end made the host read on until the caller gave up, and keep all of it.

The same holds for reports of upstreams and responses of the platform, whose bodies had no bound.

Heads, objects, the text of a stream, reports and lists are bounded.

--- a/internal/entry/probe/probe.go
+++ b/internal/entry/probe/probe.go
@@ -17,6 +17,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/entry/relay"
+	"quetzalhook/internal/platform/intake"
 )
 
 const (
@@ -206,6 +207,9 @@
 	return list
 }
 
+// maxReport bounds a response of an upstream, in bytes.
+const maxReport = 4 << 20
+
 // get requests a path of the upstream and decodes the JSON response into result. It
 // returns the HTTP status, or 0 if there is no response.
 func (r *reader) get(ctx context.Context, path string, result any) (int, error) {
@@ -225,5 +229,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return resp.StatusCode, errors.New(resp.Status)
 	}
-	return resp.StatusCode, errors.WithStack(json.NewDecoder(resp.Body).Decode(result))
+	body, err := intake.ReadAll(resp.Body, maxReport)
+	if err != nil {
+		return resp.StatusCode, errors.WithStack(err)
+	}
+	return resp.StatusCode, errors.WithStack(json.Unmarshal(body, result))
 }
--- a/internal/entry/relay/pool.go
+++ b/internal/entry/relay/pool.go
@@ -17,6 +17,8 @@
 	// maxIdleConnections is the number of idle connections kept for each
 	// upstream.
 	maxIdleConnections = 64
+	// maxHeader bounds the header of a response, in bytes.
+	maxHeader = 64 << 10
 )
 
 // upstreamClients holds the HTTP clients of one upstream. Each upstream has
@@ -104,12 +106,16 @@
 			IdleConnTimeout:     idleTimeout,
 			MaxIdleConnsPerHost: maxIdleConnections,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeader,
 		}},
 		fresh: &http.Client{
 			Transport: &http.Transport{
 				DialContext:        dialer.DialContext,
 				DisableKeepAlives:  true,
 				DisableCompression: true,
+
+				MaxResponseHeaderBytes: maxHeader,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/internal/entry/relay/stream.go
+++ b/internal/entry/relay/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -10,13 +9,17 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/entry/broker"
+	"quetzalhook/internal/platform/intake"
 	"quetzalhook/internal/state/invariant"
 )
 
+// maxAnswer bounds the answer to one chat request, in bytes.
+const maxAnswer = 8 << 20
+
 // copyObject passes on a response that is one JSON object, and records its
 // token count.
 func (r *Relay) copyObject(resp *http.Response, call Call) error {
-	body, err := io.ReadAll(resp.Body)
+	body, err := intake.ReadAll(resp.Body, maxAnswer)
 	if err != nil {
 		return errors.WithStack(err)
 	}
@@ -59,6 +62,9 @@
 		if c.Usage != nil {
 			usage = c.Usage
 		}
+		if answer.text.Len() > maxAnswer {
+			return errors.Errorf("the answer is over %d bytes", maxAnswer)
+		}
 		// A slow caller must not count as a stall of the upstream.
 		stall.pause()
 		if err := callerGoneError(answer.addChunk(c)); err != nil {
--- a/internal/platform/provider/client.go
+++ b/internal/platform/provider/client.go
@@ -27,6 +27,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/platform/fragment"
+	"quetzalhook/internal/platform/intake"
 )
 
 const (
@@ -37,6 +38,9 @@
 	idleTimeout = 5 * time.Second
 )
 
+// maxResponse bounds a response of the platform, in bytes.
+const maxResponse = 8 << 20
+
 // Client calls the platform's API. It implements quetzalhook.Provisioner,
 // quetzalhook.UsageSink and quetzalhook.HostLister and is safe for concurrent
 // use.
@@ -61,6 +65,8 @@
 	c.http = &http.Client{Transport: &http.Transport{
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: 16,
+
+		MaxResponseHeaderBytes: intake.MaxHeader,
 	}}
 	return c
 }
@@ -210,7 +216,7 @@
 	if err := checkStatus(op, key, resp); err != nil {
 		return err
 	}
-	body, err := io.ReadAll(resp.Body)
+	body, err := intake.ReadAll(resp.Body, maxResponse)
 	if err == nil {
 		err = decode(body)
 	}
@@ -251,7 +257,7 @@
 		return c.transportError(w.op, w.key, kind, err)
 	}
 	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, resp.Body)
+	_, _ = io.CopyN(io.Discard, resp.Body, maxResponse)
 	return checkStatus(w.op, w.key, resp)
 }
 
