gateway: pass nothing on in a stop that may be cut at its end

Another operator reported requests that came late in a planned stop, were passed on and were cut at its end, among them such that must run once.

Here a request that arrives once callers know other hosts is refused unless it ends in time. But one that had arrived before and waited for an upstream was passed on at any later time, and cut at the end of the stop.

Once callers know other hosts, a request that has not run and may not end in time is refused at once, with the promise that it has not run.

--- a/internal/entry/gateway/drain.go
+++ b/internal/entry/gateway/drain.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"quetzalhook"
 	"quetzalhook/internal/entry/caller"
 )
 
@@ -34,11 +35,15 @@
 
 // Drain makes every later response ask the caller to close the connection, and the
 // gateway refuse requests that cannot end in time. Only the first call has an effect.
-func (g *Gateway) Drain(s Stop) { g.stop.CompareAndSwap(nil, &s) }
+func (g *Gateway) Drain(s Stop) {
+	if g.stop.CompareAndSwap(nil, &s) {
+		time.AfterFunc(s.Away.Sub(g.deps.Clock.Now()), g.leave)
+	}
+}
 
 // checkStop returns an error if the host is stopping and does not take the request.
 func (x *exchange) checkStop() error {
-	if s := x.gateway.stop.Load(); s == nil || s.takes(x.gateway.deps.Clock.Now(), x.timeout) {
+	if s := x.gateway.stop.Load(); s == nil || s.takes(x.gateway.deps.Clock.Now(), x.timeout-x.elapsed()) {
 		return nil
 	}
 	return &Error{
@@ -47,6 +52,33 @@
 	}
 }
 
+// nextAttempt waits for the next attempt. If the host is stopping and callers know other
+// hosts, a request that has not run ends instead of being passed on so late that it may
+// be cut.
+func (x *exchange) nextAttempt(ctx context.Context, ticket quetzalhook.Ticket) (quetzalhook.Attempt, error) {
+	if x.mayHaveRun {
+		return ticket.Next(ctx)
+	}
+	waiting, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	detach := context.AfterFunc(x.gateway.away, func() {
+		if err := x.checkStop(); err != nil {
+			end(err)
+		}
+	})
+	defer detach()
+	a, err := ticket.Next(waiting)
+	stopping := x.checkStop()
+	switch {
+	case err == nil && stopping != nil:
+		ticket.End(quetzalhook.AttemptEnd{End: quetzalhook.EndCallerGone}) // says nothing of the upstream
+		return quetzalhook.Attempt{}, stopping
+	case err != nil && stopping != nil && waiting.Err() != nil && ctx.Err() == nil:
+		return a, stopping
+	}
+	return a, err
+}
+
 // endedByStop returns the error for a request that was in progress at the end of a
 // stop.
 func (x *exchange) endedByStop() *Error {
--- a/internal/entry/gateway/drain_test.go
+++ b/internal/entry/gateway/drain_test.go
@@ -50,6 +50,9 @@
 		{"late and short", "POST /order/1", "a", ok, 0, time.Minute, "caller: 200 whole", "finished"},
 		{"in time", "GET /lookup/1", "a", ok, time.Minute, time.Second, "caller: 200 whole", "finished"},
 		{"waits at the end", "GET /lookup/1", "wait", "", time.Minute, soon, "caller: 503 whole retry-after=0.001", ""},
+		{"waits while callers learn of other hosts", "GET /lookup/1", "wait", "", soon / 5, 2 * soon, "caller: 503 whole retry-after=0.001", ""},
+		{"gets an upstream after that", "GET /lookup/1", "late-a", ok, soon / 5, soon, "caller: 503 whole retry-after=0.001", "caller-gone"},
+		{"gets an upstream after that and is short", "POST /order/1", "late-a", ok, soon / 5, time.Minute, "caller: 200 whole", "finished"},
 		{"runs at the end", "GET /lookup/1", "a", "hold", time.Minute, soon, "caller: 504 whole", "caller-gone"},
 		{"stream without an event at the end", "GET /chat/1", "a", `HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\n\r\n | hold`, time.Minute, soon, "caller: 504 whole", "caller-gone"},
 		{"stream at the end", "GET /chat/1", "a", event, time.Minute, soon, "caller: 200 cut", "caller-gone"},
@@ -70,7 +73,10 @@
 			defer cancel()
 			_ = env.gateway.CloseConns(ctx)
 			_ = env.server.Config.Close()
-			got := <-response
+			got, took := <-response, time.Since(now)
+			if test.away < test.end && took > test.away+soon/2 {
+				t.Errorf("answer: got it after %v, want it within %v", took, test.away+soon/2)
+			}
 			if !strings.HasPrefix(got, test.want+" ") || strings.Contains(got, " 50") != strings.Contains(got, string(ErrorStopping)) {
 				t.Errorf("got %q, want %q", got, test.want)
 			}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -81,6 +81,8 @@
 	stop    atomic.Pointer[Stop] // nil until Drain is called
 	ended   context.Context      // ends with the time for a stop
 	end     context.CancelFunc
+	away    context.Context // ends once callers know other hosts, in a stop
+	leave   context.CancelFunc
 	open    atomic.Int64
 	callers *caller.Conns
 	streams *streams
@@ -95,6 +97,7 @@
 	g := &Gateway{deps: deps, streams: newStreams()}
 	g.callers = caller.NewConns(g.idleTimeout)
 	g.ended, g.end = context.WithCancel(context.Background())
+	g.away, g.leave = context.WithCancel(context.Background())
 	return g
 }
 
@@ -114,6 +117,7 @@
 func (g *Gateway) Close() error {
 	g.moves.Wait()
 	g.end()
+	g.leave()
 	return nil
 }
 
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -183,6 +183,12 @@
 	}
 	name := env.offers[0]
 	env.offers = env.offers[1:]
+	if late, ok := strings.CutPrefix(name, "late-"); ok { // offered after 200 ms, although the context may have ended
+		name = late
+		env.mu.Unlock()
+		time.Sleep(200 * time.Millisecond)
+		env.mu.Lock()
+	}
 	switch name {
 	case "refuse":
 		return quetzalhook.Attempt{}, &quetzalhook.Refusal{Kind: quetzalhook.RefuseOverload, RetryAfter: 1500 * time.Millisecond}
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -38,7 +38,7 @@
 	defer func() { ticket.Close() }()
 	var last error
 	for {
-		attempt, err := ticket.Next(ctx)
+		attempt, err := x.nextAttempt(ctx, ticket)
 		if err != nil {
 			return x.endWithoutAttempt(err, last)
 		}
