connection: tell a cut head from the answer behind it

An upstream that cuts an answer in its head and writes another one behind it made callers get the status of one and the body of the other: the answer to another request, or a failure that looked like a success.

Cause: the line that was cut takes in the status line of the next answer, and the lines of both are read as one head.

Evidence: TestCutAnswers, ten answers cut after each byte: on the code before, whole answers for up to 15 cuts of each of them that another one follows; none now.

--- a/internal/entry/connection/exchange.go
+++ b/internal/entry/connection/exchange.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -168,6 +170,9 @@
 			}
 			return nil, err
 		}
+		if hasStatusLine(resp) {
+			return nil, errors.New("the response header was cut, and another response follows")
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
@@ -189,6 +194,23 @@
 	return nil, errors.Errorf("no response to the request among the first %d on the connection", maxResponses)
 }
 
+// statusLine matches the start of a response.
+var statusLine = regexp.MustCompile(`HTTP/\d\.\d \d{3}`)
+
+// hasStatusLine reports whether a line of the header contains the start of another
+// response: the upstream has cut the header, and both look like one.
+func hasStatusLine(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // isAnswer reports whether the response with the header h is for the request.
 func isAnswer(r *Request, h http.Header) bool {
 	return r.AnswerID == nil || r.AnswerID(h) == r.ID
