routing: ask the next host when a peer stays silent

A host lacked a configuration 2.52 s after it was confirmed, while four of six hosts were killed one after the other (soak, seen once).

Cause: it asked hosts for changes one after the other, and waited for the whole timeout of each one that was just lost. The timeout, which grows for hosts that are slow, grew with each such round.

Evidence: TestLostPeersDoNotHoldUpPulls fails on the code before: 6 s for a pull beside two lost hosts, now 400 ms.

The next host is asked as soon as one fails, and after 200 ms beside one that is silent. The first answer ends the others.

--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -24,6 +24,8 @@
 	// and repeating the request does not speed them up.
 	minPullTimeout = 400 * time.Millisecond
 	maxPullTimeout = 3 * time.Second
+	// nextPeerDelay is the time without an answer after which another peer is asked too.
+	nextPeerDelay = 200 * time.Millisecond
 )
 
 // pullRequest requests the changes that are newer than the caller's state.
@@ -136,19 +138,42 @@
 // overflow.
 const maxTimeoutDoublings = 8
 
-// pullAny pulls from hosts in turn until one answers, and reports whether one
-// did.
+// pullAny pulls from hosts until one answers, and reports whether one did. It asks the
+// next host as soon as one fails, and after nextPeerDelay beside one that is silent: a
+// host that was just lost must not hold up the others.
 func (f *Follower) pullAny(ctx context.Context, hosts []quetzalhook.HostID, timeout time.Duration) bool {
-	for _, host := range hosts {
-		err := f.pull(ctx, host, f.completeVersion(), timeout)
-		if err == nil {
-			return true
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan error, len(hosts))
+	asked, open := 0, 0
+	for {
+		if asked < len(hosts) {
+			host := hosts[asked]
+			asked, open = asked+1, open+1
+			f.wg.Go(func() { results <- f.pullLogged(ctx, host, timeout) })
 		}
-		if ctx.Err() == nil {
-			f.log.WithError(err).WithField("peer", host).WithField("timeout-ms", timeout.Milliseconds()).Info("changes not pulled")
+		delay := time.NewTimer(nextPeerDelay)
+		select {
+		case err := <-results:
+			delay.Stop()
+			if err == nil {
+				return true
+			}
+			if open--; open == 0 && asked == len(hosts) {
+				return false
+			}
+		case <-delay.C:
 		}
 	}
-	return false
+}
+
+// pullLogged pulls from one host and logs a failure.
+func (f *Follower) pullLogged(ctx context.Context, host quetzalhook.HostID, timeout time.Duration) error {
+	err := f.pull(ctx, host, f.completeVersion(), timeout)
+	if err != nil && ctx.Err() == nil {
+		f.log.WithError(err).WithField("peer", host).WithField("timeout-ms", timeout.Milliseconds()).Info("changes not pulled")
+	}
+	return err
 }
 
 // completeVersion returns the version up to which all upstream changes are known.
--- a/internal/record/routing/pull_test.go
+++ b/internal/record/routing/pull_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -105,3 +106,43 @@
 		t.Errorf("upstreams: got %v, want %s", got, want)
 	}
 }
+
+// silentPeers never answers the calls to some hosts.
+type silentPeers struct {
+	quetzalhook.Peers
+	silent map[quetzalhook.HostID]bool
+}
+
+// Call implements quetzalhook.Peers.
+func (p silentPeers) Call(ctx context.Context, host quetzalhook.HostID, kind string, body []byte) ([]byte, error) {
+	if p.silent[host] {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return p.Peers.Call(ctx, host, kind, body)
+}
+
+// Guards against hosts that were just lost and hold up the pull from one that answers.
+func TestLostPeersDoNotHoldUpPulls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		f.runCommand("table 7")
+		f.runCommand("wait 2s")
+		endpoint := f.network.Endpoint("late")
+		f.network.Join(endpoint, func() quetzalhook.Member { return quetzalhook.Member{} })
+		peers := silentPeers{endpoint, map[quetzalhook.HostID]bool{"h0": true, "h1": true}}
+		late := New("late", memory.New(), peers, testSource, f.clock, discardLogger(), f.inv)
+		start := time.Now()
+		if !late.pullAny(t.Context(), []quetzalhook.HostID{"h0", "h1", "h2"}, maxPullTimeout) {
+			t.Error("pull: got no answer, want the one of h2")
+		}
+		if got, want := time.Since(start), 500*time.Millisecond; got > want {
+			t.Errorf("pull beside two lost hosts: got %v, want at most %v", got, want)
+		}
+		if table, _ := late.Table(); table == nil || table.Version != 7 {
+			t.Errorf("table: got %v, want version 7", table)
+		}
+		late.wg.Wait()
+	})
+}
