intake: let an engine's streams all move at once

The memory reserved for a call to an engine, 700 KB of 9 MB on a small host, would have made moves wait for each other while an engine leaves.

Heads of own calls are bounded at 8 KB, and bodies reserve 16 KB at a time.

--- a/internal/platform/intake/intake.go
+++ b/internal/platform/intake/intake.go
@@ -15,12 +15,12 @@
 
 const (
 	// MaxHeader bounds the header of a response to an own call, in bytes.
-	MaxHeader = 16 << 10
+	MaxHeader = 8 << 10
 	// HeaderFactor is the memory that a header takes once it is parsed, in the worst
 	// case, as a multiple of its bytes: a line of a few bytes becomes an entry of a map.
 	HeaderFactor = 40
 	// stepSize is the number of bytes that are reserved at a time for a body.
-	stepSize = 64 << 10
+	stepSize = 16 << 10
 	// DefaultMemory is assumed for a process whose memory is not limited, in bytes.
 	DefaultMemory = 1 << 30
 )
@@ -55,7 +55,7 @@
 // upstream must not keep the host from its platform.
 const (
 	AnswerShare   = 0.15 // answers of upstreams to callers' requests
-	EngineShare   = 0.05 // responses of engines to own calls
+	EngineShare   = 0.08 // responses of engines to own calls
 	PlatformShare = 0.1
 )
 
