Mend what a newcomer would stop at

The soak read the memory of a process by the number of one that had exited, which another process may have by then; it looks whether it runs now. A context is named for what it bounds, and three comments say what they meant.

--- a/internal/bench/soak/memory.go
+++ b/internal/bench/soak/memory.go
@@ -23,11 +23,16 @@
 // running.
 func (h *host) residentMB() int {
 	h.mu.Lock()
-	c := h.command
+	c, exited := h.command, h.exited
 	h.mu.Unlock()
 	if c == nil {
 		return 0
 	}
+	select {
+	case <-exited: // another process may have its number by now
+		return 0
+	default:
+	}
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.Process.Pid))
 	if err != nil {
 		return 0
--- a/internal/bench/soak/system.go
+++ b/internal/bench/soak/system.go
@@ -140,10 +140,10 @@
 	if err := s.setUp(ctx); err != nil {
 		return result, err
 	}
-	watched, stop := context.WithCancel(ctx)
-	s.wg.Go(func() { timing.Every(watched, memoryInterval, s.checkMemory) })
+	whileRunning, endRun := context.WithCancel(ctx)
+	s.wg.Go(func() { timing.Every(whileRunning, memoryInterval, s.checkMemory) })
 	s.runScript(ctx, script)
-	stop()
+	endRun()
 	result.Checked, result.Violations = s.checker.Results()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/entry/connection/exchange.go
+++ b/internal/entry/connection/exchange.go
@@ -57,7 +57,7 @@
 	AnswerID func(http.Header) string
 }
 
-// isUnnamed reports whether the response to the request cannot be told from others.
+// isUnnamed reports whether the request has no ID that its response could name.
 func (r *Request) isUnnamed() bool { return r.AnswerID != nil && r.ID == "" }
 
 // Response is a response whose body has not been read.
--- a/internal/traffic/quarantine/facts.go
+++ b/internal/traffic/quarantine/facts.go
@@ -41,7 +41,7 @@
 	Age            time.Duration `cbor:"2,keyasint"`
 	AnsweredBefore []Part        `cbor:"4,keyasint,omitempty"`
 	AnsweredAfter  []Part        `cbor:"5,keyasint,omitempty"`
-	Requests       []RequestFact `cbor:"6,keyasint"` // 3 was a list with the model at each part
+	Requests       []RequestFact `cbor:"6,keyasint"` // key 3 was their encoding in an earlier version
 }
 
 // RequestFact is a request that a crash implicates. ID stays the same if parts are left
@@ -53,6 +53,7 @@
 	Hashes []uint64
 }
 
+// newRequestFact encodes a request; all its parts name the same model.
 func newRequestFact(r implicated) RequestFact {
 	f := RequestFact{ID: r.id, Hashes: make([]uint64, len(r.parts))}
 	for i, p := range r.parts {
