--- a/review/_second/main.go
+++ b/review/_second/main.go
@@ -25,7 +25,7 @@
 // check runs a case and returns what broke the rule; empty if it held.
 type check func(ctx context.Context, r *record, trouble bool) (broken string, err error)
 
-var checks = map[string]check{"models": checkModels, "leaders": checkLeaders, "parts": checkParts, "paths": checkPaths}
+var checks = map[string]check{"models": checkModels, "moves": checkMoves, "leaders": checkLeaders, "parts": checkParts, "paths": checkPaths}
 
 func main() { os.Exit(run()) }
 
