--- a/review/_second/models.go
+++ b/review/_second/models.go
@@ -19,8 +19,8 @@
 	// modelClients is the number of connections of the client, and modelRequests the
 	// number of requests that it sends in all.
 	modelClients  = 45
-	modelRequests = 120_000
-	modelPause    = 32 * time.Millisecond
+	modelRequests = 150_000
+	modelPause    = 24 * time.Millisecond
 	// modelBytes is the length of the name in each request. The header section stays
 	// below max_header_bytes, which is 16,384 on the users' sites.
 	modelBytes  = 14_000
