answer: refuse status lines that no answer may have

What callers saw: an upstream that sent "HTTP/1.1 000" with a second answer behind it was taken at its second word: 200 and its body, as if the first had been informational. With a body in place of the second answer the caller waited for its timeout (504). So did +20 and 099; 101 was skipped as well. Status 600, the version HTTP/2.0, a second blank before the code and a control byte in the reason were passed on. quetzalhook serve returned 000 and 600 as the outcome of a call to a service. Own calls counted 000 as success: get, list, put and delete of the store, reports of usage, and the release of a copy.

Cause: the status line had no check of this project's own. net/http takes any number that fits three characters, and everything below 200 counted as informational, or as success where the test was "below 300".

Change: internal/platform/answer checks the bytes of a status line on the connection, before net/http reads them. Every place that reads answers uses it: the pool towards upstreams, the clients of the store, of duties and of engines (internal/platform/intake), the services, engines and platform of serve, and the operator's commands. A refused answer is an error of the connection, so that all that holds for a broken one follows: 502 for a call that may run once, another upstream for one that may be repeated, a loss for the upstream. The caller is told what was wrong without bytes of the answer, which may be another request's; the log has the line. answers-refused at /debug/vars counts them by kind.

--- a/cmd/quetzalhook/client.go
+++ b/cmd/quetzalhook/client.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"quetzalhook/internal/entry/operator"
+	"quetzalhook/internal/platform/answer"
 )
 
 // commandTimeout limits the request that an operator's command sends to a host.
@@ -49,7 +50,9 @@
 		return errors.WithStack(err)
 	}
 	req.Header.Set("Authorization", "Bearer "+cmd.String("operator-key"))
-	resp, err := http.DefaultClient.Do(req)
+	client := &http.Client{Transport: answer.NewTransport(http.DefaultTransport.(*http.Transport).Clone(), nil)}
+	defer client.CloseIdleConnections()
+	resp, err := client.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "no response from the host; a change may have taken effect, check it with status")
 	}
--- a/internal/entry/connection/exchange.go
+++ b/internal/entry/connection/exchange.go
@@ -178,7 +178,12 @@
 	defer x.conn.allowance.unlimit()
 	for range maxResponses {
 		x.conn.allowance.limitHeader()
+		buffered, _ := x.conn.reader.Peek(x.conn.reader.Buffered())
+		x.conn.answers.ExpectHeader(buffered)
 		resp, err := http.ReadResponse(x.conn.reader, request)
+		if refused := x.conn.answers.Refused(); refused != nil {
+			return nil, refused
+		}
 		if err != nil {
 			if x.conn.allowance.isUsedUp() {
 				return nil, errors.Errorf("the response header is over %d bytes, or one of too many long ones", maxResponseHeader)
--- a/internal/entry/connection/pool.go
+++ b/internal/entry/connection/pool.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"quetzalhook"
+	"quetzalhook/internal/platform/answer"
 	"quetzalhook/internal/platform/intake"
 )
 
@@ -54,10 +55,11 @@
 type conn struct {
 	net.Conn
 	number    int64
-	reader    *bufio.Reader
-	allowance *allowance // of the bytes of a response header
-	uses      int        // requests sent
-	expiry    time.Time  // when the connection is closed if idle
+	reader    *bufio.Reader // reads by allowance, and that by answers
+	allowance *allowance    // of the bytes of a response header
+	answers   *answer.Conn
+	uses      int       // requests sent
+	expiry    time.Time // when the connection is closed if idle
 }
 
 // group holds the connections to one upstream.
@@ -72,6 +74,7 @@
 	dialer *net.Dialer
 	budget *intake.Budget // of all open responses
 	limit  int            // of the connections to all upstreams; 0 means no limit
+	counts *answer.Counts // of refused responses
 
 	mu     sync.Mutex
 	groups map[key]*group
@@ -96,6 +99,11 @@
 	return func(p *Pool) { p.limit = n }
 }
 
+// WithCounts counts the responses that are refused.
+func WithCounts(c *answer.Counts) Option {
+	return func(p *Pool) { p.counts = c }
+}
+
 // NewPool returns an empty pool.
 func NewPool(clock quetzalhook.Clock, opts ...Option) *Pool {
 	p := &Pool{clock: clock, dialer: NewDialer(), groups: make(map[key]*group), stop: make(chan struct{})}
@@ -187,8 +195,9 @@
 		p.release(t.key())
 		return nil, &Error{Op: "dial", Kind: ErrorNotSent, Upstream: t.ID, Local: ctx.Err() != nil, Err: err}
 	}
-	allowance := &allowance{conn: raw, left: math.MaxInt64, budget: p.budget}
-	return &conn{Conn: raw, number: number, allowance: allowance, reader: bufio.NewReaderSize(allowance, readBufferSize)}, nil
+	answers := answer.NewConn(raw, p.counts)
+	allowance := &allowance{conn: answers, left: math.MaxInt64, budget: p.budget}
+	return &conn{Conn: raw, number: number, answers: answers, allowance: allowance, reader: bufio.NewReaderSize(allowance, readBufferSize)}, nil
 }
 
 // takeIdle removes the most recently used idle connection whose number is not among
--- a/internal/entry/front/error.go
+++ b/internal/entry/front/error.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,6 +14,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/entry/relay"
+	"quetzalhook/internal/platform/answer"
 	"quetzalhook/internal/state/invariant"
 )
 
@@ -107,7 +109,7 @@
 
 // fromRelayError converts an error of the relay.
 func fromRelayError(e *relay.Error) *Error {
-	out := &Error{Op: e.Op, Kind: string(e.Kind), Status: http.StatusBadGateway, Message: e.Error(), Outcome: e.Outcome, RetryAfter: e.RetryAfter}
+	out := &Error{Op: e.Op, Kind: string(e.Kind), Status: http.StatusBadGateway, Message: cmp.Or(answer.Explain(e), e.Error()), Outcome: e.Outcome, RetryAfter: e.RetryAfter}
 	switch e.Kind {
 	case relay.KindRefused:
 		out.Kind, out.Status = string(e.Refusal), refusalStatus[e.Refusal]
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -31,6 +31,7 @@
 	"quetzalhook/internal/fleet/peer"
 	"quetzalhook/internal/fleet/provisioner"
 	"quetzalhook/internal/fleet/registration"
+	"quetzalhook/internal/platform/answer"
 	"quetzalhook/internal/platform/intake"
 	"quetzalhook/internal/record/invoice"
 	"quetzalhook/internal/record/routing"
@@ -58,6 +59,9 @@
 	Caches    quetzalhook.CacheLister
 	Mover     quetzalhook.Mover
 	Crashes   quetzalhook.CrashDetector
+	// Refused counts the answers that the host refuses, those to the adapter's own calls
+	// included.
+	Refused *answer.Counts
 	// Ready returns the handler of the platform's readiness check.
 	Ready func(ready func() bool) http.Handler
 	// ShortageRules makes customers share the engines in a shortage and bounds the
@@ -129,7 +133,7 @@
 	h.plan = budget.NewPlan(settings.Memory(), settings.MaxFDs, false)
 	h.callerMemory = caller.NewMemory(h.plan, log)
 	h.assembleColdLimits()
-	h.pool = connection.NewPool(clock, connection.WithLimit(h.plan.Upstream), connection.WithBudget(intake.NewBudget(settings.Memory(), intake.AnswerShare)))
+	h.pool = connection.NewPool(clock, connection.WithLimit(h.plan.Upstream), connection.WithBudget(intake.NewBudget(settings.Memory(), intake.AnswerShare)), connection.WithCounts(adapter.Refused))
 	budget := retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	h.serviceDispatcher = balance.NewDispatcher(balance.New(settings.Region, random, balance.WithLimits(throttle.New(throttle.WithRank(h.limitRank), throttle.WithCold(h.cold.services))), balance.WithNotices(h.notices)), budget, clock)
@@ -161,6 +165,7 @@
 // publishMetrics registers metrics that show the current state of the host.
 func (h *Host) publishMetrics() {
 	h.meter.Publish("open-requests", func() any { return h.gateway.Open() })
+	h.meter.Publish("answers-refused", func() any { return h.adapter.Refused.Snapshot() })
 	h.meter.Publish("hosts", func() any { return h.hostCount() })
 	h.meter.Publish("leader", func() any { return h.leader(0) })
 	h.meter.Publish("assign-calls", func() any { return h.engineDispatcher.AssignCalls() })
--- a/internal/entry/relay/pool.go
+++ b/internal/entry/relay/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quetzalhook"
+	"quetzalhook/internal/platform/answer"
 )
 
 const (
@@ -33,13 +34,27 @@
 // Pool holds the HTTP clients of all upstreams. It is safe for concurrent
 // use.
 type Pool struct {
+	counts *answer.Counts // of refused responses
+
 	mu      sync.RWMutex
 	clients map[quetzalhook.UpstreamID]*upstreamClients
 }
 
+// PoolOption sets one property of a Pool.
+type PoolOption func(*Pool)
+
+// WithCounts counts the responses that are refused.
+func WithCounts(c *answer.Counts) PoolOption {
+	return func(p *Pool) { p.counts = c }
+}
+
 // NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{clients: make(map[quetzalhook.UpstreamID]*upstreamClients)}
+func NewPool(opts ...PoolOption) *Pool {
+	p := &Pool{clients: make(map[quetzalhook.UpstreamID]*upstreamClients)}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
 }
 
 // Set replaces the list of upstreams. It keeps the connections to upstreams whose
@@ -54,7 +69,7 @@
 			next[u.ID] = &upstreamClients{upstream: u, pooled: old.pooled, fresh: old.fresh}
 			continue
 		}
-		next[u.ID] = newUpstreamClients(u)
+		next[u.ID] = newUpstreamClients(u, p.counts)
 	}
 	for id, old := range p.clients {
 		if c := next[id]; c == nil || c.pooled != old.pooled {
@@ -97,26 +112,26 @@
 	return p.clients[id]
 }
 
-func newUpstreamClients(u quetzalhook.Upstream) *upstreamClients {
+func newUpstreamClients(u quetzalhook.Upstream, counts *answer.Counts) *upstreamClients {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &upstreamClients{
 		upstream: u,
-		pooled: &http.Client{Transport: &http.Transport{
+		pooled: &http.Client{Transport: answer.NewTransport(&http.Transport{
 			DialContext:         dialer.DialContext,
 			IdleConnTimeout:     idleTimeout,
 			MaxIdleConnsPerHost: maxIdleConnections,
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: maxHeader,
-		}},
+		}, counts)},
 		fresh: &http.Client{
-			Transport: &http.Transport{
+			Transport: answer.NewTransport(&http.Transport{
 				DialContext:        dialer.DialContext,
 				DisableKeepAlives:  true,
 				DisableCompression: true,
 
 				MaxResponseHeaderBytes: maxHeader,
-			},
+			}, counts),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
--- /dev/null
+++ b/internal/platform/answer/conn.go
@@ -0,0 +1,82 @@
+// Package answer refuses malformed HTTP/1 answers of other programs, before anything
+// else interprets them.
+//
+// net/http is liberal in what it accepts, and what it accepts depends on the version of
+// Go. A Conn therefore checks the bytes of each header section by RFC 9112. It refuses
+// what the RFC forbids senders to send, also where it lets recipients repair it, since a
+// repaired answer is not what the sender meant.
+package answer
+
+import (
+	"net"
+	"sync"
+)
+
+// Conn is the client's end of a connection on which answers arrive. Between
+// ExpectHeader and the end of a header section, it checks the bytes that are read. An
+// error in them ends the connection for its reader.
+type Conn struct {
+	net.Conn
+	counts *Counts
+
+	mu      sync.Mutex
+	header  header
+	started bool // a part of the header section was read
+	err     *Error
+}
+
+// NewConn returns a Conn that reads from c. Refused answers are added to counts, which
+// may be nil.
+func NewConn(c net.Conn, counts *Counts) *Conn {
+	return &Conn{Conn: c, counts: counts, header: header{part: body}}
+}
+
+// ExpectHeader states that the next bytes are the header section of an answer. Those in
+// buffered were read before.
+func (c *Conn) ExpectHeader(buffered []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.header, c.started = header{line: c.header.line[:0]}, len(buffered) > 0
+	if _, err := c.header.check(buffered); err != nil {
+		c.refuse(err)
+	}
+}
+
+// Refused returns why an answer was refused, or nil.
+func (c *Conn) Refused() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err == nil {
+		return nil
+	}
+	return c.err
+}
+
+// Read implements io.Reader.
+func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.Refused(); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sound, refused := c.header.check(p[:n])
+	if refused != nil {
+		c.refuse(refused)
+		if !c.started {
+			// net/http repeats some requests if the read of the first byte fails.
+			sound = max(sound, 1)
+		}
+		return sound, c.err
+	}
+	c.started = c.started || n > 0
+	return n, err
+}
+
+// refuse records an error and counts it. The caller holds c.mu.
+func (c *Conn) refuse(err *Error) {
+	if c.err == nil {
+		c.err = err
+		c.counts.add(err.Kind)
+	}
+}
--- a/internal/platform/intake/intake.go
+++ b/internal/platform/intake/intake.go
@@ -11,6 +11,8 @@
 	"sync"
 
 	"golang.org/x/sync/semaphore"
+
+	"quetzalhook/internal/platform/answer"
 )
 
 const (
@@ -63,15 +65,30 @@
 
 // Budget is the memory that all open responses of some senders may take together. It is
 // safe for concurrent use. A nil Budget has no bound.
-type Budget struct{ free *semaphore.Weighted }
+type Budget struct {
+	free   *semaphore.Weighted
+	counts *answer.Counts
+}
+
+// Option sets one property of a Budget.
+type Option func(*Budget)
+
+// WithCounts counts the responses that clients of the budget refuse.
+func WithCounts(c *answer.Counts) Option {
+	return func(b *Budget) { b.counts = c }
+}
 
 // NewBudget returns the budget for a share of the memory of a process, in bytes; 0 means
 // DefaultMemory.
-func NewBudget(memory int64, share float64) *Budget {
+func NewBudget(memory int64, share float64, opts ...Option) *Budget {
 	if memory <= 0 {
 		memory = DefaultMemory
 	}
-	return &Budget{free: semaphore.NewWeighted(max(int64(share*float64(memory)), minBudget))}
+	b := &Budget{free: semaphore.NewWeighted(max(int64(share*float64(memory)), minBudget))}
+	for _, o := range opts {
+		o(b)
+	}
+	return b
 }
 
 // TryReserve reserves n bytes, unless they are not free now.
@@ -93,16 +110,20 @@
 }
 
 // Client returns a client for own calls to other programs. It bounds the headers of
-// responses, and reserves memory for each response from the call until the body is
-// closed. It changes t.
+// responses, refuses malformed responses, and reserves memory for each response from the
+// call until the body is closed. It changes t.
 func (b *Budget) Client(t *http.Transport) *http.Client {
 	t.MaxResponseHeaderBytes = MaxHeader
-	return &http.Client{Transport: &transport{Transport: t, budget: b}}
+	var counts *answer.Counts
+	if b != nil {
+		counts = b.counts
+	}
+	return &http.Client{Transport: &transport{Transport: answer.NewTransport(t, counts), budget: b}}
 }
 
-// transport reserves memory for the responses of an http.Transport.
+// transport reserves memory for the responses of an answer.Transport.
 type transport struct {
-	*http.Transport
+	*answer.Transport
 	budget *Budget
 }
 
--- a/internal/platform/provider/client.go
+++ b/internal/platform/provider/client.go
@@ -26,6 +26,7 @@
 	"github.com/sirupsen/logrus"
 
 	"quetzalhook"
+	"quetzalhook/internal/platform/answer"
 	"quetzalhook/internal/platform/fragment"
 	"quetzalhook/internal/platform/intake"
 )
@@ -45,9 +46,10 @@
 // quetzalhook.UsageSink and quetzalhook.HostLister and is safe for concurrent
 // use.
 type Client struct {
-	base string
-	http *http.Client
-	log  logrus.FieldLogger
+	base   string
+	http   *http.Client
+	log    logrus.FieldLogger
+	counts *answer.Counts // of refused responses
 
 	closed context.Context // ends at Close
 	close  context.CancelFunc
@@ -58,16 +60,27 @@
 	odd map[uint64]struct{} // digests of items that could not be decoded and were logged
 }
 
+// Option sets one property of a Client.
+type Option func(*Client)
+
+// WithCounts counts the responses that are refused.
+func WithCounts(c *answer.Counts) Option {
+	return func(client *Client) { client.counts = c }
+}
+
 // New returns a client for the platform at address, host:port.
-func New(address string, log logrus.FieldLogger) *Client {
+func New(address string, log logrus.FieldLogger, opts ...Option) *Client {
 	c := &Client{base: "http://" + address, log: log, odd: make(map[uint64]struct{})}
+	for _, o := range opts {
+		o(c)
+	}
 	c.closed, c.close = context.WithCancel(context.Background())
-	c.http = &http.Client{Transport: &http.Transport{
+	c.http = &http.Client{Transport: answer.NewTransport(&http.Transport{
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: 16,
 
 		MaxResponseHeaderBytes: intake.MaxHeader,
-	}}
+	}, c.counts)}
 	return c
 }
 
