answer: refuse lines of a header section that are no fields

What callers saw: a field whose name holds a blank was passed on with the answer. With "Transfer-Encoding : chunked" the answer counted as one without length, so that the caller got 200, whole, with the sizes of the chunks in the body ("4\r\ngood\r\n0\r\n\r\n" in place of "good"). A line that begins with a blank had the same effect: it became a part of the value before it, and "Answer-Seal: s1 Transfer-Encoding: chunked" reached the caller.

Cause: net/http keeps a name that holds blanks as it is, and unfolds lines. The field is then not the one that it seems to be, and what frames the body is not seen.

Change: the check of the bytes covers the lines of fields: a name of token characters, a colon right behind it, a value without control bytes. RFC 9112 (5.1, 5.2) lets a gateway repair blanks before the colon and folded lines, too; an upstream that sends them is in trouble, and a repaired answer is not what it meant. Sound answers pass: every character that a name may have, empty values, tabs and bytes from 0x80 on in values, line feeds alone at the ends of lines.

--- a/internal/entry/relay/malformed_test.go
+++ b/internal/entry/relay/malformed_test.go
@@ -22,6 +22,8 @@
 	for _, test := range []struct{ name, text string }{
 		{"status-000", "HTTP/1.1 000 Nothing\r\nRequest-Id: r1\r\nConnection: close\r\n\r\n" + object},
 		{"status-600", "HTTP/1.1 600 Odd\r\nRequest-Id: r1\r\nConnection: close\r\n\r\n" + object},
+		{"blank-in-name", "HTTP/1.1 200 OK\r\nX Other: y\r\nRequest-Id: r1\r\n\r\n" + object},
+		{"blank-before-colon", "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding : chunked\r\n\r\n" + object},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var arrivals atomic.Int64
--- a/internal/platform/answer/answer_test.go
+++ b/internal/platform/answer/answer_test.go
@@ -104,6 +104,9 @@
 		{"status-101", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\ngood", ErrorStatusCode},
 		{"version", "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\ngood", ErrorStatusLine},
 		{"first-byte", "\x00" + sound, ErrorStatusLine},
+		{"blank-in-name", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX Other: y\r\n\r\ngood", ErrorField},
+		{"blank-before-colon", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n", ErrorField},
+		{"after-1xx-blank", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX : y\r\nContent-Length: 4\r\n\r\ngood", ErrorField},
 	} {
 		for _, reused := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s/reused=%v", test.name, reused), func(t *testing.T) {
--- a/internal/platform/answer/error.go
+++ b/internal/platform/answer/error.go
@@ -14,10 +14,12 @@
 	ErrorStatusLine ErrorKind = "status-line"
 	// ErrorStatusCode reports a status code that no answer may have.
 	ErrorStatusCode ErrorKind = "status-code"
+	// ErrorField reports a line of the header section that is no field.
+	ErrorField ErrorKind = "field"
 )
 
 // kinds lists the kinds of errors in the order of Counts.
-var kinds = [...]ErrorKind{ErrorStatusLine, ErrorStatusCode}
+var kinds = [...]ErrorKind{ErrorStatusLine, ErrorStatusCode, ErrorField}
 
 // Error is the error type of this package.
 type Error struct {
--- a/internal/platform/answer/header.go
+++ b/internal/platform/answer/header.go
@@ -14,7 +14,8 @@
 
 const (
 	statusLine part = iota
-	fieldLine
+	fieldName
+	fieldValue
 	body // the header section has ended
 )
 
@@ -24,7 +25,7 @@
 	part          part
 	informational bool
 	line          []byte // the start of the current line, at most maxKept bytes
-	cr            bool   // the last byte was a CR
+	cr            bool   // the last byte was a CR, which only an LF may follow
 }
 
 // check checks the next bytes. It returns the length of the lines that are sound, and the
@@ -37,7 +38,7 @@
 		case b == '\n':
 			err = h.endLine()
 			h.line, h.cr = h.line[:0], false
-		case h.cr && h.part == statusLine:
+		case h.cr:
 			err = h.controlError()
 		case b == '\r':
 			h.cr = true
@@ -56,23 +57,41 @@
 
 // addByte checks a byte within a line.
 func (h *header) addByte(b byte) *Error {
-	if h.part == statusLine && isControl(b) {
+	switch {
+	case isControl(b):
 		return h.controlError()
+	case h.part == fieldName && b == ':':
+		h.part = fieldValue
+		return h.checkName()
+	case h.part == fieldName && isBlank(b):
+		return h.error(ErrorField, "the name of a field holds a blank")
+	case h.part == fieldName && !isToken(b):
+		return h.error(ErrorField, "the name of a field holds a byte that no name may hold")
 	}
-	if len(h.line) < maxKept {
+	if h.part != fieldValue && len(h.line) < maxKept {
 		h.line = append(h.line, b)
 	}
 	return nil
 }
 
+// checkName checks the name of a field when its colon has arrived.
+func (h *header) checkName() *Error {
+	if len(h.line) == 0 {
+		return h.error(ErrorField, "the name of a field is empty")
+	}
+	return nil
+}
+
 // endLine checks a line and selects the part that follows it.
 func (h *header) endLine() *Error {
 	switch {
 	case h.part == statusLine:
-		h.part = fieldLine
+		h.part = fieldName
 		return h.checkStatusLine()
+	case h.part == fieldValue:
+		h.part = fieldName
 	case len(h.line) > 0:
-		return nil
+		return h.error(ErrorField, "a line has no colon")
 	case h.informational:
 		h.part = statusLine
 	default:
@@ -104,8 +123,15 @@
 	return nil
 }
 
+// controlError returns the error for a control byte in the current part.
 func (h *header) controlError() *Error {
-	return h.error(ErrorStatusLine, "the status line holds a control byte")
+	switch h.part {
+	case statusLine:
+		return h.error(ErrorStatusLine, "the status line holds a control byte")
+	case fieldName:
+		return h.error(ErrorField, "the name of a field holds a control byte")
+	}
+	return h.error(ErrorField, "the value of a field holds a control byte")
 }
 
 // error returns an error of the current line.
@@ -113,7 +139,14 @@
 	return &Error{Op: "header", Kind: kind, Detail: detail, Line: string(h.line)}
 }
 
+// isToken reports whether b may be part of the name of a field.
+func isToken(b byte) bool {
+	return 'a' <= b && b <= 'z' || 'A' <= b && b <= 'Z' || isDigit(b) || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
+
 // isControl reports whether b is a control byte that no line may hold.
 func isControl(b byte) bool { return b < ' ' && b != '\t' || b == 0x7f }
 
+func isBlank(b byte) bool { return b == ' ' || b == '\t' }
+
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
