answer: do not take a reset during the upload for the end of an answer

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. Callers got that part as a complete answer; of a stream, the events so far as a complete stream.

Cause: the kernel reports a reset once, to the reader or to the writer. During an upload it is mostly the writer; the reader then sees a regular end, which is the end of an answer without a length. The result of the write was asked for only to decide on the reuse of the connection, and for own calls net/http does the same.

Change: answer.Conn sees both directions. At the end of the connection within a body, the read waits for a write in progress, and returns an error if a write has failed. It cannot miss the reset: if the reader does not get it, a write got it that either has failed or is in progress. The pool sends a request in one write, so that the end counts only after the whole request was sent. That also refuses an answer without a length whose upstream closes before it has taken the request: it may have crashed, and nothing shows that the answer is whole.

--- a/internal/entry/connection/exchange.go
+++ b/internal/entry/connection/exchange.go
@@ -167,8 +167,7 @@
 	}
 	head.WriteString("\r\n")
 	message := append(net.Buffers{head.Bytes()}, r.Body...) // WriteTo changes the list
-	_, err := message.WriteTo(x.conn.Conn)
-	x.written <- err
+	x.written <- x.conn.answers.WriteBuffers(&message)
 }
 
 // read returns the response to the request. It skips informational responses (1xx)
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -42,9 +43,10 @@
 	usage        []string
 	results      []string
 	moves        []string
-	lost         int    // attempts that have lost their upstream
-	unusable     string // ID of an upstream that the host knows not to be usable
-	regionsAfter string // see runScript
+	lost         int               // attempts that have lost their upstream
+	unusable     string            // ID of an upstream that the host knows not to be usable
+	addresses    map[string]string // of upstreams that are not scripted
+	regionsAfter string            // see runScript
 	// moveFails selects the copy that fails: "first", "last", "stopped" (the
 	// last one, and the source keeps the KV cache) or "no-run" (the run has
 	// ended before the last one).
@@ -258,6 +260,7 @@
 	if u := env.upstreams[name]; u != nil {
 		address = u.listener.Addr().String()
 	}
+	address = cmp.Or(env.addresses[name], address)
 	u := quetzalhook.Upstream{ID: quetzalhook.UpstreamID(name), Address: address, Region: quetzalhook.Region(region)}
 	return quetzalhook.Attempt{Upstream: u, Urgency: 2, Source: source, SourceID: quetzalhook.UpstreamID(source), SourceRegion: quetzalhook.Region(sourceRegion)}, nil
 }
--- a/internal/platform/answer/answer_test.go
+++ b/internal/platform/answer/answer_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 )
@@ -148,3 +149,39 @@
 	data, err := io.ReadAll(resp.Body)
 	return string(data), err
 }
+
+// Guards against the first part of an answer without a length that looks complete, since
+// its connection was reset while the request was being sent.
+func TestResetDuringUpload(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	counts := new(Counts)
+	client := &http.Client{Transport: NewTransport(&http.Transport{}, counts)}
+	for range 20 {
+		resp, err := client.Post("http://"+l.Addr().String(), "text/plain", strings.NewReader(strings.Repeat("x", 8<<20)))
+		if err != nil {
+			continue // the reset came before the answer was read
+		}
+		got, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err == nil {
+			t.Errorf("got %q as a complete answer, want an error", got)
+		}
+	}
+}
--- a/internal/platform/answer/conn.go
+++ b/internal/platform/answer/conn.go
@@ -8,6 +8,7 @@
 package answer
 
 import (
+	"io"
 	"net"
 	"sync"
 )
@@ -15,10 +16,17 @@
 // Conn is the client's end of a connection on which answers arrive. Between
 // ExpectHeader and the end of a header section, it checks the bytes that are read. An
 // error in them ends the connection for its reader.
+//
+// The kernel reports a reset once, to the reader or to the writer. If the writer gets it,
+// the reader sees a regular end, at which an answer without a length would look complete.
+// The reader of a Conn gets an error in both cases.
 type Conn struct {
 	net.Conn
 	counts *Counts
 
+	writing  sync.Mutex
+	writeErr error // of the first failed write; guarded by writing
+
 	mu      sync.Mutex
 	header  header
 	started bool // a part of the header section was read
@@ -58,6 +66,9 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
+	if n == 0 && err == io.EOF {
+		return 0, c.endError()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	sound, refused := c.header.check(p[:n])
@@ -73,6 +84,46 @@
 	return n, err
 }
 
+// endError returns the error of a read at the end of the connection. In a body, it waits
+// for a write in progress, which may be the one that the kernel tells of a reset.
+func (c *Conn) endError() error {
+	c.mu.Lock()
+	inHeader := c.header.part != body
+	c.mu.Unlock()
+	if inHeader {
+		return io.EOF
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr == nil {
+		return io.EOF
+	}
+	c.counts.add(ErrorReset)
+	return &Error{Op: "body", Kind: ErrorReset, Detail: "the connection was reset while the request was being sent", Err: c.writeErr}
+}
+
+// Write implements io.Writer.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// WriteBuffers writes all buffers and removes them from b.
+func (c *Conn) WriteBuffers(b *net.Buffers) error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	_, err := b.WriteTo(c.Conn)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return err
+}
+
 // refuse records an error and counts it. The caller holds c.mu.
 func (c *Conn) refuse(err *Error) {
 	if c.err == nil {
--- a/internal/platform/answer/error.go
+++ b/internal/platform/answer/error.go
@@ -16,10 +16,12 @@
 	ErrorStatusCode ErrorKind = "status-code"
 	// ErrorField reports a line of the header section that is no field.
 	ErrorField ErrorKind = "field"
+	// ErrorReset reports that the connection was reset before the end of the answer.
+	ErrorReset ErrorKind = "reset"
 )
 
 // kinds lists the kinds of errors in the order of Counts.
-var kinds = [...]ErrorKind{ErrorStatusLine, ErrorStatusCode, ErrorField}
+var kinds = [...]ErrorKind{ErrorStatusLine, ErrorStatusCode, ErrorField, ErrorReset}
 
 // Error is the error type of this package.
 type Error struct {
