answer: refuse answers whose framing contradicts itself

What callers saw: an answer of HTTP/1.0 in chunks was passed on as 200, whole, with the sizes of the chunks in the body ("4\r\ngood\r\n0\r\n\r\n"). Of an answer with both chunks and a length, the chunks were believed.

Found while looking for what else net/http lets through.

Change: the fields that tell where a body ends are checked with the others: a length is a number, and the same if it is repeated; the only transfer coding is chunked, once, in HTTP/1.1 and without a length. RFC 9112 (6.1) calls the framing of the first case faulty, and (6.3) wants an error for the second.

Chunks behind an informational response with a length, and a length in HTTP/1.0, pass before and now.

--- a/internal/platform/answer/error.go
+++ b/internal/platform/answer/error.go
@@ -16,12 +16,14 @@
 	ErrorStatusCode ErrorKind = "status-code"
 	// ErrorField reports a line of the header section that is no field.
 	ErrorField ErrorKind = "field"
+	// ErrorFraming reports fields that contradict each other on where the body ends.
+	ErrorFraming ErrorKind = "framing"
 	// ErrorReset reports that the connection was reset before the end of the answer.
 	ErrorReset ErrorKind = "reset"
 )
 
 // kinds lists the kinds of errors in the order of Counts.
-var kinds = [...]ErrorKind{ErrorStatusLine, ErrorStatusCode, ErrorField, ErrorReset}
+var kinds = [...]ErrorKind{ErrorStatusLine, ErrorStatusCode, ErrorField, ErrorFraming, ErrorReset}
 
 // Error is the error type of this package.
 type Error struct {
@@ -30,7 +32,8 @@
 	// Detail says what is wrong with the answer. It holds no bytes of the answer, which
 	// may belong to another request.
 	Detail string
-	// Line is the start of the line that is wrong, without the value of a field.
+	// Line is the start of the line that is wrong. Of values, it holds only those of fields
+	// that frame the body.
 	Line string
 	Err  error
 }
--- a/internal/platform/answer/header.go
+++ b/internal/platform/answer/header.go
@@ -24,8 +24,9 @@
 type header struct {
 	part          part
 	informational bool
-	line          []byte // the start of the current line, at most maxKept bytes
+	line          []byte // the start of the current line; of values, only those of the framing
 	cr            bool   // the last byte was a CR, which only an LF may follow
+	framing       framing
 }
 
 // check checks the next bytes. It returns the length of the lines that are sound, and the
@@ -68,7 +69,7 @@
 	case h.part == fieldName && !isToken(b):
 		return h.error(ErrorField, "the name of a field holds a byte that no name may hold")
 	}
-	if h.part != fieldValue && len(h.line) < maxKept {
+	if len(h.line) < maxKept && (h.part != fieldValue || h.framing.current != "") {
 		h.line = append(h.line, b)
 	}
 	return nil
@@ -79,6 +80,9 @@
 	if len(h.line) == 0 {
 		return h.error(ErrorField, "the name of a field is empty")
 	}
+	if h.framing.startField(h.line) {
+		h.line = append(h.line, ':')
+	}
 	return nil
 }
 
@@ -90,12 +94,14 @@
 		return h.checkStatusLine()
 	case h.part == fieldValue:
 		h.part = fieldName
+		return h.framingError(h.framing.endField(h.line))
 	case len(h.line) > 0:
 		return h.error(ErrorField, "a line has no colon")
 	case h.informational:
-		h.part = statusLine
+		*h = header{line: h.line}
 	default:
 		h.part = body
+		return h.framingError(h.framing.check())
 	}
 	return nil
 }
@@ -119,7 +125,7 @@
 	if status == http.StatusSwitchingProtocols {
 		return h.error(ErrorStatusCode, "the status code is 101, but the request has not asked for another protocol")
 	}
-	h.informational = status < http.StatusOK
+	h.informational, h.framing.isHTTP10 = status < http.StatusOK, line[version-2] == '0'
 	return nil
 }
 
@@ -134,6 +140,14 @@
 	return h.error(ErrorField, "the value of a field holds a control byte")
 }
 
+// framingError returns an error of the framing, or nil if there is no detail.
+func (h *header) framingError(detail string) *Error {
+	if detail == "" {
+		return nil
+	}
+	return h.error(ErrorFraming, detail)
+}
+
 // error returns an error of the current line.
 func (h *header) error(kind ErrorKind, detail string) *Error {
 	return &Error{Op: "header", Kind: kind, Detail: detail, Line: string(h.line)}
