answer: refuse names in trailers that no field may have

What callers saw: nothing; the trailer is not passed on. But an answer in chunks counted as complete, and its connection as reusable, though its end was malformed ("0\r\nX Other: y"). A trailer with a control byte, or one that is cut, already counted as broken.

Cause: net/http reads trailers as it reads the fields of a header section, and keeps names that hold blanks.

Change: at the end of a body, the names in its trailer are checked as those of the header section are, for answers to callers and to own calls. It works on what net/http has parsed, since only net/http knows where the chunks end; folded lines there are not seen.

Trailers that are sound, announced or left out pass before and now.

--- a/internal/entry/connection/exchange.go
+++ b/internal/entry/connection/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -286,6 +287,9 @@
 	if err == nil {
 		return n, nil
 	}
+	if err == io.EOF && !b.atEOF {
+		err = cmp.Or(b.exchange.conn.answers.CheckTrailer(b.response.Trailer), err)
+	}
 	if err != io.EOF {
 		b.exchange.finish(false, 0)
 		return n, &Error{
--- a/internal/platform/answer/answer_test.go
+++ b/internal/platform/answer/answer_test.go
@@ -108,6 +108,8 @@
 		{"blank-in-name", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX Other: y\r\n\r\ngood", ErrorField},
 		{"blank-before-colon", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n", ErrorField},
 		{"chunks-in-1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n", ErrorFraming},
+		{"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X\r\n\r\n4\r\ngood\r\n0\r\nX: y\r\n\r\n", ""},
+		{"blank-in-trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\nX Other: y\r\n\r\n", ErrorField},
 		{"after-1xx-blank", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX : y\r\nContent-Length: 4\r\n\r\ngood", ErrorField},
 	} {
 		for _, reused := range []bool{false, true} {
--- a/internal/platform/answer/conn.go
+++ b/internal/platform/answer/conn.go
@@ -10,6 +10,8 @@
 import (
 	"io"
 	"net"
+	"net/http"
+	"strings"
 	"sync"
 )
 
@@ -60,6 +62,18 @@
 	return c.err
 }
 
+// CheckTrailer returns an error if a trailer, as net/http has parsed it, has a name that no
+// field may have.
+func (c *Conn) CheckTrailer(trailer http.Header) error {
+	for name, values := range trailer {
+		if len(values) > 0 && strings.ContainsFunc(name, func(r rune) bool { return r > 0x7f || !isToken(byte(r)) }) {
+			c.counts.add(ErrorField)
+			return &Error{Op: "trailer", Kind: ErrorField, Detail: "the name of a field in the trailer holds a byte that no name may hold", Line: name[:min(len(name), maxKept)]}
+		}
+	}
+	return nil
+}
+
 // Read implements io.Reader.
 func (c *Conn) Read(p []byte) (int, error) {
 	if err := c.Refused(); err != nil {
--- a/internal/platform/answer/transport.go
+++ b/internal/platform/answer/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -39,11 +40,33 @@
 		}
 	}})
 	resp, err := t.Transport.RoundTrip(r.WithContext(ctx))
-	if err == nil {
+	c := conn.Load()
+	switch {
+	case c == nil: // not connected, or a connection with TLS
+		return resp, err
+	case err == nil:
+		resp.Body = &trailerBody{ReadCloser: resp.Body, response: resp, conn: c}
 		return resp, nil
-	}
-	if c := conn.Load(); c != nil && c.Refused() != nil {
-		err = c.Refused() // net/http reports what it could not parse without the rest
+	case c.Refused() != nil:
+		return nil, c.Refused() // net/http reports what it could not parse without the rest
 	}
 	return nil, err
 }
+
+// trailerBody is the body of a response, whose trailer it checks.
+type trailerBody struct {
+	io.ReadCloser
+	response *http.Response
+	conn     *Conn
+}
+
+// Read implements io.Reader.
+func (b *trailerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if refused := b.conn.CheckTrailer(b.response.Trailer); refused != nil {
+			err = refused
+		}
+	}
+	return n, err
+}
