response: use the usual terms of HTTP for names, errors and docs

The package internal/platform/answer becomes internal/platform/response, answers-refused becomes invalid-responses, and errors speak of whitespace, control characters and transfer codings. Test data keep their cases; the texts of errors in them follow. No behaviour changes.

--- a/cmd/quetzalhook/client.go
+++ b/cmd/quetzalhook/client.go
@@ -12,7 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"quetzalhook/internal/entry/operator"
-	"quetzalhook/internal/platform/answer"
+	"quetzalhook/internal/platform/response"
 )
 
 // commandTimeout limits the request that an operator's command sends to a host.
@@ -50,7 +50,7 @@
 		return errors.WithStack(err)
 	}
 	req.Header.Set("Authorization", "Bearer "+cmd.String("operator-key"))
-	client := &http.Client{Transport: answer.NewTransport(http.DefaultTransport.(*http.Transport).Clone(), nil)}
+	client := &http.Client{Transport: response.NewTransport(http.DefaultTransport.(*http.Transport).Clone(), nil)}
 	defer client.CloseIdleConnections()
 	resp, err := client.Do(req)
 	if err != nil {
--- a/cmd/quetzalhook/host.go
+++ b/cmd/quetzalhook/host.go
@@ -17,8 +17,8 @@
 
 	"quetzalhook/internal/entry/host"
 	"quetzalhook/internal/entry/setting"
-	"quetzalhook/internal/platform/answer"
 	"quetzalhook/internal/platform/intake"
+	"quetzalhook/internal/platform/response"
 	"quetzalhook/internal/state/eventlog"
 	"quetzalhook/platform"
 )
@@ -87,9 +87,9 @@
 		return err
 	}
 	limitMemory(settings.Memory())
-	refused := new(answer.Counts)
-	fromPlatform := intake.NewBudget(settings.Memory(), intake.PlatformShare, intake.WithCounts(refused))
-	fromEngines := intake.NewBudget(settings.Memory(), intake.EngineShare, intake.WithCounts(refused))
+	invalid := new(response.Counts)
+	fromPlatform := intake.NewBudget(settings.Memory(), intake.PlatformShare, intake.WithCounts(invalid))
+	fromEngines := intake.NewBudget(settings.Memory(), intake.EngineShare, intake.WithCounts(invalid))
 	store := platform.NewStore(settings.Store, log,
 		platform.WithApplyBound(time.Duration(settings.ApplyMS)*time.Millisecond), platform.WithBudget(fromPlatform),
 		platform.WithEvacuationBound(time.Duration(settings.EvacuateMS)*time.Millisecond))
@@ -98,8 +98,8 @@
 		Store: store, Protocol: platform.Headers{}, RoutingSource: platform.RoutingSource(settings.Zones, settings.EvacuateMS > 0),
 		Duties: platform.NewDutyClient(settings.Platform, settings.Host, fromPlatform),
 		Caches: platform.NewCacheClient(fromEngines), Mover: platform.NewMover(fromEngines), Crashes: platform.NewCrashDetector(fromEngines),
-		Refused:   refused,
-		Directory: platform.DirectoryHandler, Ready: platform.ReadyHandler,
+		InvalidResponses: invalid,
+		Directory:        platform.DirectoryHandler, Ready: platform.ReadyHandler,
 		ShortageRules: platform.HasShortageRules(settings.Contracts),
 	}, log)
 	if err != nil {
--- a/internal/entry/connection/exchange.go
+++ b/internal/entry/connection/exchange.go
@@ -168,7 +168,7 @@
 	}
 	head.WriteString("\r\n")
 	message := append(net.Buffers{head.Bytes()}, r.Body...) // WriteTo changes the list
-	x.written <- x.conn.answers.WriteBuffers(&message)
+	x.written <- x.conn.checked.WriteBuffers(&message)
 }
 
 // read returns the response to the request. It skips informational responses (1xx)
@@ -179,10 +179,10 @@
 	for range maxResponses {
 		x.conn.allowance.limitHeader()
 		buffered, _ := x.conn.reader.Peek(x.conn.reader.Buffered())
-		x.conn.answers.ExpectHeader(buffered)
+		x.conn.checked.ExpectHeader(buffered)
 		resp, err := http.ReadResponse(x.conn.reader, request)
-		if refused := x.conn.answers.Refused(); refused != nil {
-			return nil, refused
+		if invalid := x.conn.checked.Err(); invalid != nil {
+			return nil, invalid
 		}
 		if err != nil {
 			if x.conn.allowance.isUsedUp() {
@@ -288,7 +288,7 @@
 		return n, nil
 	}
 	if err == io.EOF && !b.atEOF {
-		err = cmp.Or(b.exchange.conn.answers.CheckTrailer(b.response.Trailer), err)
+		err = cmp.Or(b.exchange.conn.checked.CheckTrailer(b.response.Trailer), err)
 	}
 	if err != io.EOF {
 		b.exchange.finish(false, 0)
--- a/internal/entry/connection/pool.go
+++ b/internal/entry/connection/pool.go
@@ -14,8 +14,8 @@
 	"github.com/pkg/errors"
 
 	"quetzalhook"
-	"quetzalhook/internal/platform/answer"
 	"quetzalhook/internal/platform/intake"
+	"quetzalhook/internal/platform/response"
 )
 
 const (
@@ -55,9 +55,9 @@
 type conn struct {
 	net.Conn
 	number    int64
-	reader    *bufio.Reader // reads by allowance, and that by answers
+	reader    *bufio.Reader // reads from allowance, which reads from checked
 	allowance *allowance    // of the bytes of a response header
-	answers   *answer.Conn
+	checked   *response.Conn
 	uses      int       // requests sent
 	expiry    time.Time // when the connection is closed if idle
 }
@@ -72,9 +72,9 @@
 type Pool struct {
 	clock  quetzalhook.Clock
 	dialer *net.Dialer
-	budget *intake.Budget // of all open responses
-	limit  int            // of the connections to all upstreams; 0 means no limit
-	counts *answer.Counts // of refused responses
+	budget *intake.Budget   // of all open responses
+	limit  int              // of the connections to all upstreams; 0 means no limit
+	counts *response.Counts // of invalid responses
 
 	mu     sync.Mutex
 	groups map[key]*group
@@ -99,8 +99,8 @@
 	return func(p *Pool) { p.limit = n }
 }
 
-// WithCounts counts the responses that are refused.
-func WithCounts(c *answer.Counts) Option {
+// WithCounts counts invalid responses.
+func WithCounts(c *response.Counts) Option {
 	return func(p *Pool) { p.counts = c }
 }
 
@@ -195,9 +195,9 @@
 		p.release(t.key())
 		return nil, &Error{Op: "dial", Kind: ErrorNotSent, Upstream: t.ID, Local: ctx.Err() != nil, Err: err}
 	}
-	answers := answer.NewConn(raw, p.counts)
-	allowance := &allowance{conn: answers, left: math.MaxInt64, budget: p.budget}
-	return &conn{Conn: raw, number: number, answers: answers, allowance: allowance, reader: bufio.NewReaderSize(allowance, readBufferSize)}, nil
+	checked := response.NewConn(raw, p.counts)
+	allowance := &allowance{conn: checked, left: math.MaxInt64, budget: p.budget}
+	return &conn{Conn: raw, number: number, checked: checked, allowance: allowance, reader: bufio.NewReaderSize(allowance, readBufferSize)}, nil
 }
 
 // takeIdle removes the most recently used idle connection whose number is not among
--- a/internal/entry/front/error.go
+++ b/internal/entry/front/error.go
@@ -14,7 +14,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/entry/relay"
-	"quetzalhook/internal/platform/answer"
+	"quetzalhook/internal/platform/response"
 	"quetzalhook/internal/state/invariant"
 )
 
@@ -109,7 +109,7 @@
 
 // fromRelayError converts an error of the relay.
 func fromRelayError(e *relay.Error) *Error {
-	out := &Error{Op: e.Op, Kind: string(e.Kind), Status: http.StatusBadGateway, Message: cmp.Or(answer.Explain(e), e.Error()), Outcome: e.Outcome, RetryAfter: e.RetryAfter}
+	out := &Error{Op: e.Op, Kind: string(e.Kind), Status: http.StatusBadGateway, Message: cmp.Or(response.Explain(e), e.Error()), Outcome: e.Outcome, RetryAfter: e.RetryAfter}
 	switch e.Kind {
 	case relay.KindRefused:
 		out.Kind, out.Status = string(e.Refusal), refusalStatus[e.Refusal]
--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -16,7 +16,7 @@
 	"quetzalhook"
 	"quetzalhook/internal/entry/budget"
 	"quetzalhook/internal/entry/caller"
-	"quetzalhook/internal/platform/answer"
+	"quetzalhook/internal/platform/response"
 	"quetzalhook/internal/record/routing"
 )
 
@@ -294,7 +294,7 @@
 	case x.mayHaveRun && errors.Is(err, errTimeout):
 		return &Error{Op: "relay", Kind: ErrorTimeout, Status: http.StatusGatewayTimeout, Message: "no complete answer in time"}
 	case x.mayHaveRun:
-		return &Error{Op: "relay", Kind: ErrorBroken, Status: http.StatusBadGateway, Message: cmp.Or(answer.Explain(err), "the upstream failed after the request was sent"), Err: err}
+		return &Error{Op: "relay", Kind: ErrorBroken, Status: http.StatusBadGateway, Message: cmp.Or(response.Explain(err), "the upstream failed after the request was sent"), Err: err}
 	case errors.As(err, &refusal) && refusal.Kind == quetzalhook.RefuseRegion:
 		return &Error{Op: "dispatch", Kind: ErrorRegion, Status: http.StatusServiceUnavailable, Message: refusal.Error(), RetryAfter: refusal.RetryAfter}
 	case errors.As(err, &refusal):
--- a/internal/entry/gateway/reset_test.go
+++ b/internal/entry/gateway/reset_test.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// Guards against the first part of an answer without a length that looks complete, since
-// its connection was reset while the request was being sent.
+// Guards against a partial response without a length that looks complete because the
+// connection was reset while the request was being sent.
 func TestResetDuringUpload(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nRequest-Id: i1\r\nAnswer-Seal: s\r\n"
 	upload := strings.Repeat("x", 8<<20)
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -31,8 +31,8 @@
 	"quetzalhook/internal/fleet/peer"
 	"quetzalhook/internal/fleet/provisioner"
 	"quetzalhook/internal/fleet/registration"
-	"quetzalhook/internal/platform/answer"
 	"quetzalhook/internal/platform/intake"
+	"quetzalhook/internal/platform/response"
 	"quetzalhook/internal/record/invoice"
 	"quetzalhook/internal/record/routing"
 	"quetzalhook/internal/record/tally"
@@ -59,9 +59,8 @@
 	Caches    quetzalhook.CacheLister
 	Mover     quetzalhook.Mover
 	Crashes   quetzalhook.CrashDetector
-	// Refused counts the answers that the host refuses, those to the adapter's own calls
-	// included.
-	Refused *answer.Counts
+	// InvalidResponses counts the invalid responses that the host and the adapter receive.
+	InvalidResponses *response.Counts
 	// Ready returns the handler of the platform's readiness check.
 	Ready func(ready func() bool) http.Handler
 	// ShortageRules makes customers share the engines in a shortage and bounds the
@@ -133,7 +132,7 @@
 	h.plan = budget.NewPlan(settings.Memory(), settings.MaxFDs, false)
 	h.callerMemory = caller.NewMemory(h.plan, log)
 	h.assembleColdLimits()
-	h.pool = connection.NewPool(clock, connection.WithLimit(h.plan.Upstream), connection.WithBudget(intake.NewBudget(settings.Memory(), intake.AnswerShare)), connection.WithCounts(adapter.Refused))
+	h.pool = connection.NewPool(clock, connection.WithLimit(h.plan.Upstream), connection.WithBudget(intake.NewBudget(settings.Memory(), intake.AnswerShare)), connection.WithCounts(adapter.InvalidResponses))
 	budget := retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	h.serviceDispatcher = balance.NewDispatcher(balance.New(settings.Region, random, balance.WithLimits(throttle.New(throttle.WithRank(h.limitRank), throttle.WithCold(h.cold.services))), balance.WithNotices(h.notices)), budget, clock)
@@ -165,7 +164,7 @@
 // publishMetrics registers metrics that show the current state of the host.
 func (h *Host) publishMetrics() {
 	h.meter.Publish("open-requests", func() any { return h.gateway.Open() })
-	h.meter.Publish("answers-refused", func() any { return h.adapter.Refused.Snapshot() })
+	h.meter.Publish("invalid-responses", func() any { return h.adapter.InvalidResponses.Snapshot() })
 	h.meter.Publish("hosts", func() any { return h.hostCount() })
 	h.meter.Publish("leader", func() any { return h.leader(0) })
 	h.meter.Publish("assign-calls", func() any { return h.engineDispatcher.AssignCalls() })
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -26,8 +26,8 @@
 	"quetzalhook/internal/entry/probe"
 	"quetzalhook/internal/entry/relay"
 	"quetzalhook/internal/entry/setting"
-	"quetzalhook/internal/platform/answer"
 	"quetzalhook/internal/platform/provider"
+	"quetzalhook/internal/platform/response"
 	"quetzalhook/internal/record/configuration"
 	"quetzalhook/internal/state/boottime"
 	"quetzalhook/internal/state/chart"
@@ -107,12 +107,12 @@
 		log = silent
 	}
 	log = log.WithField("host", settings.Host)
-	counts := new(answer.Counts)
+	counts := new(response.Counts)
 	n := &Node{
 		settings: settings, log: log, clock: boottime.Clock{}, meter: meter.New(), inv: invariant.New(log),
 		store: store, provider: provider.New(settings.Platform, log, provider.WithCounts(counts)), pool: relay.NewPool(relay.WithCounts(counts)),
 	}
-	n.meter.Publish("answers-refused", func() any { return counts.Snapshot() })
+	n.meter.Publish("invalid-responses", func() any { return counts.Snapshot() })
 	n.region.Store(quetzalhook.Region(""))
 	plan := budget.NewPlan(settings.Memory(), settings.MaxFDs, settings.Certificate != "")
 	n.memory = caller.NewMemory(plan, log)
--- a/internal/entry/relay/malformed_test.go
+++ b/internal/entry/relay/invalid_test.go
@@ -8,12 +8,12 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/entry/relay"
-	"quetzalhook/internal/platform/answer"
+	"quetzalhook/internal/platform/response"
 )
 
-// Guards against a malformed answer of a service that reaches a caller, or whose request,
+// Guards against an invalid response of a service that reaches a caller, or whose request,
 // which may run once, is sent again.
-func TestMalformedAnswers(t *testing.T) {
+func TestInvalidResponses(t *testing.T) {
 	for _, header := range []string{"HTTP/1.1 000 Nothing", "HTTP/1.1 600 Odd", "HTTP/1.1 200 OK\r\nX Other: y", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked"} {
 		t.Run(header, func(t *testing.T) {
 			var arrivals atomic.Int64
@@ -24,10 +24,10 @@
 					_ = c.Close()
 				}
 			})}
-			response, err := newHarness(t, upstreams).service("r1", false)
+			got, err := newHarness(t, upstreams).service("r1", false)
 			var e *relay.Error
-			if !errors.As(err, &e) || e.Kind != relay.KindBroken || e.Outcome != quetzalhook.OutcomeUnknown || answer.Explain(err) == "" {
-				t.Errorf("got %v, %v, want the error of a refused answer", response, err)
+			if !errors.As(err, &e) || e.Kind != relay.KindBroken || e.Outcome != quetzalhook.OutcomeUnknown || response.Explain(err) == "" {
+				t.Errorf("got %v, %v, want the error of an invalid response", got, err)
 			}
 			if got := arrivals.Load(); got != 1 {
 				t.Errorf("arrivals: got %d, want 1", got)
--- a/internal/entry/relay/pool.go
+++ b/internal/entry/relay/pool.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"quetzalhook"
-	"quetzalhook/internal/platform/answer"
+	"quetzalhook/internal/platform/response"
 )
 
 const (
@@ -34,7 +34,7 @@
 // Pool holds the HTTP clients of all upstreams. It is safe for concurrent
 // use.
 type Pool struct {
-	counts *answer.Counts // of refused responses
+	counts *response.Counts // of invalid responses
 
 	mu      sync.RWMutex
 	clients map[quetzalhook.UpstreamID]*upstreamClients
@@ -43,8 +43,8 @@
 // PoolOption sets one property of a Pool.
 type PoolOption func(*Pool)
 
-// WithCounts counts the responses that are refused.
-func WithCounts(c *answer.Counts) PoolOption {
+// WithCounts counts invalid responses.
+func WithCounts(c *response.Counts) PoolOption {
 	return func(p *Pool) { p.counts = c }
 }
 
@@ -112,11 +112,11 @@
 	return p.clients[id]
 }
 
-func newUpstreamClients(u quetzalhook.Upstream, counts *answer.Counts) *upstreamClients {
+func newUpstreamClients(u quetzalhook.Upstream, counts *response.Counts) *upstreamClients {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &upstreamClients{
 		upstream: u,
-		pooled: &http.Client{Transport: answer.NewTransport(&http.Transport{
+		pooled: &http.Client{Transport: response.NewTransport(&http.Transport{
 			DialContext:         dialer.DialContext,
 			IdleConnTimeout:     idleTimeout,
 			MaxIdleConnsPerHost: maxIdleConnections,
@@ -125,7 +125,7 @@
 			MaxResponseHeaderBytes: maxHeader,
 		}, counts)},
 		fresh: &http.Client{
-			Transport: answer.NewTransport(&http.Transport{
+			Transport: response.NewTransport(&http.Transport{
 				DialContext:        dialer.DialContext,
 				DisableKeepAlives:  true,
 				DisableCompression: true,
--- a/internal/platform/intake/intake.go
+++ b/internal/platform/intake/intake.go
@@ -12,7 +12,7 @@
 
 	"golang.org/x/sync/semaphore"
 
-	"quetzalhook/internal/platform/answer"
+	"quetzalhook/internal/platform/response"
 )
 
 const (
@@ -67,14 +67,14 @@
 // safe for concurrent use. A nil Budget has no bound.
 type Budget struct {
 	free   *semaphore.Weighted
-	counts *answer.Counts
+	counts *response.Counts
 }
 
 // Option sets one property of a Budget.
 type Option func(*Budget)
 
-// WithCounts counts the responses that clients of the budget refuse.
-func WithCounts(c *answer.Counts) Option {
+// WithCounts counts the invalid responses that clients of the budget receive.
+func WithCounts(c *response.Counts) Option {
 	return func(b *Budget) { b.counts = c }
 }
 
@@ -110,20 +110,20 @@
 }
 
 // Client returns a client for own calls to other programs. It bounds the headers of
-// responses, refuses malformed responses, and reserves memory for each response from the
+// responses, rejects invalid responses, and reserves memory for each response from the
 // call until the body is closed. It changes t.
 func (b *Budget) Client(t *http.Transport) *http.Client {
 	t.MaxResponseHeaderBytes = MaxHeader
-	var counts *answer.Counts
+	var counts *response.Counts
 	if b != nil {
 		counts = b.counts
 	}
-	return &http.Client{Transport: &transport{Transport: answer.NewTransport(t, counts), budget: b}}
+	return &http.Client{Transport: &transport{Transport: response.NewTransport(t, counts), budget: b}}
 }
 
-// transport reserves memory for the responses of an answer.Transport.
+// transport reserves memory for the responses of a response.Transport.
 type transport struct {
-	*answer.Transport
+	*response.Transport
 	budget *Budget
 }
 
--- a/internal/platform/provider/client.go
+++ b/internal/platform/provider/client.go
@@ -26,9 +26,9 @@
 	"github.com/sirupsen/logrus"
 
 	"quetzalhook"
-	"quetzalhook/internal/platform/answer"
 	"quetzalhook/internal/platform/fragment"
 	"quetzalhook/internal/platform/intake"
+	"quetzalhook/internal/platform/response"
 )
 
 const (
@@ -49,7 +49,7 @@
 	base   string
 	http   *http.Client
 	log    logrus.FieldLogger
-	counts *answer.Counts // of refused responses
+	counts *response.Counts // of invalid responses
 
 	closed context.Context // ends at Close
 	close  context.CancelFunc
@@ -63,8 +63,8 @@
 // Option sets one property of a Client.
 type Option func(*Client)
 
-// WithCounts counts the responses that are refused.
-func WithCounts(c *answer.Counts) Option {
+// WithCounts counts invalid responses.
+func WithCounts(c *response.Counts) Option {
 	return func(client *Client) { client.counts = c }
 }
 
@@ -75,7 +75,7 @@
 		o(c)
 	}
 	c.closed, c.close = context.WithCancel(context.Background())
-	c.http = &http.Client{Transport: answer.NewTransport(&http.Transport{
+	c.http = &http.Client{Transport: response.NewTransport(&http.Transport{
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: 16,
 
--- a/internal/platform/answer/bench_test.go
+++ b/internal/platform/response/bench_test.go
@@ -1,4 +1,4 @@
-package answer
+package response
 
 import "testing"
 
--- a/internal/platform/answer/error.go
+++ b/internal/platform/response/error.go
@@ -1,4 +1,4 @@
-package answer
+package response
 
 import (
 	"errors"
@@ -10,15 +10,15 @@
 type ErrorKind string
 
 const (
-	// ErrorStatusLine reports a status line that cannot be one of HTTP/1.
+	// ErrorStatusLine reports a malformed status line.
 	ErrorStatusLine ErrorKind = "status-line"
-	// ErrorStatusCode reports a status code that no answer may have.
+	// ErrorStatusCode reports an invalid or unsolicited status code.
 	ErrorStatusCode ErrorKind = "status-code"
-	// ErrorField reports a line of the header section that is no field.
+	// ErrorField reports a malformed field line.
 	ErrorField ErrorKind = "field"
-	// ErrorFraming reports fields that contradict each other on where the body ends.
+	// ErrorFraming reports invalid or contradictory fields that frame the body.
 	ErrorFraming ErrorKind = "framing"
-	// ErrorReset reports that the connection was reset before the end of the answer.
+	// ErrorReset reports a connection reset before the end of the response.
 	ErrorReset ErrorKind = "reset"
 )
 
@@ -29,20 +29,20 @@
 type Error struct {
 	Op   string
 	Kind ErrorKind
-	// Detail says what is wrong with the answer. It holds no bytes of the answer, which
-	// may belong to another request.
+	// Detail says what is wrong. It contains no bytes of the response, because these may
+	// belong to another request.
 	Detail string
-	// Line is the start of the line that is wrong. Of values, it holds only those of fields
-	// that frame the body.
+	// Line is the start of the invalid line, for logs only. It contains a field value only
+	// if the field frames the body.
 	Line string
 	Err  error
 }
 
 // Error implements error.
 func (e *Error) Error() string {
-	s := "answer: " + e.Op + ": " + string(e.Kind) + ": " + e.Detail
+	s := "response: " + e.Op + ": " + string(e.Kind) + ": " + e.Detail
 	if e.Line != "" {
-		s += fmt.Sprintf(", in a line that begins with %q", e.Line)
+		s += fmt.Sprintf(" (line starts with %q)", e.Line)
 	}
 	if e.Err != nil {
 		s += ": " + e.Err.Error()
@@ -53,21 +53,21 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Explain returns the text for callers of an error that follows from a refused answer, or
-// "" if err has another cause.
+// Explain returns a description of err for callers if it was caused by an invalid
+// response, and "" otherwise.
 func Explain(err error) string {
-	var refused *Error
-	if !errors.As(err, &refused) {
+	var invalid *Error
+	if !errors.As(err, &invalid) {
 		return ""
 	}
-	return "the upstream's answer was refused: " + refused.Detail
+	return "invalid response from the upstream: " + invalid.Detail
 }
 
-// Counts counts refused answers by kind. It is safe for concurrent use. A nil Counts
+// Counts counts invalid responses by kind. It is safe for concurrent use. A nil Counts
 // counts nothing.
 type Counts struct{ counts [len(kinds)]atomic.Int64 }
 
-// Snapshot returns the number of refused answers by kind, without kinds that have not
+// Snapshot returns the number of invalid responses by kind, without kinds that have not
 // occurred.
 func (c *Counts) Snapshot() map[ErrorKind]int64 {
 	result := make(map[ErrorKind]int64)
--- a/internal/platform/answer/framing.go
+++ b/internal/platform/response/framing.go
@@ -1,4 +1,4 @@
-package answer
+package response
 
 import "strings"
 
@@ -9,15 +9,15 @@
 	maxLengthDigits = 18
 )
 
-// framing checks the fields of a header section that tell where the body ends.
+// framing checks the fields that determine the length of the body.
 type framing struct {
 	isHTTP10 bool
-	current  string // the field of the current line, if it is one of them
-	coded    bool   // there is a field Transfer-Encoding
-	length   string // value of the field Content-Length; "" if there is none
+	current  string // name of the field in the current line, if it frames the body
+	coded    bool   // Transfer-Encoding is present
+	length   string // value of Content-Length; empty if absent
 }
 
-// startField reports whether the field with the given name is one of the framing.
+// startField reports whether the named field frames the body.
 func (f *framing) startField(name []byte) bool {
 	for _, field := range []string{codingField, lengthField} {
 		if strings.EqualFold(string(name), field) {
@@ -27,8 +27,8 @@
 	return f.current != ""
 }
 
-// endField checks the line of the current field, if it is one of the framing. It returns
-// what is wrong, or "".
+// endField checks the complete field line if the field frames the body. It returns what is
+// wrong, or "".
 func (f *framing) endField(line []byte) string {
 	field := f.current
 	if field == "" {
@@ -38,29 +38,29 @@
 	value := strings.Trim(string(line[len(field+":"):]), " \t")
 	switch {
 	case field == codingField && f.coded:
-		return "the answer has more than one field Transfer-Encoding"
+		return "repeated Transfer-Encoding"
 	case field == codingField:
 		f.coded = true
 		if !strings.EqualFold(value, "chunked") {
-			return "the transfer coding is not chunked"
+			return "unsupported transfer coding"
 		}
 	case !isNumber(value) || len(value) > maxLengthDigits:
-		return "the length is not a number that a body may have"
+		return "invalid Content-Length"
 	case f.length != "" && f.length != value:
-		return "the answer has two different lengths"
+		return "conflicting Content-Length values"
 	default:
 		f.length = value
 	}
 	return ""
 }
 
-// check checks the fields together. It returns what is wrong, or "".
+// check checks the combination of all fields. It returns what is wrong, or "".
 func (f *framing) check() string {
 	switch {
 	case f.coded && f.isHTTP10:
-		return "an answer of HTTP/1.0 has a field Transfer-Encoding"
+		return "Transfer-Encoding in an HTTP/1.0 response"
 	case f.coded && f.length != "":
-		return "the answer has both a field Transfer-Encoding and a field Content-Length"
+		return "both Transfer-Encoding and Content-Length"
 	}
 	return ""
 }
--- a/internal/platform/answer/header.go
+++ b/internal/platform/response/header.go
@@ -1,4 +1,4 @@
-package answer
+package response
 
 import (
 	"net/http"
@@ -9,29 +9,30 @@
 // maxKept is the number of bytes of a line that are kept, for checks and for errors.
 const maxKept = 64
 
-// part is a part of a header section.
+// part is a part of a response.
 type part int
 
 const (
 	statusLine part = iota
 	fieldName
 	fieldValue
-	body // the header section has ended
+	body // and the trailer
 )
 
-// header checks the header section of an answer, and of the informational responses
-// before it, as its bytes arrive. The zero value expects a status line.
+// header checks the status line and the header section of a response, and of the
+// informational responses before it, as the bytes arrive. The zero value expects a status
+// line.
 type header struct {
 	part          part
 	informational bool
-	line          []byte // the start of the current line; of values, only those of the framing
-	cr            bool   // the last byte was a CR, which only an LF may follow
+	line          []byte // the start of the current line; field values only if they frame the body
+	cr            bool   // the last byte was a CR, which must be followed by an LF
 	framing       framing
 }
 
-// check checks the next bytes. It returns the length of the lines that are sound, and the
-// error of the line after them. Bytes after the header section are not checked.
-func (h *header) check(p []byte) (sound int, err *Error) {
+// check checks the next bytes. It returns the length of the valid lines, and the error of
+// the line after them. The body is not checked.
+func (h *header) check(p []byte) (valid int, err *Error) {
 	for i, b := range p {
 		switch {
 		case h.part == body:
@@ -47,10 +48,10 @@
 			err = h.addByte(b)
 		}
 		if err != nil {
-			return sound, err
+			return valid, err
 		}
 		if b == '\n' {
-			sound = i + 1
+			valid = i + 1
 		}
 	}
 	return len(p), nil
@@ -64,10 +65,10 @@
 	case h.part == fieldName && b == ':':
 		h.part = fieldValue
 		return h.checkName()
-	case h.part == fieldName && isBlank(b):
-		return h.error(ErrorField, "the name of a field holds a blank")
+	case h.part == fieldName && isWhitespace(b):
+		return h.error(ErrorField, "whitespace in a field name")
 	case h.part == fieldName && !isToken(b):
-		return h.error(ErrorField, "the name of a field holds a byte that no name may hold")
+		return h.error(ErrorField, "invalid character in a field name")
 	}
 	if len(h.line) < maxKept && (h.part != fieldValue || h.framing.current != "") {
 		h.line = append(h.line, b)
@@ -75,10 +76,10 @@
 	return nil
 }
 
-// checkName checks the name of a field when its colon has arrived.
+// checkName checks a complete field name.
 func (h *header) checkName() *Error {
 	if len(h.line) == 0 {
-		return h.error(ErrorField, "the name of a field is empty")
+		return h.error(ErrorField, "empty field name")
 	}
 	if h.framing.startField(h.line) {
 		h.line = append(h.line, ':')
@@ -96,7 +97,7 @@
 		h.part = fieldName
 		return h.framingError(h.framing.endField(h.line))
 	case len(h.line) > 0:
-		return h.error(ErrorField, "a line has no colon")
+		return h.error(ErrorField, "field line without a colon")
 	case h.informational:
 		*h = header{line: h.line}
 	default:
@@ -106,38 +107,38 @@
 	return nil
 }
 
-// checkStatusLine checks the status line. The reason may be missing, also with the blank
-// before it.
+// checkStatusLine checks the status line. The reason phrase and the space before it are
+// optional, because some servers omit both.
 func (h *header) checkStatusLine() *Error {
 	const version = len("HTTP/1.1 ")
 	line := string(h.line)
 	if len(line) < version || !strings.HasPrefix(line, "HTTP/1.") || !isDigit(line[version-2]) || line[version-1] != ' ' {
-		return h.error(ErrorStatusLine, "the answer does not begin with a version of HTTP/1")
+		return h.error(ErrorStatusLine, "no HTTP/1 version at the start")
 	}
 	code, _, _ := strings.Cut(line[version:], " ")
 	if len(code) != 3 || !isDigit(code[0]) || !isDigit(code[1]) || !isDigit(code[2]) {
-		return h.error(ErrorStatusCode, "the status code does not have three digits")
+		return h.error(ErrorStatusCode, "status code without exactly three digits")
 	}
 	status, _ := strconv.Atoi(code) // of three digits
 	if status < 100 || status > 599 {
-		return h.error(ErrorStatusCode, "the status code is not one from 100 to 599")
+		return h.error(ErrorStatusCode, "status code outside 100 to 599")
 	}
 	if status == http.StatusSwitchingProtocols {
-		return h.error(ErrorStatusCode, "the status code is 101, but the request has not asked for another protocol")
+		return h.error(ErrorStatusCode, "101 Switching Protocols without an upgrade in the request")
 	}
 	h.informational, h.framing.isHTTP10 = status < http.StatusOK, line[version-2] == '0'
 	return nil
 }
 
-// controlError returns the error for a control byte in the current part.
+// controlError returns the error for a control character in the current part.
 func (h *header) controlError() *Error {
 	switch h.part {
 	case statusLine:
-		return h.error(ErrorStatusLine, "the status line holds a control byte")
+		return h.error(ErrorStatusLine, "control character in the status line")
 	case fieldName:
-		return h.error(ErrorField, "the name of a field holds a control byte")
+		return h.error(ErrorField, "control character in a field name")
 	}
-	return h.error(ErrorField, "the value of a field holds a control byte")
+	return h.error(ErrorField, "control character in a field value")
 }
 
 // framingError returns an error of the framing, or nil if there is no detail.
@@ -153,14 +154,14 @@
 	return &Error{Op: "header", Kind: kind, Detail: detail, Line: string(h.line)}
 }
 
-// isToken reports whether b may be part of the name of a field.
+// isToken reports whether b is a token character, as in field names.
 func isToken(b byte) bool {
 	return 'a' <= b && b <= 'z' || 'A' <= b && b <= 'Z' || isDigit(b) || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
 }
 
-// isControl reports whether b is a control byte that no line may hold.
+// isControl reports whether b is a control character other than a tab.
 func isControl(b byte) bool { return b < ' ' && b != '\t' || b == 0x7f }
 
-func isBlank(b byte) bool { return b == ' ' || b == '\t' }
+func isWhitespace(b byte) bool { return b == ' ' || b == '\t' }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
--- a/internal/platform/answer/answer_test.go
+++ b/internal/platform/response/response_test.go
@@ -1,4 +1,4 @@
-package answer
+package response
 
 import (
 	"bufio"
@@ -15,7 +15,7 @@
 	"github.com/cockroachdb/datadriven"
 )
 
-// Guards against a malformed header section that is accepted, also if it arrives in parts.
+// Guards against an invalid header section that is accepted, also if it arrives in parts.
 func TestHeaders(t *testing.T) {
 	eachLine(t, "testdata/headers", func(text string) string {
 		var whole header
@@ -36,15 +36,15 @@
 		case whole.part != body:
 			return "the end of the header section is missing"
 		}
-		return "sound"
+		return "valid"
 	})
 }
 
-// Guards against a malformed answer that net/http accepts, or whose request it repeats.
+// Guards against an invalid response that net/http accepts, or whose request it retries.
 func TestTransport(t *testing.T) {
-	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
+	const valid = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
 	eachLine(t, "testdata/transport", func(text string) string {
-		fresh, reused := get(t, text), get(t, sound, text)
+		fresh, reused := get(t, text), get(t, valid, text)
 		if fresh != reused {
 			t.Errorf("%q: on a new connection: got %s, on a reused one %s", text, fresh, reused)
 		}
@@ -67,8 +67,8 @@
 	})
 }
 
-// get asks a server that answers with texts, one after the other on a connection. It
-// describes the last answer, the refused ones and what arrived beyond one request each.
+// get requests each of the texts from a server that sends them on one connection. It
+// describes the last response, the counts of invalid ones, and retries.
 func get(t *testing.T, texts ...string) string {
 	arrivals := make(chan struct{}, 10)
 	address := serve(t, func(c net.Conn, r *bufio.Reader) {
@@ -92,14 +92,14 @@
 			_ = resp.Body.Close()
 		}
 	}
-	var refused *Error
-	if errors.As(err, &refused) {
-		return fmt.Sprintf("%s, refused: %v, repeats: %d", refused.Kind, counts.Snapshot(), len(arrivals)-len(texts))
+	var invalid *Error
+	if errors.As(err, &invalid) {
+		return fmt.Sprintf("%s, counts: %v, retries: %d", invalid.Kind, counts.Snapshot(), len(arrivals)-len(texts))
 	}
 	return fmt.Sprintf("%q %v", data, err)
 }
 
-// serve calls handle for each connection, and then resets it if it has unread data.
+// serve calls handle for each connection and closes it, which resets it if data is unread.
 func serve(t *testing.T, handle func(c net.Conn, r *bufio.Reader)) (address string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -117,8 +117,8 @@
 	return l.Addr().String()
 }
 
-// Guards against the first part of an answer without a length that looks complete, since
-// its connection was reset while the request was being sent.
+// Guards against a partial response without a length that looks complete because the
+// connection was reset while the request was being sent.
 func TestResetDuringUpload(t *testing.T) {
 	address := serve(t, func(c net.Conn, r *bufio.Reader) {
 		_, _ = http.ReadRequest(r)
@@ -129,10 +129,10 @@
 	for range 20 {
 		resp, err := client.Post("http://"+address, "text/plain", strings.NewReader(strings.Repeat("x", 8<<20)))
 		if err != nil {
-			continue // the reset came before the answer was read
+			continue // the reset came before the response was read
 		}
 		if got, err := io.ReadAll(resp.Body); err == nil {
-			t.Errorf("got %q as a complete answer, want an error", got)
+			t.Errorf("got %q as a complete response, want an error", got)
 		}
 		_ = resp.Body.Close()
 	}
--- a/internal/platform/answer/transport.go
+++ b/internal/platform/response/transport.go
@@ -1,6 +1,7 @@
-package answer
+package response
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -9,12 +10,12 @@
 	"sync/atomic"
 )
 
-// Transport is an http.Transport that refuses malformed answers. It does not check those
-// on connections with TLS.
+// Transport is an http.Transport that rejects invalid responses. It does not check
+// responses received over TLS.
 type Transport struct{ *http.Transport }
 
-// NewTransport returns a Transport that sends with t, which it changes. Refused answers
-// are added to counts, which may be nil.
+// NewTransport returns a Transport based on t, which it modifies. Invalid responses are
+// added to counts, which may be nil.
 func NewTransport(t *http.Transport, counts *Counts) *Transport {
 	dial := t.DialContext
 	if dial == nil {
@@ -42,18 +43,18 @@
 	resp, err := t.Transport.RoundTrip(r.WithContext(ctx))
 	c := conn.Load()
 	switch {
-	case c == nil: // not connected, or a connection with TLS
+	case c == nil: // no connection, or TLS
 		return resp, err
 	case err == nil:
 		resp.Body = &trailerBody{ReadCloser: resp.Body, response: resp, conn: c}
 		return resp, nil
-	case c.Refused() != nil:
-		return nil, c.Refused() // net/http reports what it could not parse without the rest
+	case c.Err() != nil:
+		return nil, c.Err() // more precise than the error of net/http
 	}
 	return nil, err
 }
 
-// trailerBody is the body of a response, whose trailer it checks.
+// trailerBody is a response body that checks the trailer section at EOF.
 type trailerBody struct {
 	io.ReadCloser
 	response *http.Response
@@ -64,9 +65,7 @@
 func (b *trailerBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
-		if refused := b.conn.CheckTrailer(b.response.Trailer); refused != nil {
-			err = refused
-		}
+		err = cmp.Or(b.conn.CheckTrailer(b.response.Trailer), err)
 	}
 	return n, err
 }
