--- a/internal/entry/connection/dial.go
+++ b/internal/entry/connection/dial.go
@@ -6,7 +6,7 @@
 // errors tell whether any byte of the request may have been sent. It recognizes
 // responses to earlier requests that arrive on a reused connection, and accepts a
 // response before the upstream has read a long body. It uses net/http to write
-// headers and to parse responses.
+// headers and to parse responses, which package response has validated.
 package connection
 
 import (
--- a/internal/platform/response/header.go
+++ b/internal/platform/response/header.go
@@ -6,7 +6,7 @@
 	"strings"
 )
 
-// maxKept is the number of bytes of a line that are kept, for checks and for errors.
+// maxKept bounds the part of a line that is kept for checks and errors, in bytes.
 const maxKept = 64
 
 // part is a part of a response.
