--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -22,6 +22,7 @@
 	"quetzalhook"
 	"quetzalhook/internal/entry/connection"
 	"quetzalhook/internal/platform/intake"
+	"quetzalhook/internal/platform/response"
 	"quetzalhook/internal/record/routing"
 )
 
@@ -32,6 +33,7 @@
 	t         *testing.T
 	gateway   *Gateway
 	pool      *connection.Pool
+	invalid   response.Counts
 	server    *httptest.Server
 	table     *routing.Table
 	upstreams map[string]*scriptedUpstream
@@ -56,7 +58,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	clock := quetzalhook.ClockFunc(time.Now)
-	env.pool = connection.NewPool(clock, connection.WithBudget(intake.NewBudget(hostMemory, intake.AnswerShare)))
+	env.pool = connection.NewPool(clock, connection.WithBudget(intake.NewBudget(hostMemory, intake.AnswerShare)), connection.WithCounts(&env.invalid))
 	env.gateway = New(Deps{
 		Tables: env, Protocol: testProtocol{}, Dispatcher: env, Mover: env, Pool: env.pool, HostCount: func() int { return 1 },
 		CountUsage: func(c quetzalhook.CustomerID) { env.record(&env.usage, string(c)) }, Observer: env, Region: "r", Clock: clock, Log: log,
@@ -480,6 +482,7 @@
 //	took-less DURATION       prints a line if the last request took longer
 //	unusable UPSTREAM        makes an upstream unusable, as the host knows
 //	show-lost                prints how many attempts have lost their upstream
+//	show-invalid             prints the counts of invalid responses, also of earlier scripts
 //	cut-only                 prints only whether the last response was cut
 func (env *testEnvironment) runScript(t *testing.T, input string) string {
 	env.awaitRequests()
@@ -546,6 +549,8 @@
 			env.mu.Lock()
 			fmt.Fprintf(&out, "lost: %d\n", env.lost)
 			env.mu.Unlock()
+		case "show-invalid":
+			fmt.Fprintf(&out, "invalid: %v\n", env.invalid.Snapshot())
 		case "regions":
 			env.setTable(regionsTable(rest))
 		case "regions-after":
--- a/internal/platform/response/header.go
+++ b/internal/platform/response/header.go
@@ -119,7 +119,7 @@
 	if len(code) != 3 || !isDigit(code[0]) || !isDigit(code[1]) || !isDigit(code[2]) {
 		return h.error(ErrorStatusCode, "status code without exactly three digits")
 	}
-	status, _ := strconv.Atoi(code) // of three digits
+	status, _ := strconv.Atoi(code) // three digits are always a number
 	if status < 100 || status > 599 {
 		return h.error(ErrorStatusCode, "status code outside 100 to 599")
 	}
