gateway, platform, response: restore checks that the shared stand-ins had lost

- TestResetDuringUpload took any answer that is not whole for a refused one.
It asks again for 502 on routes without streams, and for a cut stream behind the event.
- Valid responses no longer showed that nothing was retried.

--- a/internal/entry/gateway/cut_test.go
+++ b/internal/entry/gateway/cut_test.go
@@ -63,7 +63,7 @@
 					env.mu.Lock()
 					env.offers = []string{"a"}
 					env.mu.Unlock()
-					got := env.askWhole(t, answer.path+"1", "")
+					got := env.askWhole(t, answer.path+"1")
 					if got == "" || got == "500 bad s3" {
 						continue
 					}
@@ -77,9 +77,18 @@
 	}
 }
 
-// askWhole sends a request with the ID i1 and a body, and returns the status, the body and the seal
+// askWhole sends a request with the ID i1 and returns the status, the body and the seal
 // of the answer, or "" if it is not whole or has no seal.
-func (env *testEnvironment) askWhole(t *testing.T, path, upload string) string {
+func (env *testEnvironment) askWhole(t *testing.T, path string) string {
+	resp, body, err := env.ask(t, path, "")
+	if err != nil || resp.Header.Get("Answer-Seal") == "" {
+		return ""
+	}
+	return fmt.Sprintf("%d %s %s", resp.StatusCode, body, strings.Join(resp.Header.Values("Answer-Seal"), ","))
+}
+
+// ask sends a request with the ID i1 and a body, and returns the answer.
+func (env *testEnvironment) ask(t *testing.T, path, upload string) (*http.Response, []byte, error) {
 	c, err := net.Dial("tcp", env.server.Listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -88,11 +97,8 @@
 	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: i1\r\nApi-Key: key\r\nContent-Length: %d\r\n\r\n%s", path, len(upload), upload)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
-		return ""
+		return nil, nil, err
 	}
 	body, err := io.ReadAll(resp.Body)
-	if err != nil || resp.Header.Get("Answer-Seal") == "" {
-		return ""
-	}
-	return fmt.Sprintf("%d %s %s", resp.StatusCode, body, strings.Join(resp.Header.Values("Answer-Seal"), ","))
+	return resp, body, err
 }
--- a/internal/entry/gateway/reset_test.go
+++ b/internal/entry/gateway/reset_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -45,15 +46,27 @@
 					time.Sleep(test.wait)
 					_ = c.(*net.TCPConn).SetLinger(0)
 				}
-				want := ""
-				if test.isWhole {
-					want = fmt.Sprintf("200 %s s", body)
+				want := "502"
+				switch {
+				case test.isWhole:
+					want = "200 " + body
+				case path == "/chat/":
+					want = "200, cut" // behind the event
 				}
 				for range 6 {
 					env.mu.Lock()
 					env.offers = []string{"a"}
 					env.mu.Unlock()
-					if got := env.askWhole(t, path+"1", upload); got != want {
+					got := "no answer"
+					switch resp, answer, err := env.ask(t, path+"1", upload); {
+					case resp != nil && err != nil:
+						got = fmt.Sprintf("%d, cut", resp.StatusCode)
+					case resp != nil && resp.StatusCode == http.StatusOK:
+						got = fmt.Sprintf("200 %s", answer)
+					case resp != nil:
+						got = fmt.Sprint(resp.StatusCode)
+					}
+					if got != want {
 						t.Errorf("got %q, want %q", got, want)
 					}
 				}
--- a/internal/platform/response/response_test.go
+++ b/internal/platform/response/response_test.go
@@ -96,7 +96,7 @@
 	if errors.As(err, &invalid) {
 		return fmt.Sprintf("%s, counts: %v, retries: %d", invalid.Kind, counts.Snapshot(), len(arrivals)-len(texts))
 	}
-	return fmt.Sprintf("%q %v", data, err)
+	return fmt.Sprintf("%q %v, retries: %d", data, err, len(arrivals)-len(texts))
 }
 
 // serve calls handle for each connection and closes it, which resets it if data is unread.
