response: do not count a connection that this host closes as reset

What was seen: an upstream ends an answer without a length while its request is being sent, and the host ends the request meanwhile, since the caller has left or its time is up. The read that waited for the write reported a reset, so that invalid-responses counted one of the upstream, and the log named it.

Cause: any error of the write was taken for a reset, also that of a connection closed by this process.

Change: such an error is returned as it is.

--- a/internal/platform/response/conn.go
+++ b/internal/platform/response/conn.go
@@ -7,6 +7,7 @@
 package response
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -107,8 +108,11 @@
 	}
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	if c.writeErr == nil {
+	switch {
+	case c.writeErr == nil:
 		return io.EOF
+	case errors.Is(c.writeErr, net.ErrClosed): // closed by this process
+		return c.writeErr
 	}
 	c.counts.add(ErrorReset)
 	return &Error{Op: "body", Kind: ErrorReset, Detail: "connection reset while the request was being sent", Err: c.writeErr}
--- a/internal/platform/response/response_test.go
+++ b/internal/platform/response/response_test.go
@@ -137,3 +137,30 @@
 		_ = resp.Body.Close()
 	}
 }
+
+// Guards against a request that this host ends and that counts as reset by the upstream.
+func TestCanceledUpload(t *testing.T) {
+	address := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+		_ = c.(*net.TCPConn).CloseWrite()
+		<-t.Context().Done()
+	})
+	raw, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request := []byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 16777216\r\n\r\n" + strings.Repeat("x", 16<<20))
+	counts := new(Counts)
+	c := NewConn(raw, counts)
+	c.ExpectHeader(nil)
+	go func() { _, _ = c.Write(request) }()
+	head := make([]byte, len("HTTP/1.1 200 OK\r\n\r\npart"))
+	if _, err := io.ReadFull(c, head); err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(50*time.Millisecond, func() { _ = c.Close() })
+	if _, err := c.Read(head); !errors.Is(err, net.ErrClosed) || len(counts.Snapshot()) > 0 {
+		t.Errorf("got %v, counts %v, want %v and no counts", err, counts.Snapshot(), net.ErrClosed)
+	}
+}
