response: mend names and comments that a newcomer would stop at

The result of a write is recorded in one way, startField says that it begins a field, and the settings of the adapter stand as before. No behaviour changes.

--- a/cmd/quetzalhook/host.go
+++ b/cmd/quetzalhook/host.go
@@ -98,8 +98,7 @@
 		Store: store, Protocol: platform.Headers{}, RoutingSource: platform.RoutingSource(settings.Zones, settings.EvacuateMS > 0),
 		Duties: platform.NewDutyClient(settings.Platform, settings.Host, fromPlatform),
 		Caches: platform.NewCacheClient(fromEngines), Mover: platform.NewMover(fromEngines), Crashes: platform.NewCrashDetector(fromEngines),
-		InvalidResponses: invalid,
-		Directory:        platform.DirectoryHandler, Ready: platform.ReadyHandler,
+		Directory: platform.DirectoryHandler, Ready: platform.ReadyHandler, InvalidResponses: invalid,
 		ShortageRules: platform.HasShortageRules(settings.Contracts),
 	}, log)
 	if err != nil {
--- a/internal/entry/connection/exchange.go
+++ b/internal/entry/connection/exchange.go
@@ -178,7 +178,7 @@
 	defer x.conn.allowance.unlimit()
 	for range maxResponses {
 		x.conn.allowance.limitHeader()
-		buffered, _ := x.conn.reader.Peek(x.conn.reader.Buffered())
+		buffered, _ := x.conn.reader.Peek(x.conn.reader.Buffered()) // cannot fail
 		x.conn.checked.ExpectHeader(buffered)
 		resp, err := http.ReadResponse(x.conn.reader, request)
 		if invalid := x.conn.checked.Err(); invalid != nil {
--- a/internal/platform/response/conn.go
+++ b/internal/platform/response/conn.go
@@ -7,6 +7,7 @@
 package response
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net"
@@ -16,7 +17,7 @@
 )
 
 // Conn is a client connection that validates the responses read from it. After an invalid
-// one, all reads fail.
+// header section, all reads fail.
 //
 // The kernel reports a connection reset once, to the reader or to the writer. If the writer
 // gets it, the reader sees EOF, which would make a response without a length look complete.
@@ -88,7 +89,7 @@
 	if invalid != nil {
 		c.fail(invalid)
 		if !c.started {
-			// net/http retries some requests if it cannot read the first byte.
+			// net/http would retry some requests if it could not read the first byte.
 			valid = max(valid, 1)
 		}
 		return valid, c.err
@@ -123,20 +124,16 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
-	if c.writeErr == nil {
-		c.writeErr = err
-	}
+	c.writeErr = cmp.Or(c.writeErr, err)
 	return n, err
 }
 
-// WriteBuffers writes all buffers and removes them from b.
+// WriteBuffers writes all buffers as one write and removes them from b.
 func (c *Conn) WriteBuffers(b *net.Buffers) error {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	_, err := b.WriteTo(c.Conn)
-	if c.writeErr == nil {
-		c.writeErr = err
-	}
+	c.writeErr = cmp.Or(c.writeErr, err)
 	return err
 }
 
--- a/internal/platform/response/framing.go
+++ b/internal/platform/response/framing.go
@@ -17,7 +17,7 @@
 	length   string // value of Content-Length; empty if absent
 }
 
-// startField reports whether the named field frames the body.
+// startField begins the named field and reports whether it frames the body.
 func (f *framing) startField(name []byte) bool {
 	for _, field := range []string{codingField, lengthField} {
 		if strings.EqualFold(string(name), field) {
