routing: log how long a table was announced before it is in force

"routing table in force" and "changes not pulled" now say how long another host had announced a newer table, and the variable "pulls" counts failed pulls, answers and their bytes: transfers that do not end show as bytes many times the size of the table. No change of behaviour.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -187,6 +187,10 @@
 	if h.settings.EvacuateMS > 0 {
 		h.meter.Publish("zones-evacuated", func() any { return h.follower.EvacuatedZones() })
 	}
+	h.meter.Publish("pulls", func() any {
+		failed, answers, bytes := h.follower.PullCounts()
+		return map[string]int64{"failed": failed, "answers": answers, "answered-bytes": bytes}
+	})
 	h.meter.Publish("store-age-ms", func() any { return h.follower.StoreAge().Milliseconds() })
 	h.meter.Publish("upstreams-leaving", func() any { leaving, _ := h.notices.Counts(h.clock.Now()); return leaving })
 	h.meter.Publish("upstreams-paused", func() any { _, paused := h.notices.Counts(h.clock.Now()); return paused })
--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -127,6 +127,9 @@
 	contacts      map[string]*storeContact // by prefix
 	changed       chan struct{}            // closed and replaced at each change
 	watched       map[string]bool          // prefixes that this host watches
+	announcedAt   time.Time                // when another host first announced a newer table; zero if none does
+
+	pulls pullCounters
 }
 
 // Option sets one property of a Follower.
@@ -526,8 +529,11 @@
 		f.tableKnownAt = f.clock.Now()
 	}
 	f.table, f.tableVersion = t, version
+	behind := f.behind()
+	f.announcedAt = time.Time{}
 	f.log.WithFields(logrus.Fields{
 		"version": t.Version, "revision": version, "from": from, "routes": len(t.Routes), "customers": len(t.Customers),
+		"behind-ms": behind.Milliseconds(),
 	}).Info("routing table in force")
 	f.notifyChanged()
 }
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
 
 	"quetzalhook"
 	"quetzalhook/internal/fleet/rendezvous"
@@ -28,6 +30,39 @@
 	nextPeerDelay = 200 * time.Millisecond
 )
 
+// pullCounters counts the pulls of a host and those that it has answered.
+type pullCounters struct {
+	failed        atomic.Int64
+	answers       atomic.Int64
+	answeredBytes atomic.Int64
+}
+
+// PullCounts returns how many pulls of this host have failed, how many pulls of other hosts
+// it has answered, and the bytes of these answers.
+func (f *Follower) PullCounts() (failed, answers, answeredBytes int64) {
+	return f.pulls.failed.Load(), f.pulls.answers.Load(), f.pulls.answeredBytes.Load()
+}
+
+// recordAnnouncement records since when another host has announced a newer table.
+func (f *Follower) recordAnnouncement(table int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case table <= int64(f.tableVersion):
+		f.announcedAt = time.Time{}
+	case f.announcedAt.IsZero():
+		f.announcedAt = f.clock.Now()
+	}
+}
+
+// behind returns how long another host has announced a newer table. The caller holds f.mu.
+func (f *Follower) behind() time.Duration {
+	if f.announcedAt.IsZero() {
+		return 0
+	}
+	return f.clock.Now().Sub(f.announcedAt)
+}
+
 // pullRequest requests the changes that are newer than the caller's state.
 type pullRequest struct {
 	Table    int64               `cbor:"1,keyasint"` // version number of the table in force
@@ -138,7 +173,10 @@
 	if err != nil {
 		return nil, &Error{Op: "pull", Kind: ErrorCorrupt, Err: err}
 	}
-	return cbor.Marshal(answer)
+	encoded, err := cbor.Marshal(answer)
+	f.pulls.answers.Add(1)
+	f.pulls.answeredBytes.Add(int64(len(encoded)))
+	return encoded, err
 }
 
 // followPeers pulls changes from hosts whose heartbeats announce newer versions,
@@ -197,7 +235,13 @@
 func (f *Follower) pullLogged(ctx context.Context, host quetzalhook.HostID, timeout time.Duration) error {
 	err := f.pull(ctx, host, f.completeVersion(), timeout)
 	if err != nil && ctx.Err() == nil {
-		f.log.WithError(err).WithField("peer", host).WithField("timeout-ms", timeout.Milliseconds()).Info("changes not pulled")
+		f.pulls.failed.Add(1)
+		f.mu.Lock()
+		behind := f.behind()
+		f.mu.Unlock()
+		f.log.WithError(err).WithFields(logrus.Fields{
+			"peer": host, "timeout-ms": timeout.Milliseconds(), "behind-ms": behind.Milliseconds(),
+		}).Info("changes not pulled")
 	}
 	return err
 }
@@ -229,8 +273,12 @@
 func (f *Follower) newerPeers(includeDistant bool) []quetzalhook.HostID {
 	table, upstreams := f.Versions()
 	evacuated, divided := f.EvacuationVersion(), f.SplitVersion()
+	announced := table
 	var hosts, local []quetzalhook.HostID
 	for _, m := range f.peers.Members() {
+		if m.IsAlive(maxWatcherSilence) {
+			announced = max(announced, m.ConfigVersion)
+		}
 		if m.ConfigVersion <= table && m.UpstreamVersion <= upstreams && m.EvacuationVersion <= evacuated && !mayBeNewer(m.SplitVersion, divided) || !m.IsAlive(maxWatcherSilence) {
 			continue
 		}
@@ -238,6 +286,7 @@
 			local = append(local, m.Host)
 		}
 	}
+	f.recordAnnouncement(announced)
 	if len(local) > 0 && !includeDistant {
 		hosts = local
 	}
