routing: do not cancel pulls whose host is alive

Cause: a host that learns of a newer version pulled from three hosts, the same three for all, and cancelled every call at a timeout of 400 ms that doubled up to 3 s. A table of 1,441 routes has some 130 KB. Over a link of 10 Mbit/s to eleven hosts of a cell none arrives in 400 ms or 800 ms; after the first failed round all hosts of all cells asked the same three, and no answer was ever complete. The bytes of cancelled answers kept the links full. The class: a timeout that discards progress and repeats the work on the same bottleneck.

Change: a call is cancelled only if its host falls silent, or nothing newer is left to read. Beside an open call another host is asked after 200 ms, and up to four are open; hosts of other cells are asked after 1 s without an answer. Each host prefers three hosts of its cell, different ones for each host, then those that watch the store. The periodic work on missing and removed upstreams has goroutines of its own: its calls to other hosts held up pulls for up to 1.2 s.

TestLostPeersDoNotHoldUpPulls called pullAny, which is gone; it now runs the puller with the first two of the ranked hosts lost, and has the same bound.

--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -180,7 +180,9 @@
 	if prefix := f.source.SplitPrefix; prefix != "" {
 		f.wg.Go(func() { f.follow(ctx, prefix, f.applySplits) })
 	}
-	f.wg.Go(func() { f.followPeers(ctx) })
+	f.wg.Go(func() { newPuller(f).run(ctx) })
+	f.wg.Go(func() { timing.Every(ctx, checkInterval, f.expire) })
+	f.wg.Go(func() { timing.Every(ctx, checkInterval, func() { f.resolveMissing(ctx) }) })
 	if f.source.SplitPrefix != "" {
 		f.wg.Go(func() { f.followFreshness(ctx) })
 	}
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -10,24 +9,15 @@
 	"github.com/sirupsen/logrus"
 
 	"quetzalhook"
-	"quetzalhook/internal/fleet/rendezvous"
-	"quetzalhook/internal/state/timing"
 )
 
 const (
 	// pullKind is the name of the peer call that reads changes.
 	pullKind = "routing-pull"
-	// maxPeersPerRound is the maximum number of hosts asked in one round.
-	maxPeersPerRound = 3
-	// minPullTimeout is the timeout of the first call to a peer. It allows for a
-	// slow round trip between regions and for opening a connection. The timeout
-	// doubles with each round without an answer, up to maxPullTimeout: when all
-	// hosts of a cell ask one host on a link of 10 Mbit/s, answers take longer,
-	// and repeating the request does not speed them up.
-	minPullTimeout = 400 * time.Millisecond
-	maxPullTimeout = 3 * time.Second
-	// nextPeerDelay is the time without an answer after which another peer is asked too.
-	nextPeerDelay = 200 * time.Millisecond
+	// maxSampledPeers is the number of hosts that are asked for what no heartbeat announces.
+	maxSampledPeers = 3
+	// missingTimeout limits a pull of removals.
+	missingTimeout = 400 * time.Millisecond
 )
 
 // pullCounters counts the pulls of a host and those that it has answered.
@@ -179,68 +169,16 @@
 	return encoded, err
 }
 
-// followPeers pulls changes from hosts whose heartbeats announce newer versions,
-// and does the periodic work on missing and removed upstreams, until ctx ends.
-func (f *Follower) followPeers(ctx context.Context) {
-	failures := 0 // rounds in a row in which no host answered
-	for timing.Sleep(ctx, checkInterval) {
-		f.expire()
-		f.resolveMissing(ctx)
-		hosts := f.newerPeers(failures > 0)
-		if len(hosts) == 0 && f.mustAskForSets() {
-			hosts = f.samplePeers()
-		}
-		if len(hosts) == 0 || f.pullAny(ctx, hosts, min(minPullTimeout<<min(failures, maxTimeoutDoublings), maxPullTimeout)) {
-			failures = 0
-		} else {
-			failures++
-		}
-	}
-}
-
-// maxTimeoutDoublings limits the shift of minPullTimeout, so that it does not
-// overflow.
-const maxTimeoutDoublings = 8
-
-// pullAny pulls from hosts until one answers, and reports whether one did. It asks the
-// next host as soon as one fails, and after nextPeerDelay beside one that is silent: a
-// host that was just lost must not hold up the others.
-func (f *Follower) pullAny(ctx context.Context, hosts []quetzalhook.HostID, timeout time.Duration) bool {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan error, len(hosts))
-	asked, open := 0, 0
-	for {
-		if asked < len(hosts) {
-			host := hosts[asked]
-			asked, open = asked+1, open+1
-			f.wg.Go(func() { results <- f.pullLogged(ctx, host, timeout) })
-		}
-		delay := time.NewTimer(nextPeerDelay)
-		select {
-		case err := <-results:
-			delay.Stop()
-			if err == nil {
-				return true
-			}
-			if open--; open == 0 && asked == len(hosts) {
-				return false
-			}
-		case <-delay.C:
-		}
-	}
-}
-
 // pullLogged pulls from one host and logs a failure.
-func (f *Follower) pullLogged(ctx context.Context, host quetzalhook.HostID, timeout time.Duration) error {
-	err := f.pull(ctx, host, f.completeVersion(), timeout)
+func (f *Follower) pullLogged(ctx context.Context, host quetzalhook.HostID) error {
+	err := f.pull(ctx, host, f.completeVersion(), pullTimeout)
 	if err != nil && ctx.Err() == nil {
 		f.pulls.failed.Add(1)
 		f.mu.Lock()
 		behind := f.behind()
 		f.mu.Unlock()
 		f.log.WithError(err).WithFields(logrus.Fields{
-			"peer": host, "timeout-ms": timeout.Milliseconds(), "behind-ms": behind.Milliseconds(),
+			"peer": host, "behind-ms": behind.Milliseconds(),
 		}).Info("changes not pulled")
 	}
 	return err
@@ -253,48 +191,6 @@
 	return f.complete
 }
 
-// samplePeers returns a few hosts of this host's cell, different ones each time.
-func (f *Follower) samplePeers() []quetzalhook.HostID {
-	var hosts []quetzalhook.HostID
-	for _, m := range f.peers.Members() {
-		if !m.Distant && m.IsAlive(maxWatcherSilence) {
-			hosts = append(hosts, m.Host)
-		}
-	}
-	ranked := rendezvous.Rank(fmt.Sprint(f.host, f.clock.Now().UnixNano()/int64(checkInterval)), hosts)
-	return ranked[:min(maxPeersPerRound, len(ranked))]
-}
-
-// newerPeers returns up to maxPeersPerRound hosts that know newer versions than
-// this host. It prefers hosts that watch the store, so that each host keeps
-// connections to few others. Their order changes with time, in case one does not
-// answer. Hosts of other cells are included only if no host of this cell knows
-// newer versions, or if includeDistant is set.
-func (f *Follower) newerPeers(includeDistant bool) []quetzalhook.HostID {
-	table, upstreams := f.Versions()
-	evacuated, divided := f.EvacuationVersion(), f.SplitVersion()
-	announced := table
-	var hosts, local []quetzalhook.HostID
-	for _, m := range f.peers.Members() {
-		if m.IsAlive(maxWatcherSilence) {
-			announced = max(announced, m.ConfigVersion)
-		}
-		if m.ConfigVersion <= table && m.UpstreamVersion <= upstreams && m.EvacuationVersion <= evacuated && !mayBeNewer(m.SplitVersion, divided) || !m.IsAlive(maxWatcherSilence) {
-			continue
-		}
-		if hosts = append(hosts, m.Host); !m.Distant {
-			local = append(local, m.Host)
-		}
-	}
-	f.recordAnnouncement(announced)
-	if len(local) > 0 && !includeDistant {
-		hosts = local
-	}
-	ranked := rendezvous.Rank(watcherRankName, hosts)
-	ranked = ranked[:min(maxPeersPerRound, len(ranked))]
-	return rendezvous.Rank(fmt.Sprint(f.host, f.clock.Now().UnixNano()/int64(checkInterval)), ranked)
-}
-
 // pull requests the changes of upstreams after a version, and a newer table, from
 // one host and applies them.
 func (f *Follower) pull(ctx context.Context, host quetzalhook.HostID, after quetzalhook.Version, timeout time.Duration) error {
--- a/internal/record/routing/pull_test.go
+++ b/internal/record/routing/pull_test.go
@@ -131,18 +131,31 @@
 		f.runCommand("wait 2s")
 		endpoint := f.network.Endpoint("late")
 		f.network.Join(endpoint, func() quetzalhook.Member { return quetzalhook.Member{} })
-		peers := silentPeers{endpoint, map[quetzalhook.HostID]bool{"h0": true, "h1": true}}
+		peers := silentPeers{endpoint, make(map[quetzalhook.HostID]bool)}
 		late := New("late", memory.New(), peers, testSource, f.clock, discardLogger(), f.inv)
+		sources, _ := late.pullSources(false)
+		if got, want := len(sources), 5; got != want {
+			t.Fatalf("sources: got %d hosts, want %d", got, want)
+		}
+		peers.silent[sources[0]], peers.silent[sources[1]] = true, true
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
 		start := time.Now()
-		if !late.pullAny(t.Context(), []quetzalhook.HostID{"h0", "h1", "h2"}, maxPullTimeout) {
-			t.Error("pull: got no answer, want the one of h2")
+		late.wg.Go(func() { newPuller(late).run(ctx) })
+		for table, _ := late.Table(); table == nil; table, _ = late.Table() {
+			time.Sleep(time.Millisecond)
+			if time.Since(start) > time.Minute {
+				t.Fatal("pull: got no answer, want the one of the third host")
+			}
 		}
-		if got, want := time.Since(start), 500*time.Millisecond; got > want {
+		// The first host is asked after checkInterval.
+		if got, want := time.Since(start)-checkInterval, 500*time.Millisecond; got > want {
 			t.Errorf("pull beside two lost hosts: got %v, want at most %v", got, want)
 		}
 		if table, _ := late.Table(); table == nil || table.Version != 7 {
 			t.Errorf("table: got %v, want version 7", table)
 		}
+		cancel()
 		late.wg.Wait()
 	})
 }
--- /dev/null
+++ b/internal/record/routing/puller.go
@@ -0,0 +1,220 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"quetzalhook"
+	"quetzalhook/internal/fleet/rendezvous"
+)
+
+const (
+	// pullTimeout limits a pull from a host that is alive.
+	pullTimeout = 8 * time.Second
+	// nextPeerDelay is the time without an answer after which another host is asked too.
+	// It doubles with each open call from the second on.
+	nextPeerDelay = 200 * time.Millisecond
+	// maxOpenPulls limits the open calls of a host.
+	maxOpenPulls = 4
+	// distantDelay is the time without an answer after which hosts of other cells are
+	// asked too.
+	distantDelay = time.Second
+	// failedPeerPause is how long a host is not asked after a call to it has failed.
+	failedPeerPause = time.Second
+	// neighbors is the number of hosts of the cell that a host prefers to ask, so that it
+	// keeps connections to few others.
+	neighbors = 3
+)
+
+// puller reads changes from the hosts that announce them. A call without an answer is not
+// cancelled while its host is alive: the answer may be on its way over a slow link, and a
+// repeated call would send it again. Other hosts are asked beside it.
+type puller struct {
+	follower *Follower
+	results  chan pullResult
+	calls    map[quetzalhook.HostID]*pullCall // open calls
+	// notBefore holds when a host may be asked again.
+	notBefore map[quetzalhook.HostID]time.Time
+	askedAt   time.Time // when the newest call began
+	idleUntil time.Time // when the next call may begin after an answer
+}
+
+type pullCall struct {
+	began  time.Time
+	cancel context.CancelFunc
+}
+
+type pullResult struct {
+	host quetzalhook.HostID
+	call *pullCall
+	err  error
+}
+
+func newPuller(f *Follower) *puller {
+	return &puller{
+		follower: f, results: make(chan pullResult),
+		calls: make(map[quetzalhook.HostID]*pullCall), notBefore: make(map[quetzalhook.HostID]time.Time),
+	}
+}
+
+// run pulls changes until ctx ends.
+func (p *puller) run(ctx context.Context) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		timer := time.NewTimer(p.delay())
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case r := <-p.results:
+			p.finish(r)
+		case <-ticker.C:
+		case <-timer.C:
+		}
+		timer.Stop()
+		p.update(ctx)
+	}
+}
+
+// delay returns the time until another host may be asked beside the open calls.
+func (p *puller) delay() time.Duration {
+	if len(p.calls) == 0 || len(p.calls) >= maxOpenPulls {
+		return checkInterval
+	}
+	if d := p.askedAt.Add(p.nextDelay()).Sub(p.follower.clock.Now()); d > 0 {
+		return d
+	}
+	return checkInterval
+}
+
+// nextDelay returns the time between the newest call and one beside it.
+func (p *puller) nextDelay() time.Duration { return nextPeerDelay << max(len(p.calls)-2, 0) }
+
+// finish removes a call that has ended.
+func (p *puller) finish(r pullResult) {
+	if p.calls[r.host] != r.call {
+		return // cancelled
+	}
+	r.call.cancel()
+	delete(p.calls, r.host)
+	now := p.follower.clock.Now()
+	if r.err != nil {
+		p.notBefore[r.host] = now.Add(failedPeerPause)
+		p.askedAt = time.Time{}
+		return
+	}
+	p.idleUntil = now.Add(checkInterval)
+}
+
+// update ends the calls that are of no more use, and asks another host if one is due.
+func (p *puller) update(ctx context.Context) {
+	f, now := p.follower, p.follower.clock.Now()
+	oldest := now
+	for _, c := range p.calls {
+		if c.began.Before(oldest) {
+			oldest = c.began
+		}
+	}
+	sources, alive := f.pullSources(now.Sub(oldest) >= distantDelay)
+	if len(sources) == 0 && f.mustAskForSets() {
+		sources = f.samplePeers()
+	}
+	for host, call := range p.calls {
+		if len(sources) == 0 || !alive[host] {
+			call.cancel()
+			delete(p.calls, host)
+		}
+	}
+	for host, t := range p.notBefore {
+		if !now.Before(t) {
+			delete(p.notBefore, host)
+		}
+	}
+	if now.Before(p.idleUntil) || len(p.calls) >= maxOpenPulls || len(p.calls) > 0 && now.Sub(p.askedAt) < p.nextDelay() {
+		return
+	}
+	for _, host := range sources {
+		if _, open := p.calls[host]; !open && p.notBefore[host].IsZero() {
+			p.ask(ctx, host, now)
+			return
+		}
+	}
+}
+
+// ask begins a call to a host.
+func (p *puller) ask(ctx context.Context, host quetzalhook.HostID, now time.Time) {
+	callCtx, cancel := context.WithCancel(ctx)
+	call := &pullCall{began: now, cancel: cancel}
+	p.calls[host], p.askedAt = call, now
+	p.follower.wg.Go(func() {
+		err := p.follower.pullLogged(callCtx, host)
+		select {
+		case p.results <- pullResult{host, call, err}:
+		case <-callCtx.Done():
+		}
+	})
+}
+
+// pullSources returns the hosts that announce newer versions than this host knows, in the
+// order in which to ask them, and the hosts that are alive. Hosts of other cells are only
+// sources if includeDistant is set, or if no host of this cell is.
+func (f *Follower) pullSources(includeDistant bool) ([]quetzalhook.HostID, map[quetzalhook.HostID]bool) {
+	table, upstreams := f.Versions()
+	evacuated, divided := f.EvacuationVersion(), f.SplitVersion()
+	alive, newer, watches := make(map[quetzalhook.HostID]bool), make(map[quetzalhook.HostID]bool), make(map[quetzalhook.HostID]bool)
+	announced := table
+	var local, distant []quetzalhook.HostID
+	for _, m := range f.peers.Members() {
+		if !m.IsAlive(maxWatcherSilence) {
+			continue
+		}
+		alive[m.Host], watches[m.Host] = true, m.Active.Has(quetzalhook.RoleStoreWatcher)
+		announced = max(announced, m.ConfigVersion)
+		newer[m.Host] = m.ConfigVersion > table || m.UpstreamVersion > upstreams || m.EvacuationVersion > evacuated || mayBeNewer(m.SplitVersion, divided)
+		switch {
+		case !m.Distant:
+			local = append(local, m.Host)
+		case newer[m.Host]:
+			distant = append(distant, m.Host)
+		}
+	}
+	f.recordAnnouncement(announced)
+	// The order differs between hosts, which spreads the load.
+	local = rendezvous.Rank(string(f.host), local)
+	preferred := min(neighbors, len(local))
+	slices.SortStableFunc(local[preferred:], func(a, b quetzalhook.HostID) int {
+		return compareBool(watches[b], watches[a])
+	})
+	sources := slices.DeleteFunc(local, func(h quetzalhook.HostID) bool { return !newer[h] })
+	if len(sources) == 0 || includeDistant {
+		sources = append(sources, rendezvous.Rank(string(f.host), distant)...)
+	}
+	return sources, alive
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// samplePeers returns a few hosts of this host's cell, different ones each time.
+func (f *Follower) samplePeers() []quetzalhook.HostID {
+	var hosts []quetzalhook.HostID
+	for _, m := range f.peers.Members() {
+		if !m.Distant && m.IsAlive(maxWatcherSilence) {
+			hosts = append(hosts, m.Host)
+		}
+	}
+	ranked := rendezvous.Rank(fmt.Sprint(f.host, f.clock.Now().UnixNano()/int64(checkInterval)), hosts)
+	return ranked[:min(maxSampledPeers, len(ranked))]
+}
--- a/internal/record/routing/upstreams.go
+++ b/internal/record/routing/upstreams.go
@@ -171,7 +171,7 @@
 		return
 	}
 	for _, host := range f.samplePeers() {
-		if err := f.pull(ctx, host, oldest, minPullTimeout); err != nil && ctx.Err() == nil {
+		if err := f.pull(ctx, host, oldest, missingTimeout); err != nil && ctx.Err() == nil {
 			f.log.WithError(err).WithField("peer", host).Info("pulling removals failed")
 		}
 	}
