routing: send changes of a table as patches, compressed

An answer now holds a patch from the version that the caller has, if the host still has that table (the last four), else the whole table; both are compressed and encoded once for all callers. A digest of the resulting table is checked; after a mismatch the next pull asks for the whole table. Hosts of the former build ask for neither and get the table as before.

--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -111,6 +111,8 @@
 	mu           sync.Mutex
 	table        *Table
 	tableVersion quetzalhook.Version
+	bases        []*Table // some earlier tables, the newest first
+	patchFailed  bool     // a patch of the table in force could not be applied
 	entries      map[quetzalhook.UpstreamID]*entry
 	// rejected holds the versions of the stored records that cannot be decoded, and
 	// rejectedTable that of the table, so that each is logged once.
@@ -129,7 +131,8 @@
 	watched       map[string]bool          // prefixes that this host watches
 	announcedAt   time.Time                // when another host first announced a newer table; zero if none does
 
-	pulls pullCounters
+	pulls   pullCounters
+	encoder tableEncoder
 }
 
 // Option sets one property of a Follower.
@@ -530,7 +533,10 @@
 	if f.table == nil {
 		f.tableKnownAt = f.clock.Now()
 	}
-	f.table, f.tableVersion = t, version
+	if f.table != nil {
+		f.bases = append([]*Table{f.table}, f.bases[:min(len(f.bases), maxBases-1)]...)
+	}
+	f.table, f.tableVersion, f.patchFailed = t, version, false
 	behind := f.behind()
 	f.announcedAt = time.Time{}
 	f.log.WithFields(logrus.Fields{
--- a/internal/record/routing/link_test.go
+++ b/internal/record/routing/link_test.go
@@ -148,39 +148,49 @@
 // Guards against a large table that is late at hosts which read it from others over links
 // of 10 Mbit/s.
 func TestLargeTableInForceOnSmallLinks(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		before int // routes before the change, of 1,441 after it
+	}{{"one-route-added", 1440}, {"most-routes-added", 40}} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkTimeToForce(t, wideTable(1, test.before), wideTable(2, 1441)) })
+		})
+	}
+}
+
+// checkTimeToForce checks that a change of the table is in force at all hosts in time.
+func checkTimeToForce(t *testing.T, before, after *Table) {
 	const bound = 4 * time.Second
-	synctest.Test(t, func(t *testing.T) {
-		store := memory.New()
-		put := func(table *Table) {
-			value, err := cbor.Marshal(table)
-			if err != nil {
-				t.Fatal(err)
-			}
-			o, err := store.Get(t.Context(), testSource.TableKey)
-			if err != nil && quetzalhook.StoreKind(err, "") != quetzalhook.StoreNotFound {
-				t.Fatal(err)
-			}
-			if _, err := store.Put(t.Context(), testSource.TableKey, value, o.Version); err != nil {
-				t.Fatal(err)
-			}
+	store := memory.New()
+	put := func(table *Table) {
+		value, err := cbor.Marshal(table)
+		if err != nil {
+			t.Fatal(err)
 		}
-		put(wideTable(1, 1440))
-		f := newLinkedFleet(t, store, 6, 12)
-		time.Sleep(5 * time.Second)
-		put(wideTable(2, 1441))
-		start := time.Now()
-		for late := len(f.hosts); late > 0; {
-			time.Sleep(100 * time.Millisecond)
-			late = 0
-			for _, h := range f.hosts {
-				if table, _ := h.Table(); table == nil || table.Version < 2 {
-					late++
-				}
-			}
-			if since := time.Since(start); late > 0 && since > bound {
-				t.Fatalf("hosts without the table %v after the change: got %d, want 0", since, late)
+		o, err := store.Get(t.Context(), testSource.TableKey)
+		if err != nil && quetzalhook.StoreKind(err, "") != quetzalhook.StoreNotFound {
+			t.Fatal(err)
+		}
+		if _, err := store.Put(t.Context(), testSource.TableKey, value, o.Version); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put(before)
+	f := newLinkedFleet(t, store, 6, 12)
+	time.Sleep(5 * time.Second)
+	put(after)
+	start := time.Now()
+	for late := len(f.hosts); late > 0; {
+		time.Sleep(100 * time.Millisecond)
+		late = 0
+		for _, h := range f.hosts {
+			if table, _ := h.Table(); table == nil || table.Version < after.Version {
+				late++
 			}
 		}
-		t.Logf("in force at all hosts after %v", time.Since(start))
-	})
+		if since := time.Since(start); late > 0 && since > bound {
+			t.Fatalf("hosts without the table %v after the change: got %d, want 0", since, late)
+		}
+	}
+	t.Logf("in force at all hosts after %v", time.Since(start))
 }
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"quetzalhook"
@@ -62,6 +64,10 @@
 	Evacuations quetzalhook.Version `cbor:"3,keyasint,omitempty"`
 	// Splits is one more than the caller's SplitVersion; 0 if it does not know the splits.
 	Splits int64 `cbor:"4,keyasint,omitempty"`
+	// Packed reports that the caller understands PackedTable, and Patches that it
+	// understands TablePatch and knows the whole table of its version.
+	Packed  bool `cbor:"5,keyasint,omitempty"`
+	Patches bool `cbor:"6,keyasint,omitempty"`
 }
 
 // pullAnswer holds the table, if it is newer than the caller's, and the changes
@@ -79,6 +85,10 @@
 	Evacuations *wireEvacuations `cbor:"7,keyasint,omitempty"`
 	// Splits holds the encoded splits by service if the caller does not know the newest.
 	Splits map[string][]byte `cbor:"8,keyasint"`
+	// PackedTable holds the table, and TablePatch a tablePatch, both from deflate. At most
+	// one of Table, PackedTable and TablePatch is set.
+	PackedTable []byte `cbor:"9,keyasint,omitempty"`
+	TablePatch  []byte `cbor:"10,keyasint,omitempty"`
 }
 
 // pulledUpstream is the record of an upstream as sent between hosts. It holds only
@@ -143,8 +153,12 @@
 	now := f.clock.Now()
 	f.mu.Lock()
 	answer := pullAnswer{Complete: f.complete, Full: req.Complete < f.purged}
+	var table, base *Table
 	if f.table != nil && f.table.Version > req.Table {
-		answer.Table, answer.TableVersion = f.table, f.tableVersion
+		table, answer.TableVersion = f.table, f.tableVersion
+		if i := slices.IndexFunc(f.bases, func(t *Table) bool { return t.Version == req.Table }); i >= 0 && req.Patches {
+			base = f.bases[i]
+		}
 	}
 	if f.evacuations.latest+1 > req.Evacuations {
 		answer.Evacuations = f.evacuations.toWire()
@@ -163,6 +177,14 @@
 	if err != nil {
 		return nil, &Error{Op: "pull", Kind: ErrorCorrupt, Err: err}
 	}
+	switch {
+	case table != nil && req.Packed:
+		if answer.PackedTable, answer.TablePatch, err = f.encoder.encode(table, base); err != nil {
+			return nil, &Error{Op: "pull", Kind: ErrorCorrupt, Err: err}
+		}
+	case table != nil:
+		answer.Table = table
+	}
 	encoded, err := cbor.Marshal(answer)
 	f.pulls.answers.Add(1)
 	f.pulls.answeredBytes.Add(int64(len(encoded)))
@@ -195,9 +217,10 @@
 // one host and applies them.
 func (f *Follower) pull(ctx context.Context, host quetzalhook.HostID, after quetzalhook.Version, timeout time.Duration) error {
 	f.mu.Lock()
-	req := pullRequest{Complete: after}
-	if f.table != nil {
-		req.Table = f.table.Version
+	req := pullRequest{Complete: after, Packed: true}
+	base := f.table
+	if base != nil {
+		req.Table, req.Patches = base.Version, !f.patchFailed
 	}
 	if f.evacuations.known {
 		req.Evacuations = f.evacuations.latest + 1
@@ -220,15 +243,43 @@
 	if err := cbor.Unmarshal(reply, &answer); err != nil {
 		return &Error{Op: "pull", Kind: ErrorCorrupt, Err: err}
 	}
-	if answer.Table != nil {
-		f.install(answer.Table, answer.TableVersion, string(host))
-	}
 	f.merge(answer)
 	f.mergeEvacuations(answer.Evacuations, host)
 	f.mergeSplits(answer.Splits, host)
+	table, err := answer.table(base)
+	if err != nil {
+		f.mu.Lock()
+		f.patchFailed = f.patchFailed || answer.TablePatch != nil
+		f.mu.Unlock()
+		return &Error{Op: "pull", Kind: ErrorCorrupt, Err: err}
+	}
+	if table != nil {
+		f.install(table, answer.TableVersion, string(host))
+	}
 	return nil
 }
 
+// table returns the table that an answer holds, or nil. base is the table in force when the
+// pull began.
+func (a pullAnswer) table(base *Table) (*Table, error) {
+	switch {
+	case a.TablePatch != nil:
+		var p tablePatch
+		if err := inflate(a.TablePatch, &p); err != nil {
+			return nil, err
+		}
+		if base == nil || p.Base != base.Version {
+			return nil, errors.Errorf("patch applies to version %d", p.Base)
+		}
+		return p.apply(base)
+	case a.PackedTable != nil:
+		t := &Table{}
+		return t, inflate(a.PackedTable, t)
+	default:
+		return a.Table, nil
+	}
+}
+
 // merge applies the upstream changes that another host sent.
 func (f *Follower) merge(answer pullAnswer) {
 	f.mu.Lock()
