routing: read a late table from the store

A host that does not watch the store got tables from other hosts alone. The reads are spread so that a fleet makes at most 400/s.

TestTableReadFromStoreBesideSilentPeers failed before: no table after 2.5 s beside five hosts that announce it and do not answer.

--- a/internal/record/routing/pull_test.go
+++ b/internal/record/routing/pull_test.go
@@ -159,3 +159,26 @@
 		late.wg.Wait()
 	})
 }
+
+// Guards against a host that keeps an old table because no other host answers it, although
+// the store does.
+func TestTableReadFromStoreBesideSilentPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		f.runCommand("table 7")
+		f.runCommand("wait 2s")
+		endpoint := f.network.Endpoint("late")
+		f.network.Join(endpoint, func() quetzalhook.Member { return quetzalhook.Member{} })
+		peers := silentPeers{endpoint, map[quetzalhook.HostID]bool{"h0": true, "h1": true, "h2": true, "h3": true, "h4": true}}
+		late := New("late", f.store, peers, testSource, f.clock, discardLogger(), f.inv)
+		ctx, cancel := context.WithCancel(t.Context())
+		late.wg.Go(func() { newPuller(late).run(ctx) })
+		time.Sleep(2500 * time.Millisecond)
+		if table, _ := late.Table(); table == nil || table.Version != 7 {
+			t.Errorf("table: got %v, want version 7", table)
+		}
+		cancel()
+		late.wg.Wait()
+	})
+}
--- a/internal/record/routing/puller.go
+++ b/internal/record/routing/puller.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"quetzalhook"
@@ -26,6 +28,15 @@
 	// neighbors is the number of hosts of the cell that a host prefers to ask, so that it
 	// keeps connections to few others.
 	neighbors = 3
+	// storeReadDelay is how long a newer table may be announced before a host reads it from
+	// the store. The reads of a fleet are spread over a longer time, so that all hosts
+	// together make at most storeReadsPerSecond.
+	storeReadDelay      = time.Second
+	storeReadsPerSecond = 400
+	// storeReadTimeout limits such a read, and maxStoreReadPause the pause after one. The
+	// pause doubles while the table is still behind.
+	storeReadTimeout  = 2 * time.Second
+	maxStoreReadPause = 16 * time.Second
 )
 
 // puller reads changes from the hosts that announce them. A call without an answer is not
@@ -39,6 +50,14 @@
 	notBefore map[quetzalhook.HostID]time.Time
 	askedAt   time.Time // when the newest call began
 	idleUntil time.Time // when the next call may begin after an answer
+	storeRead storeRead
+}
+
+// storeRead is the state of the reads of the table from the store.
+type storeRead struct {
+	open  atomic.Bool
+	pause time.Duration
+	next  time.Time // of the next read; zero if the table is not behind
 }
 
 type pullCall struct {
@@ -122,6 +141,7 @@
 	if len(sources) == 0 && f.mustAskForSets() {
 		sources = f.samplePeers()
 	}
+	p.readStore(ctx, now, len(alive)+1)
 	for host, call := range p.calls {
 		if len(sources) == 0 || !alive[host] {
 			call.cancel()
@@ -158,6 +178,40 @@
 	})
 }
 
+// readStore reads the table from the store if other hosts have announced a newer one for some
+// time and none has sent it. hosts is the number of hosts of the fleet.
+func (p *puller) readStore(ctx context.Context, now time.Time, hosts int) {
+	f, r := p.follower, &p.storeRead
+	f.mu.Lock()
+	behind := f.behind()
+	f.mu.Unlock()
+	if behind == 0 {
+		r.next, r.pause = time.Time{}, 0
+		return
+	}
+	if r.next.IsZero() {
+		spread := time.Second * time.Duration(hosts) / storeReadsPerSecond
+		r.next = now.Add(storeReadDelay - behind + time.Duration(rand.Float64()*float64(spread)))
+	}
+	if now.Before(r.next) || !r.open.CompareAndSwap(false, true) {
+		return
+	}
+	pause := max(r.pause, storeReadDelay)
+	r.next, r.pause = now.Add(pause), min(2*pause, maxStoreReadPause)
+	f.wg.Go(func() {
+		defer r.open.Store(false)
+		ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
+		defer cancel()
+		var at quetzalhook.Version
+		log := f.log.WithField("behind-ms", behind.Milliseconds())
+		if err := f.list(ctx, f.store.List, f.source.TableKey, f.applyTables, &at); err != nil {
+			log.WithError(err).Info("table not read from the store")
+			return
+		}
+		log.WithField("revision", at).Info("table read from the store")
+	})
+}
+
 // pullSources returns the hosts that announce newer versions than this host knows, in the
 // order in which to ask them, and the hosts that are alive. Hosts of other cells are only
 // sources if includeDistant is set, or if no host of this cell is.
