routing: take over the watch only with an answer of the store

In a fleet of several cells one host of each cell watches the store, and stops as soon as one that ranks before it says that it watches. A host said so when it opened its watch, which makes no call: one that the store does not answer took over from one that it does, and the cell learnt of no change until the watch failed, 1.6 to 2.2 s later.

--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -387,9 +387,29 @@
 // from the prefix of a list, so that the list covers all records of one kind.
 func lastSegment(prefix string) string { return prefix[strings.LastIndexByte(prefix, '/')+1:] }
 
+// confirmContact returns an error if the store does not answer this host. Another host may
+// end its watch in favour of one that has begun.
+func (f *Follower) confirmContact(ctx context.Context, prefix string) error {
+	f.mu.Lock()
+	c := f.contacts[prefix]
+	isRecent := !c.failing && f.clock.Now().Sub(c.lastAnswer) < maxWatcherSilence
+	f.mu.Unlock()
+	if isRecent {
+		return nil
+	}
+	if _, err := f.store.Get(ctx, f.source.TableKey); err != nil && quetzalhook.StoreKind(err, "") != quetzalhook.StoreNotFound {
+		return err
+	}
+	f.recordAnswer(prefix)
+	return nil
+}
+
 // watch passes the events of one watch to apply and advances after, until the
 // watch ends or this host is no longer a watcher.
 func (f *Follower) watch(ctx context.Context, prefix string, apply func(*listing, *quetzalhook.Object), after *quetzalhook.Version) error {
+	if err := f.confirmContact(ctx, prefix); err != nil {
+		return err
+	}
 	w, err := f.store.Watch(ctx, prefix, f.watchPosition(prefix, *after))
 	if err != nil {
 		return err
--- a/internal/record/routing/link_test.go
+++ b/internal/record/routing/link_test.go
@@ -109,7 +109,9 @@
 	return t
 }
 
-func newLinkedFleet(t *testing.T, store *memory.Store, zones, perZone int) *linkedFleet {
+// newLinkedFleet starts the hosts of a fleet. configure returns the store that a host uses, and
+// its options.
+func newLinkedFleet(t *testing.T, zones, perZone int, configure func(quetzalhook.HostID) (quetzalhook.Store, []Option)) *linkedFleet {
 	clock := quetzalhook.ClockFunc(time.Now)
 	network := peer.NewNetwork(clock, 1)
 	f := &linkedFleet{hosts: make(map[quetzalhook.HostID]*Follower), links: make(map[quetzalhook.HostID]*link)}
@@ -122,10 +124,14 @@
 		for n := range perZone {
 			host := quetzalhook.HostID(fmt.Sprintf("z%d-%d", zone, n))
 			endpoint := network.Endpoint(host)
-			follower := New(host, store, linkedPeers{endpoint, f, zone}, source, clock, discardLogger(), invariant.New(nil))
+			store, opts := configure(host)
+			follower := New(host, store, linkedPeers{endpoint, f, zone}, source, clock, discardLogger(), invariant.New(nil), opts...)
 			network.Join(endpoint, func() quetzalhook.Member {
-				m := quetzalhook.Member{Eligible: quetzalhook.RoleStoreWatcher, StoreAge: follower.StoreAge()}
+				m := quetzalhook.Member{StoreAge: follower.StoreAge()}
 				m.ConfigVersion, m.UpstreamVersion = follower.Versions()
+				if follower.Eligible() {
+					m.Eligible = quetzalhook.RoleStoreWatcher
+				}
 				if follower.Watches() {
 					m.Active = quetzalhook.RoleStoreWatcher
 				}
@@ -160,31 +166,39 @@
 
 // checkTimeToForce checks that a change of the table is in force at all hosts in time.
 func checkTimeToForce(t *testing.T, before, after *Table) {
-	const bound = 4 * time.Second
 	store := memory.New()
-	put := func(table *Table) {
-		value, err := cbor.Marshal(table)
-		if err != nil {
-			t.Fatal(err)
-		}
-		o, err := store.Get(t.Context(), testSource.TableKey)
-		if err != nil && quetzalhook.StoreKind(err, "") != quetzalhook.StoreNotFound {
-			t.Fatal(err)
-		}
-		if _, err := store.Put(t.Context(), testSource.TableKey, value, o.Version); err != nil {
-			t.Fatal(err)
-		}
-	}
-	put(before)
-	f := newLinkedFleet(t, store, 6, 12)
+	putTable(t, store, before)
+	f := newLinkedFleet(t, 6, 12, func(quetzalhook.HostID) (quetzalhook.Store, []Option) { return store, nil })
 	time.Sleep(5 * time.Second)
-	put(after)
+	putTable(t, store, after)
+	f.waitForTable(t, after.Version, 4*time.Second)
+}
+
+// putTable writes a table to the store.
+func putTable(t *testing.T, store *memory.Store, table *Table) {
+	t.Helper()
+	value, err := cbor.Marshal(table)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := store.Get(t.Context(), testSource.TableKey)
+	if err != nil && quetzalhook.StoreKind(err, "") != quetzalhook.StoreNotFound {
+		t.Fatal(err)
+	}
+	if _, err := store.Put(t.Context(), testSource.TableKey, value, o.Version); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// waitForTable checks that all hosts have a version of the table in time.
+func (f *linkedFleet) waitForTable(t *testing.T, version int64, bound time.Duration) {
+	t.Helper()
 	start := time.Now()
 	for late := len(f.hosts); late > 0; {
 		time.Sleep(100 * time.Millisecond)
 		late = 0
 		for _, h := range f.hosts {
-			if table, _ := h.Table(); table == nil || table.Version < after.Version {
+			if table, _ := h.Table(); table == nil || table.Version < version {
 				late++
 			}
 		}
