routing: end pulls of a version that no answer carries

Once a host had started, all others pulled from it four times a second until the next change: it announces the revision of its list, and an answer brought the changes up to that revision, but not the revision itself. The same happened with a table that was stored again under its version number. Such pulls take the places of those that bring a change, and count as behind.

A host now takes over the revision of an answer, for upstreams and for an equal table.

--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -541,7 +541,13 @@
 func (f *Follower) install(t *Table, version quetzalhook.Version, from string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if version <= f.tableVersion || f.table != nil && t.Version <= f.table.Version {
+	if version <= f.tableVersion {
+		return
+	}
+	if f.table != nil && t.Version <= f.table.Version {
+		if t.Version == f.table.Version {
+			f.tableVersion = version // stored again
+		}
 		return
 	}
 	t.Index()
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -71,7 +71,7 @@
 }
 
 // pullAnswer holds the table, if it is newer than the caller's, and the changes
-// of upstreams.
+// of upstreams. TableVersion is also set if the caller has the same table.
 type pullAnswer struct {
 	Table        *Table              `cbor:"1,keyasint,omitempty"`
 	TableVersion quetzalhook.Version `cbor:"2,keyasint,omitempty"`
@@ -154,6 +154,9 @@
 	f.mu.Lock()
 	answer := pullAnswer{Complete: f.complete, Full: req.Complete < f.purged}
 	var table, base *Table
+	if f.table != nil && f.table.Version == req.Table {
+		answer.TableVersion = f.tableVersion
+	}
 	if f.table != nil && f.table.Version > req.Table {
 		table, answer.TableVersion = f.table, f.tableVersion
 		if i := slices.IndexFunc(f.bases, func(t *Table) bool { return t.Version == req.Table }); i >= 0 && req.Patches {
@@ -253,6 +256,9 @@
 		f.mu.Unlock()
 		return &Error{Op: "pull", Kind: ErrorCorrupt, Err: err}
 	}
+	if table == nil {
+		table = base // stored again since, if TableVersion is newer
+	}
 	if table != nil {
 		f.install(table, answer.TableVersion, string(host))
 	}
@@ -316,6 +322,6 @@
 			}
 		}
 	}
-	f.complete = max(f.complete, answer.Complete)
+	f.complete, f.latest = max(f.complete, answer.Complete), max(f.latest, answer.Complete)
 	f.markOutdated()
 }
--- a/internal/record/routing/pull_test.go
+++ b/internal/record/routing/pull_test.go
@@ -182,3 +182,33 @@
 		late.wg.Wait()
 	})
 }
+
+// Guards against pulls without end of a version that is announced and that no answer carries.
+func TestPullsEndWithoutChange(t *testing.T) {
+	for _, test := range []struct{ name, command string }{
+		{"table-stored-again", "table 7"},
+		{"other-object-stored", "evacuate z"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				defer f.close()
+				for _, command := range []string{"table 7", "wait 2s", test.command, "wait 1s", "start h9", "wait 1s"} {
+					f.runCommand(command)
+				}
+				answers := func() (n int64) {
+					for _, h := range f.hosts {
+						_, a, _ := h.PullCounts()
+						n += a
+					}
+					return n
+				}
+				before := answers()
+				time.Sleep(10 * time.Second)
+				if got := answers() - before; got > 0 {
+					t.Errorf("pulls in 10s without a change: got %d, want 0", got)
+				}
+			})
+		})
+	}
+}
