routing: calls to replaced or silent processes do not hold up pulls

A host whose store rejects it had no table for 8.25 s where the first four hosts that it asked sent heartbeats and did not answer: four open calls were the limit, and a call ended after 8 s only. A host that restarts within 1.2 s is never silent, so that a call to its former process was kept as well. On the other hand one lost second of heartbeats cancelled an answer that was arriving.

A call now ends when its host has another incarnation or is silent for 3 s in place of 1.2 s, and up to six are open, one each 0.8 s at most.

TestSilentCallsDoNotHoldUpPulls and TestPullsFromRestartedHostsAreRepeated failed before (no table after 2.5 s).

--- a/internal/record/routing/pull_test.go
+++ b/internal/record/routing/pull_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -212,3 +213,82 @@
 		})
 	}
 }
+
+// Guards against hosts that send heartbeats but answer no call, and hold up the pull of a
+// host that the store rejects.
+func TestSilentCallsDoNotHoldUpPulls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		f.runCommand("table 7")
+		f.runCommand("wait 2s")
+		endpoint := f.network.Endpoint("late")
+		f.network.Join(endpoint, func() quetzalhook.Member { return quetzalhook.Member{} })
+		peers := silentPeers{endpoint, make(map[quetzalhook.HostID]bool)}
+		g := &gate{Store: f.store}
+		g.closed.Store(true)
+		late := New("late", gatedStore{g}, peers, testSource, f.clock, discardLogger(), f.inv)
+		sources, _ := late.pullSources(false)
+		for _, h := range sources[:4] {
+			peers.silent[h] = true
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		late.wg.Go(func() { newPuller(late).run(ctx) })
+		time.Sleep(2500 * time.Millisecond)
+		if table, _ := late.Table(); table == nil || table.Version != 7 {
+			t.Errorf("table: got %v, want version 7", table)
+		}
+		cancel()
+		late.wg.Wait()
+	})
+}
+
+// restartedPeers answer no call until they have restarted, with another incarnation.
+type restartedPeers struct {
+	quetzalhook.Peers
+	restarted atomic.Bool
+}
+
+// Call implements quetzalhook.Peers.
+func (p *restartedPeers) Call(ctx context.Context, host quetzalhook.HostID, kind string, body []byte) ([]byte, error) {
+	if !p.restarted.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return p.Peers.Call(ctx, host, kind, body)
+}
+
+// Members implements quetzalhook.Peers.
+func (p *restartedPeers) Members() []quetzalhook.Member {
+	list := p.Peers.Members()
+	for i := range list {
+		if p.restarted.Load() {
+			list[i].Incarnation++
+		}
+	}
+	return list
+}
+
+// Guards against calls that wait for a process which has been replaced.
+func TestPullsFromRestartedHostsAreRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		f.runCommand("table 7")
+		f.runCommand("wait 2s")
+		endpoint := f.network.Endpoint("late")
+		f.network.Join(endpoint, func() quetzalhook.Member { return quetzalhook.Member{} })
+		peers := &restartedPeers{Peers: endpoint}
+		late := New("late", memory.New(), peers, testSource, f.clock, discardLogger(), f.inv)
+		ctx, cancel := context.WithCancel(t.Context())
+		late.wg.Go(func() { newPuller(late).run(ctx) })
+		time.Sleep(2 * time.Second)
+		peers.restarted.Store(true)
+		time.Sleep(500 * time.Millisecond)
+		if table, _ := late.Table(); table == nil || table.Version != 7 {
+			t.Errorf("table: got %v, want version 7", table)
+		}
+		cancel()
+		late.wg.Wait()
+	})
+}
--- a/internal/record/routing/puller.go
+++ b/internal/record/routing/puller.go
@@ -19,7 +19,12 @@
 	// It doubles with each open call from the second on.
 	nextPeerDelay = 200 * time.Millisecond
 	// maxOpenPulls limits the open calls of a host.
-	maxOpenPulls = 4
+	maxOpenPulls = 6
+	// maxNextPeerDelay limits the delay that nextPeerDelay grows to.
+	maxNextPeerDelay = 800 * time.Millisecond
+	// maxCallSilence is how long the host of an open call may be silent. It is longer than
+	// maxWatcherSilence, so that lost heartbeats do not cancel an answer that is arriving.
+	maxCallSilence = 3 * time.Second
 	// distantDelay is the time without an answer after which hosts of other cells are
 	// asked too.
 	distantDelay = time.Second
@@ -61,8 +66,9 @@
 }
 
 type pullCall struct {
-	began  time.Time
-	cancel context.CancelFunc
+	began       time.Time
+	incarnation quetzalhook.Incarnation // of the host
+	cancel      context.CancelFunc
 }
 
 type pullResult struct {
@@ -110,7 +116,9 @@
 }
 
 // nextDelay returns the time between the newest call and one beside it.
-func (p *puller) nextDelay() time.Duration { return nextPeerDelay << max(len(p.calls)-2, 0) }
+func (p *puller) nextDelay() time.Duration {
+	return min(nextPeerDelay<<max(len(p.calls)-2, 0), maxNextPeerDelay)
+}
 
 // finish removes a call that has ended.
 func (p *puller) finish(r pullResult) {
@@ -137,13 +145,14 @@
 			oldest = c.began
 		}
 	}
-	sources, alive := f.pullSources(now.Sub(oldest) >= distantDelay)
+	sources, members := f.pullSources(now.Sub(oldest) >= distantDelay)
 	if len(sources) == 0 && f.mustAskForSets() {
 		sources = f.samplePeers()
 	}
-	p.readStore(ctx, now, len(alive)+1)
+	p.readStore(ctx, now, len(members)+1)
 	for host, call := range p.calls {
-		if len(sources) == 0 || !alive[host] {
+		m, known := members[host]
+		if len(sources) == 0 || !known || m.Incarnation != call.incarnation || !m.IsAlive(maxCallSilence) {
 			call.cancel()
 			delete(p.calls, host)
 		}
@@ -158,16 +167,16 @@
 	}
 	for _, host := range sources {
 		if _, open := p.calls[host]; !open && p.notBefore[host].IsZero() {
-			p.ask(ctx, host, now)
+			p.ask(ctx, host, members[host].Incarnation, now)
 			return
 		}
 	}
 }
 
 // ask begins a call to a host.
-func (p *puller) ask(ctx context.Context, host quetzalhook.HostID, now time.Time) {
+func (p *puller) ask(ctx context.Context, host quetzalhook.HostID, incarnation quetzalhook.Incarnation, now time.Time) {
 	callCtx, cancel := context.WithCancel(ctx)
-	call := &pullCall{began: now, cancel: cancel}
+	call := &pullCall{began: now, incarnation: incarnation, cancel: cancel}
 	p.calls[host], p.askedAt = call, now
 	p.follower.wg.Go(func() {
 		err := p.follower.pullLogged(callCtx, host)
@@ -213,19 +222,19 @@
 }
 
 // pullSources returns the hosts that announce newer versions than this host knows, in the
-// order in which to ask them, and the hosts that are alive. Hosts of other cells are only
-// sources if includeDistant is set, or if no host of this cell is.
-func (f *Follower) pullSources(includeDistant bool) ([]quetzalhook.HostID, map[quetzalhook.HostID]bool) {
+// order in which to ask them, and all other hosts. Hosts of other cells are only sources if
+// includeDistant is set, or if no host of this cell is.
+func (f *Follower) pullSources(includeDistant bool) ([]quetzalhook.HostID, map[quetzalhook.HostID]quetzalhook.Member) {
 	table, upstreams := f.Versions()
 	evacuated, divided := f.EvacuationVersion(), f.SplitVersion()
-	alive, newer, watches := make(map[quetzalhook.HostID]bool), make(map[quetzalhook.HostID]bool), make(map[quetzalhook.HostID]bool)
+	members, newer := make(map[quetzalhook.HostID]quetzalhook.Member), make(map[quetzalhook.HostID]bool)
 	announced := table
 	var local, distant []quetzalhook.HostID
 	for _, m := range f.peers.Members() {
+		members[m.Host] = m
 		if !m.IsAlive(maxWatcherSilence) {
 			continue
 		}
-		alive[m.Host], watches[m.Host] = true, m.Active.Has(quetzalhook.RoleStoreWatcher)
 		announced = max(announced, m.ConfigVersion)
 		newer[m.Host] = m.ConfigVersion > table || m.UpstreamVersion > upstreams || m.EvacuationVersion > evacuated || mayBeNewer(m.SplitVersion, divided)
 		switch {
@@ -240,13 +249,13 @@
 	local = rendezvous.Rank(string(f.host), local)
 	preferred := min(neighbors, len(local))
 	slices.SortStableFunc(local[preferred:], func(a, b quetzalhook.HostID) int {
-		return compareBool(watches[b], watches[a])
+		return compareBool(members[b].Active.Has(quetzalhook.RoleStoreWatcher), members[a].Active.Has(quetzalhook.RoleStoreWatcher))
 	})
 	sources := slices.DeleteFunc(local, func(h quetzalhook.HostID) bool { return !newer[h] })
 	if len(sources) == 0 || includeDistant {
 		sources = append(sources, rendezvous.Rank(string(f.host), distant)...)
 	}
-	return sources, alive
+	return sources, members
 }
 
 // compareBool orders false before true.
