soak: check that partitioned hosts serve first tries

Hosts that lose their paths to all upstreams for seconds served callers far worse than the others, and no check of the soak compared the two.

partitioned-hosts compares first tries at these hosts, from 4 s after the beginning of a partition to its end, with those at the others: served at least two thirds as often, or at most 10 and one in 50 of all fail there. Requests at hosts with another disturbance do not count. Partitions that overlap are checked together.

run-once excuses an engine that works on while a partitioned host goes on at another one: the host cannot reach it to stop the work. This is narrower than the excuse for a disturbed host, which a partitioned one is not.

testdata/checker/partitions has the bounds on both sides. No fault records a partition yet.

--- a/internal/bench/soak/caller.go
+++ b/internal/bench/soak/caller.go
@@ -177,7 +177,9 @@
 		return
 	}
 	s.checker.ResponseReceived(time.Now(), call.ID, res, h.plannedWork(s.isUndisturbed(sent, call.Key != "")))
-	s.countRequest(res.Status == http.StatusOK && res.Complete)
+	served := res.Status == http.StatusOK && res.Complete
+	s.countRequest(served)
+	s.checker.FirstTryEnded(sent, h.name, served, h.undisturbedSince(sent))
 	if s.settings.Builds && call.Stream {
 		s.checker.EventsReceived(call.ID, call.ID, res)
 		if repeatable && isBroken(res) {
--- a/internal/bench/soak/checker_test.go
+++ b/internal/bench/soak/checker_test.go
@@ -124,6 +124,9 @@
 			Subject: "usage", Holder: f[1], Fencing: uint64(d.number(f[2])), Window: d.number(f[3]), Counts: f[4], At: d.now,
 		}, has("disturbed"))
 	default:
+		if d.runPartition(f) {
+			break
+		}
 		d.t.Fatalf("unknown command %q", line)
 	}
 }
