soak: partition hosts from all upstreams

The soak could disturb one upstream for all hosts, but not the paths of one host to all upstreams.

partition-one, partition-half and partition-zone do, for 4 to 12 s: all packets are lost (silent), open connections are reset and new ones hang (reset) or are refused (reset-refuse), or open ones live on and new ones are refused (refuse). A socket filter drops packets before TCP acknowledges them, and a closed listener refuses, so that hosts see the errors of a real network: a dial that times out, ECONNREFUSED, and TCP_USER_TIMEOUT on what was sent.

All hosts connect from 127.0.0.1. To tell them apart, each gets addresses of its own for the upstreams, from its own view of the store. Changes that hosts pull from each other would carry the other host's addresses, so scripts with partitions must not change upstreams, and partitions are played only if named.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -143,6 +143,10 @@
 	if s.Builds {
 		fmt.Printf("  take-ups=%d went-on=%d refused=%d given-up=%d\n", r.TakeUps.Sent, r.TakeUps.WentOn, r.TakeUps.Refused, r.TakeUps.GivenUp)
 	}
+	for _, p := range r.Partitions {
+		fmt.Printf("  partition begin=%s length=%v hosts=%v served=%d/%d others=%d/%d\n",
+			p.Begin.Format("15:04:05.000"), p.End.Sub(p.Begin).Round(time.Millisecond), p.Hosts, p.Served, p.Sent, p.OthersServed, p.Others)
+	}
 	if len(r.Violations) == 0 {
 		return true, errors.WithStack(os.RemoveAll(s.Directory))
 	}
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -37,6 +37,7 @@
 	// callers proxies connections from callers to the host, store and duties those
 	// from the host to the platform.
 	callers, store, duties *Proxy
+	links                  []*Proxy // of the connections to upstreams, in runs with partitions
 
 	mu           sync.Mutex
 	command      *exec.Cmd
@@ -48,8 +49,9 @@
 	// stopped is when SIGTERM was last sent, and reloaded when SIGHUP was.
 	stopped, reloaded time.Time
 	// resetAt is when the process was last started or resumed.
-	resetAt  time.Time
-	isFrozen bool
+	resetAt     time.Time
+	isFrozen    bool
+	partitioned bool // from all upstreams
 }
 
 // hostMemoryMB is the memory limit of a host in MB.
@@ -190,7 +192,7 @@
 	if h.command != nil {
 		h.wait(stopLimit)
 	}
-	for _, p := range []*Proxy{h.callers, h.store, h.duties} {
+	for _, p := range append(h.links, h.callers, h.store, h.duties) {
 		_ = p.Close()
 	}
 }
--- a/internal/bench/soak/proxy.go
+++ b/internal/bench/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -33,15 +34,17 @@
 
 // Proxy forwards TCP connections to a target and injects network faults.
 type Proxy struct {
-	target   string
-	listener net.Listener
-	wg       sync.WaitGroup
-
-	mu      sync.Mutex
-	mode    Mode
-	changed chan struct{} // closed when mode changes
-	conns   map[*proxiedConn]struct{}
-	closed  bool
+	target  string
+	address string
+	wg      sync.WaitGroup
+
+	mu        sync.Mutex
+	listener  net.Listener
+	mode      Mode
+	changed   chan struct{} // closed when mode changes
+	conns     map[*proxiedConn]struct{}
+	partition Partition // empty for none
+	closed    bool
 }
 
 // proxiedConn is an accepted connection with the one to the target.
@@ -53,17 +56,28 @@
 // NewProxy returns a proxy that listens on address and forwards connections to
 // target.
 func NewProxy(address, target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", address)
+	l, err := listen(address)
 	if err != nil {
-		return nil, &Error{Op: "proxy", Kind: ErrorSetup, Err: err}
+		return nil, err
 	}
-	p := &Proxy{target: target, listener: l, mode: ModePass, changed: make(chan struct{}), conns: make(map[*proxiedConn]struct{})}
-	p.wg.Go(p.accept)
+	p := &Proxy{target: target, address: l.Addr().String(), listener: l, mode: ModePass, changed: make(chan struct{}), conns: make(map[*proxiedConn]struct{})}
+	p.wg.Go(func() { p.accept(l) })
 	return p, nil
 }
 
+// listen listens on address, without MPTCP, whose sockets take no filters.
+func listen(address string) (net.Listener, error) {
+	var cfg net.ListenConfig
+	cfg.SetMultipathTCP(false)
+	l, err := cfg.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, &Error{Op: "proxy", Kind: ErrorSetup, Err: err}
+	}
+	return l, nil
+}
+
 // Address returns the address to connect to.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
 // Set changes the mode.
 func (p *Proxy) Set(m Mode) {
@@ -81,6 +95,11 @@
 		}
 		m = ModePass
 	}
+	p.setMode(m)
+}
+
+// setMode changes the mode. The caller must hold p.mu.
+func (p *Proxy) setMode(m Mode) {
 	p.mode = m
 	close(p.changed)
 	p.changed = make(chan struct{})
@@ -88,8 +107,8 @@
 
 // Close resets all connections and waits until their goroutines have ended.
 func (p *Proxy) Close() error {
-	err := p.listener.Close()
 	p.mu.Lock()
+	err := p.listener.Close()
 	p.closed = true
 	close(p.changed)
 	p.changed = make(chan struct{})
@@ -110,9 +129,9 @@
 	}
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		in, err := p.listener.Accept()
+		in, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -137,6 +156,7 @@
 		return
 	}
 	p.conns[c] = struct{}{}
+	p.joinPartition(c)
 	p.mu.Unlock()
 	var copies sync.WaitGroup
 	copies.Go(func() { p.copy(c, c.out, c.in, ModeCutTo) })
--- a/internal/bench/soak/system.go
+++ b/internal/bench/soak/system.go
@@ -58,6 +58,9 @@
 	minEngines, callersPerEngine   = 5, 10
 	minServices, callersPerService = 3, 20
 
+	// upstreamNumber is the last part of the IP address of the upstreams.
+	upstreamNumber = "253"
+
 	engineGroup  = "engines"
 	serviceGroup = "desk"
 	hostName     = "soak.example"
@@ -128,6 +131,8 @@
 	Failed map[Check]int
 	// TakeUps counts the requests that took up a stream.
 	TakeUps TakeUps
+	// Partitions counts the first tries during each partition.
+	Partitions []PartitionCounts
 }
 
 // Run starts the hosts and stand-ins, injects the faults that the seed
@@ -148,6 +153,10 @@
 	if cfg.Builds {
 		script = addBuilds(script, cfg.Seed, cfg.Length, cfg.Kinds)
 	}
+	script = addPartitions(script, cfg.Seed, cfg.Length, cfg.Kinds)
+	if err := checkPartitionScript(script); err != nil {
+		return Result{}, err
+	}
 	if len(script) == 0 {
 		return Result{}, &Error{Op: "faults", Kind: ErrorScript, Err: fmt.Errorf("no fault of the kinds %q within %v", cfg.Kinds, cfg.Length)}
 	}
@@ -168,6 +177,7 @@
 	defer s.mu.Unlock()
 	result.Sent, result.Served, result.SentDuring, result.ServedDuring = s.sent, s.served, s.sentDuring, s.servedDuring
 	result.Failed, result.TakeUps = s.checker.Failed(), s.takeUps
+	result.Partitions = s.checker.Partitions()
 	return result, nil
 }
 
@@ -199,7 +209,16 @@
 		return err
 	}
 	for i := range s.settings.Hosts {
-		if err := s.addHost(i, storeAddress, dutiesAddress); err != nil {
+		address, err := s.storeOf(i, storeAddress)
+		if err != nil {
+			return err
+		}
+		if err := s.addHost(i, address, dutiesAddress); err != nil {
+			return err
+		}
+	}
+	if s.hasPartitions() {
+		if err := s.addLinks(); err != nil {
 			return err
 		}
 	}
@@ -279,7 +298,7 @@
 		return err
 	}
 	u.server = s.servers[len(s.servers)-1]
-	if u.proxy, err = NewProxy(fmt.Sprintf("%s253:%d", s.network, 10000+s.nextUpstream), address); err != nil {
+	if u.proxy, err = NewProxy(fmt.Sprintf("%s%s:%d", s.network, upstreamNumber, 10000+s.nextUpstream), address); err != nil {
 		return err
 	}
 	s.nextUpstream++
@@ -326,7 +345,7 @@
 	begin := time.Now()
 	var faults sync.WaitGroup
 	byName := make(map[string]faultKind)
-	for _, k := range slices.Concat(kinds(), noticeKinds(), hostileKinds(), buildKinds()) {
+	for _, k := range slices.Concat(kinds(), noticeKinds(), hostileKinds(), buildKinds(), partitionKinds()) {
 		byName[k.name] = k
 	}
 	for _, f := range script {
@@ -349,6 +368,7 @@
 	timing.Sleep(ctx, recoveryWindow)
 	stopLoad()
 	load.Wait()
+	s.checker.CheckPartitions()
 	s.mu.Lock()
 	sent, served := s.sent, s.served
 	s.mu.Unlock()
