soak: redirect the connections of partitioned hosts in the dialer

The leader sends the address of an engine with each order, and hosts pull changed records from each other.

Runs with partitions now build the host with an overlay of internal/entry/connection whose dialers connect to the own proxies of the host in place of the address that all hosts know. The overlay renames NewDialer of the source as it is and adds a file; the sources of the product stay unchanged. Upstreams may change in such runs now, since the address is the same everywhere.

--- a/internal/bench/soak/partition.go
+++ b/internal/bench/soak/partition.go
@@ -1,14 +1,10 @@
 package soak
 
 import (
-	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -71,7 +67,7 @@
 }
 
 // addPartitions adds partitions to a script, one after another, if only names kinds of
-// them. Hosts have upstream addresses of their own then, see addLinks.
+// them, since the hosts are then built with redirected connections.
 func addPartitions(script []fault, seed uint64, length time.Duration, only []string) []fault {
 	all := selectKinds(partitionKinds(), only)
 	if len(all) == 0 {
@@ -97,98 +93,24 @@
 	return len(selectKinds(partitionKinds(), s.settings.Kinds)) > 0
 }
 
-// checkPartitionScript returns an error if a script with partitions also changes records of
-// upstreams. Hosts pull such changes from each other, with the addresses of the other host.
-func checkPartitionScript(script []fault) error {
-	isPartition := func(f fault) bool { return strings.HasPrefix(f.kind, "partition-") }
-	if !slices.ContainsFunc(script, isPartition) {
-		return nil
-	}
-	for _, f := range script {
-		if slices.Contains([]string{"leave", "crash", "odd-entry", "notice-leave"}, f.kind) || strings.HasPrefix(f.variant, "move-") || strings.HasPrefix(f.kind, "build") {
-			return &Error{Op: "faults", Kind: ErrorScript, Err: fmt.Errorf("%q changes upstreams, which partitions do not allow", f)}
-		}
-	}
-	return nil
-}
-
 // partition partitions hosts from all upstreams for the duration of the fault. Hosts that
 // are partitioned already are left out.
 func (s *system) partition(hosts []*host, f fault) {
-	hosts = slices.DeleteFunc(slices.Clone(hosts), func(h *host) bool { return !h.setPartitioned(true) })
+	hosts = slices.DeleteFunc(slices.Clone(hosts), func(h *host) bool { return h.isPartitioned() })
 	begin := time.Now()
 	for _, h := range hosts {
 		s.checker.HostPartitioned(begin, h.name)
-		for _, p := range h.links {
-			if err := p.Partition(Partition(f.variant)); err != nil {
-				s.checker.Fail(CheckProcess, "%v", err)
-			}
+		if err := h.partitionLinks(Partition(f.variant)); err != nil {
+			s.checker.Fail(CheckProcess, "%s: %v", h.name, err)
 		}
 	}
 	time.Sleep(f.duration)
 	for _, h := range hosts {
 		s.checker.HostRejoined(time.Now(), h.name)
-		for _, p := range h.links {
-			if err := p.Rejoin(); err != nil {
-				s.checker.Fail(CheckProcess, "%v", err)
-			}
-		}
-		h.setPartitioned(false)
-	}
-}
-
-// setPartitioned records whether the host is partitioned, and reports whether that changed.
-func (h *host) setPartitioned(partitioned bool) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	changed := h.partitioned != partitioned
-	h.partitioned = partitioned
-	return changed
-}
-
-// addLinks starts proxies of the connections of each host to the upstreams. They listen on
-// the address of the host, since hosts do not differ in the source address of connections.
-func (s *system) addLinks() error {
-	for _, h := range s.hosts {
-		for _, u := range s.upstreams {
-			_, port, err := net.SplitHostPort(u.entry.Address)
-			if err != nil {
-				return &Error{Op: "links", Kind: ErrorSetup, Err: err}
-			}
-			p, err := NewProxy(net.JoinHostPort(h.ip, port), u.entry.Address)
-			if err != nil {
-				return err
-			}
-			h.links = append(h.links, p)
+		if err := h.rejoinLinks(); err != nil {
+			s.checker.Fail(CheckProcess, "%s: %v", h.name, err)
 		}
 	}
-	return nil
-}
-
-// storeOf returns the address of the store for host number i. In runs with partitions, it
-// names the proxies of that host in place of the upstreams.
-func (s *system) storeOf(i int, shared string) (string, error) {
-	if !s.hasPartitions() {
-		return shared, nil
-	}
-	ip := s.network + strconv.Itoa(1+i)
-	return s.serve(ip+":0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.store.ServeHTTP(replacingWriter{w, []byte(`"` + s.network + upstreamNumber + ":"), []byte(`"` + ip + ":")}, r)
-	}))
-}
-
-// replacingWriter replaces a text in each write of a response.
-type replacingWriter struct {
-	http.ResponseWriter
-	from, to []byte
-}
-
-// Write implements http.ResponseWriter.
-func (w replacingWriter) Write(p []byte) (int, error) {
-	if _, err := w.ResponseWriter.Write(bytes.ReplaceAll(p, w.from, w.to)); err != nil {
-		return 0, err
-	}
-	return len(p), nil
 }
 
 // Partition makes connections fail until Rejoin is called.
--- a/internal/bench/soak/partition_test.go
+++ b/internal/bench/soak/partition_test.go
@@ -125,8 +125,8 @@
 	return err.Error()
 }
 
-// Guards against scripts with partitions that differ between two runs, and against runs
-// whose hosts would use each other's connections to upstreams.
+// Guards against scripts with partitions that differ between two runs, and against partitions
+// in the scripts of other kinds.
 func TestAddPartitions(t *testing.T) {
 	only := []string{"partition-one", "partition-half", "partition-zone", "kill"}
 	for seed := range uint64(20) {
@@ -139,14 +139,8 @@
 				t.Errorf("seed %d: got %v, want partitions of %v to %v, %v apart", seed, script, minPartition, maxPartition, stableWindow)
 			}
 		}
-		if err := checkPartitionScript(script); err != nil {
-			t.Errorf("seed %d: got %v, want no error", seed, err)
-		}
-		if err := checkPartitionScript(append(script, fault{kind: "leave"})); err == nil {
-			t.Error("got no error for a script in which an upstream leaves, want one")
-		}
 	}
 	if got := addPartitions(nil, 1, 40*time.Second, nil); len(got) > 0 {
-		t.Errorf("got %v in a run of all kinds, want none: upstreams change in it", got)
+		t.Errorf("got %v in a run of all kinds, want none unless they are named", got)
 	}
 }
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -187,4 +187,5 @@
 	}
 	_ = u.server.Close()
 	_ = u.proxy.Close()
+	s.removeLinks(u)
 }
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"maps"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -37,7 +39,7 @@
 	// callers proxies connections from callers to the host, store and duties those
 	// from the host to the platform.
 	callers, store, duties *Proxy
-	links                  []*Proxy // of the connections to upstreams, in runs with partitions
+	env                    []string // of the process, beside that of this one
 
 	mu           sync.Mutex
 	command      *exec.Cmd
@@ -49,9 +51,11 @@
 	// stopped is when SIGTERM was last sent, and reloaded when SIGHUP was.
 	stopped, reloaded time.Time
 	// resetAt is when the process was last started or resumed.
-	resetAt     time.Time
-	isFrozen    bool
-	partitioned bool // from all upstreams
+	resetAt  time.Time
+	isFrozen bool
+	// links proxies connections to the upstreams, in runs with partitions.
+	links     map[quetzalhook.UpstreamID]*Proxy
+	partition Partition // from all upstreams; empty for none
 }
 
 // hostMemoryMB is the memory limit of a host in MB.
@@ -91,7 +95,7 @@
 		return &Error{Op: "start", Kind: ErrorSetup, Err: err}
 	}
 	c := exec.Command(h.program, "host", "--settings", h.settings, "--peer-secret", peerSecret)
-	c.Stdout, c.Stderr = out, out
+	c.Stdout, c.Stderr, c.Env = out, out, append(os.Environ(), h.env...)
 	if err := c.Start(); err != nil {
 		_ = out.Close()
 		return &Error{Op: "start", Kind: ErrorSetup, Err: err}
@@ -192,7 +196,7 @@
 	if h.command != nil {
 		h.wait(stopLimit)
 	}
-	for _, p := range append(h.links, h.callers, h.store, h.duties) {
+	for _, p := range slices.AppendSeq([]*Proxy{h.callers, h.store, h.duties}, maps.Values(h.links)) {
 		_ = p.Close()
 	}
 }
--- a/internal/bench/soak/system.go
+++ b/internal/bench/soak/system.go
@@ -32,7 +32,7 @@
 // Settings configure a run.
 type Settings struct {
 	Seed uint64
-	// Program is the path of the quetzalhook program.
+	// Program is the path of the quetzalhook program. Runs with partitions build their own.
 	Program string
 	// Directory receives the settings files and the logs of the hosts.
 	Directory string
@@ -154,9 +154,6 @@
 		script = addBuilds(script, cfg.Seed, cfg.Length, cfg.Kinds)
 	}
 	script = addPartitions(script, cfg.Seed, cfg.Length, cfg.Kinds)
-	if err := checkPartitionScript(script); err != nil {
-		return Result{}, err
-	}
 	if len(script) == 0 {
 		return Result{}, &Error{Op: "faults", Kind: ErrorScript, Err: fmt.Errorf("no fault of the kinds %q within %v", cfg.Kinds, cfg.Length)}
 	}
@@ -164,6 +161,16 @@
 	for _, f := range script {
 		result.Script = append(result.Script, f.String())
 	}
+	if s.hasPartitions() {
+		directory, err := os.MkdirTemp("", "soak-build-")
+		if err != nil {
+			return result, &Error{Op: "build", Kind: ErrorSetup, Err: err}
+		}
+		defer func() { _ = os.RemoveAll(directory) }()
+		if s.settings.Program, err = buildRedirected(ctx, directory); err != nil {
+			return result, err
+		}
+	}
 	defer s.close()
 	if err := s.setUp(ctx); err != nil {
 		return result, err
@@ -209,16 +216,12 @@
 		return err
 	}
 	for i := range s.settings.Hosts {
-		address, err := s.storeOf(i, storeAddress)
-		if err != nil {
-			return err
-		}
-		if err := s.addHost(i, address, dutiesAddress); err != nil {
+		if err := s.addHost(i, storeAddress, dutiesAddress); err != nil {
 			return err
 		}
 	}
-	if s.hasPartitions() {
-		if err := s.addLinks(); err != nil {
+	for _, u := range s.upstreams {
+		if err := s.addLinks(u); err != nil {
 			return err
 		}
 	}
@@ -257,6 +260,7 @@
 	h := &host{
 		name: quetzalhook.HostID(fmt.Sprintf("host-%d", i)), ip: s.network + strconv.Itoa(1+i), zone: s.zoneOf(i), program: s.settings.Program,
 	}
+	h.env = []string{redirectFrom + "=" + s.network + upstreamNumber, redirectTo + "=" + h.ip}
 	h.settings = s.settings.Directory + "/" + string(h.name) + ".yaml"
 	h.log = logPath(s.settings.Directory, h.name)
 	var err error
@@ -304,6 +308,9 @@
 	s.nextUpstream++
 	u.entry.Address = u.proxy.Address()
 	s.upstreams = append(s.upstreams, u)
+	if err := s.addLinks(u); err != nil {
+		return err
+	}
 	return u.entry.Put(s.memory)
 }
 
