soak: add a failing test of hosts without paths to upstreams

Callers at hosts that had lost their paths to all upstreams got 503, while the other hosts served all requests.

The build of the host for such runs reports what go list printed.

--- a/internal/bench/soak/link.go
+++ b/internal/bench/soak/link.go
@@ -28,15 +28,15 @@
 // buildRedirected builds the quetzalhook program into a directory, with dialers that
 // redirect connections to the upstreams as the environment says, and returns its path. All
 // hosts know an upstream by the same address, and by the source address of a connection
-// they do not differ either.
+// they do not differ either. The working directory must be in the module.
 func buildRedirected(ctx context.Context, directory string) (string, error) {
 	fail := func(err error) (string, error) {
 		return "", &Error{Op: "build", Kind: ErrorSetup, Err: err}
 	}
 	const declaration = "func NewDialer() *net.Dialer {"
-	dir, err := exec.CommandContext(ctx, "go", "list", "-f", "{{.Dir}}", "quetzalhook/internal/entry/connection").Output()
+	dir, err := exec.CommandContext(ctx, "go", "list", "-f", "{{.Dir}}", "quetzalhook/internal/entry/connection").CombinedOutput()
 	if err != nil {
-		return fail(err)
+		return fail(fmt.Errorf("%w: %s", err, dir))
 	}
 	dial := filepath.Join(string(bytes.TrimSpace(dir)), "dial.go")
 	source, err := os.ReadFile(dial)
--- a/internal/bench/soak/partition_test.go
+++ b/internal/bench/soak/partition_test.go
@@ -144,3 +144,11 @@
 		t.Errorf("got %v in a run of all kinds, want none unless they are named", got)
 	}
 }
+
+// Guards against hosts that refuse what other hosts could serve while they reach no upstream.
+func TestPartitionedHostsServe(t *testing.T) {
+	r := runSoak(t, Settings{Seed: 7101, Hosts: 6, Callers: 48, Length: 6 * time.Second, Kinds: []string{"partition-half/silent"}}, CheckPartition)
+	for _, p := range r.Partitions {
+		t.Logf("hosts %v: %d of %d first tries served, others: %d of %d", p.Hosts, p.Served, p.Sent, p.OthersServed, p.Others)
+	}
+}
