gateway: log how many attempts of a request were not sent

A host without paths to the upstreams refuses most requests after one attempt: the log says "request refused: retry-budget" with attempts=1, and only another line tells that this attempt never reached its upstream. Whether the budget of repeats goes to attempts that were not sent could not be read from the requests' lines.

request served and request failed have attempts-not-sent now: attempts whose upstream was not reached, without those that an upstream refused. Only the log changes.

--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -43,6 +43,7 @@
 	header     http.Header // request headers that upstreams receive
 
 	attempts       int
+	notSent        int                 // attempts whose request was not sent, since the upstream was not reached
 	runs           int                 // that an upstream may have begun; a moved run counts once
 	attempt        quetzalhook.Attempt // the latest one
 	eventsBefore   int                 // events that earlier attempts received
@@ -284,7 +285,7 @@
 	deps := x.gateway.deps
 	fields := logrus.Fields{
 		"request": x.inbound.ID, "customer": x.customer, "class": x.class.Name(), "ms": x.elapsed().Milliseconds(),
-		"attempts": x.attempts, "upstream": x.attempt.Upstream.ID,
+		"attempts": x.attempts, "attempts-not-sent": x.notSent, "upstream": x.attempt.Upstream.ID,
 	}
 	if x.table != nil {
 		fields["table"] = x.table.Version
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -53,6 +53,9 @@
 			end.End = quetzalhook.EndCallerGone
 		}
 		end.Lost = isLost(err)
+		if end.Lost && end.End == quetzalhook.EndNotSent {
+			x.notSent++
+		}
 		ticket.End(end)
 		if err == nil || end.End == quetzalhook.EndCallerGone || ctx.Err() != nil {
 			return err
