connection: count connections that could not be opened

No metric of a host shows that it reaches no upstream: errors-KIND counts the requests that end so, not the dials, and a failed attempt is in the log only.

connections-failed counts the dials that failed by cause (timeout, refused, other), without those that their requests gave up; connections-opened, which was counted already, is published beside it.

--- a/internal/entry/connection/pool.go
+++ b/internal/entry/connection/pool.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"maps"
 	"math"
 	"net"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -80,6 +82,7 @@
 	groups map[key]*group
 	open   int // connections of all groups
 	opened int64
+	failed map[string]int64 // connections that could not be opened, by cause
 	closed bool
 
 	stop chan struct{}
@@ -106,7 +109,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(clock quetzalhook.Clock, opts ...Option) *Pool {
-	p := &Pool{clock: clock, dialer: NewDialer(), groups: make(map[key]*group), stop: make(chan struct{})}
+	p := &Pool{clock: clock, dialer: NewDialer(), groups: make(map[key]*group), failed: make(map[string]int64), stop: make(chan struct{})}
 	for _, o := range opts {
 		o(p)
 	}
@@ -122,6 +125,29 @@
 	return p.opened
 }
 
+// Failed returns the number of connections that could not be opened, by cause: "timeout",
+// "refused" or "other". Those that their requests gave up are not included.
+func (p *Pool) Failed() map[string]int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.failed)
+}
+
+// countFailed counts a connection that could not be opened.
+func (p *Pool) countFailed(err error) {
+	cause := "other"
+	var timeout net.Error
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		cause = "timeout"
+	case errors.Is(err, syscall.ECONNREFUSED):
+		cause = "refused"
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failed[cause]++
+}
+
 // Close closes all idle connections and waits until the background goroutine has
 // stopped. Connections in use are closed at the end of their requests.
 func (p *Pool) Close() error {
@@ -193,6 +219,9 @@
 	raw, err := p.dialer.DialContext(ctx, "tcp", t.Address)
 	if err != nil {
 		p.release(t.key())
+		if ctx.Err() == nil {
+			p.countFailed(err)
+		}
 		return nil, &Error{Op: "dial", Kind: ErrorNotSent, Upstream: t.ID, Local: ctx.Err() != nil, Err: err}
 	}
 	checked := response.NewConn(raw, p.counts)
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -172,6 +172,8 @@
 func (h *Host) publishMetrics() {
 	h.meter.Publish("open-requests", func() any { return h.gateway.Open() })
 	h.meter.Publish("invalid-responses", func() any { return h.adapter.InvalidResponses.Snapshot() })
+	h.meter.Publish("connections-opened", func() any { return h.pool.Opened() })
+	h.meter.Publish("connections-failed", func() any { return h.pool.Failed() })
 	h.meter.Publish("hosts", func() any { return h.hostCount() })
 	h.meter.Publish("leader", func() any { return h.leader(0) })
 	h.meter.Publish("assign-calls", func() any { return h.engineDispatcher.AssignCalls() })
