--- a/internal/bench/soak/system.go
+++ b/internal/bench/soak/system.go
@@ -32,7 +32,7 @@
 // Settings configure a run.
 type Settings struct {
 	Seed uint64
-	// Program is the path of the quetzalhook program.
+	// Program is the path of the quetzalhook program. Runs with partitions build their own.
 	Program string
 	// Directory receives the settings files and the logs of the hosts.
 	Directory string
@@ -58,6 +58,9 @@
 	minEngines, callersPerEngine   = 5, 10
 	minServices, callersPerService = 3, 20
 
+	// upstreamNumber is the last part of the IP address of the upstreams.
+	upstreamNumber = "253"
+
 	engineGroup  = "engines"
 	serviceGroup = "desk"
 	hostName     = "soak.example"
@@ -128,6 +131,8 @@
 	Failed map[Check]int
 	// TakeUps counts the requests that took up a stream.
 	TakeUps TakeUps
+	// Partitions counts the first tries during each partition.
+	Partitions []PartitionCounts
 }
 
 // Run starts the hosts and stand-ins, injects the faults that the seed
@@ -148,6 +153,7 @@
 	if cfg.Builds {
 		script = addBuilds(script, cfg.Seed, cfg.Length, cfg.Kinds)
 	}
+	script = addPartitions(script, cfg.Seed, cfg.Length, cfg.Kinds)
 	if len(script) == 0 {
 		return Result{}, &Error{Op: "faults", Kind: ErrorScript, Err: fmt.Errorf("no fault of the kinds %q within %v", cfg.Kinds, cfg.Length)}
 	}
@@ -155,6 +161,16 @@
 	for _, f := range script {
 		result.Script = append(result.Script, f.String())
 	}
+	if s.hasPartitions() {
+		directory, err := os.MkdirTemp("", "soak-build-")
+		if err != nil {
+			return result, &Error{Op: "build", Kind: ErrorSetup, Err: err}
+		}
+		defer func() { _ = os.RemoveAll(directory) }()
+		if s.settings.Program, err = buildRedirected(ctx, directory); err != nil {
+			return result, err
+		}
+	}
 	defer s.close()
 	if err := s.setUp(ctx); err != nil {
 		return result, err
@@ -168,6 +184,7 @@
 	defer s.mu.Unlock()
 	result.Sent, result.Served, result.SentDuring, result.ServedDuring = s.sent, s.served, s.sentDuring, s.servedDuring
 	result.Failed, result.TakeUps = s.checker.Failed(), s.takeUps
+	result.Partitions = s.checker.Partitions()
 	return result, nil
 }
 
@@ -203,6 +220,11 @@
 			return err
 		}
 	}
+	for _, u := range s.upstreams {
+		if err := s.addLinks(u); err != nil {
+			return err
+		}
+	}
 	for _, h := range s.hosts {
 		if err := h.start(s.reportExit); err != nil {
 			return err
@@ -238,6 +260,7 @@
 	h := &host{
 		name: quetzalhook.HostID(fmt.Sprintf("host-%d", i)), ip: s.network + strconv.Itoa(1+i), zone: s.zoneOf(i), program: s.settings.Program,
 	}
+	h.env = []string{redirectFrom + "=" + s.network + upstreamNumber, redirectTo + "=" + h.ip}
 	h.settings = s.settings.Directory + "/" + string(h.name) + ".yaml"
 	h.log = logPath(s.settings.Directory, h.name)
 	var err error
@@ -279,12 +302,15 @@
 		return err
 	}
 	u.server = s.servers[len(s.servers)-1]
-	if u.proxy, err = NewProxy(fmt.Sprintf("%s253:%d", s.network, 10000+s.nextUpstream), address); err != nil {
+	if u.proxy, err = NewProxy(fmt.Sprintf("%s%s:%d", s.network, upstreamNumber, 10000+s.nextUpstream), address); err != nil {
 		return err
 	}
 	s.nextUpstream++
 	u.entry.Address = u.proxy.Address()
 	s.upstreams = append(s.upstreams, u)
+	if err := s.addLinks(u); err != nil {
+		return err
+	}
 	return u.entry.Put(s.memory)
 }
 
@@ -326,7 +352,7 @@
 	begin := time.Now()
 	var faults sync.WaitGroup
 	byName := make(map[string]faultKind)
-	for _, k := range slices.Concat(kinds(), noticeKinds(), hostileKinds(), buildKinds()) {
+	for _, k := range slices.Concat(kinds(), noticeKinds(), hostileKinds(), buildKinds(), partitionKinds()) {
 		byName[k.name] = k
 	}
 	for _, f := range script {
@@ -349,6 +375,7 @@
 	timing.Sleep(ctx, recoveryWindow)
 	stopLoad()
 	load.Wait()
+	s.checker.CheckPartitions()
 	s.mu.Lock()
 	sent, served := s.sent, s.served
 	s.mu.Unlock()
