dispatcher, balance: attempts that were never sent are not retries

Callers of a host that has lost its paths to upstreams got 503 `retry-budget`: its dials time out or are refused, and each further attempt was taken from the retry budget, although nothing had arrived anywhere.

An attempt of which no byte was sent (AttemptEnd.Unsent) is given back to the budget, and does not make the next one a retry. A request gets at most 8 such attempts. What upstreams have seen, refused requests too, counts as before, so that the bound on arrivals holds.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -45,6 +45,8 @@
 	// Lost reports that the upstream could not be reached, or that its connection broke:
 	// it may have ended and started again.
 	Lost bool
+	// Unsent reports that no byte of the request was sent: the upstream has not seen it.
+	Unsent bool
 	// Relieved reports that this host has ended the attempt, since the memory of the
 	// upstream was short: the upstream has not failed.
 	Relieved bool
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -110,7 +110,7 @@
 		var e *connection.Error
 		if errors.As(err, &e) {
 			if e.Kind != connection.ErrorBroken {
-				end := quetzalhook.AttemptEnd{End: quetzalhook.EndNotSent}
+				end := quetzalhook.AttemptEnd{End: quetzalhook.EndNotSent, Unsent: true}
 				end.Verdict.NotRun = e.Kind == connection.ErrorLate // the upstream has not failed
 				return end, err
 			}
--- a/internal/fleet/dispatcher/ticket.go
+++ b/internal/fleet/dispatcher/ticket.go
@@ -50,9 +50,12 @@
 	request       quetzalhook.Request
 	submittedAt   time.Time
 	callerTimeout time.Duration
-	attempts      int // so far; a repeated request starts with 1, for that of the original one
+	attempts      int // so far, but for those that were never sent; a repeated request starts with 1, for that of the original one
+	unsent        int // attempts that were never sent
 	possibleRuns  int // broken attempts, whose upstream may have run the request
 
+	takenAt time.Time // when the current attempt was taken from the retry budget; zero if it was not
+
 	// The fields below are guarded by Dispatcher.mu.
 	current        quetzalhook.UpstreamID
 	started        int64     // start of the current upstream
@@ -83,16 +86,26 @@
 	if err != nil {
 		return quetzalhook.Attempt{}, err
 	}
+	t.takenAt = takenAt
 	a, err := t.next(ctx)
-	if err != nil && !takenAt.IsZero() {
-		d := t.dispatcher
-		d.mu.Lock()
-		d.budget.Return(d.clock.Now(), takenAt, t.request.Service)
-		d.mu.Unlock()
+	if err != nil {
+		t.returnRetry()
 	}
 	return a, err
 }
 
+// returnRetry gives the current attempt back to the retry budget, if it was taken from it.
+func (t *ticket) returnRetry() {
+	if t.takenAt.IsZero() {
+		return
+	}
+	d := t.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget.Return(d.clock.Now(), t.takenAt, t.request.Service)
+	t.takenAt = time.Time{}
+}
+
 // next obtains an attempt that the retry budget allows.
 func (t *ticket) next(ctx context.Context) (quetzalhook.Attempt, error) {
 	unusable, barred, forbidden, late := 0, 0, 0, 0
@@ -221,9 +234,16 @@
 	return mayUse
 }
 
-// takeRetry takes an attempt from the retry budget. The first attempt of a request always
-// is allowed and takes nothing; the time is zero then.
+// maxUnsent bounds the attempts of a request that are never sent. The retry budget does
+// not bound them.
+const maxUnsent = 8
+
+// takeRetry takes an attempt from the retry budget. The first attempt of a request that is
+// sent always is allowed and takes nothing; the time is zero then.
 func (t *ticket) takeRetry() (takenAt time.Time, err error) {
+	if t.unsent >= maxUnsent {
+		return takenAt, &quetzalhook.Refusal{Kind: quetzalhook.RefuseNoUpstream, RetryAfter: retryAfter}
+	}
 	if t.attempts == 0 {
 		return takenAt, nil
 	}
@@ -332,6 +352,11 @@
 	if e.End == quetzalhook.EndBroken {
 		t.possibleRuns++
 	}
+	if e.Unsent {
+		t.attempts--
+		t.unsent++
+		t.returnRetry()
+	}
 	if !slices.Contains(t.request.Tried, current) {
 		t.request.Tried = append(t.request.Tried, current)
 	}
--- /dev/null
+++ b/internal/fleet/dispatcher/unsent_test.go
@@ -0,0 +1,80 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quetzalhook"
+)
+
+// Guards against attempts that were never sent and use up the retry budget, against
+// attempts without a bound, and against sent ones that the budget does not count.
+func TestRetryBudgetOfUnsentAttempts(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		end      quetzalhook.AttemptEnd
+		attempts int
+		refusal  quetzalhook.RefuseKind
+		left     int // of a budget of 2
+	}{
+		{"never sent", quetzalhook.AttemptEnd{End: quetzalhook.EndNotSent, Unsent: true}, maxUnsent, quetzalhook.RefuseNoUpstream, 2},
+		{"refused", quetzalhook.AttemptEnd{End: quetzalhook.EndNotSent, Verdict: quetzalhook.Verdict{NotRun: true}}, 3, quetzalhook.RefuseRetryBudget, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			budget := &fixedBudget{left: 2}
+			cluster := newTestCluster(t, func(s *Settings) { s.Budget = budget })
+			defer cluster.close()
+			cluster.engines(12, 4)
+			ticket := cluster.submit("h1", "r", time.Minute)
+			defer ticket.Close()
+			attempts := 0
+			var refusal *quetzalhook.Refusal
+			for refusal == nil {
+				if _, err := ticket.Next(context.Background()); err != nil {
+					if !errors.As(err, &refusal) {
+						t.Fatal(err)
+					}
+					break
+				}
+				attempts++
+				ticket.End(c.end)
+			}
+			if attempts != c.attempts || refusal.Kind != c.refusal {
+				t.Errorf("%s: got %d attempts and %s, want %d and %s", c.name, attempts, refusal.Kind, c.attempts, c.refusal)
+			}
+			if got := max(budget.left, 0); got != c.left {
+				t.Errorf("%s: left of the budget: got %d, want %d", c.name, got, c.left)
+			}
+		})
+	}
+}
+
+// Guards against a budget that keeps the retry of a request whose first attempt was sent,
+// while the retry was not.
+func TestUnsentRetryIsReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := &fixedBudget{left: 1}
+		cluster := newTestCluster(t, func(s *Settings) { s.Budget = budget })
+		defer cluster.close()
+		cluster.engines(12, 4)
+		ticket := cluster.submit("h1", "r", time.Minute)
+		defer ticket.Close()
+		for i, end := range []quetzalhook.AttemptEnd{
+			{End: quetzalhook.EndNotSent, Verdict: quetzalhook.Verdict{NotRun: true}},
+			{End: quetzalhook.EndNotSent, Unsent: true},
+			{End: quetzalhook.EndNotSent, Unsent: true},
+			{End: quetzalhook.EndFinished},
+		} {
+			if _, err := ticket.Next(context.Background()); err != nil {
+				t.Fatalf("attempt %d: %v", i, err)
+			}
+			ticket.End(end)
+		}
+		if got, want := budget.left, 0; got != want {
+			t.Errorf("left of the budget: got %d, want %d", got, want)
+		}
+	})
+}
--- a/internal/traffic/balance/dispatcher.go
+++ b/internal/traffic/balance/dispatcher.go
@@ -22,6 +22,9 @@
 	refusalRetryAfter = 250 * time.Millisecond
 	// evacuatedRetryAfter bounds the RetryAfter while all upstreams are in evacuated zones.
 	evacuatedRetryAfter = 3 * time.Second
+	// maxUnsent bounds the calls of a request that are never sent. The retry budget does
+	// not bound them.
+	maxUnsent = 8
 	// maxRetryAfter bounds the RetryAfter of a refusal while all upstreams pause, and
 	// honouredShare is the part of their time for which callers wait as it tells
 	// them: one third.
@@ -47,6 +50,8 @@
 	Count(now time.Time, service string)
 	// Take reports whether one more retry may be sent, and takes it from the budget.
 	Take(now time.Time, service string) bool
+	// Return gives back a retry that was taken at the given time and not sent.
+	Return(now, takenAt time.Time, service string)
 }
 
 // NewDispatcher returns a dispatcher that chooses upstreams with b.
@@ -75,11 +80,13 @@
 	dispatcher *Dispatcher
 	request    quetzalhook.Request
 	submitted  time.Time
-	sent       int // calls so far
+	sent       int // calls so far, but for those that were never sent
+	unsent     int // calls that were never sent
 	mayHaveRun int // attempts that may have run the request
 	tried      []quetzalhook.UpstreamID
 	current    quetzalhook.Upstream
-	call       call // on current
+	call       call      // on current
+	takenAt    time.Time // when current was taken from the retry budget; zero if it was not
 }
 
 // Next implements quetzalhook.Ticket.
@@ -113,8 +120,15 @@
 	if !ok {
 		return quetzalhook.Attempt{}, false, t.refusal(now)
 	}
-	if t.sent > 0 && !d.budget.Take(now, t.request.Service) {
-		return quetzalhook.Attempt{}, false, &quetzalhook.Refusal{Kind: quetzalhook.RefuseRetryBudget, RetryAfter: refusalRetryAfter}
+	if t.unsent >= maxUnsent {
+		return quetzalhook.Attempt{}, false, &quetzalhook.Refusal{Kind: quetzalhook.RefuseNoUpstream, RetryAfter: refusalRetryAfter}
+	}
+	t.takenAt = time.Time{}
+	if t.sent > 0 {
+		if !d.budget.Take(now, t.request.Service) {
+			return quetzalhook.Attempt{}, false, &quetzalhook.Refusal{Kind: quetzalhook.RefuseRetryBudget, RetryAfter: refusalRetryAfter}
+		}
+		t.takenAt = now
 	}
 	t.sent++
 	t.current = u
@@ -188,6 +202,13 @@
 	if e.End == quetzalhook.EndBroken {
 		t.mayHaveRun++
 	}
+	if e.Unsent {
+		t.sent--
+		t.unsent++
+		if !t.takenAt.IsZero() {
+			d.budget.Return(now, t.takenAt, t.request.Service)
+		}
+	}
 	if !slices.Contains(t.tried, t.current.ID) {
 		t.tried = append(t.tried, t.current.ID)
 	}
