reach: hosts know whether they reach upstreams, and tell each other

A host that had lost its paths to all upstreams served almost nothing, and nothing knew it: reach is a property of a host and an upstream together.

Package reach records the connections that a host opens for requests.

Heartbeats and the summaries of cells carry the state in a new field, which hosts without it ignore and which takes no bytes while it is not set. Nothing uses the state yet.

--- a/internal/entry/connection/error.go
+++ b/internal/entry/connection/error.go
@@ -5,6 +5,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
+
+	"golang.org/x/sys/unix"
 
 	"quetzalhook"
 )
@@ -57,3 +60,9 @@
 func isLocal(ctx context.Context, err error) bool {
 	return ctx.Err() != nil || errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrBodyReadAfterClose)
 }
+
+// lacksResources reports whether this host could not open a connection for want of its own
+// resources.
+func lacksResources(err error) bool {
+	return slices.ContainsFunc([]error{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EADDRNOTAVAIL}, func(e error) bool { return errors.Is(err, e) })
+}
--- a/internal/entry/connection/pool.go
+++ b/internal/entry/connection/pool.go
@@ -75,6 +75,7 @@
 	budget *intake.Budget   // of all open responses
 	limit  int              // of the connections to all upstreams; 0 means no limit
 	counts *response.Counts // of invalid responses
+	dialed func(Target, error)
 
 	mu     sync.Mutex
 	groups map[key]*group
@@ -104,9 +105,16 @@
 	return func(p *Pool) { p.counts = c }
 }
 
+// WithDialed sets a function that is called when a connection to an upstream was opened, or
+// with an error when it could not be opened. It is not called if this host gave up, or had
+// no resources for it.
+func WithDialed(f func(Target, error)) Option {
+	return func(p *Pool) { p.dialed = f }
+}
+
 // NewPool returns an empty pool.
 func NewPool(clock quetzalhook.Clock, opts ...Option) *Pool {
-	p := &Pool{clock: clock, dialer: NewDialer(), groups: make(map[key]*group), stop: make(chan struct{})}
+	p := &Pool{clock: clock, dialer: NewDialer(), groups: make(map[key]*group), stop: make(chan struct{}), dialed: func(Target, error) {}}
 	for _, o := range opts {
 		o(p)
 	}
@@ -186,11 +194,19 @@
 		}
 		p.discard(t.key(), c)
 	}
+	return p.dial(ctx, t)
+}
+
+// dial opens a new connection.
+func (p *Pool) dial(ctx context.Context, t Target) (*conn, error) {
 	number, err := p.reserve(t)
 	if err != nil {
 		return nil, err
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", t.Address)
+	if err == nil || ctx.Err() == nil && !lacksResources(err) {
+		p.dialed(t, err)
+	}
 	if err != nil {
 		p.release(t.key())
 		return nil, &Error{Op: "dial", Kind: ErrorNotSent, Upstream: t.ID, Local: ctx.Err() != nil, Err: err}
@@ -200,6 +216,16 @@
 	return &conn{Conn: raw, number: number, checked: checked, allowance: allowance, reader: bufio.NewReaderSize(allowance, readBufferSize)}, nil
 }
 
+// Open opens a connection to an upstream and keeps it for later requests.
+func (p *Pool) Open(ctx context.Context, t Target) error {
+	c, err := p.dial(ctx, t)
+	if err != nil {
+		return err
+	}
+	p.put(t.key(), c, maxIdleTime)
+	return nil
+}
+
 // takeIdle removes the most recently used idle connection whose number is not among
 // excluded from the pool and returns it, or nil if there is none.
 func (p *Pool) takeIdle(k key, excluded []int64) *conn {
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -43,6 +43,7 @@
 	"quetzalhook/internal/state/timing"
 	"quetzalhook/internal/traffic/balance"
 	"quetzalhook/internal/traffic/notice"
+	"quetzalhook/internal/traffic/reach"
 	"quetzalhook/internal/traffic/retry"
 	"quetzalhook/internal/traffic/schedule"
 	"quetzalhook/internal/traffic/throttle"
@@ -93,6 +94,7 @@
 	follower          *routing.Follower
 	notices           *notice.Notices
 	cold              coldLimits
+	reach             *reach.Tracker
 	pool              *connection.Pool
 	serviceDispatcher *balance.Dispatcher
 	engineDispatcher  *dispatcher.Dispatcher
@@ -135,7 +137,9 @@
 	h.plan = budget.NewPlan(settings.Memory(), settings.MaxFDs, false)
 	h.callerMemory = caller.NewMemory(h.plan, log)
 	h.assembleColdLimits()
-	h.pool = connection.NewPool(clock, connection.WithLimit(h.plan.Upstream), connection.WithBudget(intake.NewBudget(settings.Memory(), intake.AnswerShare)), connection.WithCounts(adapter.InvalidResponses))
+	h.reach = reach.New()
+	h.pool = connection.NewPool(clock, connection.WithLimit(h.plan.Upstream), connection.WithBudget(intake.NewBudget(settings.Memory(), intake.AnswerShare)), connection.WithCounts(adapter.InvalidResponses),
+		connection.WithDialed(h.recordDial))
 	budget := retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	h.serviceDispatcher = balance.NewDispatcher(balance.New(settings.Region, random, balance.WithLimits(throttle.New(throttle.WithRank(h.limitRank), throttle.WithCold(h.cold.services))), balance.WithNotices(h.notices)), budget, clock)
@@ -188,6 +192,7 @@
 		h.meter.Publish("zones-evacuated", func() any { return h.follower.EvacuatedZones() })
 	}
 	h.meter.Publish("store-age-ms", func() any { return h.follower.StoreAge().Milliseconds() })
+	h.meter.Publish("cut-off", func() any { return h.reach.IsCutOff() })
 	h.meter.Publish("upstreams-leaving", func() any { leaving, _ := h.notices.Counts(h.clock.Now()); return leaving })
 	h.meter.Publish("upstreams-paused", func() any { _, paused := h.notices.Counts(h.clock.Now()); return paused })
 	h.callerMemory.Publish(h.meter.Publish)
@@ -241,6 +246,7 @@
 	h.dutyLease.Start()
 	h.wg.Go(func() { h.runDuties(ctx) })
 	h.wg.Go(func() { h.followUpstreams(ctx) })
+	h.wg.Go(func() { h.checkReach(ctx) })
 	h.callerServer = &http.Server{
 		Handler: h.gateway, ReadHeaderTimeout: longHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: nil,
@@ -420,7 +426,7 @@
 	h.observePlaces()
 	table, upstreams := h.follower.Versions()
 	return member.Report{
-		Draining: h.draining.Load(), Unready: !h.hasTable(), ConfigVersion: table, UpstreamVersion: upstreams,
+		Draining: h.draining.Load(), Unready: !h.hasTable(), CutOff: h.reach.IsCutOff(), ConfigVersion: table, UpstreamVersion: upstreams,
 		EvacuationVersion: h.follower.EvacuationVersion(), SplitVersion: h.follower.SplitVersion(),
 		StoreAge: h.follower.StoreAge(), Eligible: h.eligibleRoles(), Active: h.activeRoles(),
 	}
--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -49,6 +49,7 @@
 type Report struct {
 	Draining        bool
 	Unready         bool
+	CutOff          bool // see quetzalhook.Member
 	FreeCapacity    float64
 	ConfigVersion   int64
 	UpstreamVersion int64
@@ -387,7 +388,7 @@
 		}
 		list = append(list, quetzalhook.Member{
 			Host: host, Incarnation: p.profile.Incarnation, Zone: p.profile.Zone, Region: p.profile.Region,
-			Address: p.profile.Address, PeerAddress: p.profile.Peer, Draining: state.Draining, Unready: state.Unready || !p.hasReported(g.cell), Silent: p.silence(now),
+			Address: p.profile.Address, PeerAddress: p.profile.Peer, Draining: state.Draining, Unready: state.Unready || !p.hasReported(g.cell), CutOff: state.CutOff, Silent: p.silence(now),
 			Distant: p.cell != g.cell, Lag: lag, FreeCapacity: float64(state.FreePercent) / 100, ConfigVersion: state.ConfigVersion, UpstreamVersion: state.UpstreamVersion, EvacuationVersion: state.EvacuationVersion, SplitVersion: state.SplitVersion, StoreAge: age, Eligible: state.Eligible, Active: state.Active,
 			WithdrawnCount: state.WithdrawnCount, WithdrawnHash: state.WithdrawnHash, Demand: demand,
 			Processors: p.profile.Processors,
--- a/internal/fleet/member/message.go
+++ b/internal/fleet/member/message.go
@@ -77,6 +77,7 @@
 	// EvacuationVersion is the version of the newest known change of the evacuated zones.
 	EvacuationVersion int64 `cbor:"14,keyasint,omitempty"`
 	SplitVersion      int64 `cbor:"15,keyasint,omitempty"` // see quetzalhook.Member
+	CutOff            bool  `cbor:"16,keyasint,omitempty"` // see quetzalhook.Member
 }
 
 // inFlight is the number of a host's requests on one upstream.
@@ -124,6 +125,8 @@
 	// do not know these lists.
 	Unready  []byte `cbor:"7,keyasint"`
 	Draining []byte `cbor:"8,keyasint"`
+	// CutOff holds the four-byte hashes of the hosts in Alive that reach no upstreams.
+	CutOff []byte `cbor:"9,keyasint,omitempty"`
 }
 
 // milliseconds is the encoding of a duration. The largest value stands for any
--- a/internal/fleet/member/summary.go
+++ b/internal/fleet/member/summary.go
@@ -41,14 +41,14 @@
 // ownSummary returns the summary of the own cell.
 func (g *gossip) ownSummary(now time.Time) summary {
 	s := summary{Cell: g.cell, Origin: g.self.Host, State: g.latest, Unready: []byte{}, Draining: []byte{}}
-	s.addAlive(g.self.Host, g.latest.Unready, g.latest.Draining)
+	s.addAlive(g.self.Host, g.latest)
 	free, n := int(s.State.FreePercent), 1
 	for _, p := range g.cellPeers {
 		// Others know more of a host whose state is not known here.
 		if !p.leftAt.IsZero() || !p.hasState || p.silence(now) > goneAfter {
 			continue
 		}
-		s.addAlive(p.profile.Host, p.hostState.Unready, p.hostState.Draining)
+		s.addAlive(p.profile.Host, p.hostState)
 		s.State.StoreAge = min(s.State.StoreAge, p.hostState.StoreAge)
 		free, n = free+int(p.hostState.FreePercent), n+1
 		for tier := range quetzalhook.TierCount {
@@ -68,15 +68,18 @@
 }
 
 // addAlive adds a live host.
-func (s *summary) addAlive(host quetzalhook.HostID, isUnready, isDraining bool) {
+func (s *summary) addAlive(host quetzalhook.HostID, state hostState) {
 	hash := hostHash(host)
 	s.Alive = binary.BigEndian.AppendUint32(s.Alive, hash)
-	if isUnready {
+	if state.Unready {
 		s.Unready = binary.BigEndian.AppendUint32(s.Unready, hash)
 	}
-	if isDraining {
+	if state.Draining {
 		s.Draining = binary.BigEndian.AppendUint32(s.Draining, hash)
 	}
+	if state.CutOff {
+		s.CutOff = binary.BigEndian.AppendUint32(s.CutOff, hash)
+	}
 }
 
 // readHashes returns the set of four-byte hashes in a list of a summary.
@@ -227,7 +230,7 @@
 			p.leftAt, g.cellsStale = now, true
 		}
 	}
-	unready, draining := readHashes(s.Unready), readHashes(s.Draining)
+	unready, draining, cutOff := readHashes(s.Unready), readHashes(s.Draining), readHashes(s.CutOff)
 	for i := 0; i+4 <= len(s.Alive); i += 4 {
 		hash := binary.BigEndian.Uint32(s.Alive[i:])
 		p := g.byHash[hash]
@@ -235,6 +238,7 @@
 			continue
 		}
 		p.lastHeard = at
+		p.hostState.CutOff = cutOff[hash]
 		if s.Unready != nil && s.Draining != nil {
 			p.hostState.Unready, p.hostState.Draining = unready[hash], draining[hash]
 		}
--- a/platform.go
+++ b/platform.go
@@ -176,7 +176,9 @@
 	// Unready reports that the host cannot serve callers at present: it has no
 	// configuration, or cannot be sure that its keys are current.
 	Unready bool
-	Silent  time.Duration // time since the host was last known to be alive, or became known
+	// CutOff reports that the host reaches no upstreams.
+	CutOff bool
+	Silent time.Duration // time since the host was last known to be alive, or became known
 	// Distant marks a host of another cell, a group of hosts that send each other
 	// heartbeats; its state is known only from summaries of that cell.
 	Distant bool
