schedule, balance: a host without paths does not make upstreams fail

The leader took each failed connection of one host for a fault of the engine: a host that had lost its paths made engines avoided, and cold, for all hosts.

A host that is cut off marks the ends of its attempts (AttemptEnd.NoPath), and the scheduler and the balancer record no failure for them. Before a host knows that it is cut off, an attempt that was never sent counts only if the engine has answered nothing since the attempt began. Calls that were not sent no longer count in the speed of an upstream either.

Tests of internal/traffic, dispatcher, isolator, gateway and host pass with -race.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -47,6 +47,9 @@
 	Lost bool
 	// Unsent reports that no byte of the request was sent: the upstream has not seen it.
 	Unsent bool
+	// NoPath reports that the attempt failed while this host reaches no upstreams: the
+	// upstream has not failed.
+	NoPath bool
 	// Relieved reports that this host has ended the attempt, since the memory of the
 	// upstream was short: the upstream has not failed.
 	Relieved bool
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -69,6 +69,9 @@
 	Builds quetzalhook.Builds
 	// Usable reports whether this host may still send to an upstream; nil if it always may.
 	Usable func(quetzalhook.Upstream) bool
+	// Reaching returns a context that ends when the host reaches no upstreams any more; nil
+	// if that is not known.
+	Reaching func() context.Context
 	// StallLimit is the shortest time without an event after which a stream is ended,
 	// or resumed at another engine; 0 means DefaultStallLimit. Classes with long
 	// targets get a longer limit.
@@ -103,6 +106,9 @@
 	if deps.Usable == nil {
 		deps.Usable = func(quetzalhook.Upstream) bool { return true }
 	}
+	if deps.Reaching == nil {
+		deps.Reaching = context.Background
+	}
 	if deps.StallLimit <= 0 {
 		deps.StallLimit = DefaultStallLimit
 	}
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -53,6 +53,7 @@
 			end.End = quetzalhook.EndCallerGone
 		}
 		end.Lost = isLost(err)
+		end.NoPath = end.Lost && x.gateway.isCutOff()
 		ticket.End(end)
 		if err == nil || end.End == quetzalhook.EndCallerGone || ctx.Err() != nil {
 			return err
@@ -74,6 +75,9 @@
 	return errors.As(err, &e) && !e.Local && (e.Kind == connection.ErrorNotSent || e.Kind == connection.ErrorBroken)
 }
 
+// isCutOff reports whether the host reaches no upstreams.
+func (g *Gateway) isCutOff() bool { return g.deps.Reaching().Err() != nil }
+
 // endWithoutAttempt ends a request that gets no further attempt. It writes the
 // buffered error response of an earlier upstream if there is one and no stream has
 // begun, and otherwise returns the error to report.
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -164,7 +164,7 @@
 	}
 	h.gateway = gateway.New(gateway.Deps{
 		Tables: h.follower, Protocol: adapter.Protocol, Dispatcher: h, Pool: h.pool, HostCount: h.hostCount,
-		Mover: adapter.Mover, Builds: h.builds, Usable: h.follower.IsUsable, DefaultLeaveTime: time.Duration(settings.LeaveMS) * time.Millisecond,
+		Reaching: h.reach.Reaching, Mover: adapter.Mover, Builds: h.builds, Usable: h.follower.IsUsable, DefaultLeaveTime: time.Duration(settings.LeaveMS) * time.Millisecond,
 		StallLimit: setting.Seconds(settings.StallS), Memory: h.callerMemory, Connections: h.plan.Connections,
 		CountUsage: h.usageCounter.Add, Observer: observer{h.meter}, Region: settings.Region, Clock: clock, Log: log,
 	})
--- a/internal/fleet/dispatcher/message.go
+++ b/internal/fleet/dispatcher/message.go
@@ -204,6 +204,10 @@
 	// Relieved reports that the host has ended the attempt since the engine's memory was
 	// short.
 	Relieved bool `cbor:"23,keyasint,omitempty"`
+	// Unsent reports that no byte of the request was sent, and NoPath that the host reaches
+	// no engines.
+	Unsent bool `cbor:"24,keyasint,omitempty"`
+	NoPath bool `cbor:"25,keyasint,omitempty"`
 	// Cold lists engines that the host knows to be cold. The event concerns no request.
 	Cold []coldNotice `cbor:"21,keyasint,omitempty"`
 	// WorkPercent is how long work takes on the engine's machine, as the engine has told
@@ -220,7 +224,7 @@
 }
 
 func (e event) end() quetzalhook.AttemptEnd {
-	return quetzalhook.AttemptEnd{End: e.End, Tokens: e.Tokens, Lost: e.Lost, Relieved: e.Relieved, Verdict: quetzalhook.Verdict{NotRun: e.NotRun, Failed: e.Failed, Moved: e.Moved}}
+	return quetzalhook.AttemptEnd{End: e.End, Tokens: e.Tokens, Lost: e.Lost, Unsent: e.Unsent, NoPath: e.NoPath, Relieved: e.Relieved, Verdict: quetzalhook.Verdict{NotRun: e.NotRun, Failed: e.Failed, Moved: e.Moved}}
 }
 
 // adoption is a running request that the leader does not know.
--- a/internal/fleet/dispatcher/ticket.go
+++ b/internal/fleet/dispatcher/ticket.go
@@ -377,7 +377,7 @@
 	group := d.groups.groupOf(current)
 	if current != "" {
 		d.events[group] = append(d.events[group], t.addObserved(event{
-			ID: t.request.ID, Tokens: e.Tokens, End: e.End, NotRun: e.Verdict.NotRun, Failed: e.Verdict.Failed, Moved: e.Verdict.Moved, Lost: e.Lost, Relieved: e.Relieved,
+			ID: t.request.ID, Tokens: e.Tokens, End: e.End, NotRun: e.Verdict.NotRun, Failed: e.Verdict.Failed, Moved: e.Verdict.Moved, Lost: e.Lost, Unsent: e.Unsent, NoPath: e.NoPath, Relieved: e.Relieved,
 		}))
 	}
 	d.mu.Unlock()
--- a/internal/fleet/dispatcher/unsent_test.go
+++ b/internal/fleet/dispatcher/unsent_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"quetzalhook"
 )
 
@@ -78,3 +80,35 @@
 		}
 	})
 }
+
+// Guards against a leader that does not learn why an attempt has failed.
+func TestEndReachesLeader(t *testing.T) {
+	want := quetzalhook.AttemptEnd{End: quetzalhook.EndNotSent, Lost: true, Unsent: true, NoPath: true}
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster(t)
+		defer c.close()
+		c.engines(1, 4)
+		ticket := c.submit("h1", "r", time.Minute)
+		defer ticket.Close()
+		if _, err := ticket.Next(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		ticket.End(want)
+		d := c.hosts["h1"]
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		for _, e := range d.events[0] {
+			data, err := cbor.Marshal(e)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var got event
+			if err := cbor.Unmarshal(data, &got); err != nil || got.end() != want {
+				t.Errorf("got %+v, %v, want %+v", got.end(), err, want)
+			}
+		}
+		if len(d.events[0]) == 0 {
+			t.Error("no event")
+		}
+	})
+}
--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -242,6 +242,9 @@
 		return
 	}
 	u.inFlight = max(u.inFlight-1, 0)
+	if e.NoPath {
+		return
+	}
 	if e.Lost {
 		b.limits.Lost(now, id)
 	}
--- a/internal/traffic/balance/speed.go
+++ b/internal/traffic/balance/speed.go
@@ -42,9 +42,10 @@
 	c.isAnswered = true
 }
 
-// observeEnd records a call that ended without an answer.
+// observeEnd records a call that ended without an answer. One that was not sent, or that
+// this host has lost with all its paths, tells nothing.
 func (b *Balancer) observeEnd(now time.Time, c *call, e quetzalhook.AttemptEnd) {
-	if u := b.instance(c.upstream); u != nil && !c.isAnswered && !e.Verdict.NotRun && e.End != quetzalhook.EndFinished {
+	if u := b.instance(c.upstream); u != nil && !c.isAnswered && !e.Unsent && !e.NoPath && !e.Verdict.NotRun && e.End != quetzalhook.EndFinished {
 		u.speed.ObserveUnanswered(now, c.load, milliseconds(now.Sub(c.at)))
 	}
 	c.isAnswered = true
--- a/internal/traffic/balance/unsent_test.go
+++ b/internal/traffic/balance/unsent_test.go
@@ -64,3 +64,18 @@
 		}
 	}
 }
+
+// Guards against upstreams that are avoided since this host reaches none.
+func TestNoPathIsNoFailure(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New("r", rand.New(rand.NewPCG(1, 1)))
+	b.SetUpstreams([]quetzalhook.Upstream{{ID: "a", Service: "s", Slots: 4}})
+	for range 4 {
+		b.Started(now, "a")
+		b.Ended(now, "a", quetzalhook.AttemptEnd{End: quetzalhook.EndBroken, Lost: true, NoPath: true})
+	}
+	u := b.upstreams["a"]
+	if u.record.FailureProbability(now) > 0 || u.inFlight != 0 {
+		t.Errorf("got a probability of failures of %v and %d open calls, want none", u.record.FailureProbability(now), u.inFlight)
+	}
+}
--- a/internal/traffic/schedule/schedule.go
+++ b/internal/traffic/schedule/schedule.go
@@ -507,6 +507,12 @@
 // the modelled cache if the prompt may not have been processed.
 func (s *Scheduler) recordOutcome(now time.Time, e *engine, r *requestState, end quetzalhook.AttemptEnd) {
 	served := end.End == quetzalhook.EndFinished && !end.Verdict.Failed
+	if isPathFault(e, r, end) {
+		if !r.hasFirstToken {
+			e.cache.invalidate(r.request.Parts)
+		}
+		return
+	}
 	if end.Lost {
 		s.limits.Lost(now, e.info.ID)
 	} else if end.End == quetzalhook.EndFinished {
@@ -537,6 +543,12 @@
 	}
 }
 
+// isPathFault reports whether an attempt failed since its host did not reach the engine,
+// which has not failed: the host reaches none, or another request got an answer meanwhile.
+func isPathFault(e *engine, r *requestState, end quetzalhook.AttemptEnd) bool {
+	return end.NoPath || end.Unsent && end.Lost && e.lastResponse.After(r.started)
+}
+
 // unregister removes a request from the scheduler and its engine or queue.
 func (s *Scheduler) unregister(r *requestState) {
 	delete(s.requests, r.request.ID)
