dispatcher, balance: avoid upstreams that this host does not reach

A host that had lost half of its paths was given engines that it could not reach again and again, and each try took the 400 ms of a connection that is not answered. The leader cannot know: it reaches these engines itself.

The host keeps for 0.5 to 4 s, in bounded local memory, the upstreams to which it could not open a connection. Its requests bar them, as they do engines that pause, so that the leader places them elsewhere; calls to plain services prefer other upstreams. Other hosts are not affected.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -142,10 +142,10 @@
 		connection.WithDialed(h.recordDial))
 	budget := retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	h.serviceDispatcher = balance.NewDispatcher(balance.New(settings.Region, random, balance.WithLimits(throttle.New(throttle.WithRank(h.limitRank), throttle.WithCold(h.cold.services))), balance.WithNotices(h.notices)), budget, clock)
+	h.serviceDispatcher = balance.NewDispatcher(balance.New(settings.Region, random, balance.WithLimits(throttle.New(throttle.WithRank(h.limitRank), throttle.WithCold(h.cold.services))), balance.WithNotices(h.notices), balance.WithReach(h.reach)), budget, clock)
 	h.engineDispatcher = dispatcher.New(dispatcher.Settings{
 		Host: settings.Host, Leader: h.leader, LimitRank: h.limitRank, Position: h.position, Usable: h.follower.IsUsable, Evacuated: h.follower.IsEvacuated,
-		Calls: h.serviceDispatcher, Notices: h.notices, Starts: h.startsOrNil(), Cold: h.cold.engines,
+		Calls: h.serviceDispatcher, Notices: h.notices, Reach: h.reach, Starts: h.startsOrNil(), Cold: h.cold.engines,
 		Budget: retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount),
 		Caches: adapter.Caches, Settled: h.settled(cacheSettleTime),
 		Shortage: adapter.ShortageRules, KnownHosts: h.knownHosts, MemoryRank: h.memoryRank,
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 	"quetzalhook"
 	"quetzalhook/internal/state/timing"
 	"quetzalhook/internal/traffic/notice"
+	"quetzalhook/internal/traffic/reach"
 	"quetzalhook/internal/traffic/schedule"
 	"quetzalhook/internal/traffic/speed"
 	"quetzalhook/internal/traffic/throttle"
@@ -73,6 +74,8 @@
 	Evacuated func(quetzalhook.Zone) bool
 	// Notices holds what upstreams ask of this host; nil for one of its own.
 	Notices *notice.Notices
+	// Reach knows to which engines this host could not open connections; nil for none.
+	Reach *reach.Tracker
 	// Starts knows which engines are cold; nil for none. Cold limits the requests to them
 	// and is nil if no bound is set.
 	Starts quetzalhook.Starts
@@ -142,6 +145,9 @@
 // New returns a dispatcher and registers its handlers with peers. The periodic
 // work does not run before Start.
 func New(settings Settings, peers quetzalhook.Peers, clock quetzalhook.Clock, log logrus.FieldLogger) *Dispatcher {
+	if settings.Reach == nil {
+		settings.Reach = reach.New()
+	}
 	if settings.Notices == nil {
 		settings.Notices = notice.New()
 	}
--- a/internal/fleet/dispatcher/ticket.go
+++ b/internal/fleet/dispatcher/ticket.go
@@ -112,7 +112,7 @@
 	var forbiddenKind quetzalhook.RefuseKind
 	for unusable < maxUnusable && barred < maxBarred && forbidden < maxForbidden && late < maxLate {
 		t.request.UpdateScope()
-		t.request.Barred = t.dispatcher.settings.Notices.Barred(t.dispatcher.clock.Now())
+		t.request.Barred = t.dispatcher.barred()
 		if t.callerTimeout > 0 {
 			t.request.CallerTimeout = max(t.callerTimeout-t.dispatcher.clock.Now().Sub(t.submittedAt), time.Millisecond)
 		}
@@ -205,7 +205,7 @@
 
 const (
 	mayUse      use = iota
-	isBarred        // it leaves or pauses, by its own word, or is cold and the request not counted
+	isBarred        // it leaves or pauses, by its own word, could not be reached, or is cold and the request not counted
 	isLate          // it is cold, and the request was counted for an earlier time
 	isEvacuated     // its zone is evacuated, which the host that has placed it there does not know
 	isForbidden     // the request may not run in its region, or at its build
@@ -228,7 +228,7 @@
 		// The host that has placed it there does not know.
 		d.addEvent(d.groups.groupOf(u.ID), event{Cold: []coldNotice{{Upstream: u.ID, Started: u.Started, For: left}}})
 		return isBarred
-	case !d.settings.Notices.Take(now, u.ID, u.Started):
+	case d.settings.Reach.Avoids(now, u.ID, u.Started), !d.settings.Notices.Take(now, u.ID, u.Started):
 		return isBarred
 	}
 	return mayUse
@@ -238,6 +238,12 @@
 // not bound them.
 const maxUnsent = 8
 
+// barred returns the engines to which this host may or should send no request now.
+func (d *Dispatcher) barred() []quetzalhook.Bar {
+	now := d.clock.Now()
+	return append(d.settings.Notices.Barred(now), d.settings.Reach.Barred(now)...)
+}
+
 // takeRetry takes an attempt from the retry budget. The first attempt of a request that is
 // sent always is allowed and takes nothing; the time is zero then.
 func (t *ticket) takeRetry() (takenAt time.Time, err error) {
--- a/internal/fleet/dispatcher/unsent_test.go
+++ b/internal/fleet/dispatcher/unsent_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"quetzalhook"
+	"quetzalhook/internal/traffic/reach"
 )
 
 // Guards against attempts that were never sent and use up the retry budget, against
@@ -112,3 +115,45 @@
 		}
 	})
 }
+
+// Guards against requests of a host that the leader goes on placing at an engine which the
+// host does not reach, against other hosts that avoid it, and against a host that avoids it
+// for ever.
+func TestUnreachedEngineIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := reach.New()
+		c := newTestCluster(t, func(s *Settings) {
+			if s.Host == "h1" {
+				s.Reach = tracker
+			}
+		})
+		defer c.close()
+		c.engines(2, 64)
+		placed := func(host string) (ids []quetzalhook.UpstreamID) {
+			for i := range 8 {
+				ticket := c.submit(host, host+strconv.Itoa(i)+time.Now().String(), time.Second)
+				defer ticket.Close()
+				a, err := ticket.Next(context.Background())
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !slices.Contains(ids, a.Upstream.ID) {
+					ids = append(ids, a.Upstream.ID)
+				}
+			}
+			slices.Sort(ids)
+			return ids
+		}
+		tracker.Failed(time.Now(), "e0", 0)
+		if got := placed("h1"); slices.Contains(got, "e0") {
+			t.Errorf("h1: got %v, want no e0", got)
+		}
+		if got := placed("h2"); !slices.Contains(got, "e0") {
+			t.Errorf("h2: got %v, want e0 too", got)
+		}
+		time.Sleep(5 * time.Second)
+		if got := placed("h1"); !slices.Contains(got, "e0") {
+			t.Errorf("h1, later: got %v, want e0 too", got)
+		}
+	})
+}
--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -16,6 +16,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/traffic/notice"
+	"quetzalhook/internal/traffic/reach"
 	"quetzalhook/internal/traffic/reliability"
 	"quetzalhook/internal/traffic/speed"
 	"quetzalhook/internal/traffic/throttle"
@@ -58,6 +59,7 @@
 	random    *rand.Rand
 	limits    *throttle.Limits
 	notices   *notice.Notices
+	reach     *reach.Tracker
 	speeds    map[string]*speed.Service // by service
 }
 
@@ -70,10 +72,13 @@
 // WithNotices sets what upstreams ask of this host.
 func WithNotices(n *notice.Notices) Option { return func(b *Balancer) { b.notices = n } }
 
+// WithReach sets the record of upstreams to which this host could not open connections.
+func WithReach(t *reach.Tracker) Option { return func(b *Balancer) { b.reach = t } }
+
 // New returns a balancer for a host in a region; random breaks ties.
 func New(region quetzalhook.Region, random *rand.Rand, opts ...Option) *Balancer {
 	b := &Balancer{
-		region: region, random: random, limits: throttle.New(), notices: notice.New(),
+		region: region, random: random, limits: throttle.New(), notices: notice.New(), reach: reach.New(),
 		upstreams: make(map[quetzalhook.UpstreamID]*upstream), services: make(map[string][]*upstream),
 		speeds: make(map[string]*speed.Service),
 	}
@@ -120,7 +125,7 @@
 		if u.info.Region != b.region {
 			cost += crossRegionCost
 		}
-		if u.record.IsAvoided(now) {
+		if u.record.IsAvoided(now) || b.reach.Avoids(now, u.info.ID, u.info.Started) {
 			cost += avoidedCost
 		}
 		cost += failureCost * u.record.FailureProbability(now)
--- a/internal/traffic/balance/unsent_test.go
+++ b/internal/traffic/balance/unsent_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quetzalhook"
+	"quetzalhook/internal/traffic/reach"
 )
 
 // countingBudget allows a number of retries.
@@ -79,3 +80,22 @@
 		t.Errorf("got a probability of failures of %v and %d open calls, want none", u.record.FailureProbability(now), u.inFlight)
 	}
 }
+
+// Guards against calls to an upstream that this host does not reach while another is free,
+// and against calls that are refused since it reaches none.
+func TestUnreachedUpstreamIsAvoided(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := reach.New()
+	b := New("r", rand.New(rand.NewPCG(1, 1)), WithReach(tracker))
+	b.SetUpstreams([]quetzalhook.Upstream{{ID: "a", Service: "s", Region: "r", Slots: 4}, {ID: "b", Service: "s", Region: "other", Slots: 4}})
+	tracker.Failed(now, "a", 0)
+	for range 8 {
+		if u, _ := b.Choose(now, "s", quetzalhook.Scope{}, nil); u.ID != "b" {
+			t.Errorf("got %q, want b", u.ID)
+		}
+	}
+	tracker.Failed(now, "b", 0)
+	if _, ok := b.Choose(now, "s", quetzalhook.Scope{}, nil); !ok {
+		t.Error("no upstream is chosen")
+	}
+}
