gateway, host: forward requests while the host reaches no upstreams

Callers of a host that had lost its paths to upstreams got 503, although other hosts served, and their callers go on using it as long as it answers.

A host that is cut off, or whose request has met two upstreams that it does not reach, sends the request to another host that reaches upstreams: near ones first, then by the requests that it has open there. The other host runs the whole path of a request (key, route, limits, dispatch) and never forwards it again. It listens with mutual TLS on the TCP port of the address for calls.

- The time left, the upstreams that may still run it, the build of its stream and whether its usage was counted pass along.
The other host marks its own errors, with their outcome: after an unknown one the request is not sent again, unless it is repeatable, and the caller gets 502 or 504.
- Responses pass on as they arrive; one that breaks is cut.
A caller that leaves closes the connection to the other host, which ends the work.
- Up to three hosts are tried.
If none can serve, the host goes on as before.

--- a/internal/entry/budget/plan.go
+++ b/internal/entry/budget/plan.go
@@ -15,9 +15,9 @@
 	upstreamFDs = 0.35
 	// otherFDs is the share of each of the other listeners.
 	otherFDs = 0.03
-	// otherListeners is the number of listeners that serve no requests: directory,
-	// readiness and metrics.
-	otherListeners = 3
+	// otherListeners is the number of listeners that serve no callers' requests: directory,
+	// readiness, metrics and that for forwarded requests.
+	otherListeners = 4
 	// defaultFDs is assumed if the number of descriptors is not known. It is so large
 	// that the memory bounds the connections: a deployment that does not tell its limit
 	// must not lose connections that it has served so far.
@@ -45,7 +45,7 @@
 	// Connections is the number of connections that callers may have open, and Upstream
 	// the number of those to upstreams.
 	Connections, Upstream int
-	// Other is the number of connections to each listener that serves no requests.
+	// Other is the number of connections to each listener that serves no callers.
 	Other int
 }
 
--- a/internal/entry/connection/dial.go
+++ b/internal/entry/connection/dial.go
@@ -11,6 +11,7 @@
 
 import (
 	"cmp"
+	"crypto/tls"
 	"net"
 	"syscall"
 	"time"
@@ -24,6 +25,8 @@
 	// time after which TCP resends a lost SYN packet, at least 1 s, because another
 	// upstream is then the better choice.
 	dialTimeout = 400 * time.Millisecond
+	// handshakeTimeout bounds the TLS handshake with a host.
+	handshakeTimeout = time.Second
 	// keepAliveIdle, keepAliveInterval and keepAliveCount close a connection about
 	// 3 s after the last packet from the peer.
 	keepAliveIdle     = time.Second
@@ -71,6 +74,9 @@
 // peek returns the number of bytes, at most 1, that a read would return now. It
 // returns EAGAIN if the read would block, or if the connection cannot tell.
 func peek(c net.Conn) (int, error) {
+	if t, isTLS := c.(*tls.Conn); isTLS {
+		c = t.NetConn()
+	}
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return 0, unix.EAGAIN
--- a/internal/entry/connection/pool.go
+++ b/internal/entry/connection/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"math"
 	"net"
 	"slices"
@@ -39,6 +40,8 @@
 	// MaxConnections bounds this host's connections to the upstream; 0 means no
 	// limit.
 	MaxConnections int
+	// TLS is set for a host, to which requests are forwarded, and nil for an upstream.
+	TLS *tls.Config
 }
 
 // key identifies a group of connections. Connections are not shared between
@@ -203,8 +206,8 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", t.Address)
-	if err == nil || ctx.Err() == nil && !lacksResources(err) {
+	raw, err := p.connect(ctx, t)
+	if t.TLS == nil && (err == nil || ctx.Err() == nil && !lacksResources(err)) {
 		p.dialed(t, err)
 	}
 	if err != nil {
@@ -216,6 +219,22 @@
 	return &conn{Conn: raw, number: number, checked: checked, allowance: allowance, reader: bufio.NewReaderSize(allowance, readBufferSize)}, nil
 }
 
+// connect opens a connection to a target.
+func (p *Pool) connect(ctx context.Context, t Target) (net.Conn, error) {
+	raw, err := p.dialer.DialContext(ctx, "tcp", t.Address)
+	if err != nil || t.TLS == nil {
+		return raw, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	c := tls.Client(raw, t.TLS)
+	if err := c.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
 // Open opens a connection to an upstream and keeps it for later requests.
 func (p *Pool) Open(ctx context.Context, t Target) error {
 	c, err := p.dial(ctx, t)
--- a/internal/entry/gateway/error.go
+++ b/internal/entry/gateway/error.go
@@ -36,6 +36,9 @@
 	// ErrorRegion reports that no upstream in the regions in which the request may run
 	// can serve it.
 	ErrorRegion ErrorKind = "region"
+	// ErrorNoPath reports that the host reaches no upstreams, and that the request was
+	// forwarded by another one.
+	ErrorNoPath ErrorKind = "no-path"
 	// ErrorTimeout reports that the timeout of the route or of the caller has
 	// passed.
 	ErrorTimeout ErrorKind = "timeout"
@@ -93,14 +96,18 @@
 	return false
 }
 
-// writeError writes an error response. Its outcome is unknown for a status from
-// 500 on that does not imply that the request has not run.
-func writeError(w http.ResponseWriter, e *Error, id quetzalhook.RequestID) {
-	outcome := quetzalhook.OutcomeNotRun
-	if e.Status >= http.StatusInternalServerError && !impliesNotRun(e.Status) {
-		outcome = quetzalhook.OutcomeUnknown
+// outcomeOf returns the outcome of an own error: unknown for a status from 500 on that does
+// not imply that the request has not run.
+func outcomeOf(status int) quetzalhook.Outcome {
+	if status >= http.StatusInternalServerError && !impliesNotRun(status) {
+		return quetzalhook.OutcomeUnknown
 	}
-	body, err := json.Marshal(errorBody{Error: errorDetail{Kind: e.Kind, Message: e.Message, Outcome: outcome, RequestID: id}})
+	return quetzalhook.OutcomeNotRun
+}
+
+// writeError writes an error response.
+func writeError(w http.ResponseWriter, e *Error, id quetzalhook.RequestID) {
+	body, err := json.Marshal(errorBody{Error: errorDetail{Kind: e.Kind, Message: e.Message, Outcome: outcomeOf(e.Status), RequestID: id}})
 	if err != nil {
 		body = nil // the status alone still tells the kind of failure
 	}
--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -26,6 +26,7 @@
 	r       *http.Request
 	start   time.Time
 	conn    *caller.Conn // of the caller; nil if the server is not attached
+	hop     *hop         // from the host that has forwarded the request; nil if it came from its caller
 
 	table    *routing.Table
 	route    *routing.Route
@@ -42,7 +43,11 @@
 	body       [][]byte
 	header     http.Header // request headers that upstreams receive
 
+	isForwarded    bool               // it was sent to other hosts
+	forwardedTo    quetzalhook.HostID // that has answered; empty if none has
 	attempts       int
+	unsent         int                 // of them, those of which no byte was sent
+	unreached      int                 // of these, those to upstreams that could not be reached
 	runs           int                 // that an upstream may have begun; a moved run counts once
 	attempt        quetzalhook.Attempt // the latest one
 	eventsBefore   int                 // events that earlier attempts received
@@ -102,6 +107,9 @@
 		}
 		x.customer, x.weight = owner.ID, owner.Weight
 	}
+	if x.hop != nil {
+		x.inbound.CallerTimeout = x.hop.timeout
+	}
 	x.regions = routing.Regions(x.route, owner)
 	x.class = quetzalhook.NewClass(quetzalhook.ClassName(x.route.Name), x.table.Tier(x.route, owner),
 		quetzalhook.WithTTFTTarget(x.route.LatencyTarget), quetzalhook.WithGapTarget(x.route.GapTarget))
@@ -183,12 +191,19 @@
 
 // request returns the request as the dispatcher receives it.
 func (x *exchange) request() quetzalhook.Request {
-	return quetzalhook.Request{
+	r := quetzalhook.Request{
 		ID: x.inbound.ID, Customer: x.customer, Weight: x.weight, Class: x.class, Model: x.inbound.Model, Service: x.service.Name,
 		PromptTokens: x.inbound.PromptTokens, MaxTokens: x.inbound.MaxTokens, LengthHint: x.inbound.LengthHint, Parts: x.inbound.Parts,
 		Region: x.gateway.deps.Region, Repeatable: x.route.IsRepeatable(), CallerTimeout: x.timeout, Attempts: x.route.Attempts,
 		Regions: x.regions, Allowed: x.allowed, Build: x.startBuild, BuildNow: x.build,
 	}
+	if x.hop != nil {
+		r.Repeat = x.hop.repeat
+		if x.hop.attempts > 0 {
+			r.Attempts = x.hop.attempts
+		}
+	}
+	return r
 }
 
 // streamID returns the ID of the request that began, or begins, the stream; empty if the
@@ -208,7 +223,7 @@
 // chooseBuild sets the build that begins the answer. A stream that its caller takes up must
 // go on at the build that began it, which may have been at any host.
 func (x *exchange) chooseBuild() error {
-	if !x.hasBuilds() {
+	if !x.hasBuilds() || x.startBuild != "" {
 		return nil
 	}
 	builds, id := x.gateway.deps.Builds, x.streamID()
@@ -295,6 +310,12 @@
 	if x.rateLimit > 0 {
 		fields["upstream-limit"] = x.rateLimit
 	}
+	if x.forwardedTo != "" {
+		fields["forwarded-to"] = x.forwardedTo
+	}
+	if x.hop != nil {
+		fields["forwarded"] = true
+	}
 	addBuild(fields, x.attempt.Upstream)
 	x.addConnFields(fields)
 	if err == nil {
@@ -319,6 +340,9 @@
 		// A response that was begun must not look complete.
 		panic(http.ErrAbortHandler)
 	}
+	if x.hop != nil {
+		hopEnd{outcome: outcomeOf(e.Status), kind: e.Kind}.write(x.w.Header())
+	}
 	writeError(x.w, e, x.inbound.ID)
 }
 
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -72,6 +72,9 @@
 	// Reaching returns a context that ends when the host reaches no upstreams any more; nil
 	// if that is not known.
 	Reaching func() context.Context
+	// Peers chooses the hosts that serve requests while this one reaches no upstreams; nil
+	// if requests are not forwarded.
+	Peers Peers
 	// StallLimit is the shortest time without an event after which a stream is ended,
 	// or resumed at another engine; 0 means DefaultStallLimit. Classes with long
 	// targets get a longer limit.
@@ -150,10 +153,13 @@
 func (g *Gateway) Open() int { return int(g.open.Load()) }
 
 // ServeHTTP implements http.Handler.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.serve(w, r, nil) }
+
+// serve handles a request, which another host has forwarded if p is not nil.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, p *hop) {
 	g.open.Add(1)
 	defer g.open.Add(-1)
-	x := &exchange{gateway: g, w: w, r: r, start: g.deps.Clock.Now()}
+	x := &exchange{gateway: g, w: w, r: r, hop: p, start: g.deps.Clock.Now()}
 	x.conn = caller.FromContext(r.Context())
 	if x.conn != nil {
 		x.conn.CountRequest()
--- a/internal/entry/gateway/protocol_test.go
+++ b/internal/entry/gateway/protocol_test.go
@@ -42,6 +42,8 @@
 
 func (testProtocol) AnswerHeaders(h http.Header) http.Header { return without(h, connectionHeaders) }
 
+func (testProtocol) PeerHeaders(h http.Header) http.Header { return without(h, connectionHeaders) }
+
 func without(h http.Header, names []string) http.Header {
 	kept := h.Clone()
 	for _, name := range names {
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -31,17 +31,37 @@
 func (x *exchange) relay(ctx context.Context) error {
 	x.ctx = ctx
 	x.stream.events.protocol = x.gateway.deps.Protocol
+	if x.hop != nil {
+		x.applyHop()
+	}
 	if x.route.IsRepeatable() {
 		x.stream.events.continueAfter(x.inbound.LastEvent)
 	}
-	if err := x.chooseBuild(); err != nil {
-		return err
+	buildErr := x.chooseBuild()
+	if x.gateway.isCutOff() {
+		if x.hop != nil {
+			return &Error{Op: "accept", Kind: ErrorNoPath, Status: http.StatusServiceUnavailable, Message: "the host reaches no upstreams"}
+		}
+		if x.mayForward() {
+			if done, err := x.forward(ctx); done {
+				return err
+			}
+		}
+	}
+	if buildErr != nil {
+		return buildErr
 	}
 	ticket := x.gateway.deps.Dispatcher.Submit(ctx, x.request())
 	defer func() { ticket.Close() }()
 	var last error
 	for {
-		attempt, err := x.nextAttempt(ctx, ticket)
+		attempt, err := x.awaitAttempt(ctx, ticket)
+		if err == errCutOff {
+			if done, err := x.forward(ctx); done {
+				return err
+			}
+			continue
+		}
 		if err != nil {
 			return x.endWithoutAttempt(err, last)
 		}
@@ -64,6 +84,11 @@
 		last = err
 		x.gateway.deps.Log.WithFields(x.failureFields()).WithField("end", end.End).WithField("not-run", end.Verdict.NotRun).
 			WithError(err).Info("attempt failed")
+		if x.mayForward() && (x.unreached >= maxUnreached || x.gateway.isCutOff()) {
+			if done, err := x.forward(ctx); done {
+				return err
+			}
+		}
 	}
 }
 
@@ -75,9 +100,6 @@
 	return errors.As(err, &e) && !e.Local && (e.Kind == connection.ErrorNotSent || e.Kind == connection.ErrorBroken)
 }
 
-// isCutOff reports whether the host reaches no upstreams.
-func (g *Gateway) isCutOff() bool { return g.deps.Reaching().Err() != nil }
-
 // endWithoutAttempt ends a request that gets no further attempt. It writes the
 // buffered error response of an earlier upstream if there is one and no stream has
 // begun, and otherwise returns the error to report.
@@ -115,6 +137,10 @@
 		if errors.As(err, &e) {
 			if e.Kind != connection.ErrorBroken {
 				end := quetzalhook.AttemptEnd{End: quetzalhook.EndNotSent, Unsent: true}
+				x.unsent++
+				if e.Kind == connection.ErrorNotSent && !e.Local {
+					x.unreached++
+				}
 				end.Verdict.NotRun = e.Kind == connection.ErrorLate // the upstream has not failed
 				return end, err
 			}
@@ -218,7 +244,7 @@
 	h := x.header.Clone()
 	deps.Protocol.Encode(h, quetzalhook.Outbound{
 		Customer: x.customer, Upstream: a.Upstream.ID, CallerTimeout: x.timeout - x.elapsed(), Urgency: a.Urgency,
-		HasUrgency: x.service.Engine != nil, LastEvent: string(x.stream.events.lastID), Source: a.Source, KVHandle: x.kvHandle,
+		HasUrgency: x.service.Engine != nil, LastEvent: x.lastEvent(), Source: a.Source, KVHandle: x.kvHandle,
 	})
 	target := connection.Target{
 		ID: a.Upstream.ID, Address: a.Upstream.Address, Started: a.Upstream.Started, MaxConnections: x.gateway.connectionLimit(x.service),
@@ -229,6 +255,15 @@
 	})
 }
 
+// lastEvent returns the last event that the caller has received in this response; empty if
+// there is none.
+func (x *exchange) lastEvent() string {
+	if len(x.stream.events.lastID) == 0 && x.hop != nil {
+		return x.hop.lastEvent
+	}
+	return string(x.stream.events.lastID)
+}
+
 // countUsage counts the request as usage of its customer, once.
 func (x *exchange) countUsage() {
 	if !x.usageCounted && x.customer != "" {
@@ -247,6 +282,7 @@
 
 func (b *bufferedResponse) writeTo(x *exchange) error {
 	copyHeader(x.w.Header(), x.gateway.deps.Protocol.AnswerHeaders(b.header))
+	x.writeHop()
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
 	x.w.WriteHeader(b.status)
 	_, err := callerWriter{x.w}.Write(b.body)
@@ -317,6 +353,7 @@
 // copyLongBody passes on a response of which prefix has been read.
 func (x *exchange) copyLongBody(resp *connection.Response, prefix []byte) error {
 	copyHeader(x.w.Header(), x.gateway.deps.Protocol.AnswerHeaders(resp.Header))
+	x.writeHop()
 	if resp.Length >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
--- a/internal/entry/gateway/stall.go
+++ b/internal/entry/gateway/stall.go
@@ -29,6 +29,17 @@
 	return max(minimum, stallLatencyFactor*class.TTFTTarget(), stallGapFactor*class.GapTarget()) + stallMargin
 }
 
+// forwardedStallFactor multiplies the limit of a stream that another host resumes itself.
+const forwardedStallFactor = 2
+
+func (x *exchange) stallLimit() time.Duration {
+	limit := stallLimit(x.gateway.deps.StallLimit, x.class)
+	if x.isForwarded {
+		limit *= forwardedStallFactor
+	}
+	return limit
+}
+
 // stallWatch closes the body of a streamed response when no event arrives within
 // the limit. Bytes that are no event do not extend it, and the time in which a
 // slow caller takes the events does not count.
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -41,7 +41,7 @@
 	control := http.NewResponseController(x.w)
 	var pending []byte
 	buffer := make([]byte, readSize)
-	stall := watchStall(resp.Body, stallLimit(x.gateway.deps.StallLimit, x.class))
+	stall := watchStall(resp.Body, x.stallLimit())
 	defer stall.stop()
 	events := &x.stream.events
 	events.startUpstream()
@@ -120,6 +120,7 @@
 	if !x.stream.headerSent {
 		x.countUsage()
 		copyHeader(x.w.Header(), x.gateway.deps.Protocol.AnswerHeaders(resp.Header))
+		x.writeHop()
 		x.stream.headerSent, x.stream.build = true, x.attempt.Upstream.Build
 		x.recordBuild()
 		x.w.WriteHeader(resp.Status)
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -107,6 +107,8 @@
 	usageReporter     *invoice.Reporter
 	upstreamOrders    *provisioner.Provisioner
 	gateway           *gateway.Gateway
+	peerChoice        *peerChoice
+	peerServer        *http.Server
 	plan              budget.Plan
 	callerMemory      *caller.Memory
 
@@ -162,9 +164,10 @@
 	if err := h.assembleDuties(); err != nil {
 		return nil, err
 	}
+	h.peerChoice = newPeerChoice(settings.Zone, settings.Region, h.members.Members, h.peers.ClientTLS, clock)
 	h.gateway = gateway.New(gateway.Deps{
 		Tables: h.follower, Protocol: adapter.Protocol, Dispatcher: h, Pool: h.pool, HostCount: h.hostCount,
-		Reaching: h.reach.Reaching, Mover: adapter.Mover, Builds: h.builds, Usable: h.follower.IsUsable, DefaultLeaveTime: time.Duration(settings.LeaveMS) * time.Millisecond,
+		Reaching: h.reach.Reaching, Peers: h.peerChoice, Mover: adapter.Mover, Builds: h.builds, Usable: h.follower.IsUsable, DefaultLeaveTime: time.Duration(settings.LeaveMS) * time.Millisecond,
 		StallLimit: setting.Seconds(settings.StallS), Memory: h.callerMemory, Connections: h.plan.Connections,
 		CountUsage: h.usageCounter.Add, Observer: observer{h.meter}, Region: settings.Region, Clock: clock, Log: log,
 	})
@@ -252,6 +255,9 @@
 		ErrorLog: nil,
 	}
 	h.gateway.Attach(h.callerServer)
+	if err := h.servePeers(ctx); err != nil {
+		return err
+	}
 	directory := h.adapter.Directory(h.hosts, listTTL(h.settings))
 	for address, server := range map[string]*http.Server{
 		h.settings.Listen.Callers:           h.callerServer,
--- a/internal/entry/host/stop.go
+++ b/internal/entry/host/stop.go
@@ -49,7 +49,10 @@
 	if err := h.callerListener.Drain(ctx.Done()); err != nil {
 		h.log.WithError(err).Warn("connections may be reset while the listener closes")
 	}
+	var peers sync.WaitGroup
+	peers.Go(func() { h.drainPeers(ctx) })
 	err := h.gateway.CloseConns(ctx)
+	peers.Wait()
 	h.log.WithField("open", h.gateway.Open()).WithField("ms", h.clock.Now().Sub(times.Start).Milliseconds()).Info("host stopped")
 	select {
 	case <-left:
--- a/internal/fleet/peer/tls.go
+++ b/internal/fleet/peer/tls.go
@@ -90,6 +90,22 @@
 	}
 }
 
+// ClientTLS returns the TLS configuration for connections to a host besides those of
+// calls, and ServerTLS that for connections that other hosts open.
+func (s *Service) ClientTLS(host quetzalhook.HostID) *tls.Config {
+	return s.identity.plainConfig(host)
+}
+
+// ServerTLS is described at ClientTLS.
+func (s *Service) ServerTLS() *tls.Config { return s.identity.plainConfig("") }
+
+// plainConfig returns the TLS configuration without the protocol of calls.
+func (id identity) plainConfig(want quetzalhook.HostID) *tls.Config {
+	c := id.config(want)
+	c.NextProtos = nil
+	return c
+}
+
 // verify checks the certificate of the other side and returns the host that it
 // names.
 func (id identity) verify(state tls.ConnectionState) (quetzalhook.HostID, error) {
--- a/protocol.go
+++ b/protocol.go
@@ -107,6 +107,9 @@
 	// Forward returns the caller's headers without those that apply to one
 	// connection only, its key, and those that only a host may set.
 	Forward(h http.Header) http.Header
+	// PeerHeaders returns the caller's headers without those that apply to one connection
+	// only, for a host to which the request is forwarded.
+	PeerHeaders(h http.Header) http.Header
 	// Encode adds the headers for o to the forwarded headers.
 	Encode(h http.Header, o Outbound)
 	// AnswerID returns the ID of the request that an answer belongs to; empty if the
