schedule: barred requests do not hold up those behind them

An engine stayed idle, and requests that could use it waited, while more urgent requests of a host that bars the engine (which pauses or is not reached) came first: they set the tier that was looked at, and counted among the candidates. Since hosts bar engines that they do not reach, that may last for seconds.

They are passed over now, as those whose scope does not hold the engine are. TestBarredRequestsHoldUpNoOthers fails on the code before.

--- a/internal/traffic/schedule/engine.go
+++ b/internal/traffic/schedule/engine.go
@@ -86,6 +86,12 @@
 	return 0
 }
 
+// mayUse reports whether the scope of a request holds an engine that wants requests from its
+// host.
+func (r *requestState) mayUse(now time.Time, e *engine) bool {
+	return r.allows(e) && r.barredFor(now, e) == 0
+}
+
 // predictedOutput returns the expected number of output tokens.
 func predictedOutput(r quetzalhook.Request) int {
 	switch {
--- a/internal/traffic/schedule/path_test.go
+++ b/internal/traffic/schedule/path_test.go
@@ -50,3 +50,39 @@
 		}
 	}
 }
+
+// Guards against an engine that stays idle, and requests that wait for it, since more urgent
+// ones of a host that does not reach it come first.
+func TestBarredRequestsHoldUpNoOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New()
+	var list []quetzalhook.Upstream
+	for _, id := range []quetzalhook.UpstreamID{"a", "b"} {
+		list = append(list, quetzalhook.Upstream{ID: id, Address: string(id), Service: "s", Models: []quetzalhook.Model{"m"}, Slots: 1})
+	}
+	s.SetUpstreams(now, list)
+	submit := func(id quetzalhook.RequestID, class quetzalhook.Class, barred ...quetzalhook.UpstreamID) []Decision {
+		r := quetzalhook.Request{ID: id, Service: "s", Model: "m", PromptTokens: 100, MaxTokens: 10, Class: class, CallerTimeout: 20 * time.Second}
+		for _, u := range barred {
+			r.Barred = append(r.Barred, quetzalhook.Bar{Upstream: u, For: 4 * time.Second})
+		}
+		return s.Submit(now, r)
+	}
+	running := make(map[quetzalhook.UpstreamID]quetzalhook.RequestID)
+	for _, id := range []quetzalhook.RequestID{"1", "2"} {
+		for _, d := range submit(id, digest) {
+			running[d.Upstream.ID] = id
+		}
+	}
+	for i := range maxCandidates + 1 {
+		if d := submit(quetzalhook.RequestID("barred-"+string(rune('a'+i))), draft, "a"); len(d) > 0 {
+			t.Fatalf("got %v, want no decision while the engines are full", d)
+		}
+	}
+	submit("free", digest)
+	now = now.Add(100 * time.Millisecond)
+	decisions := s.End(now, running["a"], quetzalhook.AttemptEnd{End: quetzalhook.EndFinished})
+	if len(decisions) != 1 || decisions[0].Request != "free" || decisions[0].Upstream.ID != "a" {
+		t.Errorf("got %v, want the request that may use the engine", decisions)
+	}
+}
--- a/internal/traffic/schedule/schedule.go
+++ b/internal/traffic/schedule/schedule.go
@@ -668,6 +668,11 @@
 	for len(p.waiting.requests) > 0 {
 		best, at, least := placement{}, -1, math.Inf(1)
 		head := p.waiting.firstFor(e)
+		for head >= 0 && !p.waiting.requests[head].mayUse(now, e) {
+			if head++; head == len(p.waiting.requests) {
+				return
+			}
+		}
 		if head < 0 {
 			return
 		}
@@ -692,7 +697,7 @@
 			if r.request.Class.Tier() != first.request.Class.Tier() || r.band != first.band {
 				break
 			}
-			if !r.allows(e) {
+			if !r.mayUse(now, e) {
 				continue
 			}
 			candidates++
