--- a/internal/entry/connection/pool.go
+++ b/internal/entry/connection/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"maps"
 	"math"
 	"net"
@@ -41,6 +42,8 @@
 	// MaxConnections bounds this host's connections to the upstream; 0 means no
 	// limit.
 	MaxConnections int
+	// TLS is set for a host, to which requests are forwarded, and nil for an upstream.
+	TLS *tls.Config
 }
 
 // key identifies a group of connections. Connections are not shared between
@@ -77,6 +80,7 @@
 	budget *intake.Budget   // of all open responses
 	limit  int              // of the connections to all upstreams; 0 means no limit
 	counts *response.Counts // of invalid responses
+	dialed func(Target, error)
 
 	mu     sync.Mutex
 	groups map[key]*group
@@ -107,9 +111,16 @@
 	return func(p *Pool) { p.counts = c }
 }
 
+// WithDialed sets a function that is called when a connection to an upstream was opened, or
+// with an error when it could not be opened. It is not called if this host gave up, or had
+// no resources for it.
+func WithDialed(f func(Target, error)) Option {
+	return func(p *Pool) { p.dialed = f }
+}
+
 // NewPool returns an empty pool.
 func NewPool(clock quetzalhook.Clock, opts ...Option) *Pool {
-	p := &Pool{clock: clock, dialer: NewDialer(), groups: make(map[key]*group), failed: make(map[string]int64), stop: make(chan struct{})}
+	p := &Pool{clock: clock, dialer: NewDialer(), groups: make(map[key]*group), failed: make(map[string]int64), stop: make(chan struct{}), dialed: func(Target, error) {}}
 	for _, o := range opts {
 		o(p)
 	}
@@ -212,14 +223,22 @@
 		}
 		p.discard(t.key(), c)
 	}
+	return p.dial(ctx, t)
+}
+
+// dial opens a new connection.
+func (p *Pool) dial(ctx context.Context, t Target) (*conn, error) {
 	number, err := p.reserve(t)
 	if err != nil {
 		return nil, err
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", t.Address)
+	raw, err := p.connect(ctx, t)
+	if t.TLS == nil && (err == nil || ctx.Err() == nil && !lacksResources(err)) {
+		p.dialed(t, err)
+	}
 	if err != nil {
 		p.release(t.key())
-		if ctx.Err() == nil {
+		if t.TLS == nil && ctx.Err() == nil {
 			p.countFailed(err)
 		}
 		return nil, &Error{Op: "dial", Kind: ErrorNotSent, Upstream: t.ID, Local: ctx.Err() != nil, Err: err}
@@ -229,6 +248,32 @@
 	return &conn{Conn: raw, number: number, checked: checked, allowance: allowance, reader: bufio.NewReaderSize(allowance, readBufferSize)}, nil
 }
 
+// connect opens a connection to a target.
+func (p *Pool) connect(ctx context.Context, t Target) (net.Conn, error) {
+	raw, err := p.dialer.DialContext(ctx, "tcp", t.Address)
+	if err != nil || t.TLS == nil {
+		return raw, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	c := tls.Client(raw, t.TLS)
+	if err := c.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// Open opens a connection to an upstream and keeps it for later requests.
+func (p *Pool) Open(ctx context.Context, t Target) error {
+	c, err := p.dial(ctx, t)
+	if err != nil {
+		return err
+	}
+	p.put(t.key(), c, maxIdleTime)
+	return nil
+}
+
 // takeIdle removes the most recently used idle connection whose number is not among
 // excluded from the pool and returns it, or nil if there is none.
 func (p *Pool) takeIdle(k key, excluded []int64) *conn {
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -43,6 +43,7 @@
 	"quetzalhook/internal/state/timing"
 	"quetzalhook/internal/traffic/balance"
 	"quetzalhook/internal/traffic/notice"
+	"quetzalhook/internal/traffic/reach"
 	"quetzalhook/internal/traffic/retry"
 	"quetzalhook/internal/traffic/schedule"
 	"quetzalhook/internal/traffic/throttle"
@@ -93,6 +94,7 @@
 	follower          *routing.Follower
 	notices           *notice.Notices
 	cold              coldLimits
+	reach             *reach.Tracker
 	pool              *connection.Pool
 	serviceDispatcher *balance.Dispatcher
 	engineDispatcher  *dispatcher.Dispatcher
@@ -105,6 +107,8 @@
 	usageReporter     *invoice.Reporter
 	upstreamOrders    *provisioner.Provisioner
 	gateway           *gateway.Gateway
+	peerChoice        *peerChoice
+	peerServer        *http.Server
 	plan              budget.Plan
 	callerMemory      *caller.Memory
 
@@ -135,13 +139,15 @@
 	h.plan = budget.NewPlan(settings.Memory(), settings.MaxFDs, false)
 	h.callerMemory = caller.NewMemory(h.plan, log)
 	h.assembleColdLimits()
-	h.pool = connection.NewPool(clock, connection.WithLimit(h.plan.Upstream), connection.WithBudget(intake.NewBudget(settings.Memory(), intake.AnswerShare)), connection.WithCounts(adapter.InvalidResponses))
+	h.reach = reach.New()
+	h.pool = connection.NewPool(clock, connection.WithLimit(h.plan.Upstream), connection.WithBudget(intake.NewBudget(settings.Memory(), intake.AnswerShare)), connection.WithCounts(adapter.InvalidResponses),
+		connection.WithDialed(h.recordDial))
 	budget := retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	h.serviceDispatcher = balance.NewDispatcher(balance.New(settings.Region, random, balance.WithLimits(throttle.New(throttle.WithRank(h.limitRank), throttle.WithCold(h.cold.services))), balance.WithNotices(h.notices)), budget, clock)
+	h.serviceDispatcher = balance.NewDispatcher(balance.New(settings.Region, random, balance.WithLimits(throttle.New(throttle.WithRank(h.limitRank), throttle.WithCold(h.cold.services))), balance.WithNotices(h.notices), balance.WithReach(h.reach)), budget, clock)
 	h.engineDispatcher = dispatcher.New(dispatcher.Settings{
 		Host: settings.Host, Leader: h.leader, LimitRank: h.limitRank, Position: h.position, Usable: h.follower.IsUsable, Evacuated: h.follower.IsEvacuated,
-		Calls: h.serviceDispatcher, Notices: h.notices, Starts: h.startsOrNil(), Cold: h.cold.engines,
+		Calls: h.serviceDispatcher, Notices: h.notices, Reach: h.reach, Starts: h.startsOrNil(), Cold: h.cold.engines,
 		Budget: retry.New(settings.RetryRatio, settings.RetrySlack, setting.Seconds(settings.RetryWindowS), h.hostCount),
 		Caches: adapter.Caches, Settled: h.settled(cacheSettleTime),
 		Shortage: adapter.ShortageRules, KnownHosts: h.knownHosts, MemoryRank: h.memoryRank,
@@ -158,9 +164,10 @@
 	if err := h.assembleDuties(); err != nil {
 		return nil, err
 	}
+	h.peerChoice = newPeerChoice(settings.Zone, settings.Region, h.members.Members, h.peers.ClientTLS, clock)
 	h.gateway = gateway.New(gateway.Deps{
 		Tables: h.follower, Protocol: adapter.Protocol, Dispatcher: h, Pool: h.pool, HostCount: h.hostCount,
-		Mover: adapter.Mover, Builds: h.builds, Usable: h.follower.IsUsable, DefaultLeaveTime: time.Duration(settings.LeaveMS) * time.Millisecond,
+		Reaching: h.reach.Reaching, Peers: h.peerChoice, Mover: adapter.Mover, Builds: h.builds, Usable: h.follower.IsUsable, DefaultLeaveTime: time.Duration(settings.LeaveMS) * time.Millisecond,
 		StallLimit: setting.Seconds(settings.StallS), Memory: h.callerMemory, Connections: h.plan.Connections,
 		CountUsage: h.usageCounter.Add, Observer: observer{h.meter}, Region: settings.Region, Clock: clock, Log: log,
 	})
@@ -194,6 +201,7 @@
 		return map[string]int64{"failed": failed, "answers": answers, "answered-bytes": bytes}
 	})
 	h.meter.Publish("store-age-ms", func() any { return h.follower.StoreAge().Milliseconds() })
+	h.meter.Publish("cut-off", func() any { return h.reach.IsCutOff() })
 	h.meter.Publish("upstreams-leaving", func() any { leaving, _ := h.notices.Counts(h.clock.Now()); return leaving })
 	h.meter.Publish("upstreams-paused", func() any { _, paused := h.notices.Counts(h.clock.Now()); return paused })
 	h.callerMemory.Publish(h.meter.Publish)
@@ -247,11 +255,15 @@
 	h.dutyLease.Start()
 	h.wg.Go(func() { h.runDuties(ctx) })
 	h.wg.Go(func() { h.followUpstreams(ctx) })
+	h.wg.Go(func() { h.checkReach(ctx) })
 	h.callerServer = &http.Server{
 		Handler: h.gateway, ReadHeaderTimeout: longHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: nil,
 	}
 	h.gateway.Attach(h.callerServer)
+	if err := h.servePeers(ctx); err != nil {
+		return err
+	}
 	directory := h.adapter.Directory(h.hosts, listTTL(h.settings))
 	for address, server := range map[string]*http.Server{
 		h.settings.Listen.Callers:           h.callerServer,
@@ -426,7 +438,7 @@
 	h.observePlaces()
 	table, upstreams := h.follower.Versions()
 	return member.Report{
-		Draining: h.draining.Load(), Unready: !h.hasTable(), ConfigVersion: table, UpstreamVersion: upstreams,
+		Draining: h.draining.Load(), Unready: !h.hasTable(), CutOff: h.reach.IsCutOff(), ConfigVersion: table, UpstreamVersion: upstreams,
 		EvacuationVersion: h.follower.EvacuationVersion(), SplitVersion: h.follower.SplitVersion(),
 		StoreAge: h.follower.StoreAge(), Eligible: h.eligibleRoles(), Active: h.activeRoles(),
 	}
--- a/internal/fleet/dispatcher/ticket.go
+++ b/internal/fleet/dispatcher/ticket.go
@@ -50,9 +50,12 @@
 	request       quetzalhook.Request
 	submittedAt   time.Time
 	callerTimeout time.Duration
-	attempts      int // so far; a repeated request starts with 1, for that of the original one
+	attempts      int // so far, but for those that were never sent; a repeated request starts with 1, for that of the original one
+	unsent        int // attempts that were never sent
 	possibleRuns  int // broken attempts, whose upstream may have run the request
 
+	takenAt time.Time // when the current attempt was taken from the retry budget; zero if it was not
+
 	// The fields below are guarded by Dispatcher.mu.
 	current        quetzalhook.UpstreamID
 	started        int64     // start of the current upstream
@@ -83,23 +86,33 @@
 	if err != nil {
 		return quetzalhook.Attempt{}, err
 	}
+	t.takenAt = takenAt
 	a, err := t.next(ctx)
-	if err != nil && !takenAt.IsZero() {
-		d := t.dispatcher
-		d.mu.Lock()
-		d.budget.Return(d.clock.Now(), takenAt, t.request.Service)
-		d.mu.Unlock()
+	if err != nil {
+		t.returnRetry()
 	}
 	return a, err
 }
 
+// returnRetry gives the current attempt back to the retry budget, if it was taken from it.
+func (t *ticket) returnRetry() {
+	if t.takenAt.IsZero() {
+		return
+	}
+	d := t.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget.Return(d.clock.Now(), t.takenAt, t.request.Service)
+	t.takenAt = time.Time{}
+}
+
 // next obtains an attempt that the retry budget allows.
 func (t *ticket) next(ctx context.Context) (quetzalhook.Attempt, error) {
 	unusable, barred, forbidden, late := 0, 0, 0, 0
 	var forbiddenKind quetzalhook.RefuseKind
 	for unusable < maxUnusable && barred < maxBarred && forbidden < maxForbidden && late < maxLate {
 		t.request.UpdateScope()
-		t.request.Barred = t.dispatcher.settings.Notices.Barred(t.dispatcher.clock.Now())
+		t.request.Barred = t.dispatcher.barred()
 		if t.callerTimeout > 0 {
 			t.request.CallerTimeout = max(t.callerTimeout-t.dispatcher.clock.Now().Sub(t.submittedAt), time.Millisecond)
 		}
@@ -192,7 +205,7 @@
 
 const (
 	mayUse      use = iota
-	isBarred        // it leaves or pauses, by its own word, or is cold and the request not counted
+	isBarred        // it leaves or pauses, by its own word, could not be reached, or is cold and the request not counted
 	isLate          // it is cold, and the request was counted for an earlier time
 	isEvacuated     // its zone is evacuated, which the host that has placed it there does not know
 	isForbidden     // the request may not run in its region, or at its build
@@ -215,15 +228,28 @@
 		// The host that has placed it there does not know.
 		d.addEvent(d.groups.groupOf(u.ID), event{Cold: []coldNotice{{Upstream: u.ID, Started: u.Started, For: left}}})
 		return isBarred
-	case !d.settings.Notices.Take(now, u.ID, u.Started):
+	case d.settings.Reach.Avoids(now, u.ID, u.Started), !d.settings.Notices.Take(now, u.ID, u.Started):
 		return isBarred
 	}
 	return mayUse
 }
 
-// takeRetry takes an attempt from the retry budget. The first attempt of a request always
-// is allowed and takes nothing; the time is zero then.
+// maxUnsent bounds the attempts of a request that are never sent. The retry budget does
+// not bound them.
+const maxUnsent = 8
+
+// barred returns the engines to which this host may or should send no request now.
+func (d *Dispatcher) barred() []quetzalhook.Bar {
+	now := d.clock.Now()
+	return append(d.settings.Notices.Barred(now), d.settings.Reach.Barred(now)...)
+}
+
+// takeRetry takes an attempt from the retry budget. The first attempt of a request that is
+// sent always is allowed and takes nothing; the time is zero then.
 func (t *ticket) takeRetry() (takenAt time.Time, err error) {
+	if t.unsent >= maxUnsent {
+		return takenAt, &quetzalhook.Refusal{Kind: quetzalhook.RefuseNoUpstream, RetryAfter: retryAfter}
+	}
 	if t.attempts == 0 {
 		return takenAt, nil
 	}
@@ -332,6 +358,11 @@
 	if e.End == quetzalhook.EndBroken {
 		t.possibleRuns++
 	}
+	if e.Unsent {
+		t.attempts--
+		t.unsent++
+		t.returnRetry()
+	}
 	if !slices.Contains(t.request.Tried, current) {
 		t.request.Tried = append(t.request.Tried, current)
 	}
@@ -352,7 +383,7 @@
 	group := d.groups.groupOf(current)
 	if current != "" {
 		d.events[group] = append(d.events[group], t.addObserved(event{
-			ID: t.request.ID, Tokens: e.Tokens, End: e.End, NotRun: e.Verdict.NotRun, Failed: e.Verdict.Failed, Moved: e.Verdict.Moved, Lost: e.Lost, Relieved: e.Relieved,
+			ID: t.request.ID, Tokens: e.Tokens, End: e.End, NotRun: e.Verdict.NotRun, Failed: e.Verdict.Failed, Moved: e.Verdict.Moved, Lost: e.Lost, Unsent: e.Unsent, NoPath: e.NoPath, Relieved: e.Relieved,
 		}))
 	}
 	d.mu.Unlock()
--- a/internal/traffic/schedule/schedule.go
+++ b/internal/traffic/schedule/schedule.go
@@ -507,6 +507,12 @@
 // the modelled cache if the prompt may not have been processed.
 func (s *Scheduler) recordOutcome(now time.Time, e *engine, r *requestState, end quetzalhook.AttemptEnd) {
 	served := end.End == quetzalhook.EndFinished && !end.Verdict.Failed
+	if isPathFault(e, r, end) {
+		if !r.hasFirstToken {
+			e.cache.invalidate(r.request.Parts)
+		}
+		return
+	}
 	if end.Lost {
 		s.limits.Lost(now, e.info.ID)
 	} else if end.End == quetzalhook.EndFinished {
@@ -537,6 +543,12 @@
 	}
 }
 
+// isPathFault reports whether an attempt failed since its host did not reach the engine,
+// which has not failed: the host reaches none, or another request got an answer meanwhile.
+func isPathFault(e *engine, r *requestState, end quetzalhook.AttemptEnd) bool {
+	return end.NoPath || end.Unsent && end.Lost && e.lastResponse.After(r.started)
+}
+
 // unregister removes a request from the scheduler and its engine or queue.
 func (s *Scheduler) unregister(r *requestState) {
 	delete(s.requests, r.request.ID)
@@ -656,6 +668,11 @@
 	for len(p.waiting.requests) > 0 {
 		best, at, least := placement{}, -1, math.Inf(1)
 		head := p.waiting.firstFor(e)
+		for head >= 0 && !p.waiting.requests[head].mayUse(now, e) {
+			if head++; head == len(p.waiting.requests) {
+				return
+			}
+		}
 		if head < 0 {
 			return
 		}
@@ -680,7 +697,7 @@
 			if r.request.Class.Tier() != first.request.Class.Tier() || r.band != first.band {
 				break
 			}
-			if !r.allows(e) {
+			if !r.mayUse(now, e) {
 				continue
 			}
 			candidates++
