reach: a host with half of its paths is rarely taken to be cut off

A check tried six upstreams and took the host to be cut off if all of them failed: with half of the paths lost that is one check in 64, each second, and its requests then take a hop for a second or two.

A check now tries twelve, the second six only if the first fail.

--- a/internal/entry/host/reach.go
+++ b/internal/entry/host/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,9 +55,22 @@
 	}
 }
 
-// openAny opens a connection to each upstream of a list, for later requests, and reports
-// whether that succeeded for one, or was not tried since there are enough connections.
+// batchSize is the number of connections that a check opens at the same time.
+const batchSize = 6
+
+// openAny opens connections to the upstreams of a list, for later requests, until one of a
+// batch is open. It reports whether one is, or was not tried since there are enough.
 func (h *Host) openAny(ctx context.Context, list []quetzalhook.Upstream) bool {
+	for batch := range slices.Chunk(list, batchSize) {
+		if h.openBatch(ctx, batch) {
+			return true
+		}
+	}
+	return false
+}
+
+// openBatch is openAny for upstreams that are tried at the same time.
+func (h *Host) openBatch(ctx context.Context, list []quetzalhook.Upstream) bool {
 	var opened sync.WaitGroup
 	results := make([]error, len(list))
 	for i, u := range list {
--- a/internal/traffic/reach/reach.go
+++ b/internal/traffic/reach/reach.go
@@ -33,8 +33,9 @@
 	suspectTime      = 3 * time.Second
 	// checkInterval is the shortest time between two checks.
 	checkInterval = time.Second
-	// checkedUpstreams is the number of upstreams that a check tries.
-	checkedUpstreams = 6
+	// checkedUpstreams is the number of upstreams that a check tries. With half of the
+	// paths lost, all of them fail in less than one of 100 checks.
+	checkedUpstreams = 12
 	// maxFailures bounds the upstreams whose failures are kept.
 	maxFailures = 256
 )
@@ -52,6 +53,7 @@
 	due chan struct{} // see Due
 
 	mu        sync.Mutex
+	random    *rand.Rand
 	failures  map[quetzalhook.UpstreamID]failure
 	opened    time.Time // when a connection was last opened
 	checkedAt time.Time
@@ -59,10 +61,19 @@
 	cutOff    context.CancelFunc
 }
 
+// Option sets one property of a Tracker.
+type Option func(*Tracker)
+
+// WithRandom sets the source by which the upstreams to check are chosen.
+func WithRandom(r *rand.Rand) Option { return func(t *Tracker) { t.random = r } }
+
 // New returns the tracker of a host that reaches its upstreams.
-func New() *Tracker {
-	t := &Tracker{due: make(chan struct{}, 1), failures: make(map[quetzalhook.UpstreamID]failure)}
+func New(opts ...Option) *Tracker {
+	t := &Tracker{random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), due: make(chan struct{}, 1), failures: make(map[quetzalhook.UpstreamID]failure)}
 	t.reaching, t.cutOff = context.WithCancel(context.Background())
+	for _, o := range opts {
+		o(t)
+	}
 	return t
 }
 
@@ -141,9 +152,9 @@
 	}
 	t.checkedAt = now
 	if isCutOff {
-		return sample(list, 1)
+		return t.sample(list, 1)
 	}
-	return sample(list, checkedUpstreams)
+	return t.sample(list, checkedUpstreams)
 }
 
 // Conclude ends a check that was begun at a given time, and in which all connections
@@ -159,11 +170,11 @@
 }
 
 // sample returns up to n random upstreams that take requests, of as many services as
-// possible: all upstreams of one may have failed.
-func sample(list []quetzalhook.Upstream, n int) []quetzalhook.Upstream {
+// possible: all upstreams of one may have failed. The caller holds t.mu.
+func (t *Tracker) sample(list []quetzalhook.Upstream, n int) []quetzalhook.Upstream {
 	byService := make(map[string][]quetzalhook.Upstream)
 	var services []string
-	for _, i := range rand.Perm(len(list)) {
+	for _, i := range t.random.Perm(len(list)) {
 		u := list[i]
 		if !u.IsOpen() {
 			continue
