gateway: a caller that leaves does not make other hosts avoided

Requests at a host without paths got 503 again: a forwarded request that ended because its caller left, or for want of a connection, made this host avoid the other one for 1 s, for all requests.

--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -120,7 +120,8 @@
 		if !errors.As(err, &e) || e.Kind == connection.ErrorBroken {
 			x.countRun()
 		}
-		return false, false, err
+		// What this host has ended, or has no place for, tells nothing of the other one.
+		return e != nil && (e.Local || e.Kind == connection.ErrorLimit), false, err
 	}
 	defer resp.Body.Close()
 	end := takeHopEnd(resp.Header)
