dispatcher: outdated events of a host do not end a forwarded request

The leader knows requests by their ID. The host that forwards a request reports the end of its own attempt up to 60 ms later; that ended the same request at the second host, so that its slot looked free for up to 1 s and the failure could be recorded at another engine. Events of a host that does not own the request any more are ignored.

--- a/internal/fleet/dispatcher/group_scheduler.go
+++ b/internal/fleet/dispatcher/group_scheduler.go
@@ -112,7 +112,7 @@
 func (s *groupScheduler) submit(owner quetzalhook.HostID, r quetzalhook.Request) *waiter {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if w := s.waiters[r.ID]; w != nil {
+	if w := s.waiters[r.ID]; w != nil && w.owner == owner {
 		return w
 	}
 	w := &waiter{owner: owner, ready: make(chan decision, 1)}
@@ -140,10 +140,19 @@
 	return <-w.ready
 }
 
+// isOwnedByOther reports whether a request was submitted by another host since: it was
+// forwarded, and later events of the first host are outdated.
+func (s *groupScheduler) isOwnedByOther(host quetzalhook.HostID, id quetzalhook.RequestID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	owner := s.owners[id]
+	return owner != "" && owner != host
+}
+
 // applyEvents updates the scheduler with the events that a host reports.
-func (s *groupScheduler) applyEvents(events []event) {
+func (s *groupScheduler) applyEvents(from quetzalhook.HostID, events []event) {
 	for _, e := range events {
-		if e.ID == "" {
+		if e.ID == "" || s.isOwnedByOther(from, e.ID) {
 			continue
 		}
 		s.observe(e.ID, e.EngineRequests, e.RateLimit, float64(e.WorkPercent)/100)
--- a/internal/fleet/dispatcher/sync.go
+++ b/internal/fleet/dispatcher/sync.go
@@ -71,7 +71,7 @@
 			d.settings.Starts.Observe(d.clock.Now(), c.Upstream, c.Started, c.For)
 		}
 	}
-	scheduler.applyEvents(events)
+	scheduler.applyEvents(from, events)
 }
 
 // call sends a message to a leader and decodes the answer into result unless it
