balance: a forwarded repeat counts as a retry

A call to a plain service that had been sent before it was forwarded was counted as a new request at the other host: it was free, and enlarged the budget. Found by a review; the test failed before.

--- a/internal/traffic/balance/dispatcher.go
+++ b/internal/traffic/balance/dispatcher.go
@@ -71,8 +71,13 @@
 	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.budget.Count(now, r.Service)
-	return &ticket{dispatcher: d, request: r, submitted: now}
+	t := &ticket{dispatcher: d, request: r, submitted: now}
+	if r.Repeat {
+		t.sent = 1
+	} else {
+		d.budget.Count(now, r.Service)
+	}
+	return t
 }
 
 // ticket is one submitted request.
