--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -72,7 +72,7 @@
 	case err != nil && ctx.Err() == nil && context.Cause(waiting) == errCutOff:
 		return a, errCutOff
 	case err == nil && x.gateway.isCutOff():
-		ticket.End(quetzalhook.AttemptEnd{End: quetzalhook.EndCallerGone, NoPath: true}) // says nothing of the upstream
+		ticket.End(quetzalhook.AttemptEnd{End: quetzalhook.EndCallerGone, Unsent: true, NoPath: true}) // says nothing of the upstream
 		return a, errCutOff
 	}
 	return a, err
