gateway: a host with an older configuration does not serve a forwarded request

A valid request got 404 at a host with the route, since the host to which it was forwarded did not have the configuration yet; it could also be handled as only an older one allows. The version by which the request was accepted passes along; a host with an older one answers that it has no configuration, and the next host is tried.

--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -88,6 +88,9 @@
 	if x.table == nil {
 		return rejection(http.StatusServiceUnavailable, ErrorNoTable, "the host has no configuration yet")
 	}
+	if x.hop != nil && int64(x.table.Version) < x.hop.table {
+		return rejection(http.StatusServiceUnavailable, ErrorNoTable, "the host has an older configuration than the one that got the request")
+	}
 	if x.r.URL.Path == "" || x.r.URL.Path[0] != '/' {
 		return rejection(http.StatusBadRequest, ErrorRequest, "the request target is not a path")
 	}
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -148,6 +148,7 @@
 func (x *exchange) forwardedHeader() http.Header {
 	left := x.timeout - x.elapsed()
 	p := hop{
+		table:   int64(x.table.Version),
 		timeout: left - min(hopMargin, time.Duration(hopShare*float64(left))), repeat: x.attempts > x.unsent || x.mayHaveRun, counted: x.usageCounted, build: x.build(),
 	}
 	if x.route.Attempts > 0 {
--- a/internal/entry/gateway/hop.go
+++ b/internal/entry/gateway/hop.go
@@ -12,6 +12,7 @@
 // upstream or a caller.
 const (
 	headerHopTimeout   = "Quetzalhook-Hop-Timeout" // what is left of the time, in ms
+	headerHopTable     = "Quetzalhook-Hop-Table"   // oldest version of the table that may serve it
 	headerHopAttempts  = "Quetzalhook-Hop-Attempts"
 	headerHopRepeat    = "Quetzalhook-Hop-Repeat"
 	headerHopCounted   = "Quetzalhook-Hop-Counted"
@@ -31,6 +32,7 @@
 // hop is what a host tells another one of a request that it forwards.
 type hop struct {
 	timeout   time.Duration     // for the answer
+	table     int64             // version by which the request was accepted
 	attempts  int               // bound on the upstreams that may run the request; 0 for that of the route
 	repeat    bool              // an upstream has got the request before
 	counted   bool              // its usage was counted
@@ -41,6 +43,7 @@
 // write adds the hop to the headers of a request.
 func (p hop) write(h http.Header) {
 	h.Set(headerHopTimeout, strconv.FormatInt(max(p.timeout.Milliseconds(), 1), 10))
+	h.Set(headerHopTable, strconv.FormatInt(p.table, 10))
 	h.Set(headerHopAttempts, strconv.Itoa(p.attempts))
 	for name, value := range map[string]string{
 		headerHopRepeat: formatFlag(p.repeat), headerHopCounted: formatFlag(p.counted), headerHopBuild: string(p.build), headerHopLastEvent: p.lastEvent,
@@ -63,12 +66,13 @@
 // hold none.
 func takeHop(h http.Header) (hop, bool) {
 	ms, err := strconv.ParseInt(h.Get(headerHopTimeout), 10, 64)
+	table, _ := strconv.ParseInt(h.Get(headerHopTable), 10, 64) // absent from hosts that do not tell it
 	attempts, attemptsErr := strconv.Atoi(h.Get(headerHopAttempts))
 	p := hop{
-		timeout: time.Duration(ms) * time.Millisecond, attempts: attempts, repeat: h.Get(headerHopRepeat) != "", counted: h.Get(headerHopCounted) != "",
+		timeout: time.Duration(ms) * time.Millisecond, table: table, attempts: attempts, repeat: h.Get(headerHopRepeat) != "", counted: h.Get(headerHopCounted) != "",
 		build: quetzalhook.Build(h.Get(headerHopBuild)), lastEvent: h.Get(headerHopLastEvent),
 	}
-	for _, name := range []string{headerHopTimeout, headerHopAttempts, headerHopRepeat, headerHopCounted, headerHopBuild, headerHopLastEvent} {
+	for _, name := range []string{headerHopTimeout, headerHopTable, headerHopAttempts, headerHopRepeat, headerHopCounted, headerHopBuild, headerHopLastEvent} {
 		h.Del(name)
 	}
 	return p, err == nil && attemptsErr == nil && ms > 0
