gateway: a host that loses its paths returns forwarded requests

A forwarded request that waited at a host as that lost its own paths got 503. It is answered with no-path now, and the first host tries the next one.

--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -58,10 +58,19 @@
 	return !x.stream.headerSent || !x.hasBuilds() || x.stream.build != ""
 }
 
+// mayReturn reports whether another host can still send a forwarded request elsewhere.
+func (x *exchange) mayReturn() bool { return x.hop != nil && !x.mayHaveRun }
+
+// noPath returns the error for a forwarded request that has not run, at a host that reaches
+// no upstreams.
+func noPath() error {
+	return rejection(http.StatusServiceUnavailable, ErrorNoPath, "the host reaches no upstreams")
+}
+
 // awaitAttempt waits for the next attempt. It returns errCutOff if the host reaches no
 // upstreams, and the request may be forwarded.
 func (x *exchange) awaitAttempt(ctx context.Context, ticket quetzalhook.Ticket) (quetzalhook.Attempt, error) {
-	if !x.mayForward() {
+	if !x.mayForward() && !x.mayReturn() {
 		return x.nextAttempt(ctx, ticket)
 	}
 	waiting, end := context.WithCancelCause(ctx)
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -40,7 +40,7 @@
 	buildErr := x.chooseBuild()
 	if x.gateway.isCutOff() {
 		if x.hop != nil {
-			return &Error{Op: "accept", Kind: ErrorNoPath, Status: http.StatusServiceUnavailable, Message: "the host reaches no upstreams"}
+			return noPath()
 		}
 		if x.mayForward() {
 			if done, err := x.forward(ctx); done {
@@ -56,6 +56,9 @@
 	var last error
 	for {
 		attempt, err := x.awaitAttempt(ctx, ticket)
+		if err == errCutOff && x.hop != nil {
+			return noPath()
+		}
 		if err == errCutOff {
 			if done, err := x.forward(ctx); done {
 				return err
@@ -84,6 +87,9 @@
 		last = err
 		x.gateway.deps.Log.WithFields(x.failureFields()).WithField("end", end.End).WithField("not-run", end.Verdict.NotRun).
 			WithError(err).Info("attempt failed")
+		if x.mayReturn() && x.gateway.isCutOff() {
+			return noPath()
+		}
 		if x.mayForward() && (x.unreached >= maxUnreached || x.gateway.isCutOff()) {
 			if done, err := x.forward(ctx); done {
 				return err
