gateway: the empty rest of a stream at another host is complete

A stream whose upstream broke after the last event, and that went on at another host, was cut off although nothing was missing. Found by a review; the test failed before.

--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -69,9 +69,12 @@
 			return brokenStream("the stream has what is no event", unsound)
 		case err == io.EOF && len(pending) > 0:
 			return brokenStream("the stream ended within an event or without one", errors.Errorf("%d bytes", len(pending)))
-		case err == io.EOF && events.upstream == 0 && !isEmptyRest(events, resp):
+		case err == io.EOF && events.upstream == 0 && !x.isEmptyRest(resp):
 			return brokenStream("the stream ended within an event or without one", nil)
 		case err == io.EOF:
+			if !x.stream.headerSent { // the rest of a stream that began at another host
+				x.beginStream(resp)
+			}
 			return nil
 		case err != nil:
 			return stall.explain(err)
@@ -109,8 +112,8 @@
 // isEmptyRest reports whether a response without events completes the stream: an
 // earlier upstream sent the last event and broke before the end. An end of the
 // connection does not tell that nothing is missing.
-func isEmptyRest(events *eventChecker, resp *connection.Response) bool {
-	return events.count > 0 && resp.Framed && isEventStream(resp.Header.Get("Content-Type"))
+func (x *exchange) isEmptyRest(resp *connection.Response) bool {
+	return (x.stream.events.count > 0 || x.hop != nil && x.hop.lastEvent != "") && resp.Framed && isEventStream(resp.Header.Get("Content-Type"))
 }
 
 // forwardEvents writes complete events to the caller, after the response header
@@ -118,12 +121,7 @@
 func (x *exchange) forwardEvents(control *http.ResponseController, ticket quetzalhook.Ticket, resp *connection.Response, events []byte) error {
 	x.recordTimes(x.gateway.deps.Clock.Now())
 	if !x.stream.headerSent {
-		x.countUsage()
-		copyHeader(x.w.Header(), x.gateway.deps.Protocol.AnswerHeaders(resp.Header))
-		x.writeHop()
-		x.stream.headerSent, x.stream.build = true, x.attempt.Upstream.Build
-		x.recordBuild()
-		x.w.WriteHeader(resp.Status)
+		x.beginStream(resp)
 	}
 	if _, err := (callerWriter{x.w}).Write(events); err != nil {
 		return err
@@ -135,6 +133,16 @@
 	return nil
 }
 
+// beginStream writes the header of a stream.
+func (x *exchange) beginStream(resp *connection.Response) {
+	x.countUsage()
+	copyHeader(x.w.Header(), x.gateway.deps.Protocol.AnswerHeaders(resp.Header))
+	x.writeHop()
+	x.stream.headerSent, x.stream.build = true, x.attempt.Upstream.Build
+	x.recordBuild()
+	x.w.WriteHeader(resp.Status)
+}
+
 // outputTokens returns the number of output tokens received. An event may hold several.
 func (x *exchange) outputTokens() int {
 	return x.stream.events.count * max(x.attempt.Upstream.EventTokens, 1)
