isolator: a host without paths does not take engines for crashed

Ends of a host without paths record no crash now. Before the host knows that it is cut off, records are still made (not mended). A forwarded repeat was marked as answered, so that a crash of its engine was missed: only streams that move are.

--- a/internal/fleet/isolator/ticket.go
+++ b/internal/fleet/isolator/ticket.go
@@ -34,9 +34,9 @@
 	if len(parts) == 0 {
 		return next
 	}
-	// A repeated request is a stream that moves to another engine: its answer has
+	// A stream that moves to another engine has an answer that has
 	// begun before.
-	return &ticket{Ticket: next, isolator: i, parts: parts, answered: r.Repeat}
+	return &ticket{Ticket: next, isolator: i, parts: parts, answered: r.Moving}
 }
 
 // Next implements quetzalhook.Ticket.
@@ -119,7 +119,7 @@
 func (t *ticket) End(e quetzalhook.AttemptEnd) {
 	t.Ticket.End(e)
 	switch {
-	case e.Verdict.Failed || e.Relieved:
+	case e.Verdict.Failed || e.Relieved || e.NoPath:
 	case e.End == quetzalhook.EndFinished:
 		t.markAnswered()
 	case e.End == quetzalhook.EndBroken && !t.answered && t.isStarting():
