member: tell the version of the splits in each heartbeat

A host that had been cut off for up to 3 s heard heartbeats without the sender's state as soon as the cut ended: the state is sent once when it changes, and otherwise once a second.

Heartbeats without the state now carry the version of the splits. TestHeartbeatAfterCutTellsSplitVersion failed before for each length of cut after which the next heartbeat has no state (250 ms, 500 ms and so on).

--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -349,6 +349,8 @@
 	}
 	if m.State != nil {
 		p.hostState, p.hasState = *m.State, true
+	} else if m.SplitVersion > 0 {
+		p.hostState.SplitVersion = m.SplitVersion
 	}
 	p.demand.merge(now, m.InFlight, m.Used)
 	for _, profile := range m.Profiles {
--- a/internal/fleet/member/message.go
+++ b/internal/fleet/member/message.go
@@ -49,6 +49,9 @@
 	Summaries    []summary               `cbor:"8,keyasint,omitempty"`
 	Leaving      bool                    `cbor:"9,keyasint,omitempty"`  // the sender is stopping as planned
 	WantsSummary bool                    `cbor:"10,keyasint,omitempty"` // asks for the summary of the receiver's cell
+	// SplitVersion is that of the State that is not included: a host that has missed the
+	// change must not take the versions that it knows for the newest.
+	SplitVersion int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // ownProfile returns the profile of the sender, or false if it is not included.
--- a/internal/fleet/member/send.go
+++ b/internal/fleet/member/send.go
@@ -72,6 +72,8 @@
 	if round || differs(g.latest, g.lastSent) {
 		state := g.latest
 		m.State, g.lastSent = &state, state
+	} else {
+		m.SplitVersion = g.latest.SplitVersion
 	}
 	limit := max(minBody, sendBudget/(heartbeatsPerRound*len(targets))-headerSize-macSize)
 	b, err := newPacketBuilder(m, limit)
