routing: rely on splits only as long as they are known to be the newest

The host counted its splits as the newest as of the time at which it looked, not as of the evidence:

- heartbeats heard 1.2 s before, so that a host that was cut off answered from old splits for 3.4 s, while a split is in force 2 s after it was stored;
- the last answer to the watch, up to 6 s old;
- summaries of other cells, up to 15 s old, so that a host of a fleet of several cells noticed the loss of its whole cell only then;
- heartbeats from before a pause that it read after it.

SplitAge now counts from when the median host of the cell was last heard, or from the begin of a read from the store. A host that watches and hears too few others reads the splits twice a second. After a pause of the process heartbeats do not count for a second. A take-up needs an age of at most 1.25 s, which leaves the rest of the 2 s for the announcement of a split.

--- a/internal/fleet/release/assigner.go
+++ b/internal/fleet/release/assigner.go
@@ -115,12 +115,15 @@
 	if b, ok := a.remembered(streamKey{service, id}); ok {
 		return b, b != ""
 	}
+	// The time is read first: after a pause of the process, splits under which the stream may
+	// have begun would count as too old.
+	now := a.clock.Now()
 	// Others may use a split that this host does not know.
-	if a.splits.SplitAge() > split.ActivationDelay {
+	if a.splits.SplitAge() > split.ConfirmTime {
 		return "", false
 	}
 	if h := a.splits.Split(service); h.Epoch() > 0 {
-		return h.Origin(a.clock.Now(), id, life)
+		return h.Origin(now, id, life)
 	}
 	listed, ok := (*a.listed.Load())[service]
 	if listed.IsEmpty() {
--- a/internal/record/routing/splits.go
+++ b/internal/record/routing/splits.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,7 +23,7 @@
 	// known reports that the store or another host has told all splits.
 	known     bool
 	histories map[string]split.History // by service; replaced, never modified
-	// confirmedAt is when this host last had a reason to take its splits for the newest.
+	// confirmedAt is when this host's splits were last known to be the newest.
 	confirmedAt time.Time
 	// rejected holds the versions of the objects that cannot be decoded, so that each is
 	// logged once.
@@ -176,37 +178,129 @@
 // reachable: summaries of cells pass through several hosts.
 const maxDistantSilence = 15 * time.Second
 
-// watchAnswerAge is the age up to which the last answer to a watch of the splits shows that
-// the watch works: the longest wait of a call and a slow answer.
-const watchAnswerAge = 6 * time.Second
+const (
+	// maxCheckDelay is the longest time between two checks of the freshness in a process that
+	// was not paused. After a longer one, heartbeats that were received during the pause
+	// count as heard for up to drainTime.
+	maxCheckDelay = 2 * checkInterval
+	drainTime     = time.Second
+	// memberListAge is the maximum age of the list that Peers.Members returns.
+	memberListAge = 250 * time.Millisecond
+	// splitReadInterval is the interval of the reads of the splits by a host that watches
+	// them and does not hear most other hosts; splitReadTimeout limits one.
+	splitReadInterval = 500 * time.Millisecond
+	splitReadTimeout  = time.Second
+)
+
+// freshness finds out whether this host's splits are the newest.
+type freshness struct {
+	follower  *Follower
+	checkedAt time.Time
+	resumedAt time.Time // end of the last pause of the process; zero if there was none
+	readAt    time.Time // begin of the last read from the store
+	reading   atomic.Bool
+}
 
-// followFreshness records until ctx ends whether this host's splits are the newest.
+// followFreshness records until ctx ends when this host's splits were known to be the newest.
 func (f *Follower) followFreshness(ctx context.Context) {
-	timing.Every(ctx, checkInterval, func() {
-		members, divided, now := f.peers.Members(), f.SplitVersion(), f.clock.Now()
-		alive, known, isBehind := 1, 1, false
-		for _, m := range members {
-			if m.Draining {
-				continue
-			}
-			known++
-			if m.IsAlive(maxWatcherSilence) || m.Distant && m.IsAlive(maxDistantSilence) {
-				alive++
-				isBehind = isBehind || mayBeNewer(m.SplitVersion, divided)
-			}
+	c := &freshness{follower: f, checkedAt: f.clock.Now()}
+	timing.Every(ctx, checkInterval, func() { c.check(ctx) })
+}
+
+// check records until when the other hosts, or else the store, show no newer splits.
+func (c *freshness) check(ctx context.Context) {
+	f := c.follower
+	// The time is read before the members: the process may be paused in between.
+	now := f.clock.Now()
+	if now.Sub(c.checkedAt) > maxCheckDelay {
+		c.resumedAt = now
+	}
+	c.checkedAt = now
+	isDrained := c.resumedAt.IsZero() || now.Sub(c.resumedAt) >= drainTime
+	silence, ok := lastAgreement(f.peers.Members(), f.SplitVersion())
+	if ok && isDrained {
+		f.confirmSplits(now.Add(-silence))
+		if silence < splitReadInterval+memberListAge {
+			return
+		}
+	}
+	f.mu.Lock()
+	watches := f.watched[f.source.SplitPrefix]
+	f.mu.Unlock()
+	if watches && now.Sub(c.readAt) >= splitReadInterval && c.reading.CompareAndSwap(false, true) {
+		c.readAt = now
+		f.wg.Go(func() {
+			defer c.reading.Store(false)
+			c.read(ctx, now)
+		})
+	}
+}
+
+// read reads the splits from the store. An event of a watch may have been sent long before
+// it is received, but the answer to a read is not older than the read.
+func (c *freshness) read(ctx context.Context, began time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, splitReadTimeout)
+	defer cancel()
+	f := c.follower
+	var at quetzalhook.Version
+	if err := f.list(ctx, f.store.List, f.source.SplitPrefix, f.applySplits, &at); err != nil {
+		f.log.WithError(err).Debug("splits not read from the store")
+		return
+	}
+	f.confirmSplits(began)
+}
+
+// lastAgreement returns the time since most hosts were alive and announced no newer splits
+// than version. It returns false if most hosts are silent or one has announced newer splits.
+func lastAgreement(members []quetzalhook.Member, version int64) (time.Duration, bool) {
+	known, alive := 1, 1
+	var near, distant []time.Duration // silences of the hosts of this cell and of others
+	for _, m := range members {
+		if m.Draining {
+			continue
+		}
+		known++
+		isAlive := m.IsAlive(maxWatcherSilence) || m.Distant && m.IsAlive(maxDistantSilence)
+		// A host that has announced newer splits may be the first of those that fall silent.
+		if (isAlive || m.IsAlive(maxCallSilence)) && mayBeNewer(m.SplitVersion, version) {
+			return 0, false
 		}
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		c := f.contacts[f.source.SplitPrefix]
-		watches := f.watched[f.source.SplitPrefix] && !c.failing && now.Sub(c.lastAnswer) < watchAnswerAge
-		if watches || 2*alive > known && !isBehind {
-			f.splits.confirmedAt = now
+		hasAnnounced := m.SplitVersion > 0 || version == 0 || m.Distant // a summary has one version for its cell
+		if !isAlive || !hasAnnounced {
+			continue
 		}
-	})
+		alive++
+		if m.Distant {
+			distant = append(distant, m.Silent)
+		} else {
+			near = append(near, m.Silent)
+		}
+	}
+	if 2*alive <= known {
+		return 0, false
+	}
+	silences := near
+	if len(near) == 0 {
+		silences = distant
+	}
+	if len(silences) == 0 {
+		return 0, true // the only host
+	}
+	slices.Sort(silences)
+	return silences[len(silences)/2] + memberListAge, true
+}
+
+// confirmSplits records that this host's splits were the newest at a time.
+func (f *Follower) confirmSplits(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.splits.confirmedAt) {
+		f.splits.confirmedAt = at
+	}
 }
 
-// SplitAge returns for how long this host has not known whether its splits are the newest: it
-// neither watches them nor hears most other hosts. The host that writes them is one of those.
+// SplitAge returns the time since this host last knew that its splits are the newest: from
+// heartbeats of most other hosts, one of which writes them, or from the store.
 func (f *Follower) SplitAge() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/record/split/history.go
+++ b/internal/record/split/history.go
@@ -13,6 +13,10 @@
 	// under a split which it does not know. The streams of a build that it drops begin under
 	// it at once: they can neither begin nor go on at that build.
 	ActivationDelay = 2 * time.Second
+	// ConfirmTime is how long a host takes up streams after its splits were known to be the
+	// newest. The rest of ActivationDelay is the time in which the hosts announce a split to
+	// each other, and a short pause of the process that delays heartbeats.
+	ConfirmTime = ActivationDelay - 750*time.Millisecond
 	// LearnTime is the time after which a host that has not learnt whether its splits are the
 	// newest begins no streams.
 	LearnTime = 5 * time.Second
