routing: confirm the splits by each list of the store

After a restart of all hosts, new streams that may be resumed were refused until a host had heard most others: TestHostThatStartsBeginsStreams, 24 refusals. A host lists the splits before it serves, so that this list confirms them.

--- a/internal/fleet/release/out_of_step_test.go
+++ b/internal/fleet/release/out_of_step_test.go
@@ -303,3 +303,24 @@
 		})
 	}
 }
+
+// Guards against a host that starts after all were killed, serves by the table and the splits
+// of the store, and refuses streams because it has not heard the others.
+func TestHostThatStartsBeginsStreams(t *testing.T) {
+	runCluster(t, func(c *testCluster) {
+		for _, line := range []string{"leaders h1", "wait 4s", "kill h1", "kill h2", "start h1"} {
+			c.play(line)
+		}
+		h, refused := c.hosts["h1"], 0
+		for range 500 {
+			time.Sleep(10 * time.Millisecond)
+			table, _ := h.follower.Table()
+			if _, ok := h.assigner.Assign("s", "request"); table != nil && !ok {
+				refused++
+			}
+		}
+		if refused > 0 {
+			t.Errorf("refused: got %d, want none", refused)
+		}
+	})
+}
--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -373,12 +373,16 @@
 func (f *Follower) list(ctx context.Context, read func(context.Context, string) (quetzalhook.Listing, error), prefix string,
 	apply func(*listing, *quetzalhook.Object), after *quetzalhook.Version,
 ) error {
+	began := f.clock.Now()
 	list, err := read(ctx, strings.TrimSuffix(prefix, lastSegment(prefix)))
 	if err != nil {
 		return err
 	}
 	outage := f.recordAnswer(prefix)
 	apply(&listing{Listing: list, afterOutage: outage}, nil)
+	if prefix == f.source.SplitPrefix {
+		f.confirmSplits(began)
+	}
 	*after = list.Version
 	return nil
 }
--- a/internal/record/routing/splits.go
+++ b/internal/record/routing/splits.go
@@ -231,23 +231,21 @@
 		c.readAt = now
 		f.wg.Go(func() {
 			defer c.reading.Store(false)
-			c.read(ctx, now)
+			c.read(ctx)
 		})
 	}
 }
 
-// read reads the splits from the store. An event of a watch may have been sent long before
-// it is received, but the answer to a read is not older than the read.
-func (c *freshness) read(ctx context.Context, began time.Time) {
+// read reads the splits from the store, which confirms them as of the begin of the read. An
+// event of a watch may have been sent long before it is received.
+func (c *freshness) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, splitReadTimeout)
 	defer cancel()
 	f := c.follower
 	var at quetzalhook.Version
 	if err := f.list(ctx, f.store.List, f.source.SplitPrefix, f.applySplits, &at); err != nil {
 		f.log.WithError(err).Debug("splits not read from the store")
-		return
 	}
-	f.confirmSplits(began)
 }
 
 // lastAgreement returns the time since most hosts were alive and announced no newer splits
