gateway: a forwarded request runs on no more upstreams than its route allows

The other host tells with its response how many have begun to run it. A host that serves a request itself after others have failed has what is left. Found by a review; TestRunsOverHosts failed before.

--- a/internal/entry/gateway/exchange.go
+++ b/internal/entry/gateway/exchange.go
@@ -344,7 +344,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if x.hop != nil {
-		hopEnd{outcome: outcomeOf(e.Status), kind: e.Kind}.write(x.w.Header())
+		hopEnd{outcome: outcomeOf(e.Status), kind: e.Kind, runs: x.runs}.write(x.w.Header())
 	}
 	writeError(x.w, e, x.inbound.ID)
 }
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -140,10 +140,10 @@
 		return true, done, err
 	case outcomeAnswer:
 	default:
-		x.countRun()
+		x.countRuns(end.runs)
 		return true, true, forwardError(resp.Status, end.kind, "the host that got the request failed")
 	}
-	x.countRun()
+	x.countRuns(end.runs)
 	if x.stream.headerSent && end.build != x.stream.build {
 		return true, true, forwardError(http.StatusBadGateway, ErrorBuild, "the stream began at another build than that of the upstream")
 	}
--- a/internal/entry/gateway/hop.go
+++ b/internal/entry/gateway/hop.go
@@ -20,6 +20,7 @@
 	headerHopLastEvent = "Quetzalhook-Hop-Last-Event"
 	headerHopOutcome   = "Quetzalhook-Hop-Outcome"
 	headerHopKind      = "Quetzalhook-Hop-Kind"
+	headerHopRuns      = "Quetzalhook-Hop-Runs" // upstreams that may have begun to run the request
 )
 
 // hopMargin is the part of the time left that a host keeps for itself, so that the answer
@@ -85,6 +86,7 @@
 	outcome quetzalhook.Outcome
 	kind    ErrorKind
 	build   quetzalhook.Build // of the upstream that began the answer
+	runs    int               // upstreams that may have begun to run the request so far
 }
 
 // outcomeAnswer marks the response of an upstream.
@@ -98,12 +100,14 @@
 	if e.build != "" {
 		h.Set(headerHopBuild, string(e.build))
 	}
+	h.Set(headerHopRuns, strconv.Itoa(e.runs))
 }
 
 // takeHopEnd removes the hopEnd from the headers of a response.
 func takeHopEnd(h http.Header) hopEnd {
 	e := hopEnd{outcome: quetzalhook.Outcome(h.Get(headerHopOutcome)), kind: ErrorKind(h.Get(headerHopKind)), build: quetzalhook.Build(h.Get(headerHopBuild))}
-	for _, name := range []string{headerHopOutcome, headerHopKind, headerHopBuild} {
+	e.runs, _ = strconv.Atoi(h.Get(headerHopRuns)) // absent from hosts that do not tell it
+	for _, name := range []string{headerHopOutcome, headerHopKind, headerHopBuild, headerHopRuns} {
 		h.Del(name)
 	}
 	return e
@@ -138,7 +142,7 @@
 		return
 	}
 	h := x.w.Header()
-	hopEnd{outcome: outcomeAnswer, build: x.attempt.Upstream.Build}.write(h)
+	hopEnd{outcome: outcomeAnswer, build: x.attempt.Upstream.Build, runs: x.runs}.write(h)
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // the server does not set one
 	}
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -51,7 +51,11 @@
 	if buildErr != nil {
 		return buildErr
 	}
-	ticket := x.gateway.deps.Dispatcher.Submit(ctx, x.request())
+	request := x.request()
+	if x.runs > 0 { // at hosts to which the request was forwarded
+		request.Repeat, request.Attempts = true, max(x.route.Attempts-x.runs, 1)
+	}
+	ticket := x.gateway.deps.Dispatcher.Submit(ctx, request)
 	defer func() { ticket.Close() }()
 	var last error
 	for {
@@ -212,6 +216,12 @@
 	}
 }
 
+// countRuns records that n upstreams of another host may have begun to run the request.
+func (x *exchange) countRuns(n int) {
+	x.countRun()
+	x.runs += max(n-1, 0)
+}
+
 // checkScope returns an error if the request may not run on the upstream of an attempt: by
 // its build, or by the newest table, which may be newer than the one by which the upstream
 // was chosen. A stream whose first event came from a build that is not known only continues
