quetzalhook: tests need two free ports in a row, not nine

Beside soak runs there were no nine free ports in a row on loopback. Hosts listen with TCP on the second inner port only, so that it is enough that this one is free beside the first.

--- a/cmd/quetzalhook/callers_test.go
+++ b/cmd/quetzalhook/callers_test.go
@@ -210,13 +210,12 @@
 	if err := record.Put(m); err != nil {
 		t.Fatal(err)
 	}
-	inner := freePortRange(t, innerPorts+4)
-	ports := []int{inner, inner + innerPorts, inner + innerPorts + 1, inner + innerPorts + 2, inner + innerPorts + 3}
+	ports := hostPorts(t, 5)
 	address := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", ports[i]) }
 	settings := fmt.Sprintf(`{host: one, zone: z, region: r, zones: {z: r}, listen: {callers: %q, ready: %q, directory: %q},
 inner-ports: [%d, %d], metrics-port: %d, store: %q, processor-share: 1, processors: 1, stop-s: 3, answer-life-s: 1, lease-ms: 3000,
 leave-ms: 2500, apply-ms: 2500, usage-window-s: 5, usage-due-s: 10, retry-ratio: 0.2, retry-slack: 56, retry-window-s: 10,
-memory-mb: %d, max-fds: %d}`, address(2), address(1), address(3), ports[0], ports[0]+innerPorts-1, ports[4], server.Listener.Addr().String(), hostileMemoryMB, fds)
+memory-mb: %d, max-fds: %d}`, address(2), address(1), address(3), ports[0], ports[0]+4, ports[4], server.Listener.Addr().String(), hostileMemoryMB, fds)
 	file := filepath.Join(t.TempDir(), "host.yaml")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
--- a/cmd/quetzalhook/host_test.go
+++ b/cmd/quetzalhook/host_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -32,28 +33,23 @@
 	return ports
 }
 
-// innerPorts is the number of inner ports of a host under test.
-const innerPorts = 5
-
-// freePortRange returns the first of n ports of loopback in a row that were free a moment ago.
-func freePortRange(t *testing.T, n int) int {
+// hostPorts returns n ports for a host under test, the first of which begins its inner ports:
+// the next port is free as well, since a host also listens there.
+func hostPorts(t *testing.T, n int) []int {
 	t.Helper()
 	for range 100 {
-		first := freePorts(t, 1)[0]
-		free := 0
-		for ; free < n; free++ {
-			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+free))
-			if err != nil {
-				break
-			}
-			defer func() { _ = l.Close() }()
+		ports := freePorts(t, n)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", ports[0]+1))
+		if err != nil {
+			continue
 		}
-		if free == n {
-			return first
+		_ = l.Close()
+		if !slices.Contains(ports, ports[0]+1) {
+			return ports
 		}
 	}
-	t.Fatalf("no %d free ports in a row", n)
-	return 0
+	t.Fatal("no two free ports in a row")
+	return nil
 }
 
 // testHost is a host that runs in this process, before a store without a
@@ -73,9 +69,8 @@
 		store.Close()
 		server.Close()
 	})
-	inner := freePortRange(t, innerPorts+4)
-	ports := []int{inner, inner + innerPorts, inner + innerPorts + 1, inner + innerPorts + 2, inner + innerPorts + 3}
-	ready := ports[1]
+	ports := hostPorts(t, 5)
+	inner, ready := ports[0], ports[1]
 	h := &testHost{store: store, callers: fmt.Sprintf("127.0.0.1:%d", ports[2]), done: make(chan error, 1)}
 	settings := fmt.Sprintf(`host: one
 zone: z
@@ -97,7 +92,7 @@
 retry-ratio: 0.2
 retry-slack: 56
 retry-window-s: 10
-`, h.callers, ready, ports[3], inner, inner+innerPorts-1, ports[4], server.Listener.Addr().String())
+`, h.callers, ready, ports[3], inner, inner+4, ports[4], server.Listener.Addr().String())
 	path := filepath.Join(t.TempDir(), "host.yaml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
