soak: hosts count for CONFIG some time after a disturbance

Callers of hosts that had been disturbed since a configuration was confirmed could get an older one for any time, and the soak excused it: config-forward and withdrawn-key asked for a host without a disturbance from the stable window before the confirmation on. A host counts again one stable window after the end of its last disturbance, so that the checks now ask for that at the moment at which the request is sent. This excuses a subset of what was excused.

--- a/internal/bench/soak/checker.go
+++ b/internal/bench/soak/checker.go
@@ -350,7 +350,7 @@
 	if !served {
 		at, ok := c.confirmed[number]
 		_, replaced := c.confirmed[number+1]
-		if ok && !replaced && sent.Sub(at) > configBound && c.isUndisturbed(host, at) {
+		if ok && !replaced && sent.Sub(at) > configBound && c.isUndisturbed(host, sent) {
 			c.check(CheckConfiguration, false, "%s lacks configuration %d %v after it was confirmed", host, number, sent.Sub(at))
 		}
 		return
@@ -361,7 +361,7 @@
 	if isOlder {
 		return
 	}
-	if at, replaced := c.confirmed[number+1]; replaced && c.isUndisturbed(host, at) {
+	if at, replaced := c.confirmed[number+1]; replaced && c.isUndisturbed(host, sent) {
 		c.check(CheckConfiguration, sent.Sub(at) <= configBound, "%s serves configuration %d %v after the next one was confirmed", host, number, sent.Sub(at))
 	}
 	c.versions[host] = version{boot: boot, number: number, at: now}
@@ -372,7 +372,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	at, ok := c.withdrawn[key]
-	if ok && c.isUndisturbed(host, at) {
+	if ok && c.isUndisturbed(host, sent) {
 		c.check(CheckWithdrawnKey, sent.Sub(at) <= configBound, "%s accepts a key %v after it was withdrawn", host, sent.Sub(at))
 	}
 }
--- a/internal/bench/soak/checker_test.go
+++ b/internal/bench/soak/checker_test.go
@@ -23,6 +23,7 @@
 	now     time.Time
 	// disturbed holds the hosts for which no bound is checked.
 	disturbed map[quetzalhook.HostID]bool
+	calm      map[quetzalhook.HostID]time.Time // end of a disturbance
 	resumed   map[quetzalhook.HostID]time.Time
 	reset     map[quetzalhook.HostID]time.Time
 	work      PlannedWork
@@ -30,10 +31,12 @@
 
 func newDriver(t *testing.T) *driver {
 	d := &driver{
-		t: t, start: time.Unix(1000, 0), now: time.Unix(1000, 0), disturbed: make(map[quetzalhook.HostID]bool),
+		t: t, start: time.Unix(1000, 0), now: time.Unix(1000, 0), disturbed: make(map[quetzalhook.HostID]bool), calm: make(map[quetzalhook.HostID]time.Time),
 		resumed: make(map[quetzalhook.HostID]time.Time), reset: make(map[quetzalhook.HostID]time.Time), work: PlannedWork{Undisturbed: true},
 	}
-	d.checker = NewChecker(func(h quetzalhook.HostID, _ time.Time) bool { return !d.disturbed[h] }, func(h quetzalhook.HostID) time.Time { return d.resumed[h] })
+	d.checker = NewChecker(func(h quetzalhook.HostID, since time.Time) bool {
+		return !d.disturbed[h] && d.calm[h].Add(stableWindow).Before(since)
+	}, func(h quetzalhook.HostID) time.Time { return d.resumed[h] })
 	d.checker.notices.hasReset = func(h quetzalhook.HostID, since time.Time) bool { return !d.reset[h].Before(since) }
 	return d
 }
@@ -64,6 +67,8 @@
 		d.checker.UpstreamCut(quetzalhook.UpstreamID(f[1]))
 	case "disturb":
 		d.disturbed[quetzalhook.HostID(f[1])] = true
+	case "calm":
+		d.calm[quetzalhook.HostID(f[1])] = d.now
 	case "resume":
 		d.resumed[quetzalhook.HostID(f[1])] = d.now
 	case "send": // id host customer [repeatable]
