soak: configurations that add, move and remove routes

Hosts handled requests as only an older configuration allowed, later than the bound after its confirmation: run by the service that a route had before, or refused on an added route. The soak could not see that: its configurations changed one marker route and one key, and no route moved.

--- a/internal/bench/soak/caller.go
+++ b/internal/bench/soak/caller.go
@@ -304,6 +304,7 @@
 	random *rand.Rand
 	client *http.Client
 	serial int
+	lastID quetzalhook.RequestID // of the last request
 }
 
 const (
@@ -321,6 +322,9 @@
 	for timing.Sleep(ctx, probeInterval) {
 		p.probeVersion(ctx)
 		p.probeKey(ctx)
+		if p.sys.settings.Routes > 0 {
+			p.probeRoute(ctx)
+		}
 	}
 }
 
@@ -363,7 +367,7 @@
 func (p *prober) send(ctx context.Context, c standin.Call, customer string) (status int, sent time.Time, boot int) {
 	p.serial++
 	c.ID, c.Host, c.Timeout = quetzalhook.RequestID(fmt.Sprintf("probe-%s-%d", p.host.name, p.serial)), hostName, time.Second
-	boot = p.host.starts()
+	p.lastID, boot = c.ID, p.host.starts()
 	sent = time.Now()
 	p.sys.checker.RequestSent(sent, p.host.name, customer, true, c)
 	return c.Send(ctx, p.client, p.host.callers.Address()).Status, sent, boot
--- a/internal/bench/soak/checker.go
+++ b/internal/bench/soak/checker.go
@@ -139,7 +139,9 @@
 	requests     map[quetzalhook.RequestID]*request
 	leavingSince map[quetzalhook.UpstreamID]time.Time // when the store confirmed the announcement
 	versions     map[quetzalhook.HostID]version
-	confirmed    map[int64]time.Time   // when the store confirmed a configuration, by its number
+	confirmed    map[int64]time.Time // when the store confirmed a configuration, by its number
+	latestSent   int64               // number of the newest configuration that was sent to the store
+	services     map[quetzalhook.UpstreamID]string
 	withdrawn    map[string]time.Time  // when the store confirmed the withdrawal of a key
 	reports      map[int64]string      // counts last reported, by window
 	holders      map[string]dutyHolder // by subject of the duty
@@ -159,7 +161,7 @@
 func NewChecker(isUndisturbed func(quetzalhook.HostID, time.Time) bool, resumedAt func(quetzalhook.HostID) time.Time) *Checker {
 	return &Checker{
 		isUndisturbed: isUndisturbed, resumedAt: resumedAt, requests: make(map[quetzalhook.RequestID]*request), leavingSince: make(map[quetzalhook.UpstreamID]time.Time),
-		versions: make(map[quetzalhook.HostID]version), confirmed: make(map[int64]time.Time), withdrawn: make(map[string]time.Time),
+		versions: make(map[quetzalhook.HostID]version), services: make(map[quetzalhook.UpstreamID]string), confirmed: make(map[int64]time.Time), withdrawn: make(map[string]time.Time),
 		reports: make(map[int64]string), holders: make(map[string]dutyHolder), stopped: make(map[quetzalhook.UpstreamID]bool), notices: newNoticeRecord(), builds: make(map[quetzalhook.RequestID]quetzalhook.Build), checked: make(map[Check]int), failed: make(map[Check]int),
 	}
 }
--- a/internal/bench/soak/checker_test.go
+++ b/internal/bench/soak/checker_test.go
@@ -119,9 +119,19 @@
 	case "leaving":
 		d.checker.UpstreamLeaving(d.now, quetzalhook.UpstreamID(f[1]))
 	case "confirm": // number key
+		d.checker.ConfigurationSent(d.number(f[1]))
 		d.checker.ConfigurationConfirmed(d.now, d.number(f[1]), f[2])
 	case "serves", "lacks": // host boot number
 		d.checker.RouteProbed(d.now, d.now, quetzalhook.HostID(f[1]), int(d.number(f[2])), d.number(f[3]), f[0] == "serves")
+	case "upstream": // id service
+		d.checker.UpstreamAdded(quetzalhook.UpstreamID(f[1]), f[2])
+	case "route": // id host path boot status [upstream]
+		id := quetzalhook.RequestID(f[1])
+		d.checker.RequestSent(d.now, quetzalhook.HostID(f[2]), "", true, standin.Call{ID: id, Method: "GET", Path: f[3]})
+		if len(f) > 6 {
+			d.checker.RequestStarted(standin.Arrival{ID: id, Upstream: quetzalhook.UpstreamID(f[6]), Method: "GET", Path: f[3], At: d.now})
+		}
+		d.checker.RouteAnswered(d.now, id, int(d.number(f[4])), int(d.number(f[5])))
 	case "key": // host key
 		d.checker.KeyAccepted(d.now, quetzalhook.HostID(f[1]), f[2])
 	case "report": // holder fencing window counts [disturbed]
--- a/internal/bench/soak/crash_test.go
+++ b/internal/bench/soak/crash_test.go
@@ -111,7 +111,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_ = u.entry.Remove(c.memory)
-	if c.addUpstream(i, true, "") == nil {
+	if c.addUpstream(i, engineGroup, "") == nil {
 		c.makeCrash(c.upstreams[len(c.upstreams)-1])
 	}
 }
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -38,7 +38,7 @@
 	}
 	keys[customers[0]] = append(keys[customers[0]], rotating)
 	return standin.Configuration{
-		IdleTimeout: idleTimeout, Version: number, Host: hostName, EngineService: engineGroup, PlainService: serviceGroup, Zones: []string{"z-a", "z-b", "z-c"}, Keys: keys,
+		IdleTimeout: idleTimeout, Version: number, Host: hostName, EngineService: engineGroup, PlainService: serviceGroup, Keys: keys,
 		Routes: []standin.Route{
 			{Name: "chat", Prefix: "/chat/", Service: engineGroup, Kind: "streaming", Timeout: longTimeout, LatencyTarget: 500 * time.Millisecond, Attempts: 1},
 			{Name: "draft", Prefix: "/draft/", Service: engineGroup, Kind: "streaming", Timeout: longTimeout, LatencyTarget: time.Second, Attempts: 2, Priority: 1, Resumable: true},
@@ -58,8 +58,16 @@
 	s.rotatingKey = fmt.Sprintf("rotating-%d", number)
 	s.config = configuration(number, s.rotatingKey)
 	s.config.ColdS, s.config.ColdPerS = s.settings.coldS, s.settings.coldPerS
+	for z := range s.zones {
+		s.config.Zones = append(s.config.Zones, string(z))
+	}
+	if s.settings.Routes > 0 {
+		s.config.OtherServices = []string{archiveGroup}
+		s.config.Routes = append(s.config.Routes, changingRoutes(number, s.settings.Routes)...)
+	}
 	c := s.config
 	s.mu.Unlock()
+	s.checker.ConfigurationSent(number)
 	if err := c.Put(s.memory); err != nil {
 		return &Error{Op: "configure", Kind: ErrorSetup, Err: err}
 	}
@@ -173,7 +181,7 @@
 func (s *system) replaceByBuild(i int, build quetzalhook.Build) *upstream {
 	u := s.upstreams[i]
 	s.upstreams = append(s.upstreams[:i:i], s.upstreams[i+1:]...)
-	if err := s.addUpstream(i, u.entry.Service == engineGroup, build); err != nil {
+	if err := s.addUpstream(i, u.entry.Service, build); err != nil {
 		s.checker.Fail(CheckProcess, "%v", err)
 	}
 	return u
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -36,6 +36,14 @@
 	}
 }
 
+// Guards against a request that is handled as only an older configuration allows, while
+// routes are added, moved and removed, and hosts are killed and paused.
+func TestSoakRoutes(t *testing.T) {
+	runSoak(t, Settings{
+		Seed: 3, Hosts: 5, Callers: 16, Length: 8 * time.Second, Routes: 20, Kinds: []string{"configure", "kill", "pause"},
+	}, CheckConfiguration, CheckRoute, CheckWithdrawnKey)
+}
+
 // runSoak runs the hosts, requires that the named checks were made, and returns the result.
 func runSoak(t *testing.T, cfg Settings, required ...Check) Result {
 	program := filepath.Join(t.TempDir(), "quetzalhook")
--- a/internal/bench/soak/system.go
+++ b/internal/bench/soak/system.go
@@ -11,6 +11,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -46,6 +47,11 @@
 	// Builds makes engines have builds, adds changes of them to the script, and makes
 	// callers take up streams.
 	Builds bool
+	// Zones is the number of availability zones; 0 means 3.
+	Zones int
+	// Routes, if not 0, makes configurations move, add and remove routes, and is the number
+	// of further routes of all configurations but the first.
+	Routes int
 	// coldS and coldPerS are the time in seconds for which upstreams are cold after their
 	// start, and the rate that they take then; 0 for none.
 	coldS, coldPerS float64
@@ -54,12 +60,14 @@
 }
 
 const (
-	// Numbers of upstreams: at least these, and one for so many callers.
+	// Numbers of upstreams of each service: at least these, and one for so many callers.
 	minEngines, callersPerEngine   = 5, 10
 	minServices, callersPerService = 3, 20
 
 	engineGroup  = "engines"
 	serviceGroup = "desk"
+	// archiveGroup is a second plain service, of runs with changing routes.
+	archiveGroup = "archive"
 	hostName     = "soak.example"
 	// startTimeout bounds the time until all hosts are ready.
 	startTimeout = 15 * time.Second
@@ -136,7 +144,7 @@
 func Run(ctx context.Context, cfg Settings) (Result, error) {
 	s := &system{
 		settings: cfg, memory: memory.New(), stoppedStreams: standin.NewStoppedStreams(), random: rand.New(rand.NewPCG(cfg.Seed, 1)), claimed: make(map[*host]bool),
-		zones:   map[quetzalhook.Zone]quetzalhook.Region{"z-a": "r-a", "z-b": "r-b", "z-c": "r-c"},
+		zones:   zones(cfg.Zones),
 		resumed: make(map[quetzalhook.HostID]time.Time),
 		network: networkOf(cfg.Seed),
 	}
@@ -190,8 +198,12 @@
 		return err
 	}
 	engines := max(minEngines, s.settings.Callers/callersPerEngine)
-	for i := range engines + max(minServices, s.settings.Callers/callersPerService) {
-		if err := s.addUpstream(i, i < engines, s.firstBuild(i, i < engines)); err != nil {
+	services := slices.Repeat([]string{engineGroup}, engines)
+	for _, name := range s.plainServices() {
+		services = append(services, slices.Repeat([]string{name}, max(minServices, s.settings.Callers/callersPerService))...)
+	}
+	for i, service := range services {
+		if err := s.addUpstream(i, service, s.firstBuild(i, service == engineGroup)); err != nil {
 			return err
 		}
 	}
@@ -214,6 +226,9 @@
 	if s.settings.afterSplit {
 		return s.awaitSplit(ctx)
 	}
+	if s.settings.Routes > 0 {
+		timing.Sleep(ctx, stableWindow) // bounds of the configuration do not hold before
+	}
 	return nil
 }
 
@@ -230,8 +245,30 @@
 	return l.Addr().String(), nil
 }
 
-func (s *system) zoneOf(i int) quetzalhook.Zone {
-	return []quetzalhook.Zone{"z-a", "z-b", "z-c"}[i%3]
+const (
+	defaultZones = 3
+	maxRegions   = 3
+)
+
+// zones returns n zones in up to maxRegions regions.
+func zones(n int) map[quetzalhook.Zone]quetzalhook.Region {
+	list := make(map[quetzalhook.Zone]quetzalhook.Region)
+	for i := range cmp.Or(n, defaultZones) {
+		list[zoneName(i)] = quetzalhook.Region(fmt.Sprintf("r-%c", 'a'+i%maxRegions))
+	}
+	return list
+}
+
+func zoneName(i int) quetzalhook.Zone { return quetzalhook.Zone(fmt.Sprintf("z-%c", 'a'+i)) }
+
+func (s *system) zoneOf(i int) quetzalhook.Zone { return zoneName(i % len(s.zones)) }
+
+// plainServices returns the names of the plain services.
+func (s *system) plainServices() []string {
+	if s.settings.Routes > 0 {
+		return changingServices
+	}
+	return []string{serviceGroup}
 }
 
 func (s *system) addHost(i int, store, duties string) error {
@@ -264,13 +301,15 @@
 	return seeds
 }
 
-func (s *system) addUpstream(i int, engine bool, build quetzalhook.Build) error {
+func (s *system) addUpstream(i int, service string, build quetzalhook.Build) error {
 	u := &upstream{entry: standin.UpstreamRecord{
-		ID: quetzalhook.UpstreamID(fmt.Sprintf("u-%d", s.nextUpstream)), Service: serviceGroup, Zone: string(s.zoneOf(i)), StartedMS: time.Now().UnixMilli(), Build: build,
+		ID: quetzalhook.UpstreamID(fmt.Sprintf("u-%d", s.nextUpstream)), Service: service, Zone: string(s.zoneOf(i)), StartedMS: time.Now().UnixMilli(), Build: build,
 	}}
+	engine := service == engineGroup
 	if engine {
-		u.entry.Service, u.entry.Models = engineGroup, []string{"m"}
+		u.entry.Models = []string{"m"}
 	}
+	s.checker.UpstreamAdded(u.entry.ID, service)
 	u.handler = standin.NewUpstream(u.entry.ID, engine, s.stoppedStreams, s.onArrival, s.checker.RequestEnded)
 	u.handler.SetContact(s.checker.RequestReached)
 	u.handler.SetBuild(build)
