host: setting for the address of calls that others use

A host announces the address on which it listens for the calls of other hosts, so that nothing can stand between: a relay that limits or delays these calls cannot be told apart from the host.

TestHostSettings rejects one that is no address.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -6,6 +6,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -204,14 +205,15 @@
 	incarnation := quetzalhook.Incarnation(time.Now().UnixNano())
 	h.incarnation = incarnation
 	heartbeat, calls := s.Heartbeat(s.IP()), s.Peer(s.IP())
+	advertised := cmp.Or(s.PeerAdvertise, calls)
 	h.registry = registration.New(h.adapter.Store, quetzalhook.HostStatus{
-		Host: s.Host, Incarnation: incarnation, Zone: s.Zone, HeartbeatAddress: heartbeat, PeerAddress: calls,
+		Host: s.Host, Incarnation: incarnation, Zone: s.Zone, HeartbeatAddress: heartbeat, PeerAddress: advertised,
 		Region: s.Region, Address: s.Listen.Callers, Processors: s.ProcessorShare * s.Processors,
 	}, h.log)
 	h.members = member.NewService(member.Settings{
 		Self: member.Self{
 			Host: s.Host, Incarnation: incarnation, Zone: s.Zone, Region: s.Region,
-			Address: s.Listen.Callers, Heartbeat: heartbeat, Peer: calls, Processors: s.ProcessorShare * s.Processors,
+			Address: s.Listen.Callers, Heartbeat: heartbeat, Peer: advertised, Processors: s.ProcessorShare * s.Processors,
 		},
 		Listen: heartbeat, Secret: []byte(secret), Seeds: s.SeedHeartbeats(), Report: h.report, Hosts: h.registry, StaleHosts: h.registry.StaleHosts,
 	}, h.clock, h.log)
--- a/internal/entry/setting/host.go
+++ b/internal/entry/setting/host.go
@@ -30,6 +30,9 @@
 	// InnerPorts holds the first and last port for traffic between hosts. It must be
 	// the same on all hosts. The first is used for heartbeats, the second for calls.
 	InnerPorts []int `yaml:"inner-ports"`
+	// PeerAdvertise is the address for calls that other hosts are told to use, if other than
+	// the one on which the host listens; empty otherwise.
+	PeerAdvertise string `yaml:"peer-advertise"`
 	// MetricsPort is the port for metrics; 0 means the third of InnerPorts.
 	MetricsPort int `yaml:"metrics-port"`
 	// Seeds holds the addresses of some hosts, which this host contacts first. Their
@@ -118,6 +121,9 @@
 	c.address("listen.ready", h.Listen.Ready)
 	c.address("listen.directory", h.Listen.Directory)
 	c.address("store", h.Store)
+	if h.PeerAdvertise != "" {
+		c.address("peer-advertise", h.PeerAdvertise)
+	}
 	if h.Platform != "" { // empty in a deployment without usage reports and orders
 		c.address("platform", h.Platform)
 	}
