soak: links of limited rate between hosts

Hosts on links of 10 Mbit/s handled requests as only an older configuration allowed, later than the bound. The soak has no limit between hosts: their calls are QUIC between addresses that no proxy handles.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -46,6 +46,7 @@
 			&cli.BoolFlag{Name: "builds", Usage: "engines of several builds, which change; callers take up streams", Sources: cli.EnvVars("SOAK_BUILDS")},
 			&cli.IntFlag{Name: "zones", Value: 3, Usage: "number of availability zones", Sources: cli.EnvVars("SOAK_ZONES")},
 			&cli.IntFlag{Name: "routes", Usage: "configurations move, add and remove routes, and have this `NUMBER` of further ones; 0 for none", Sources: cli.EnvVars("SOAK_ROUTES")},
+			&cli.FloatFlag{Name: "link-mbps", Usage: "`RATE` in Mbit/s of the calls between hosts, for each host; 0 for no limit", Sources: cli.EnvVars("SOAK_LINK_MBPS")},
 			&cli.StringFlag{Name: "regressions", Usage: "`FILE` with lines SEED HOSTS LENGTH [KINDS] to run instead; text after # is a comment", Sources: cli.EnvVars("SOAK_REGRESSIONS")},
 			&cli.StringFlag{Name: "logs", Usage: "`DIRECTORY` for the logs of failed seeds; default: the temporary directory", Sources: cli.EnvVars("SOAK_LOGS")},
 		},
@@ -80,7 +81,7 @@
 // plannedRuns returns the settings of each run: one for each line of the file in
 // --regressions, or else one for each seed from --seed on.
 func plannedRuns(cmd *cli.Command) ([]soak.Settings, error) {
-	base := soak.Settings{Program: cmd.String("program"), Hosts: cmd.Int("hosts"), Callers: cmd.Int("callers"), Length: cmd.Duration("length"), Kinds: cmd.StringSlice("kinds"), Builds: cmd.Bool("builds"), Zones: cmd.Int("zones"), Routes: cmd.Int("routes")}
+	base := soak.Settings{Program: cmd.String("program"), Hosts: cmd.Int("hosts"), Callers: cmd.Int("callers"), Length: cmd.Duration("length"), Kinds: cmd.StringSlice("kinds"), Builds: cmd.Bool("builds"), Zones: cmd.Int("zones"), Routes: cmd.Int("routes"), LinkMbps: cmd.Float("link-mbps")}
 	if base.Hosts < 1 || base.Callers < 1 || base.Length <= 0 {
 		return nil, errors.Errorf("--hosts %d, --callers %d and --length %v must be positive", base.Hosts, base.Callers, base.Length)
 	}
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -37,6 +37,8 @@
 	// callers proxies connections from callers to the host, store and duties those
 	// from the host to the platform.
 	callers, store, duties *Proxy
+	// link limits the rate of the calls that other hosts make; nil for no limit.
+	link *Link
 
 	mu           sync.Mutex
 	command      *exec.Cmd
@@ -69,6 +71,9 @@
 	s.Listen.Callers = net.JoinHostPort(h.ip, strconv.Itoa(callersPort))
 	s.Listen.Ready = net.JoinHostPort(h.ip, strconv.Itoa(readyPort))
 	s.Listen.Directory = net.JoinHostPort(h.ip, strconv.Itoa(directoryPort))
+	if h.link != nil {
+		s.PeerAdvertise = h.link.Address()
+	}
 	data, err := yaml.Marshal(s)
 	if err != nil {
 		return &Error{Op: "settings", Kind: ErrorSetup, Err: err}
@@ -193,6 +198,9 @@
 	for _, p := range []*Proxy{h.callers, h.store, h.duties} {
 		_ = p.Close()
 	}
+	if h.link != nil {
+		_ = h.link.Close()
+	}
 }
 
 func logPath(directory string, name quetzalhook.HostID) string {
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -44,6 +44,14 @@
 	}, CheckConfiguration, CheckRoute, CheckWithdrawnKey)
 }
 
+// Guards against a large table that reaches hosts later than the bound, since all of them
+// pull it from a few hosts on links of 10 Mbit/s.
+func TestSoakLargeTable(t *testing.T) {
+	runSoak(t, Settings{
+		Seed: 344, Hosts: 24, Callers: 24, Length: 8 * time.Second, Routes: 1440, LinkMbps: 10, Kinds: []string{"configure"},
+	}, CheckConfiguration, CheckRoute, CheckWithdrawnKey)
+}
+
 // runSoak runs the hosts, requires that the named checks were made, and returns the result.
 func runSoak(t *testing.T, cfg Settings, required ...Check) Result {
 	program := filepath.Join(t.TempDir(), "quetzalhook")
--- a/internal/bench/soak/system.go
+++ b/internal/bench/soak/system.go
@@ -52,6 +52,9 @@
 	// Routes, if not 0, makes configurations move, add and remove routes, and is the number
 	// of further routes of all configurations but the first.
 	Routes int
+	// LinkMbps limits the calls that each host receives, and the answers to them, to this
+	// rate in Mbit/s; 0 for no limit.
+	LinkMbps float64
 	// coldS and coldPerS are the time in seconds for which upstreams are cold after their
 	// start, and the rate that they take then; 0 for none.
 	coldS, coldPerS float64
@@ -287,6 +290,11 @@
 	if h.duties, err = NewProxy(h.ip+":9003", duties); err != nil {
 		return err
 	}
+	if s.settings.LinkMbps > 0 {
+		if h.link, err = NewLink(h.ip+":9004", net.JoinHostPort(h.ip, strconv.Itoa(firstInnerPort+1)), s.settings.LinkMbps); err != nil {
+			return err
+		}
+	}
 	s.hosts = append(s.hosts, h)
 	return h.writeSettings(s.zones, s.seeds())
 }
