--- a/internal/bench/soak/checker.go
+++ b/internal/bench/soak/checker.go
@@ -117,7 +117,7 @@
 type version struct {
 	boot   int
 	number int64
-	at     time.Time // when the response was received
+	at     time.Time // when its first response was received
 }
 
 // dutyHolder is the host that last acted on a duty.
@@ -139,7 +139,9 @@
 	requests     map[quetzalhook.RequestID]*request
 	leavingSince map[quetzalhook.UpstreamID]time.Time // when the store confirmed the announcement
 	versions     map[quetzalhook.HostID]version
-	confirmed    map[int64]time.Time   // when the store confirmed a configuration, by its number
+	confirmed    map[int64]time.Time // when the store confirmed a configuration, by its number
+	latestSent   int64               // number of the newest configuration that was sent to the store
+	services     map[quetzalhook.UpstreamID]string
 	withdrawn    map[string]time.Time  // when the store confirmed the withdrawal of a key
 	reports      map[int64]string      // counts last reported, by window
 	holders      map[string]dutyHolder // by subject of the duty
@@ -160,7 +162,7 @@
 func NewChecker(isUndisturbed func(quetzalhook.HostID, time.Time) bool, resumedAt func(quetzalhook.HostID) time.Time) *Checker {
 	return &Checker{
 		isUndisturbed: isUndisturbed, resumedAt: resumedAt, requests: make(map[quetzalhook.RequestID]*request), leavingSince: make(map[quetzalhook.UpstreamID]time.Time),
-		versions: make(map[quetzalhook.HostID]version), confirmed: make(map[int64]time.Time), withdrawn: make(map[string]time.Time),
+		versions: make(map[quetzalhook.HostID]version), services: make(map[quetzalhook.UpstreamID]string), confirmed: make(map[int64]time.Time), withdrawn: make(map[string]time.Time),
 		reports: make(map[int64]string), holders: make(map[string]dutyHolder), stopped: make(map[quetzalhook.UpstreamID]bool), notices: newNoticeRecord(), builds: make(map[quetzalhook.RequestID]quetzalhook.Build), checked: make(map[Check]int), failed: make(map[Check]int),
 	}
 }
@@ -351,7 +353,7 @@
 	if !served {
 		at, ok := c.confirmed[number]
 		_, replaced := c.confirmed[number+1]
-		if ok && !replaced && sent.Sub(at) > configBound && c.isUndisturbed(host, at) {
+		if ok && !replaced && sent.Sub(at) > configBound && c.isUndisturbed(host, sent) {
 			c.check(CheckConfiguration, false, "%s lacks configuration %d %v after it was confirmed", host, number, sent.Sub(at))
 		}
 		return
@@ -362,10 +364,12 @@
 	if isOlder {
 		return
 	}
-	if at, replaced := c.confirmed[number+1]; replaced && c.isUndisturbed(host, at) {
+	if at, replaced := c.confirmed[number+1]; replaced && c.isUndisturbed(host, sent) {
 		c.check(CheckConfiguration, sent.Sub(at) <= configBound, "%s serves configuration %d %v after the next one was confirmed", host, number, sent.Sub(at))
 	}
-	c.versions[host] = version{boot: boot, number: number, at: now}
+	if seen.boot != boot || number > seen.number {
+		c.versions[host] = version{boot: boot, number: number, at: now}
+	}
 }
 
 // KeyAccepted records that a host served a request with a key.
@@ -373,7 +377,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	at, ok := c.withdrawn[key]
-	if ok && c.isUndisturbed(host, at) {
+	if ok && c.isUndisturbed(host, sent) {
 		c.check(CheckWithdrawnKey, sent.Sub(at) <= configBound, "%s accepts a key %v after it was withdrawn", host, sent.Sub(at))
 	}
 }
