host: start without the listener for forwarded requests

A host did not start if the TCP port for forwarded requests was taken. In cmd/quetzalhook 7 tests failed so, on a machine with 55,000 connections in TIME_WAIT: the port is that after a free one, which nothing had reserved.

The host serves its callers without that listener, and opens it again each second.

--- a/internal/entry/host/forward.go
+++ b/internal/entry/host/forward.go
@@ -17,6 +17,7 @@
 	"quetzalhook/internal/entry/caller"
 	"quetzalhook/internal/entry/connection"
 	"quetzalhook/internal/entry/gateway"
+	"quetzalhook/internal/state/timing"
 )
 
 const (
@@ -27,6 +28,8 @@
 	otherCellCost   = 4
 	// unreachedTime is how long a host is avoided to which a request could not be sent.
 	unreachedTime = time.Second
+	// relistenInterval is the time until a listener that has failed is opened again.
+	relistenInterval = time.Second
 	// maxPeerHeader bounds the header section of a forwarded request.
 	maxPeerHeader = maxHeaderBytes + 4<<10
 )
@@ -126,14 +129,9 @@
 	p.unreached[host] = now
 }
 
-// servePeers opens the listener for requests that other hosts forward, and serves it. Only
-// hosts that know the secret can connect.
-func (h *Host) servePeers(ctx context.Context) error {
-	var config net.ListenConfig
-	l, err := config.Listen(ctx, "tcp", h.settings.Peer(h.settings.IP()))
-	if err != nil {
-		return errors.WithStack(err)
-	}
+// servePeers serves the requests that other hosts forward, until the server is closed. Only
+// hosts that know the secret can connect. Without its listener the host serves its callers.
+func (h *Host) servePeers(ctx context.Context) {
 	h.peerServer = &http.Server{Handler: h.gateway.PeerHandler(), ReadHeaderTimeout: longHeaderTimeout, MaxHeaderBytes: maxPeerHeader, ErrorLog: log.New(io.Discard, "", 0)}
 	conns := caller.NewConns(func() caller.Limits {
 		return caller.Limits{HeaderBytes: maxPeerHeader, HeaderTime: requestTimeout, IdleTime: smallIdleTimeout}
@@ -141,11 +139,20 @@
 	conns.Attach(h.peerServer)
 	h.servers = append(h.servers, h.peerServer)
 	h.wg.Go(func() {
-		if err := h.peerServer.Serve(tls.NewListener(conns.Listen(l), h.peers.ServerTLS())); !errors.Is(err, http.ErrServerClosed) {
+		for {
+			l, err := net.Listen("tcp", h.settings.Peer(h.settings.IP()))
+			if err == nil {
+				err = h.peerServer.Serve(tls.NewListener(conns.Listen(l), h.peers.ServerTLS()))
+			}
+			if errors.Is(err, http.ErrServerClosed) {
+				return
+			}
 			h.log.WithError(err).Error("listener for forwarded requests failed")
+			if !timing.Sleep(ctx, relistenInterval) {
+				return
+			}
 		}
 	})
-	return nil
 }
 
 // drainPeers ends the listener for forwarded requests, and waits for those in progress
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -255,9 +255,7 @@
 		ErrorLog: nil,
 	}
 	h.gateway.Attach(h.callerServer)
-	if err := h.servePeers(ctx); err != nil {
-		return err
-	}
+	h.servePeers(ctx)
 	directory := h.adapter.Directory(h.hosts, listTTL(h.settings))
 	for address, server := range map[string]*http.Server{
 		h.settings.Listen.Callers:           h.callerServer,
