dispatcher, gateway: forward requests of a service that the host does not reach

A host that had lost its paths to the engines of one service, but not to all upstreams, bars these engines for 0.5 to 4 s. Its requests were then refused at once, or waited for the end of a bar and met an engine that is not reached.

The ticket now says once that the engines are barred since some are not reached, and the gateway forwards the request. Without another host it waits as before. A forwarded request goes back with no-path, and the next host is tried.

--- a/internal/entry/gateway/forward_test.go
+++ b/internal/entry/gateway/forward_test.go
@@ -255,3 +255,24 @@
 		t.Errorf("the other host: got %s, want %s", got, want)
 	}
 }
+
+// Guards against a request that is refused, or waits, since its host reaches no upstream of one
+// service, while another host reaches some.
+func TestUnreachedServiceIsForwarded(t *testing.T) {
+	peers, list := newPeers(t, []string{"upstream a " + ok + "\noffer a"})
+	env := newTestEnvironment(t)
+	defer env.close()
+	env.gateway.deps.Peers = list
+	answer, _, _ := strings.Cut(env.runScript(t, "offer unreached\n"+sendOrder), "\n")
+	if want := `caller: 200 whole answer-seal=s "hi"`; answer != want {
+		t.Errorf("got %s, want %s", answer, want)
+	}
+	if got, want := peers[0].describe(), gotOrder; got != want {
+		t.Errorf("the other host: got %s, want %s", got, want)
+	}
+	env.gateway.deps.Peers = nil
+	answer, _, _ = strings.Cut(env.runScript(t, "upstream b "+ok+"\noffer unreached b\n"+sendOrder), "\n")
+	if want := `caller: 200 whole answer-seal=s "hi"`; answer != want {
+		t.Errorf("without other hosts: got %s, want %s", answer, want)
+	}
+}
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -245,6 +245,8 @@
 		env.mu.Lock()
 	}
 	switch name {
+	case "unreached":
+		return quetzalhook.Attempt{}, &quetzalhook.Refusal{Kind: quetzalhook.RefuseUnreached}
 	case "refuse":
 		return quetzalhook.Attempt{}, &quetzalhook.Refusal{Kind: quetzalhook.RefuseOverload, RetryAfter: 1500 * time.Millisecond}
 	case "wait":
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -60,12 +60,14 @@
 	var last error
 	for {
 		attempt, err := x.awaitAttempt(ctx, ticket)
-		if err == errCutOff && x.hop != nil {
-			return noPath()
-		}
-		if err == errCutOff {
-			if done, err := x.forward(ctx); done {
-				return err
+		if err == errCutOff || isUnreached(err) {
+			if x.hop != nil && !x.mayHaveRun {
+				return noPath()
+			}
+			if x.mayForward() {
+				if done, err := x.forward(ctx); done {
+					return err
+				}
 			}
 			continue
 		}
@@ -123,6 +125,12 @@
 	return err
 }
 
+// isUnreached reports whether a request was refused since its host reaches no upstream for it.
+func isUnreached(err error) bool {
+	var r *quetzalhook.Refusal
+	return errors.As(err, &r) && r.Kind == quetzalhook.RefuseUnreached
+}
+
 // mayRepeat reports whether a request that an upstream may have run may be sent
 // again.
 func (x *exchange) mayRepeat() bool {
--- a/internal/fleet/dispatcher/ticket.go
+++ b/internal/fleet/dispatcher/ticket.go
@@ -52,6 +52,7 @@
 	callerTimeout time.Duration
 	attempts      int // so far, but for those that were never sent; a repeated request starts with 1, for that of the original one
 	unsent        int // attempts that were never sent
+	toldUnreached bool
 	possibleRuns  int // broken attempts, whose upstream may have run the request
 
 	takenAt time.Time // when the current attempt was taken from the retry budget; zero if it was not
@@ -112,7 +113,8 @@
 	var forbiddenKind quetzalhook.RefuseKind
 	for unusable < maxUnusable && barred < maxBarred && forbidden < maxForbidden && late < maxLate {
 		t.request.UpdateScope()
-		t.request.Barred = t.dispatcher.barred()
+		unreached := false
+		t.request.Barred, unreached = t.dispatcher.barred()
 		if t.callerTimeout > 0 {
 			t.request.CallerTimeout = max(t.callerTimeout-t.dispatcher.clock.Now().Sub(t.submittedAt), time.Millisecond)
 		}
@@ -121,6 +123,10 @@
 			t.dispatcher.groups.cancel(t.request.ID)
 			return quetzalhook.Attempt{}, err
 		}
+		if c.refusal != nil && c.refusal.Kind == quetzalhook.RefusePause && unreached && !t.toldUnreached {
+			t.toldUnreached = true
+			return quetzalhook.Attempt{}, &quetzalhook.Refusal{Kind: quetzalhook.RefuseUnreached, RetryAfter: retryAfter}
+		}
 		if c.refusal != nil && c.refusal.Kind == quetzalhook.RefusePause && t.maySleep(c.refusal.RetryAfter) {
 			if !timing.Sleep(ctx, c.refusal.RetryAfter) {
 				return quetzalhook.Attempt{}, context.Cause(ctx)
@@ -238,10 +244,12 @@
 // not bound them.
 const maxUnsent = 8
 
-// barred returns the engines to which this host may or should send no request now.
-func (d *Dispatcher) barred() []quetzalhook.Bar {
+// barred returns the engines to which this host may or should send no request now, and
+// whether it does not reach some of them.
+func (d *Dispatcher) barred() (list []quetzalhook.Bar, unreached bool) {
 	now := d.clock.Now()
-	return append(d.settings.Notices.Barred(now), d.settings.Reach.Barred(now)...)
+	notReached := d.settings.Reach.Barred(now)
+	return append(d.settings.Notices.Barred(now), notReached...), len(notReached) > 0
 }
 
 // takeRetry takes an attempt from the retry budget. The first attempt of a request that is
--- a/policy.go
+++ b/policy.go
@@ -132,6 +132,10 @@
 	// RefusePause reports that every upstream wants no requests from the host for a
 	// while, or at all.
 	RefusePause RefuseKind = "pause"
+	// RefuseUnreached reports that every upstream wants no requests from the host, or is not
+	// reached by it. Another host may reach some. It is reported once for each request, which
+	// then waits as for a pause.
+	RefuseUnreached RefuseKind = "unreached"
 	// RefuseRetryBudget reports that the retry budget is used up.
 	RefuseRetryBudget RefuseKind = "retry-budget"
 	// RefuseRegion reports that no upstream in the regions in which the request may
