gateway: a stopping host takes only forwarded requests that end in time

A host that had just begun to stop took each request that another host forwarded, as it takes those of its own callers until they know other hosts, and could cut a long one at the end of its stop. The caller's own host was not stopping.

A stopping host now takes a forwarded request only if it ends in time whatever its upstream does; otherwise it refuses it as not run, and another host gets it. Found by reading the code; TestForwarding/stopping_host_that_may_cut_it failed before.

--- a/internal/entry/gateway/drain.go
+++ b/internal/entry/gateway/drain.go
@@ -30,7 +30,12 @@
 // a refused caller can ask another host at once, one that is cut may have lost its
 // answer.
 func (s *Stop) takes(now time.Time, timeout time.Duration) bool {
-	return now.Before(s.Away) || !now.Add(timeout+caller.EndTime).After(s.End)
+	return now.Before(s.Away) || s.completes(now, timeout)
+}
+
+// completes reports whether a request ends in time whatever its upstream does.
+func (s *Stop) completes(now time.Time, timeout time.Duration) bool {
+	return !now.Add(timeout + caller.EndTime).After(s.End)
 }
 
 // Drain makes every later response ask the caller to close the connection, and the
@@ -41,9 +46,18 @@
 	}
 }
 
-// checkStop returns an error if the host is stopping and does not take the request.
+// checkStop returns an error if the host is stopping and does not take the request. A
+// forwarded one must end in time, since its caller did not choose this host.
 func (x *exchange) checkStop() error {
-	if s := x.gateway.stop.Load(); s == nil || s.takes(x.gateway.deps.Clock.Now(), x.timeout-x.elapsed()) {
+	s := x.gateway.stop.Load()
+	if s == nil {
+		return nil
+	}
+	takes := s.takes
+	if x.hop != nil {
+		takes = s.completes
+	}
+	if takes(x.gateway.deps.Clock.Now(), x.timeout-x.elapsed()) {
 		return nil
 	}
 	return &Error{
--- a/internal/entry/gateway/forward_test.go
+++ b/internal/entry/gateway/forward_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"quetzalhook"
 	"quetzalhook/internal/entry/connection"
@@ -31,12 +32,22 @@
 	return ctx
 }
 
-// newPeers returns hosts that run scripts: "closed" for one that has ended, and "cut-off"
-// for one that reaches no upstreams.
+// newPeers returns hosts that run scripts: "closed" for one that has ended, "cut-off" for
+// one that reaches no upstreams, and "stopping" first for one that ends after that time.
 func newPeers(t *testing.T, scripts []string) (envs []*testEnvironment, list peerList) {
 	for i, script := range scripts {
 		env := newTestEnvironment(t)
 		t.Cleanup(env.close)
+		if rest, ok := strings.CutPrefix(script, "stopping "); ok {
+			length, rest, _ := strings.Cut(rest, "\n")
+			script = rest
+			limit, err := time.ParseDuration(length)
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := env.gateway.deps.Clock.Now()
+			env.gateway.Drain(Stop{Start: now, Away: now.Add(limit), End: now.Add(limit)})
+		}
 		env.runScript(t, script)
 		if strings.HasPrefix(script, "no-table") {
 			env.setTable(nil)
@@ -156,6 +167,20 @@
 			`caller: 200 whole answer-seal=s "hi"`,
 			[]string{nothing, nothing, nothing, gotOrder},
 		},
+		{
+			"stopping host with time", "",
+			[]string{"stopping 10s\nupstream a " + ok + "\noffer a"},
+			sendOrder,
+			`caller: 200 whole answer-seal=s "hi"`,
+			[]string{nothing, gotOrder},
+		},
+		{
+			"stopping host that may cut it", "",
+			[]string{"stopping 900ms\nupstream a " + ok + "\noffer a", "upstream a " + ok + "\noffer a"},
+			sendLookup,
+			`caller: 200 whole answer-seal=s "hi"`,
+			[]string{nothing, nothing, gotLookup},
+		},
 		{
 			"another host that is cut off", "",
 			[]string{"cut-off", "upstream a " + ok + "\noffer a"},
