host: forward to a stopping host if there is no other

While three of six hosts reached no upstreams and the three others were restarted one after the other, first tries were refused (no-upstream) from the time at which the last of the three began to stop: no host was left to forward to, although stopping hosts take requests for 3 s.

A host now forwards to a stopping one if there is no other. TestPeerChoice failed before.

--- a/internal/entry/host/forward.go
+++ b/internal/entry/host/forward.go
@@ -26,6 +26,9 @@
 	otherZoneCost   = 1
 	otherRegionCost = 8
 	otherCellCost   = 4
+	// drainingCost exceeds all other costs: a stopping host takes requests only until
+	// callers know other hosts.
+	drainingCost = 1 << 20
 	// unreachedTime is how long a host is avoided to which a request could not be sent.
 	unreachedTime = time.Second
 	// relistenInterval is the time until a listener that has failed is opened again.
@@ -56,7 +59,7 @@
 }
 
 // Next implements gateway.Peers. It returns the host with the fewest open requests of this
-// host, with a preference for near ones.
+// host, with a preference for near ones, and a stopping one only if there is no other.
 func (p *peerChoice) Next(allowed quetzalhook.Regions, tried []quetzalhook.HostID) (gateway.Peer, bool) {
 	members, now := p.members(), p.clock.Now()
 	p.mu.Lock()
@@ -79,6 +82,9 @@
 		if m.Distant {
 			cost += otherCellCost
 		}
+		if m.Draining {
+			cost += drainingCost
+		}
 		if best == nil || cost < lowest {
 			best, lowest = m, cost
 		}
@@ -97,7 +103,7 @@
 
 // isEligible reports whether a host can serve a forwarded request. The caller holds p.mu.
 func (p *peerChoice) isEligible(now time.Time, m *quetzalhook.Member, allowed quetzalhook.Regions, tried []quetzalhook.HostID) bool {
-	if m.Draining || m.Unready || m.CutOff || m.PeerAddress == "" || !m.IsAlive(maxSilence) || !allowed.Allows(m.Region) {
+	if m.Unready || m.CutOff || m.PeerAddress == "" || !m.IsAlive(maxSilence) || !allowed.Allows(m.Region) {
 		return false
 	}
 	for _, id := range tried {
--- a/internal/entry/host/forward_test.go
+++ b/internal/entry/host/forward_test.go
@@ -10,7 +10,8 @@
 )
 
 // Guards against requests that are forwarded to a host which cannot serve them, outside the
-// allowed regions, far away although a near host is free, or all to one host.
+// allowed regions, far away although a near host is free, all to one host, or to none
+// although a stopping host takes them.
 func TestPeerChoice(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var members []quetzalhook.Member
@@ -39,6 +40,9 @@
 		{requests: 1, unreached: []quetzalhook.HostID{"near", "near-2", "other-zone"}, want: "map[far:1]"},
 		{requests: 2, allowed: quetzalhook.OnlyRegions("r2"), want: "map[far:2]"},
 		{requests: 1, allowed: quetzalhook.OnlyRegions("r3"), want: "map[]"},
+		{requests: 1, tried: []quetzalhook.HostID{"near", "near-2", "other-zone", "far"}, want: "map[draining:1]"},
+		{requests: 1, allowed: quetzalhook.OnlyRegions("r"), unreached: []quetzalhook.HostID{"near", "near-2", "other-zone"}, want: "map[draining:1]"},
+		{requests: 1, tried: []quetzalhook.HostID{"near", "near-2", "other-zone", "far", "draining"}, want: "map[]"},
 	} {
 		p := newPeerChoice("z", "r", func() []quetzalhook.Member { return members }, func(quetzalhook.HostID) *tls.Config { return nil }, quetzalhook.ClockFunc(func() time.Time { return now }))
 		for _, id := range c.unreached {
