soak: requests to closed listeners are no first tries

The check of partitioned hosts counted the requests of the crowds and late callers of a planned stop. They connect directly to a host whose listener closes or is closed, whatever the list of hosts says, and are refused there (EOF, connection refused). Among the others they lowered the ratio that partitioned hosts must reach, so that the check asked for too little; at a partitioned host that stops, requests counted that nothing can serve.

--- a/internal/bench/soak/caller.go
+++ b/internal/bench/soak/caller.go
@@ -179,7 +179,9 @@
 	s.checker.ResponseReceived(time.Now(), call.ID, res, h.plannedWork(s.isUndisturbed(sent, call.Key != "")))
 	served := res.Status == http.StatusOK && res.Complete
 	s.countRequest(served)
-	s.checker.FirstTryEnded(sent, h.name, served, h.undisturbedSince(sent))
+	if !c.direct { // those go to hosts that may have closed their listener
+		s.checker.FirstTryEnded(sent, h.name, served, h.undisturbedSince(sent))
+	}
 	if s.settings.Builds && call.Stream {
 		s.checker.EventsReceived(call.ID, call.ID, res)
 		if repeatable && isBroken(res) {
