routing, setting: say what the types of a pull and peer-advertise are

A last read as a newcomer: two types of the puller had no comment, a reset of a time had no reason beside it, and peer-advertise did not say that forwarded requests go there too. Comments only; the tests of routing, setting and host pass with -race.

--- a/internal/entry/setting/host.go
+++ b/internal/entry/setting/host.go
@@ -31,8 +31,8 @@
 	// the same on all hosts. The first is used for heartbeats, the second for calls (UDP)
 	// and forwarded requests (TCP).
 	InnerPorts []int `yaml:"inner-ports"`
-	// PeerAdvertise is the address for calls that other hosts are told to use, if other than
-	// the one on which the host listens; empty otherwise.
+	// PeerAdvertise is the address for calls and forwarded requests that other hosts are told
+	// to use, if other than the one on which the host listens; empty otherwise.
 	PeerAdvertise string `yaml:"peer-advertise"`
 	// MetricsPort is the port for metrics; 0 means the third of InnerPorts.
 	MetricsPort int `yaml:"metrics-port"`
--- a/internal/record/routing/puller.go
+++ b/internal/record/routing/puller.go
@@ -65,12 +65,14 @@
 	next  time.Time // of the next read; zero if the table is not behind
 }
 
+// pullCall is an open call to a host.
 type pullCall struct {
 	began       time.Time
 	incarnation quetzalhook.Incarnation // of the host
 	cancel      context.CancelFunc
 }
 
+// pullResult is the end of a call. It is ignored if the call was cancelled meanwhile.
 type pullResult struct {
 	host quetzalhook.HostID
 	call *pullCall
@@ -130,7 +132,7 @@
 	now := p.follower.clock.Now()
 	if r.err != nil {
 		p.notBefore[r.host] = now.Add(failedPeerPause)
-		p.askedAt = time.Time{}
+		p.askedAt = time.Time{} // another host is asked at once
 		return
 	}
 	p.idleUntil = now.Add(checkInterval)
