platform, routing, lease: log the store's era and what is ignored

Nothing told apart a store that comes back from an older copy, a table that cannot be decoded and one that was never read: a host that ignored a table, a record of an upstream or a read of the lease left no line, and the header with the store's era was not read.

The follower logs tables and records that differ from those in force and are not taken, with both revisions; the lease logs each change of its holder and each read that is older than the one before. Metrics: store-era, store-returns, ignored. No decision has changed.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -176,6 +176,12 @@
 	return h, nil
 }
 
+// eraCounter is implemented by a store that may come back from an older copy: Eras returns
+// the number of the newest copy and how often the store has come back.
+type eraCounter interface {
+	Eras() (newest, returns int64)
+}
+
 // publishMetrics registers metrics that show the current state of the host.
 func (h *Host) publishMetrics() {
 	h.meter.Publish("open-requests", func() any { return h.gateway.Open() })
@@ -201,6 +207,14 @@
 		failed, answers, bytes := h.follower.PullCounts()
 		return map[string]int64{"failed": failed, "answers": answers, "answered-bytes": bytes}
 	})
+	h.meter.Publish("ignored", func() any {
+		tables, upstreams := h.follower.IgnoredCounts()
+		return map[string]int64{"tables": tables, "upstreams": upstreams}
+	})
+	if store, ok := h.adapter.Store.(eraCounter); ok {
+		h.meter.Publish("store-era", func() any { era, _ := store.Eras(); return era })
+		h.meter.Publish("store-returns", func() any { _, returns := store.Eras(); return returns })
+	}
 	h.meter.Publish("store-age-ms", func() any { return h.follower.StoreAge().Milliseconds() })
 	h.meter.Publish("cut-off", func() any { return h.reach.IsCutOff() })
 	h.meter.Publish("upstreams-leaving", func() any { leaving, _ := h.notices.Counts(h.clock.Now()); return leaving })
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -19,9 +19,12 @@
 import (
 	"context"
 	"crypto/rand"
+	"io"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"quetzalhook"
 	"quetzalhook/internal/state/chart"
 )
@@ -66,6 +69,7 @@
 	margin      time.Duration
 	candidate   func() bool
 	nonce       func() string
+	log         logrus.FieldLogger
 
 	// opLock serialises the operations that read or write the object: the
 	// channel is full while one is in progress. It is acquired before mu and is
@@ -115,6 +119,12 @@
 	return func(l *Lease) { l.nonce = f }
 }
 
+// WithLog logs each change of the holder that this host sees or makes, and each answer of
+// the store that is older than the one before. Nothing is logged by default.
+func WithLog(log logrus.FieldLogger) Option {
+	return func(l *Lease) { l.log = log }
+}
+
 // New returns a lease that is not held. To compete for the role, call Start, or
 // call Step regularly.
 func New(role string, host quetzalhook.HostID, incarnation quetzalhook.Incarnation,
@@ -124,17 +134,20 @@
 	if err != nil {
 		return nil, err
 	}
+	discard := logrus.New()
+	discard.SetOutput(io.Discard)
 	l := &Lease{
 		store: store, clock: clock, inv: inv, machine: c.NewMachine(role, inv),
 		opLock: make(chan struct{}, 1), role: role, key: "lease/" + role, host: host, incarnation: incarnation,
 		term: defaultTerm, margin: defaultMargin,
-		candidate: func() bool { return true }, nonce: rand.Text,
+		candidate: func() bool { return true }, nonce: rand.Text, log: discard,
 		sentAt: make(map[string]time.Time), ownIntents: make(map[string]sendState),
 		sendCounts: make(map[string]int),
 	}
 	for _, opt := range opts {
 		opt(l)
 	}
+	l.log = l.log.WithField("role", role)
 	return l, nil
 }
 
--- a/internal/fleet/lease/step.go
+++ b/internal/fleet/lease/step.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"quetzalhook"
 	"quetzalhook/internal/state/chart"
@@ -85,6 +86,7 @@
 	}
 	l.setTerm(time.Time{}, 0)
 	if l.machine.State() == stateHolding {
+		l.log.WithField("holder", l.doc.Holder).WithField("fencing", l.doc.Fencing).WithField("revision", l.version).Info("lease lost")
 		l.fire(eventLose)
 	}
 	return l.fail(op, KindNotHolder, nil)
@@ -108,6 +110,7 @@
 		return err
 	}
 	l.fire(eventWin)
+	l.log.WithField("fencing", l.doc.Fencing).WithField("revision", l.version).Info("lease taken")
 	return nil
 }
 
@@ -303,6 +306,7 @@
 		return err
 	}
 	if o.Version < l.version {
+		l.log.WithField("revision", o.Version).WithField("known-revision", l.version).Warn("lease read is older than the one before")
 		return errors.Errorf("stale read of %s: version %d after %d", l.key, o.Version, l.version)
 	}
 	var d document
@@ -318,6 +322,11 @@
 	if l.odd == nil {
 		l.checkSingleHolder(d)
 	}
+	if d.Holder != l.doc.Holder || d.Incarnation != l.doc.Incarnation || d.Fencing != l.doc.Fencing {
+		l.log.WithFields(logrus.Fields{
+			"holder": d.Holder, "fencing": d.Fencing, "revision": o.Version, "before": l.doc.Holder, "fencing-before": l.doc.Fencing, "revision-before": l.version,
+		}).Info("holder of the lease changed")
+	}
 	l.doc, l.version, l.docKnown = d, o.Version, true
 	if sentAt, ok := l.sentAt[d.Nonce]; ok {
 		l.applyWrite(d, o.Version, sentAt)
--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -133,6 +133,9 @@
 
 	pulls   pullCounters
 	encoder tableEncoder
+	ignored ignoredCounters
+	// ignoredTable is the version of the last table that was logged as ignored.
+	ignoredTable quetzalhook.Version
 }
 
 // Option sets one property of a Follower.
@@ -525,9 +528,13 @@
 		return
 	}
 	f.mu.Lock()
-	isRejected := o.Version <= f.rejectedTable
+	rejected := f.rejectedTable
 	f.mu.Unlock()
-	if isRejected {
+	if o.Version <= rejected {
+		if o.Version < rejected {
+			f.ignored.tables.Add(1)
+			f.log.WithFields(logrus.Fields{"revision": o.Version, "rejected": rejected}).Warn("routing table ignored: its revision is not above that of one that cannot be decoded")
+		}
 		return
 	}
 	t, err := f.source.DecodeTable(o.Value)
@@ -546,12 +553,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if version <= f.tableVersion {
+		f.logIgnoredTable(t, version, from)
 		return
 	}
 	if f.table != nil && t.Version <= f.table.Version {
 		if t.Version == f.table.Version {
 			f.tableVersion = version // stored again
 		}
+		f.logIgnoredTable(t, version, from)
 		return
 	}
 	t.Index()
@@ -576,6 +585,28 @@
 	f.notifyChanged()
 }
 
+// ignoredCounters counts what the follower has read and ignored.
+type ignoredCounters struct{ tables, upstreams atomic.Int64 }
+
+// IgnoredCounts returns how many tables and records of upstreams this host has read that
+// differ from those in force, and ignored.
+func (f *Follower) IgnoredCounts() (tables, upstreams int64) {
+	return f.ignored.tables.Load(), f.ignored.upstreams.Load()
+}
+
+// logIgnoredTable logs, once for each revision, that a table is not put in force although it
+// is not the one in force. The caller holds f.mu.
+func (f *Follower) logIgnoredTable(t *Table, version quetzalhook.Version, from string) {
+	if f.table == nil || t.Version == f.table.Version || version == f.ignoredTable {
+		return
+	}
+	f.ignoredTable = version
+	f.ignored.tables.Add(1)
+	f.log.WithFields(logrus.Fields{
+		"version": t.Version, "revision": version, "from": from, "in-force": f.table.Version, "in-force-revision": f.tableVersion,
+	}).Warn("routing table ignored")
+}
+
 // notifyChanged wakes the callers that wait for a change of the table or the
 // upstreams. The caller holds f.mu.
 func (f *Follower) notifyChanged() {
--- a/internal/record/routing/upstreams.go
+++ b/internal/record/routing/upstreams.go
@@ -66,6 +66,7 @@
 		return
 	}
 	if e != nil && o.Version <= e.version {
+		f.logIgnoredUpstream(e, o)
 		return
 	}
 	f.complete = max(f.complete, o.Version)
@@ -83,6 +84,22 @@
 	f.setUpstream(u, o.Version)
 }
 
+// logIgnoredUpstream logs that a record with a lower revision than the known one is ignored
+// although it differs from it. The caller holds f.mu.
+func (f *Follower) logIgnoredUpstream(e *entry, o quetzalhook.Object) {
+	if o.Version == e.version {
+		return
+	}
+	u, err := f.source.DecodeUpstream(e.upstream.ID, o.Value)
+	if err != nil || e.removed.IsZero() && u.State == e.upstream.State && u.Started == e.upstream.Started {
+		return
+	}
+	f.ignored.upstreams.Add(1)
+	f.log.WithFields(logrus.Fields{
+		"upstream": e.upstream.ID, "state": u.State, "revision": o.Version, "known-state": e.upstream.State, "known-revision": e.version, "removed": !e.removed.IsZero(),
+	}).Info("upstream record ignored")
+}
+
 // setUpstream stores u as the newest record of its upstream. The caller holds
 // f.mu.
 func (f *Follower) setUpstream(u quetzalhook.Upstream, version quetzalhook.Version) {
