--- a/internal/platform/memory/memory.go
+++ b/internal/platform/memory/memory.go
@@ -31,6 +31,7 @@
 	faults       Faults
 	counts       Counts
 	staleObjects map[string]quetzalhook.Object // what reads return while StaleReads is set, else nil
+	era          int64                         // 0 if the store does not name eras
 }
 
 // Counts holds the number of calls since the store was created.
@@ -41,12 +42,23 @@
 	Open    int64 // currently open watches
 }
 
+// Option sets one property of a Store.
+type Option func(*Store)
+
+// WithEras makes the store name its era, which rises each time it returns from a copy. The
+// first one is 1.
+func WithEras() Option { return func(s *Store) { s.era = 1 } }
+
 // New returns an empty store.
-func New() *Store {
-	return &Store{
+func New(opts ...Option) *Store {
+	s := &Store{
 		objects: make(map[string]quetzalhook.Object),
 		watches: make(map[*watch]struct{}),
 	}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
 }
 
 // Get returns an object.
--- a/internal/platform/memory/memory_test.go
+++ b/internal/platform/memory/memory_test.go
@@ -38,3 +38,40 @@
 	}
 	return ""
 }
+
+// Guards against a store that keeps a later change, or its history, when it returns from a
+// copy, and against a new change whose version was not given out before.
+func TestReturnFromCopy(t *testing.T) {
+	ctx := context.Background()
+	s := New(WithEras())
+	put := func(key, value string, base quetzalhook.Version) quetzalhook.Version {
+		v, err := s.Put(ctx, key, []byte(value), base)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	first := put("k/a", "1", 0)
+	c := s.Copy()
+	lost := put("k/a", "2", first)
+	w, err := s.Watch(ctx, "k/", lost)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Return(c)
+	if _, open := <-w.Events(); open {
+		t.Error("watch: got an event, want its end")
+	}
+	if o, err := s.Get(ctx, "k/a"); err != nil || string(o.Value) != "1" {
+		t.Errorf("got %q, %v, want 1", o.Value, err)
+	}
+	if _, err := s.Watch(ctx, "k/", lost); quetzalhook.StoreKind(err, "") != quetzalhook.StoreHistoryGone {
+		t.Errorf("watch from a lost change: got %v, want %v", err, quetzalhook.StoreHistoryGone)
+	}
+	if got := s.Era(); got != 2 {
+		t.Errorf("era: got %d, want 2", got)
+	}
+	if again := put("k/a", "3", first); again != lost {
+		t.Errorf("version: got %v, want %v again", again, lost)
+	}
+}
--- a/internal/platform/memory/watch.go
+++ b/internal/platform/memory/watch.go
@@ -26,7 +26,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Watches++
-	if after < s.historyStart {
+	if after < s.historyStart || after > s.version {
 		return nil, storeError("watch", prefix, quetzalhook.StoreHistoryGone)
 	}
 	w := &watch{store: s, prefix: prefix, events: make(chan quetzalhook.Object, watchBuffer)}
