platform: versions carry the era of the store

Callers were refused on routes that had been confirmed, and hosts went on sending to upstreams that leave, after the store had come back from an older copy: what was written then has a lower revision than what the hosts know, and was ignored. Two processes could be given one fencing token, and a conditional write could replace what another had written under a revision that was given out again.

Cause: a revision was taken to be unique and to rise for ever. A Version is now the era of the store and the revision, ordered by era first, so that each comparison in the product is right. The store client takes the era from the header of each response, rejects a base of an earlier era before it is sent, reports a write as unknown if its answer is of another era, and ends watches whose position is of an earlier one. Without the header the era is 0 and nothing changes.

Evidence: TestStoreReturns, which fails before (the base is accepted, and the watch goes on or waits).

--- a/internal/platform/memory/copy.go
+++ b/internal/platform/memory/copy.go
@@ -26,11 +26,15 @@
 	s.EndWatches()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.objects, s.version = maps.Clone(c.objects), c.version
-	s.history, s.historyStart, s.staleObjects = nil, s.version, nil
 	if s.era > 0 {
 		s.era++
 	}
+	s.version, s.objects = quetzalhook.NewVersion(s.era, c.version.Revision()), make(map[string]quetzalhook.Object, len(c.objects))
+	for key, o := range c.objects {
+		o.Version = quetzalhook.NewVersion(s.era, o.Version.Revision())
+		s.objects[key] = o
+	}
+	s.history, s.historyStart, s.staleObjects = nil, s.version, nil
 }
 
 // Era returns the number of the copy that the store serves, or 0 if it does not name eras.
--- a/internal/platform/memory/gate.go
+++ b/internal/platform/memory/gate.go
@@ -137,6 +137,8 @@
 	return callThrough(s.gate, "list", prefix, func() (quetzalhook.Listing, error) { return s.store.ListStale(ctx, prefix) })
 }
 
+func (s gatedStore) Era() int64 { return s.store.Era() }
+
 func (s gatedStore) Put(ctx context.Context, key string, value []byte, base quetzalhook.Version) (quetzalhook.Version, error) {
 	return callThrough(s.gate, "put", key, func() (quetzalhook.Version, error) { return s.store.Put(ctx, key, value, base) })
 }
--- a/internal/platform/memory/memory.go
+++ b/internal/platform/memory/memory.go
@@ -47,7 +47,9 @@
 
 // WithEras makes the store name its era, which rises each time it returns from a copy. The
 // first one is 1.
-func WithEras() Option { return func(s *Store) { s.era = 1 } }
+func WithEras() Option {
+	return func(s *Store) { s.era, s.version = 1, quetzalhook.NewVersion(1, 0) }
+}
 
 // New returns an empty store.
 func New(opts ...Option) *Store {
--- a/internal/platform/memory/memory_test.go
+++ b/internal/platform/memory/memory_test.go
@@ -71,7 +71,10 @@
 	if got := s.Era(); got != 2 {
 		t.Errorf("era: got %d, want 2", got)
 	}
-	if again := put("k/a", "3", first); again != lost {
-		t.Errorf("version: got %v, want %v again", again, lost)
+	if _, err := s.Put(ctx, "k/a", []byte("3"), first); quetzalhook.StoreKind(err, "") != quetzalhook.StoreConflict {
+		t.Errorf("base of an earlier era: got %v, want %v", err, quetzalhook.StoreConflict)
+	}
+	if again := put("k/a", "3", quetzalhook.NewVersion(2, first.Revision())); again.Revision() != lost.Revision() || again <= lost {
+		t.Errorf("version: got %v, want the revision of %v in a later era", again, lost)
 	}
 }
--- a/internal/record/routing/gated_store_test.go
+++ b/internal/record/routing/gated_store_test.go
@@ -28,6 +28,8 @@
 	return g.gate.Store.List(ctx, prefix)
 }
 
+func (g gatedStore) Era() int64 { return g.gate.Store.Era() }
+
 func (g gatedStore) Put(ctx context.Context, key string, value []byte, base quetzalhook.Version) (quetzalhook.Version, error) {
 	if g.gate.closed.Load() {
 		return 0, g.gate.unavailable("put")
--- a/platform.go
+++ b/platform.go
@@ -6,17 +6,14 @@
 	"time"
 )
 
-// Version is the number of a change in the store's single sequence of changes. An
-// object has the version of its last change; 0 means that it does not exist.
-type Version int64
-
 // MaxValueSize is the largest value of an object in bytes.
 const MaxValueSize = 1 << 20
 
 // Object is one versioned object of the platform's store.
 type Object struct {
-	Key     string
-	Value   []byte
+	Key   string
+	Value []byte
+	// Version is that of the last change of the object; 0 means that it does not exist.
 	Version Version
 	Deleted bool // set in watch events only
 }
@@ -97,13 +94,18 @@
 	// and does not count against the rate limits.
 	ListStale(ctx context.Context, prefix string) (Listing, error)
 	// Put writes value if the current version is base; with base 0 it only
-	// creates the object.
+	// creates the object. A base of an earlier era is StoreConflict. If the answer shows
+	// that the era has changed since, the outcome is StoreUnknown.
 	Put(ctx context.Context, key string, value []byte, base Version) (Version, error)
-	// Delete removes the object if its current version is base.
+	// Delete removes the object if its current version is base, under the rules of Put.
 	Delete(ctx context.Context, key string, base Version) error
 	// Watch delivers the changes of objects whose key starts with prefix, with a
-	// version above after. It may stop delivering changes without an error.
+	// version above after. It may stop delivering changes without an error. It ends with
+	// StoreHistoryGone if the store has come back from an older copy since after.
 	Watch(ctx context.Context, prefix string, after Version) (Watch, error)
+	// Era returns the newest era that an answer of the store has named, or 0 if it names
+	// none. It makes no call.
+	Era() int64
 }
 
 // Watch is a stream of changes.
