invoice, tally: report a window once across a return of the store

The platform accepted two reports of one window with different counts. The store had come back from an older copy that lacked the frozen counts, and the next holder of the duty froze those that the hosts knew by then.

Cause: the frozen object alone decided what is reported, and a reporter forgot what it had sent as soon as its fencing token changed.

A frozen object now says in which era of the store it was frozen, and it decides in that era only. For a window that had ended, plus the delay of the collection, before the hosts first saw the present era, a reporter sends only the counts that a host knows as sent. If none does, or if two hosts know different ones, it sends nothing: either could be the one that the platform has. A process that has just started takes the first sight of the era from the hosts that answer Collect.

The era in the object is needed beside the version: a write of a paused reporter may reach the store after a return, where the object of its base, or none, is what it expects.

A write whose answer is of another era fails, and the next step decides anew in that era. Hosts of earlier builds ignore the new fields of Collect and omit them. In era 0 nothing is told, kept or skipped.

What remains: a window that ended while the store was away, just before a return, is not reported, since a host that nobody reaches may have sent it.

--- a/internal/record/invoice/invoice_test.go
+++ b/internal/record/invoice/invoice_test.go
@@ -117,15 +117,16 @@
 	receiver    *receiver
 	hosts       map[string]*host
 	counted     map[int64]map[string]int // counted requests by window and customer
+	copied      memory.Copy
 	incarnation quetzalhook.Incarnation
 }
 
 const window = 5 * time.Second
 
-func newTestCluster(t *testing.T, n int) *testCluster {
+func newTestCluster(t *testing.T, n int, opts ...memory.Option) *testCluster {
 	clock := quetzalhook.ClockFunc(time.Now)
 	c := &testCluster{
-		t: t, clock: clock, store: memory.New(), network: peer.NewNetwork(clock, 1), inv: invariant.New(nil),
+		t: t, clock: clock, store: memory.New(opts...), network: peer.NewNetwork(clock, 1), inv: invariant.New(nil),
 		receiver: &receiver{reports: make(map[int64]string)}, hosts: make(map[string]*host), counted: make(map[int64]map[string]int),
 	}
 	for i := range n {
@@ -183,6 +184,12 @@
 	c.network.Leave(quetzalhook.HostID(name))
 }
 
+// pause pauses a host for some seconds.
+func (h *host) pause() {
+	h.gate.Pause()
+	time.AfterFunc(8*time.Second, h.gate.Resume)
+}
+
 // count counts n requests of a customer on a host, and records them in counted.
 func (c *testCluster) count(name, customer string, n int) {
 	at := int64(c.hosts[name].counter.At(time.Now()))
@@ -237,9 +244,13 @@
 	case "start":
 		c.startHost(f[1])
 	case "pause":
-		h := c.hosts[c.hostName(f[1])]
-		h.gate.Pause()
-		time.AfterFunc(8*time.Second, h.gate.Resume)
+		c.hosts[c.hostName(f[1])].pause()
+	case "pause-others":
+		for name, h := range c.hosts {
+			if name != f[1] {
+				h.pause()
+			}
+		}
 	case "lose":
 		c.receiver.setFaults(2, false)
 	case "platform":
@@ -256,6 +267,14 @@
 				c.t.Fatal(err)
 			}
 		}
+	case "copy":
+		c.copied = c.store.Copy()
+	case "return": // the store comes back from the copy
+		c.store.Return(c.copied)
+	case "cut": // a host off from all others, or none
+		c.network.SetFaults(peer.NetworkFaults{Cut: func(a, b quetzalhook.HostID) bool {
+			return len(f) > 1 && (string(a) == f[1] || string(b) == f[1])
+		}})
 	case "lose-changes":
 		c.store.SetFaults(memory.Faults{LoseAnswers: 3})
 	}
@@ -264,14 +283,18 @@
 // Guards against a window that is not reported, or is reported twice with different
 // counts by two hosts that both act as holder of the duty. The faults are a holder
 // that is killed, stopped or paused, lost answers, and outages of the store or the
-// platform, and objects of another program. Also guards against lost counts of a
+// platform, a store that comes back from an older copy, and objects of another program. Also guards against lost counts of a
 // killed host.
 func TestReports(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var out strings.Builder
 			synctest.Test(t, func(t *testing.T) {
-				c := newTestCluster(t, 4)
+				var opts []memory.Option
+				if d.Cmd == "play-eras" {
+					opts = append(opts, memory.WithEras())
+				}
+				c := newTestCluster(t, 4, opts...)
 				// A window begins one second from now.
 				now := time.Now()
 				time.Sleep(now.Truncate(window).Add(2 * window).Sub(now))
--- a/internal/record/invoice/reporter.go
+++ b/internal/record/invoice/reporter.go
@@ -6,6 +6,10 @@
 // by a conditional write that succeeds for only one reporter. Every report of the
 // window has these counts, whichever host sends it. Only a few objects are used,
 // and later windows overwrite earlier ones, so that the store does not fill up.
+//
+// The store may come back from an older copy, which lacks frozen counts that were sent. A
+// window that may have been frozen in an earlier era of the store is reported only with the
+// counts that a host knows as sent, and otherwise not at all.
 package invoice
 
 import (
@@ -42,6 +46,8 @@
 	reportTimeout = 700 * time.Millisecond
 	// retryAfter is the pause before a failed report is repeated.
 	retryAfter = 500 * time.Millisecond
+	// maxClockError is how far the clocks of two reporters may differ.
+	maxClockError = 500 * time.Millisecond
 )
 
 // Duty is the lease for reporting usage. Fencing returns its fencing token and
@@ -55,10 +61,14 @@
 	ReportUsage(ctx context.Context, fencing uint64, window int64, counts map[quetzalhook.CustomerID]int64) error
 }
 
-// Counter collects the counts of a window from all hosts. The hosts that Collect
-// returns are those that are alive but did not answer.
+// Counter collects from all hosts the counts of a window, and those that were sent.
 type Counter interface {
-	Collect(ctx context.Context, w tally.Window) (tally.Counts, []quetzalhook.HostID, error)
+	Collect(ctx context.Context, w tally.Window) (tally.Collected, error)
+	// AddSent tells hosts the counts that are about to be sent. It returns false if one of
+	// them knows other counts as sent.
+	AddSent(ctx context.Context, w tally.Window, counts tally.Counts) bool
+	// ObserveEra tells the present era of the store.
+	ObserveEra(era int64)
 	At(t time.Time) tally.Window
 	End(w tally.Window) time.Time
 }
@@ -67,6 +77,9 @@
 type frozenCounts struct {
 	Window tally.Window `json:"window"`
 	Counts tally.Counts `json:"counts"`
+	// Era is the era of the store in which the counts were frozen. Hosts of earlier builds
+	// omit it.
+	Era int64 `json:"era,omitempty"`
 }
 
 // maxLead is the largest number of windows by which the clock of a reporter may be
@@ -80,7 +93,7 @@
 			return false
 		}
 	}
-	return f.Window >= 0 && f.Window <= current+maxLead
+	return f.Window >= 0 && f.Window <= current+maxLead && f.Era >= 0
 }
 
 // Reporter freezes and reports windows while its host holds the duty. It is not
@@ -94,6 +107,7 @@
 	inv      quetzalhook.Invariants
 	log      logrus.FieldLogger
 
+	era          int64                         // of the store as of this step
 	fencing      uint64                        // fencing token under which reported and frozenCounts were filled
 	reported     map[tally.Window]bool         // windows that need no further report
 	failedAt     map[tally.Window]time.Time    // time of the last failed attempt
@@ -115,6 +129,8 @@
 // Step reports the windows that are due and not yet reported. It does nothing
 // unless this host holds the duty.
 func (r *Reporter) Step(ctx context.Context) {
+	r.era = r.store.Era()
+	r.counter.ObserveEra(r.era)
 	fencing, held := r.duty.Fencing()
 	if !held {
 		return
@@ -153,6 +169,10 @@
 	if err != nil || counts == nil {
 		return err
 	}
+	if r.era > 0 && !r.counter.AddSent(ctx, w, counts) {
+		r.skip(w, "counts differ")
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	fencing, held := r.duty.Fencing()
@@ -170,6 +190,12 @@
 	return nil
 }
 
+// skip makes a window need no report: it may have been reported with other counts.
+func (r *Reporter) skip(w tally.Window, reason string) {
+	r.reported[w] = true
+	r.log.WithField("window", w).WithField("era", r.era).WithField("reason", reason).Warn("usage skipped")
+}
+
 func equalCounts(a, b tally.Counts) bool {
 	if len(a) != len(b) {
 		return false
@@ -184,8 +210,8 @@
 
 // freeze returns the frozen counts of a window. If the window is not frozen, it
 // collects the counts of all hosts and writes them to the store. It returns nil
-// without an error if a later window has replaced w in the store, so that w needs
-// no report any more.
+// without an error if w needs no report any more: a later window has replaced it in the
+// store, or it may have been sent with counts that no host knows.
 func (r *Reporter) freeze(ctx context.Context, now time.Time, w tally.Window) (tally.Counts, error) {
 	if counts := r.frozenCounts[w]; counts != nil {
 		return counts, nil
@@ -195,7 +221,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if stored.Window == w && version > 0 {
+	// A write that was sent in an earlier era may have taken effect in this one, after other
+	// counts were frozen there and lost.
+	isFrozen := stored.Window == w && version > 0
+	if isFrozen && (r.era == 0 || stored.Era == r.era) {
 		return stored.Counts, nil
 	}
 	if stored.Window > w {
@@ -204,18 +233,35 @@
 		r.reported[w] = true
 		return nil, nil
 	}
-	counts, missing, err := r.counter.Collect(ctx, w)
+	c, err := r.counter.Collect(ctx, w)
 	if err != nil {
 		return nil, &Error{Op: "collect", Kind: ErrorPeers, Err: err}
 	}
-	if len(missing) > 0 && now.Sub(r.counter.End(w)) < maxCollectWait {
-		return nil, &Error{Op: "collect", Kind: ErrorPeers, Err: fmt.Errorf("no counts from %v", missing)}
+	if len(c.Missing) > 0 && now.Sub(r.counter.End(w)) < maxCollectWait {
+		return nil, &Error{Op: "collect", Kind: ErrorPeers, Err: fmt.Errorf("no counts from %v", c.Missing)}
 	}
-	value, err := json.Marshal(frozenCounts{Window: w, Counts: counts})
+	counts := c.Counts
+	switch {
+	case len(c.Sent) > 1:
+		r.skip(w, "counts differ")
+		return nil, nil
+	case len(c.Sent) == 1:
+		counts = c.Sent[0]
+	case r.mayBeLost(w, c.EraAge):
+		r.skip(w, "counts unknown")
+		return nil, nil
+	case isFrozen && stored.Era == 0:
+		return stored.Counts, nil // by a host of an earlier build
+	}
+	value, err := json.Marshal(frozenCounts{Window: w, Counts: counts, Era: r.era})
 	if err != nil {
 		return nil, &Error{Op: "freeze", Kind: ErrorStore, Err: err}
 	}
-	if _, err := r.store.Put(ctx, key, value, version); err != nil {
+	written, err := r.store.Put(ctx, key, value, version)
+	if err == nil && written.Era() != r.era {
+		err = fmt.Errorf("written in era %d of the store after %d", written.Era(), r.era)
+	}
+	if err != nil {
 		// The write may have taken effect, or another reporter may have written
 		// first. The next step reads what the store holds.
 		return nil, &Error{Op: "freeze", Kind: ErrorStore, Err: err}
@@ -223,6 +269,13 @@
 	return counts, nil
 }
 
+// mayBeLost reports whether a window may have been frozen in an earlier era of the store,
+// so that the store may lack its counts. The hosts have known the present era for age.
+func (r *Reporter) mayBeLost(w tally.Window, age time.Duration) bool {
+	began := r.calendar.Now().Add(-age)
+	return r.era > 0 && r.counter.End(w).Add(collectDelay).Before(began.Add(maxClockError))
+}
+
 // readFrozen returns the frozen window that an object holds, and the store version
 // of the object. The version is 0 if the object does not exist. An object that no
 // reporter has written, which another program has overwritten, is logged; it counts
@@ -233,6 +286,9 @@
 	if errors.As(err, &e) && e.Kind == quetzalhook.StoreNotFound {
 		return frozenCounts{}, 0, nil
 	}
+	if err == nil && o.Version.Era() != r.era {
+		err = fmt.Errorf("read in era %d of the store after %d", o.Version.Era(), r.era)
+	}
 	if err != nil {
 		return frozenCounts{}, 0, &Error{Op: "read", Kind: ErrorStore, Err: err}
 	}
--- a/internal/record/tally/tally.go
+++ b/internal/record/tally/tally.go
@@ -6,10 +6,14 @@
 // host sends changed counts to two others several times a second. The host that
 // reports a window collects from all hosts their own counts and their
 // replicas. A killed host loses what it counted since its last replica.
+//
+// Hosts also keep the counts that were sent in reports. The store may come back from an older
+// copy, which lacks them.
 package tally
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,6 +89,11 @@
 	mu      sync.Mutex
 	sources map[Source]windows // own counts and replicas
 	changed bool               // own counts have changed since the last replication
+	sent    map[Window][]Counts
+	// era is that of the store, and eraSince the time at which this process first saw it. It
+	// is of the monotonic clock: that of clock is corrected.
+	era      int64
+	eraSince time.Time
 }
 
 // New returns a counter for windows of the given length and registers its
@@ -92,10 +101,11 @@
 func New(self Source, zone quetzalhook.Zone, peers quetzalhook.Peers, clock *calendar.Clock, length time.Duration, log logrus.FieldLogger) *Counter {
 	c := &Counter{
 		self: self, zone: zone, peers: peers, clock: clock, length: length, log: log,
-		sources: map[Source]windows{self: make(windows)},
+		sources: map[Source]windows{self: make(windows)}, sent: make(map[Window][]Counts),
 	}
 	peers.Handle(replicaKind, c.handleReplica)
 	peers.Handle(collectKind, c.handleCollect)
+	peers.Handle(sentKind, c.handleSent)
 	return c
 }
 
@@ -217,7 +227,7 @@
 }
 
 // dropOldWindows removes the windows older than keptWindows, and other sources
-// that have no windows left. The caller holds c.mu.
+// that have none left. The caller holds c.mu.
 func (c *Counter) dropOldWindows(current Window) {
 	for s, ws := range c.sources {
 		for w := range ws {
@@ -229,6 +239,11 @@
 			delete(c.sources, s)
 		}
 	}
+	for w := range c.sent {
+		if w < current-keptWindows {
+			delete(c.sent, w)
+		}
+	}
 }
 
 // handleReplica merges the counts received from another host and replies with the
@@ -249,10 +264,16 @@
 	return cbor.Marshal(c.clock.Now().UnixNano())
 }
 
-// sourceCounts holds the counts of one source in one window.
+// sourceCounts holds the counts of one source in one window. The other fields are set for
+// the source of the host that answers; hosts of earlier builds omit them.
 type sourceCounts struct {
 	Source Source `cbor:"1,keyasint"`
 	Counts Counts `cbor:"2,keyasint"`
+	// Sent holds the counts that are known as sent for the window.
+	Sent []Counts `cbor:"3,keyasint,omitempty"`
+	// Era is the era of the store, and EraAge the time since the host first saw it.
+	Era    int64         `cbor:"4,keyasint,omitempty"`
+	EraAge time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // handleCollect replies with all counts that this host has for a window.
@@ -265,13 +286,16 @@
 }
 
 // localCounts returns a copy of all counts that this host has for a window: its
-// own and the replicas of other hosts.
+// own and the replicas of other hosts. The own ones are first.
 func (c *Counter) localCounts(w Window) []sourceCounts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var list []sourceCounts
+	own := sourceCounts{Source: c.self, Counts: make(Counts), Sent: slices.Clone(c.sent[w])}
+	own.Counts.merge(c.sources[c.self][w])
+	own.Era, own.EraAge = c.eraAge()
+	list := []sourceCounts{own}
 	for s, ws := range c.sources {
-		if counts := ws[w]; counts != nil {
+		if counts := ws[w]; s != c.self && counts != nil {
 			copied := make(Counts, len(counts))
 			copied.merge(counts)
 			list = append(list, sourceCounts{Source: s, Counts: copied})
@@ -280,18 +304,29 @@
 	return list
 }
 
-// Collect returns the counts of a window summed over all sources, and the hosts
-// that are alive but did not answer.
-func (c *Counter) Collect(ctx context.Context, w Window) (Counts, []quetzalhook.HostID, error) {
+// Collected is what the hosts know of a window.
+type Collected struct {
+	Counts  Counts               // summed over all sources
+	Missing []quetzalhook.HostID // hosts that are alive but did not answer
+	// Sent holds the counts that are known as sent, more than one if the hosts do not agree.
+	Sent []Counts
+	// EraAge is the longest time for which a host has known the era that this one observed
+	// last.
+	EraAge time.Duration
+}
+
+// Collect returns what all hosts know of a window.
+func (c *Counter) Collect(ctx context.Context, w Window) (Collected, error) {
 	body, err := cbor.Marshal(w)
 	if err != nil {
-		return nil, nil, &Error{Op: "collect", Kind: ErrorProtocol, Err: err}
+		return Collected{}, &Error{Op: "collect", Kind: ErrorProtocol, Err: err}
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var mu sync.Mutex
-	var missing []quetzalhook.HostID
+	result := Collected{Counts: make(Counts)}
 	sources := make(map[Source]Counts)
+	own := c.localCounts(w)
 	mergeAll := func(list []sourceCounts) {
 		mu.Lock()
 		defer mu.Unlock()
@@ -300,9 +335,13 @@
 				sources[s.Source] = make(Counts)
 			}
 			sources[s.Source].merge(s.Counts)
+			result.Sent = addSent(result.Sent, s.Sent)
+			if s.Era == own[0].Era {
+				result.EraAge = max(result.EraAge, s.EraAge)
+			}
 		}
 	}
-	mergeAll(c.localCounts(w))
+	mergeAll(own)
 	var wg sync.WaitGroup
 	for _, m := range c.peers.Members() {
 		if !m.IsAlive(maxSilence) {
@@ -317,7 +356,7 @@
 			if err != nil {
 				c.log.WithError(err).WithField("peer", m.Host).WithField("window", w).Info("cannot collect request counts of a host")
 				mu.Lock()
-				missing = append(missing, m.Host)
+				result.Missing = append(result.Missing, m.Host)
 				mu.Unlock()
 				return
 			}
@@ -325,13 +364,12 @@
 		})
 	}
 	wg.Wait()
-	sum := make(Counts)
 	for _, counts := range sources {
 		for id, n := range counts {
-			sum[id] += n
+			result.Counts[id] += n
 		}
 	}
-	return sum, missing, nil
+	return result, nil
 }
 
 // ErrorKind classifies the errors of this package.
