registration: register again after a return of the store

A host that had registered in the seconds that a returned store lacks was in no list of hosts until its restart, so that a host with outdated seed addresses did not find it.

Cause: the registration ended with its first success. The registry now looks at the store's era once a second, which makes no call. If it has risen, the host reads its entry at a random time in the next 10 s and writes it unless the entry is there with its incarnation or a later one, so that two processes of one host do not replace each other's for ever. 2,800 hosts make 280 reads a second for 10 s, and one write for each entry that is lost or odd. A host that leaves stops this before it removes its entry.

An entry of a host that has left and is in the copy again is like that of a host that was killed. The list only adds addresses to send heartbeats to: hosts that know that it left keep that for the incarnation, and to others it is silent from the moment they read the list.

Evidence: TestRegistersAgainAfterReturn, before

entry_is_lost: two returns: got 0 reads and 0 writes, want 2 and 2 entry_is_lost: incarnation: got 0, <nil>, want 2 entry_of_the_process_before: incarnation: got 1, <nil>, want 2 odd_entry: incarnation: got 0, <nil>, want 2

It passes after, in 3 runs with -race.

--- a/internal/fleet/registration/registration.go
+++ b/internal/fleet/registration/registration.go
@@ -1,11 +1,13 @@
 // Package registration keeps the list of hosts in the platform's store, so that
 // hosts with outdated seed addresses find each other. It does not track liveness:
-// heartbeats do that without calls to the store.
+// heartbeats do that without calls to the store. The list may thus lack hosts that are alive,
+// and have some that left, until it is restored after the store came back from an older copy.
 package registration
 
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"quetzalhook"
+	"quetzalhook/internal/state/timing"
 )
 
 // keyPrefix precedes the host ID in the keys of the entries.
@@ -24,6 +27,11 @@
 	// is retried; it doubles after each failure.
 	minRetryPause = 250 * time.Millisecond
 	maxRetryPause = 5 * time.Second
+	// eraInterval is the time between two checks of the store's era, which make no call.
+	eraInterval = time.Second
+	// restoreSpread is the time over which the hosts check their entries once the era has
+	// risen: 2,800 hosts make 280 calls a second.
+	restoreSpread = 10 * time.Second
 	// leaveTimeout bounds the removal of the entry at a planned shutdown.
 	leaveTimeout = 2 * time.Second
 	// maxProcessors bounds the processor time of a host, in cores.
@@ -63,30 +71,45 @@
 	return &Registry{store: store, self: self, log: log, odd: make(map[string]quetzalhook.Version)}
 }
 
-// Start registers this host in the background, until it succeeds or Close is
-// called.
+// Start registers this host in the background, and again if the store comes back from an
+// older copy that lacks the entry, until Leave or Close is called.
 func (r *Registry) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel, r.done = cancel, make(chan struct{})
 	go func() {
 		defer close(r.done)
-		for pause := minRetryPause; ctx.Err() == nil; pause = min(2*pause, maxRetryPause) {
-			err := r.register(ctx)
-			if err == nil {
-				r.log.WithField("incarnation", r.self.Incarnation).Info("host registered")
-				return
-			}
-			r.log.WithError(err).Warn("host not registered")
-			timer := time.NewTimer(pause)
-			select {
-			case <-ctx.Done():
-			case <-timer.C:
-			}
-			timer.Stop()
-		}
+		r.run(ctx)
 	}()
 }
 
+// run keeps the host registered until ctx ends. Each return of the store costs one read by
+// each host, spread over restoreSpread, and a write by those whose entries are lost.
+func (r *Registry) run(ctx context.Context) {
+	version := r.retry(ctx, r.register)
+	for timing.Sleep(ctx, eraInterval) {
+		if r.store.Era() <= version.Era() {
+			continue
+		}
+		if timing.Sleep(ctx, rand.N(restoreSpread)) {
+			version = r.retry(ctx, r.restore)
+		}
+	}
+}
+
+// retry calls f until it succeeds or ctx ends, and returns the version of the entry.
+func (r *Registry) retry(ctx context.Context, f func(context.Context) (quetzalhook.Version, error)) quetzalhook.Version {
+	for pause := minRetryPause; ctx.Err() == nil; pause = min(2*pause, maxRetryPause) {
+		version, err := f(ctx)
+		if err == nil {
+			r.log.WithField("incarnation", r.self.Incarnation).WithField("revision", version).Info("host registered")
+			return version
+		}
+		r.log.WithError(err).Warn("host not registered")
+		timing.Sleep(ctx, pause)
+	}
+	return 0
+}
+
 // Close stops the registration and waits until it has ended. It does not remove
 // the entry.
 func (r *Registry) Close() error {
@@ -99,31 +122,54 @@
 
 func (r *Registry) key() string { return keyPrefix + string(r.self.Host) }
 
-// register writes this host's entry, replacing any that exists.
-func (r *Registry) register(ctx context.Context) error {
+// register writes this host's entry, replacing any that exists, and returns its version.
+func (r *Registry) register(ctx context.Context) (quetzalhook.Version, error) {
+	version, err := r.write(ctx, 0)
+	if quetzalhook.StoreKind(err, "") == quetzalhook.StoreConflict {
+		var o quetzalhook.Object
+		if o, err = r.store.Get(ctx, r.key()); err == nil {
+			version, err = r.write(ctx, o.Version)
+		}
+	}
+	return version, wrap("register", err)
+}
+
+// restore writes this host's entry if the store lacks it, and returns its version. It does
+// not replace the entry of a later incarnation.
+func (r *Registry) restore(ctx context.Context) (quetzalhook.Version, error) {
+	o, err := r.store.Get(ctx, r.key())
+	if quetzalhook.StoreKind(err, "") == quetzalhook.StoreNotFound {
+		o, err = quetzalhook.Object{}, nil
+	}
+	if err != nil {
+		return 0, wrap("register", err)
+	}
+	if e, err := decode(o); err == nil && e.Incarnation >= r.self.Incarnation {
+		return o.Version, nil
+	}
+	version, err := r.write(ctx, o.Version)
+	return version, wrap("register", err)
+}
+
+// write writes this host's entry over the given version.
+func (r *Registry) write(ctx context.Context, base quetzalhook.Version) (quetzalhook.Version, error) {
 	value, err := json.Marshal(entry{
 		Host: r.self.Host, Incarnation: r.self.Incarnation, Zone: r.self.Zone,
 		Heartbeat: r.self.HeartbeatAddress, Peer: r.self.PeerAddress, Region: r.self.Region, Callers: r.self.Address,
 		Processors: r.self.Processors,
 	})
 	if err != nil {
-		return &Error{Op: "register", Kind: ErrorCorrupt, Err: err}
+		return 0, &Error{Op: "register", Kind: ErrorCorrupt, Err: err}
 	}
-	_, err = r.store.Put(ctx, r.key(), value, 0)
-	if quetzalhook.StoreKind(err, "") != quetzalhook.StoreConflict {
-		return wrap("register", err)
-	}
-	o, err := r.store.Get(ctx, r.key())
-	if err != nil {
-		return wrap("register", err)
-	}
-	_, err = r.store.Put(ctx, r.key(), value, o.Version)
-	return wrap("register", err)
+	return r.store.Put(ctx, r.key(), value, base)
 }
 
-// Leave removes this host's entry at a planned shutdown, unless a later
-// incarnation has replaced it.
+// Leave stops the registration and removes this host's entry at a planned shutdown, unless
+// a later incarnation has replaced it.
 func (r *Registry) Leave(ctx context.Context) error {
+	if err := r.Close(); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	o, err := r.store.Get(ctx, r.key())
--- a/internal/fleet/registration/registration_test.go
+++ b/internal/fleet/registration/registration_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
@@ -29,7 +31,7 @@
 	store := memory.New()
 	first, second, other := newRegistry(store, "a", 1), newRegistry(store, "a", 2), newRegistry(store, "b", 7)
 	for _, r := range []*Registry{first, second, other} {
-		if err := r.register(ctx); err != nil {
+		if _, err := r.register(ctx); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -61,6 +63,76 @@
 	}
 }
 
+// Guards against a host that other hosts cannot find since the store has come back from an
+// older copy, against needless writes, and against entries of hosts that have stopped or
+// restarted.
+func TestRegistersAgainAfterReturn(t *testing.T) {
+	own := func(incarnation quetzalhook.Incarnation) func(*testing.T, *memory.Store) {
+		return func(t *testing.T, s *memory.Store) {
+			if _, err := newRegistry(s, "a", incarnation).register(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	odd := func(t *testing.T, s *memory.Store) {
+		if _, err := s.Put(t.Context(), "hosts/a", []byte("odd"), 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, test := range []struct {
+		name          string
+		copied        func(*testing.T, *memory.Store) // nil if the copy is empty
+		leaves        bool
+		want          quetzalhook.Incarnation // listed in the end; 0 for none
+		reads, writes int64                   // after the return
+	}{
+		{"entry is lost", nil, false, 2, 1, 1},
+		{"entry is in the copy", own(2), false, 2, 1, 0},
+		{"entry of the process before", own(1), false, 2, 1, 1},
+		{"entry of a later process", own(3), false, 3, 1, 0},
+		{"odd entry", odd, false, 2, 1, 1},
+		{"host has stopped", nil, true, 0, 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := memory.New(memory.WithEras())
+				if test.copied != nil {
+					test.copied(t, store)
+				}
+				copied := store.Copy()
+				r := newRegistry(store, "a", 2)
+				r.Start()
+				time.Sleep(time.Minute)
+				if test.leaves {
+					if err := r.Leave(t.Context()); err != nil {
+						t.Error(err)
+					}
+				}
+				before := store.Counts()
+				for range 2 {
+					store.Return(copied)
+					time.Sleep(time.Minute)
+				}
+				after := store.Counts()
+				if reads, writes := after.Reads-before.Reads, after.Writes-before.Writes; reads != 2*test.reads || writes != 2*test.writes {
+					t.Errorf("two returns: got %d reads and %d writes, want %d and %d", reads, writes, 2*test.reads, 2*test.writes)
+				}
+				list, err := r.Hosts(t.Context())
+				var got quetzalhook.Incarnation
+				if len(list) > 0 {
+					got = list[0].Incarnation
+				}
+				if err != nil || got != test.want {
+					t.Errorf("incarnation: got %v, %v, want %v", got, err, test.want)
+				}
+				if err := r.Close(); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
+
 // Guards against an odd entry that ends a list, is taken for a host, or is logged often.
 func TestOddEntryIsNoHost(t *testing.T) {
 	ctx := t.Context()
@@ -79,7 +151,7 @@
 	r := newRegistry(store, "a", 1)
 	log, logged := logtest.NewNullLogger()
 	r.log = log
-	if err := r.register(ctx); err != nil {
+	if _, err := r.register(ctx); err != nil {
 		t.Fatal(err)
 	}
 	for range 3 {
