isolator: store quarantines again after a return of the store

After the store had come back from an older copy, quarantines that it had lost were not written again, and a host that lost its memory too sent the prompts to engines again. Where the copy had an older form of a quarantine, a host that started from it refused by the parts of that form.

Cause: the leader remembers what it has stored and writes only what is newer; the store was listed once, at the start. The leader now lists again when the era of the store has risen, and writes what differs: one list for each return, and one when a host first leads in an era.

An object of the copy does not come back in force.

--- a/internal/fleet/isolator/isolator.go
+++ b/internal/fleet/isolator/isolator.go
@@ -73,6 +73,8 @@
 	wg      sync.WaitGroup
 	changed chan struct{} // buffered; the table has news for other hosts
 
+	storedEra int64 // era of the store in which stored was listed; belongs to load and save
+
 	mu      sync.Mutex
 	closed  bool
 	table   *quarantine.Table
--- a/internal/fleet/isolator/isolator_test.go
+++ b/internal/fleet/isolator/isolator_test.go
@@ -32,6 +32,7 @@
 	store   *memory.Store
 	hosts   map[string]*Isolator
 	logs    map[string]*logtest.Hook
+	copied  memory.Copy
 	out     strings.Builder
 	waiting sync.WaitGroup
 
@@ -199,6 +200,10 @@
 		c.mu.Unlock()
 	case "store":
 		c.store.SetFaults(memory.Faults{Outage: f[1] == "down"})
+	case "copy":
+		c.copied = c.store.Copy()
+	case "return": // the store comes back from the copy
+		c.store.Return(c.copied)
 	case "answer": // HOST ENGINE PART...
 		if ticket := c.begin(f[1], f[2], f[3:]); ticket != nil {
 			ticket.Progress(1)
@@ -330,6 +335,9 @@
 		var out string
 		synctest.Test(t, func(t *testing.T) {
 			c := newTestCluster(t)
+			if d.Cmd == "play-eras" {
+				c.store = memory.New(memory.WithEras())
+			}
 			for line := range strings.Lines(d.Input) {
 				c.play(line)
 			}
--- a/internal/fleet/isolator/store.go
+++ b/internal/fleet/isolator/store.go
@@ -49,22 +49,34 @@
 // ctx ends before.
 func (i *Isolator) load(ctx context.Context) bool {
 	for pause := minRetryPause; ; pause = min(2*pause, maxRetryPause) {
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		list, err := i.settings.Store.List(callCtx, keyPrefix)
-		cancel()
-		if err == nil {
-			for _, o := range list.Objects {
-				i.loadObject(o)
-			}
+		if i.list(ctx) {
 			return true
 		}
-		i.log.WithError(err).Debug("quarantines not read from the store")
 		if !timing.Sleep(ctx, pause) {
 			return false
 		}
 	}
 }
 
+// list reads what is stored and merges it. It reports whether the store answered.
+func (i *Isolator) list(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	list, err := i.settings.Store.List(ctx, keyPrefix)
+	if err != nil {
+		i.log.WithError(err).Debug("quarantines not read from the store")
+		return false
+	}
+	i.storedEra = list.Version.Era()
+	i.mu.Lock()
+	clear(i.stored)
+	i.mu.Unlock()
+	for _, o := range list.Objects {
+		i.loadObject(o)
+	}
+	return true
+}
+
 // loadObject merges one stored quarantine. The wall clock of the host that wrote it
 // may differ; the table rejects an end that is too far away.
 func (i *Isolator) loadObject(o quetzalhook.Object) {
@@ -90,6 +102,12 @@
 	if i.settings.Leader() != i.settings.Host {
 		return
 	}
+	// The store may have come back from an older copy, without some of the quarantines. A
+	// known one that the copy has neither gets a later end nor loses cleared parts.
+	if i.settings.Store.Era() > i.storedEra && !i.list(ctx) {
+		timing.Sleep(ctx, minRetryPause)
+		return
+	}
 	now := i.clock.Now()
 	i.mu.Lock()
 	facts := i.table.Facts(now).Quarantines
