release: store splits again as soon as the era of the store rises

After a return of the store, hosts that started read an older split, or none, for up to 5 s, and origins of streams that had begun since were unknown to them.

Cause: the writer lists the stored splits every 5 s in case of a return. It now also lists at its next step when the store names a later era, one list for each return. The 5 s stay for a store without eras.

--- a/internal/fleet/release/release_test.go
+++ b/internal/fleet/release/release_test.go
@@ -43,6 +43,7 @@
 	hosts   map[string]*testHost
 	leaders atomic.Pointer[[]string]     // more than one if the hosts disagree
 	copied  string                       // value of the stored splits at "copy"
+	earlier memory.Copy                  // of the store at "copy-store"
 	cell    func(quetzalhook.HostID) int // of a host; nil if there is one cell
 	out     strings.Builder
 }
@@ -160,6 +161,14 @@
 		c.copied = string(o.Value)
 	case "restore": // what was copied, or something odd
 		c.put("splits/s", strings.Join(f[1:], " ")+c.copied)
+	case "copy-store":
+		c.earlier = c.store.Copy()
+	case "return": // the store comes back from the copy, and the upstreams write again
+		list, _ := c.store.List(c.t.Context(), "servers/")
+		c.store.Return(c.earlier)
+		for _, o := range list.Objects {
+			c.put(o.Key, string(o.Value))
+		}
 	case "wait":
 		d, err := time.ParseDuration(f[1])
 		if err != nil {
@@ -178,6 +187,9 @@
 	datadriven.RunTest(t, "testdata/release", func(t *testing.T, d *datadriven.TestData) (out string) {
 		synctest.Test(t, func(t *testing.T) {
 			c := &testCluster{t: t, store: memory.New(), network: peer.NewNetwork(quetzalhook.ClockFunc(time.Now), 1), hosts: make(map[string]*testHost)}
+			if d.Cmd == "run-eras" {
+				c.store = memory.New(memory.WithEras())
+			}
 			c.put("config/main", "1 20")
 			for line := range strings.Lines(d.Input) {
 				c.play(line)
--- a/internal/fleet/release/writer.go
+++ b/internal/fleet/release/writer.go
@@ -21,8 +21,8 @@
 	// refreshInterval is the time after which the ages of superseded splits are written
 	// again. A host that starts may take them for younger by as much.
 	refreshInterval = 2 * time.Second
-	// listInterval is the time after which the stored splits are listed, in case the store
-	// has come back from an older copy.
+	// listInterval is the time after which the stored splits are listed, in case a store that
+	// names no eras has come back from an older copy.
 	listInterval = 5 * time.Second
 	// minRetryPause and maxRetryPause bound the pause after a failed call to the store; it
 	// doubles after each failure.
@@ -79,6 +79,7 @@
 	// These belong to the goroutine of the writer.
 	stored    map[string]stored // by service; nil if it must be listed
 	listedAt  time.Time
+	listedEra int64 // of the store
 	steppedAt time.Time
 	pause     time.Duration // after the last failure; 0 if the last call succeeded
 	resumeAt  time.Time
@@ -155,7 +156,8 @@
 
 // update lists the stored splits if needed, and writes those that are due.
 func (w *Writer) update(ctx context.Context, lives map[string]time.Duration) error {
-	if now := w.clock.Now(); w.stored == nil || now.Sub(w.listedAt) >= listInterval {
+	now := w.clock.Now()
+	if w.stored == nil || w.settings.Store.Era() > w.listedEra || now.Sub(w.listedAt) >= listInterval {
 		if err := w.list(ctx); err != nil {
 			return err
 		}
@@ -180,6 +182,7 @@
 		return &Error{Op: "list", Kind: ErrorStore, Err: err}
 	}
 	now := w.clock.Now()
+	w.listedEra = list.Version.Era()
 	w.stored = make(map[string]stored, len(list.Objects))
 	for _, o := range list.Objects {
 		w.settings.Follower.ApplySplit(o)
