warmup: the record of a returned store starts no cold time

After a return of the store every upstream whose record names a cold time counted as cold again, however long ago it had started, and got no more requests than a cold one.

Cause: a record with another version than before counts as new, and the versions of all records are of another era after a return. A record now counts as new if its revision or the start of its upstream differs.

The package passes with -race.

--- a/internal/traffic/warmup/warmup.go
+++ b/internal/traffic/warmup/warmup.go
@@ -143,7 +143,8 @@
 			t.extend(now, u.ID, s, care.Time, CauseReturned)
 		}
 		s.setting = care
-		if u.Record != s.record || s.record == 0 {
+		// An older copy of the store has the same record in another era.
+		if u.Record.Revision() != s.record.Revision() || u.Started != s.started || s.record == 0 {
 			t.extend(now, u.ID, s, u.ColdFor, CauseRecord)
 		}
 		s.started, s.record, s.evacuated, s.list = u.Started, u.Record, u.Evacuated, t.list
--- a/internal/traffic/warmup/warmup_test.go
+++ b/internal/traffic/warmup/warmup_test.go
@@ -37,10 +37,11 @@
 			switch f[0] {
 			case "at":
 				now = start.Add(duration(f[1]))
-			case "record": // start, version, time left
+			case "record": // start, revision with the era after an @ if there is one, time left
 				started, _ := strconv.Atoi(f[1])
-				version, _ := strconv.Atoi(f[2])
-				list = []quetzalhook.Upstream{{ID: "u", Started: int64(started), Record: quetzalhook.Version(version), ColdFor: duration(f[3])}}
+				var revision, era int64
+				_, _ = fmt.Sscanf(f[2], "%d@%d", &revision, &era)
+				list = []quetzalhook.Upstream{{ID: "u", Started: int64(started), Record: quetzalhook.NewVersion(era, revision), ColdFor: duration(f[3])}}
 				update()
 			case "removed":
 				list = nil
