caller: the largest number is a valid limit of headers

The limit was added to the buffer of the server, which overflowed to a negative number. The buffer is now subtracted from the bytes read.

Before the change:

request: got &{431 Request Header Fields Too Large ..., want status 200

--- a/internal/entry/caller/limit.go
+++ b/internal/entry/caller/limit.go
@@ -208,11 +208,11 @@
 		}
 		c.conns.mu.Unlock()
 	}
-	limit := limits.HeaderBytes + headSlop
+	counted := h.bytes - headSlop
 	if c.tls != nil {
-		limit += handshakeBytes
+		counted -= handshakeBytes
 	}
-	if h.bytes > limit {
+	if counted > limits.HeaderBytes {
 		return c.refuse(http.StatusRequestHeaderFieldsTooLarge, reasonHeader)
 	}
 	if c.conns.memory == nil {
--- a/internal/entry/caller/memory_test.go
+++ b/internal/entry/caller/memory_test.go
@@ -1,11 +1,13 @@
 package caller
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -83,6 +85,17 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n%s\r\n%s", path, declared, more, strings.Repeat("x", sent))
 }
 
+// Guards against a limit of headers that no header section keeps because it is the largest number.
+func TestLargestHeaderLimit(t *testing.T) {
+	s := startBodyServer(t, 4<<20, 0, Limits{HeaderBytes: math.MaxInt})
+	c := s.send(t, post("/", 10, 10, strings.Repeat("a: b\r\n", 200)))
+	defer c.Close()
+	_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("request: got %v, %v, want status 200", resp, err)
+	}
+}
+
 // Guards against memory that is not given back in one of the ways in which a request
 // ends.
 func TestEveryEndGivesBack(t *testing.T) {
