routing: a record on a later page says nothing about earlier ones

Where upstreams fill more than one page of a list, hosts could go on sending requests to an upstream that had said that it leaves, until its record changed again.

The version of a list is that of its first page. A record on a later page may be newer, and the follower took its version for the one up to which it knew all changes. A change of an upstream of the first page between the two was skipped by the watch that followed. A host that does not watch announced the newer version as its own and did not pull the change from others, and hosts that pulled from such a host skipped it, too.

Now only the version of a list or of an event of a watch moves that position, and the announced version does not rise with records beyond it, neither from a list nor from another host.

Before the change:

--- FAIL: TestChangeBetweenPages/true (0.01s) position_test.go:63: a: got state 0, want 1 --- FAIL: TestChangeBetweenPages/false (0.01s) position_test.go:63: a: got state 0, want 1

--- /dev/null
+++ b/internal/record/routing/position_test.go
@@ -0,0 +1,69 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quetzalhook"
+	"quetzalhook/internal/platform/memory"
+)
+
+// pagedStore is a store in which an upstream of the first page of each list is changed, and then
+// one of the second, before the second page is read.
+type pagedStore struct {
+	*memory.Store
+	change func()
+}
+
+// List implements quetzalhook.Store.
+func (s pagedStore) List(ctx context.Context, prefix string) (quetzalhook.Listing, error) {
+	list, err := s.Store.List(ctx, prefix)
+	if err != nil || len(list.Objects) < 2 {
+		return list, err
+	}
+	time.Sleep(500 * time.Millisecond) // hosts pull what they lack meanwhile
+	s.change()
+	later, err := s.Store.List(ctx, prefix)
+	list.Objects[1] = later.Objects[1]
+	return list, err
+}
+
+// ListStale implements quetzalhook.Store.
+func (s pagedStore) ListStale(ctx context.Context, prefix string) (quetzalhook.Listing, error) {
+	return s.List(ctx, prefix)
+}
+
+// Guards against a change that is missed since it was made between two pages of a list, and a
+// later change was on the second page: at a host that watches, and at one that pulls.
+func TestChangeBetweenPages(t *testing.T) {
+	for _, watches := range []bool{true, false} {
+		t.Run(fmt.Sprint(watches), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				defer f.close()
+				for _, h := range f.hosts {
+					if watches {
+						f.network.Leave(h.host) // the host under test is the only one
+					}
+				}
+				for _, line := range []string{"upstream a ready", "upstream b ready", "wait 2s"} {
+					f.runCommand(line)
+				}
+				store := pagedStore{f.store, func() {
+					f.put("servers/a", "leaving")
+					f.put("servers/b", "leaving")
+				}}
+				f.startHost("paged", discardLogger(), func(h *Follower) { h.store = store }, WithSettled(func() bool { return watches }))
+				f.runCommand("wait 3s")
+				for _, u := range f.hosts["paged"].Upstreams() {
+					if u.State != quetzalhook.UpstreamLeaving {
+						t.Errorf("%s: got state %v, want %v", u.ID, u.State, quetzalhook.UpstreamLeaving)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -291,6 +291,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
+	latest := max(f.latest, answer.Complete) // see applyUpstreams
 	listed := make(map[quetzalhook.UpstreamID]bool, len(answer.Upstreams)+len(answer.Unchanged))
 	for _, id := range answer.Unchanged {
 		listed[id] = true
@@ -313,7 +314,6 @@
 		default:
 			f.removeByID(now, id, p.Version)
 		}
-		f.latest = max(f.latest, p.Version)
 	}
 	if answer.Full {
 		for id, e := range f.entries {
@@ -322,6 +322,6 @@
 			}
 		}
 	}
-	f.complete, f.latest = max(f.complete, answer.Complete), max(f.latest, answer.Complete)
+	f.complete, f.latest = max(f.complete, answer.Complete), latest
 	f.markOutdated()
 }
--- a/internal/record/routing/upstreams.go
+++ b/internal/record/routing/upstreams.go
@@ -19,9 +19,13 @@
 	now := f.clock.Now()
 	if event != nil {
 		f.applyUpstream(now, *event)
+		f.complete = max(f.complete, event.Version)
 		f.markOutdated()
 		return
 	}
+	// Records of later pages may be newer than the list. Changes between the two are not
+	// known.
+	latest := max(f.latest, list.Version)
 	listed := make(map[quetzalhook.UpstreamID]bool, len(list.Objects))
 	for _, o := range list.Objects {
 		listed[f.upstreamID(o)] = true
@@ -43,9 +47,9 @@
 		// full list when it pulls from this host, since this host does not know
 		// those removals.
 		f.purged = max(f.purged, list.Version)
-		f.latest = max(f.latest, list.Version)
 		f.complete = list.Version
 	}
+	f.latest = latest
 	f.markOutdated()
 }
 
@@ -62,14 +66,12 @@
 	if o.Deleted {
 		delete(f.rejected, id)
 		f.removeByID(now, id, o.Version)
-		f.complete = max(f.complete, o.Version)
 		return
 	}
 	if e != nil && o.Version <= e.version {
 		f.logIgnoredUpstream(e, o)
 		return
 	}
-	f.complete = max(f.complete, o.Version)
 	if o.Version <= f.rejected[id] {
 		return
 	}
@@ -177,10 +179,10 @@
 // and other hosts then know of the removals.
 func (f *Follower) resolveMissing(ctx context.Context) {
 	f.mu.Lock()
-	oldest, missing := quetzalhook.Version(0), false
+	oldest, missing := f.complete, false
 	for _, e := range f.entries {
-		if !e.graceEnd.IsZero() && (!missing || e.registered < oldest) {
-			oldest, missing = e.registered, true
+		if !e.graceEnd.IsZero() {
+			oldest, missing = min(oldest, e.registered), true
 		}
 	}
 	f.mu.Unlock()
