lease: test hosts that hear of a store's return at different times

No test of the lease could bring the store back from an older copy: the hosts of TestLease share one in-memory store, which rejects a base of an earlier era and tells all hosts of a new one at once.

Each host now has an adapter that, like package platform, knows only the eras that answers have named, and sends the revision of a base alone, so that a write meets an object that has got the same revision again. A write may arrive late, and the store may come back before or after it. The scripts get the commands for these, and `eras` for a store that names them. A script now fails on an unknown command, and on an order that was sent although its error says that it was not.

--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -15,54 +15,115 @@
 )
 
 // Guards against a takeover before term + margin, a released role that others
-// cannot take at once, an intent that is wrongly removed or kept, and a lost
-// answer that is treated as a failure or a success, and an object of another
-// program after which no host can hold the role.
+// cannot take at once, an intent that is wrongly removed or kept, a lost
+// answer that is treated as a failure or a success, an object of another
+// program after which no host can hold the role, and a store that comes back from an
+// older copy and gives a token or the role to two hosts.
 func TestLease(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		ctx := context.Background()
-		now := time.Unix(1000, 0)
-		inv := invariant.New(nil)
-		s := memory.New()
-		hosts := make(map[string]*Lease)
-		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+		f := newFleet(t)
+		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "eras" {
+				f = newFleet(t, memory.WithEras())
+			}
 			var out strings.Builder
 			for line := range strings.Lines(d.Input) {
-				f := strings.Fields(line)
-				l, known := hosts[f[0]]
-				if !known {
-					l = newLease(t, f[0], s, &now, inv)
-					hosts[f[0]] = l
-				}
-				fmt.Fprintf(&out, "%s: %s\n", strings.TrimSpace(line), run(ctx, t, l, s, &now, f))
+				fmt.Fprintf(&out, "%s: %s\n", strings.TrimSpace(line), f.run(strings.Fields(line)))
 			}
-			fmt.Fprintf(&out, "violations: %d\n", inv.Violations())
+			fmt.Fprintf(&out, "violations: %d\n", f.inv.Violations())
 			return out.String()
 		})
 	})
 }
 
-func newLease(t *testing.T, host string, s *memory.Store, now *time.Time, inv quetzalhook.Invariants) *Lease {
-	clock := quetzalhook.ClockFunc(func() time.Time { return *now })
-	l, err := New(RoleController, quetzalhook.HostID(host), 1, s, clock, inv)
+// fleet is a store and the hosts that use it, which share one clock.
+type fleet struct {
+	t        *testing.T
+	store    *memory.Store
+	now      time.Time
+	inv      *invariant.Registry
+	leases   map[string]*Lease
+	adapters map[string]*adapter
+	copy     memory.Copy
+	starts   quetzalhook.Incarnation
+	onTheWay []func() // late writes
+}
+
+func newFleet(t *testing.T, opts ...memory.Option) *fleet {
+	return &fleet{
+		t: t, store: memory.New(opts...), now: time.Unix(1000, 0), inv: invariant.New(nil),
+		leases: make(map[string]*Lease), adapters: make(map[string]*adapter),
+	}
+}
+
+// start starts a process on a host, in place of the one that runs there.
+func (f *fleet) start(host string) {
+	f.starts++
+	clock := quetzalhook.ClockFunc(func() time.Time { return f.now })
+	a := &adapter{Store: f.store, onTheWay: &f.onTheWay}
+	l, err := New(RoleController, quetzalhook.HostID(host), f.starts, a, clock, f.inv)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.leases[host], f.adapters[host] = l, a
+}
+
+func (f *fleet) sleep(duration string) {
+	d, err := time.ParseDuration(duration)
 	if err != nil {
-		t.Fatal(err)
+		f.t.Fatal(err)
 	}
-	return l
+	f.now = f.now.Add(d)
 }
 
-func run(ctx context.Context, t *testing.T, l *Lease, s *memory.Store, now *time.Time, f []string) string {
+func (f *fleet) run(words []string) string {
+	ctx := context.Background()
+	if f.leases[words[0]] == nil {
+		f.start(words[0])
+	}
+	l, a, s := f.leases[words[0]], f.adapters[words[0]], f.store
+	comeBack := func() { s.Return(f.copy) }
 	var err error
-	switch f[1] {
+	switch words[1] {
 	case "step":
 		err = l.Step(ctx)
 	case "close":
 		err = l.Close()
+	case "start": // a new process
+		f.start(words[0])
+		l = f.leases[words[0]]
+	case "copy":
+		f.copy = s.Copy()
+	case "return":
+		comeBack()
+	case "return-before-write":
+		a.before = comeBack
+	case "return-after-write": // and wait before the answer
+		a.after = func() {
+			comeBack()
+			f.sleep(words[2])
+		}
+	case "return-after-write-heard":
+		a.after = func() { comeBack(); a.hear() }
+	case "return-after-read-heard":
+		a.afterRead = func() { comeBack(); a.hear() }
+	case "hear":
+		a.hear()
+	case "late":
+		a.late = true
+	case "land":
+		if len(f.onTheWay) > 0 {
+			write := f.onTheWay[0]
+			f.onTheWay = f.onTheWay[1:]
+			write()
+		}
 	case "confirm":
-		err = l.Confirm(ctx, f[2])
+		err = l.Confirm(ctx, words[2])
 	case "order", "order-lost", "order-refused":
-		err = l.Order(ctx, Order{ID: f[2], Target: "t"}, func(context.Context, uint64) error {
-			switch f[1] {
+		sent := false
+		err = l.Order(ctx, Order{ID: words[2], Target: "t"}, func(context.Context, uint64) error {
+			sent = true
+			switch words[1] {
 			case "order-lost":
 				return &quetzalhook.StoreError{Op: "order", Kind: quetzalhook.StoreUnknown}
 			case "order-refused":
@@ -70,29 +131,34 @@
 			}
 			return nil
 		})
-	case "sleep":
-		d, bad := time.ParseDuration(f[2])
-		if bad != nil {
-			t.Fatal(bad)
+		if notSent := IsKind(err, KindNotHolder) || IsKind(err, KindBlocked) || IsKind(err, KindStore); sent == notSent {
+			f.t.Errorf("order: sent=%t, got %v", sent, err)
 		}
-		*now = now.Add(d)
+	case "sleep":
+		f.sleep(words[2])
 	case "overwrite": // by another program
-		o, bad := s.Get(ctx, "lease/"+string(RoleController))
+		o, bad := s.Get(ctx, "lease/"+RoleController)
 		if bad == nil {
-			_, bad = s.Put(ctx, o.Key, []byte(strings.Join(f[2:], " ")), o.Version)
+			_, bad = s.Put(ctx, o.Key, []byte(strings.Join(words[2:], " ")), o.Version)
 		}
 		if bad != nil {
-			t.Fatal(bad)
+			f.t.Fatal(bad)
 		}
 	case "fencing":
 		token, _ := l.Fencing()
 		return fmt.Sprint(token)
+	case "object":
+		o, _ := s.Get(ctx, "lease/"+RoleController)
+		d, _ := decode(o.Value)
+		return fmt.Sprintf("holder=%s fencing=%d revision=%v", d.Holder, d.Fencing, o.Version)
 	case "lose":
-		s.SetFaults(memory.Faults{LoseAnswers: 1})
+		a.loseAnswer = true
 	case "outage":
 		s.SetFaults(memory.Faults{Outage: true})
 	case "heal":
 		s.SetFaults(memory.Faults{})
+	default:
+		f.t.Fatalf("unknown command %q", words[1])
 	}
 	var open []string
 	for _, i := range l.OpenIntents() {
