lease: end the role when the store comes back from an older copy

When the copy was from before the last change of holder, another process was given the token of the present holder; when the object or its last change was missing, a process took the role at once while the term of the holder that had lost its write went on; the holder itself renewed its term in the next era.

Cause: the lease took the object for the only truth about the role, and never looked at the store's era.

The role now ends for its holder as soon as any answer names a later era: Fencing compares the era of the term with Store.Era. Nobody takes the role, even one that is missing, released or held by the process itself, until term + margin after this process first heard of the present era; by then the term of a holder that has not heard is over. A process that has known the era for so long takes a released role at once, as before. A write during which the era rises gives no term, and the nonces of lost answers end with the era. The revision of a base may be given out again, so that a write from before the return replaces a holder's object: an object of an earlier era must therefore have been unchanged for term + margin too, whatever it says.

The object gets the field era, that of its token. When a holder replaces one of an earlier era, or a missing one after a return, its token becomes era<<20 + revision + 1. Counting from the revision rises with each write. An object without the field, by a host of an older build, raises the token only in a process that has seen an earlier era; without a return all tokens stay within the revision, which older builds check, and the stand-in for an object that cannot be decoded does too.

An order needs no further check: recordIntent checks the term after its write and right before the send, and that check now sees the era.

Mutations that the tests find: no wait for the era, no wait for an object of an earlier era, a term that ignores the era, a renewal that ignores the era of the object, a nonce that counts in the next era.

--- a/internal/fleet/lease/document.go
+++ b/internal/fleet/lease/document.go
@@ -17,6 +17,9 @@
 	// Nonce identifies the write that produced this version.
 	Nonce  string `json:"nonce"`
 	TermMS int64  `json:"term-ms"`
+	// Era is that of the store when the token was given, or 0 if the store names none or a
+	// host of an older build wrote the object.
+	Era int64 `json:"era,omitempty"`
 	// Intents lists the orders whose outcome is unknown, oldest first.
 	Intents []Intent `json:"intents,omitempty"`
 }
--- /dev/null
+++ b/internal/fleet/lease/era.go
@@ -0,0 +1,90 @@
+package lease
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"quetzalhook"
+)
+
+// eraTokenBits is the width of the part of a fencing token that grows within an era. The
+// store loses fewer changes than that when it comes back from a copy.
+const eraTokenBits = 20
+
+// eraView is what a process has seen of the eras of the store.
+type eraView struct {
+	known  bool  // whether an answer has told the era
+	first  int64 // the first era seen
+	newest int64
+	since  time.Time // when this process first heard of newest
+}
+
+// answered records that the store has answered. Unless an answer named an era before, the
+// store names none.
+func (e *eraView) answered() { e.known = true }
+
+// hasEnded reports whether the store has come back from a copy, as far as this process can
+// know. The first era of a store is 1.
+func (e *eraView) hasEnded() bool { return e.newest > e.first || e.newest > 1 }
+
+// isLater reports whether the newest era is later than the one that an object names. An
+// object that names none was written by a host of an older build, in the first era that this
+// process saw or in a later one.
+func (e *eraView) isLater(era int64) bool {
+	if era == 0 {
+		era = e.first
+	}
+	return e.newest > era
+}
+
+// observeEra takes note of the newest era of the store. When it rises, the role ends, and the
+// answers to earlier writes have no meaning any more.
+func (l *Lease) observeEra() {
+	era, before := l.store.Era(), l.eras.newest
+	if era <= before {
+		return
+	}
+	l.eras.newest, l.eras.since = era, l.clock.Now()
+	if !l.eras.known {
+		l.eras.known, l.eras.first = true, era
+		return
+	}
+	l.docKnown, l.seenAt = false, time.Time{}
+	clear(l.sentAt)
+	if l.machine.State() == stateHolding {
+		l.fire(eventExpire)
+		l.log.WithFields(logrus.Fields{
+			"era": era, "before": before, "fencing": l.doc.Fencing, "revision": l.version,
+		}).Warn("lease ended with the era of the store")
+	}
+}
+
+// maxToken returns the largest fencing token that may be in an object: each was given by a
+// write of its own, and rises with the eras.
+func maxToken(era int64, version quetzalhook.Version) uint64 {
+	return uint64(era)<<eraTokenBits + uint64(version.Revision())
+}
+
+// nextToken returns the token for a holder that replaces the object as it was last read. If
+// the store may have lost tokens since, or a write of an earlier era may have replaced them,
+// it is above all that could be given so far. Without eras that have ended, tokens stay in
+// the bound that hosts of older builds check, which is the revision.
+func (l *Lease) nextToken(ctx context.Context) (uint64, error) {
+	next := max(l.doc.Fencing, l.topToken) + 1
+	isMissing := l.version == 0
+	if !l.eras.isLater(l.doc.Era) && !(isMissing && l.eras.hasEnded()) {
+		return next, nil
+	}
+	version := l.version
+	if isMissing {
+		list, err := l.store.List(ctx, l.key)
+		if err != nil {
+			return 0, errors.Wrap(err, "reading the revision of the store")
+		}
+		version = list.Version
+	}
+	return max(next, maxToken(l.eras.newest, version)+1), nil
+}
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -9,6 +9,11 @@
 // the answer to a write is lost, the host reads the object again and looks for
 // the nonce of that write.
 //
+// The store may come back from an older copy, in which a holder, a token or an
+// intent is missing. The role ends at once for a holder that hears of it, and
+// nobody takes the role until term + margin after first hearing of the store's
+// present era: by then the term of a holder that does not hear of it is over.
+//
 // An order has three steps: its intent is written into the lease object, the
 // order is sent with the fencing token, and its outcome is written. A holder
 // that was paused between the first two steps may send after its term. Its
@@ -79,6 +84,8 @@
 	docKnown   bool // whether doc and version may serve as the base of a write
 	doc        document
 	version    quetzalhook.Version
+	eras       eraView
+	topToken   uint64               // largest fencing token seen
 	odd        error                // why the object could not be decoded, or nil
 	seenAt     time.Time            // when this host first saw version
 	sentAt     map[string]time.Time // send times of writes whose answer was lost, by nonce
@@ -89,7 +96,8 @@
 	yieldedAt    time.Time // when the role was last given up because orders were blocked
 
 	mu           sync.Mutex
-	termEnd      time.Time // this host holds the role until then
+	termEnd      time.Time // this host holds the role until then, in termEra
+	termEra      int64
 	fencing      uint64
 	closing      bool
 	activeOrders sync.WaitGroup
@@ -119,8 +127,9 @@
 	return func(l *Lease) { l.nonce = f }
 }
 
-// WithLog logs each change of the holder that this host sees or makes, and each answer of
-// the store that is older than the one before. Nothing is logged by default.
+// WithLog logs each change of the holder that this host sees or makes, each answer of the
+// store that is older than the one before, and what a return of the store from an older copy
+// changes. Nothing is logged by default.
 func WithLog(log logrus.FieldLogger) Option {
 	return func(l *Lease) { l.log = log }
 }
@@ -160,19 +169,28 @@
 
 // Fencing returns the fencing token and whether this host holds the role.
 func (l *Lease) Fencing() (uint64, bool) {
-	now := l.clock.Now()
+	now, era := l.clock.Now(), l.store.Era()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.fencing, now.Before(l.termEnd)
+	return l.fencing, l.isHeldAt(now, era)
+}
+
+// isHeldAt reports whether this host holds the role at a time when era is the newest known
+// one. The caller holds l.mu.
+func (l *Lease) isHeldAt(now time.Time, era int64) bool {
+	return now.Before(l.termEnd) && l.termEra >= era
 }
 
-// setTerm sets the end of the term; the zero time gives up the role.
+// setTerm sets the end of the term, which is won in the known era.
 func (l *Lease) setTerm(termEnd time.Time, fencing uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.termEnd, l.fencing = termEnd, fencing
+	l.termEnd, l.fencing, l.termEra = termEnd, fencing, l.eras.newest
 }
 
+// endTerm gives up the role.
+func (l *Lease) endTerm() { l.setTerm(time.Time{}, 0) }
+
 // fire applies an event to the state machine. The machine counts illegal
 // transitions; they do not affect safety, which depends on the conditional
 // writes.
--- a/internal/fleet/lease/order.go
+++ b/internal/fleet/lease/order.go
@@ -119,7 +119,7 @@
 }
 
 func (l *Lease) addIntent(d *document, o Order) error {
-	if !l.isHeldBySelf(*d) {
+	if !l.isHeldInEra(*d) {
 		return errNotHolder
 	}
 	d.remove(l.isRemovableExcept(o.ID))
--- a/internal/fleet/lease/resolve.go
+++ b/internal/fleet/lease/resolve.go
@@ -29,7 +29,7 @@
 	}
 	drop := func(i Intent) bool { return l.ownIntents[i.ID] != sending && resolved(i) }
 	err := l.write(ctx, func(d *document) error {
-		if !l.isHeldBySelf(*d) {
+		if !l.isHeldInEra(*d) {
 			return errNotHolder
 		}
 		if !d.remove(drop) {
--- a/internal/fleet/lease/status.go
+++ b/internal/fleet/lease/status.go
@@ -28,13 +28,13 @@
 // Status returns a snapshot without a call to the store. Hosts that are not
 // candidates do not poll the object, so their snapshot may be old.
 func (l *Lease) Status() Status {
-	now := l.clock.Now()
+	now, era := l.clock.Now(), l.store.Era()
 	l.opLock <- struct{}{}
 	defer func() { <-l.opLock }()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := Status{
-		Role: l.role, Held: now.Before(l.termEnd), Fencing: l.doc.Fencing, Holder: l.doc.Holder,
+		Role: l.role, Held: l.isHeldAt(now, era), Fencing: l.doc.Fencing, Holder: l.doc.Holder,
 		Open: slices.Clone(l.doc.Intents), State: string(l.machine.State()),
 	}
 	if s.Held {
--- a/internal/fleet/lease/step.go
+++ b/internal/fleet/lease/step.go
@@ -56,8 +56,9 @@
 	return l.challenge(ctx)
 }
 
-// expire leaves the holding state if the term has ended.
+// expire leaves the holding state if the term or the era in which it was won has ended.
 func (l *Lease) expire() {
+	l.observeEra()
 	if l.machine.State() == stateHolding && !l.Held() {
 		l.fire(eventExpire)
 	}
@@ -65,7 +66,7 @@
 
 func (l *Lease) renew(ctx context.Context) error {
 	err := l.write(ctx, func(d *document) error {
-		if !l.isHeldBySelf(*d) {
+		if !l.isHeldInEra(*d) {
 			return errNotHolder
 		}
 		d.remove(l.isRemovable)
@@ -84,7 +85,7 @@
 	if !errors.Is(err, errNotHolder) {
 		return l.fail(op, KindStore, err)
 	}
-	l.setTerm(time.Time{}, 0)
+	l.endTerm()
 	if l.machine.State() == stateHolding {
 		l.log.WithField("holder", l.doc.Holder).WithField("fencing", l.doc.Fencing).WithField("revision", l.version).Info("lease lost")
 		l.fire(eventLose)
@@ -118,12 +119,18 @@
 // holder is this process, or the version has not changed for term + margin. A
 // released role with open intents is left to the process that wrote them for
 // term + margin, and for twice as long by a host that has recently yielded it
-// because of them.
+// because of them. An object of an earlier era must have been unchanged for term +
+// margin, whatever it says: a late write may have put it in place of a holder's.
 func (l *Lease) isFree() bool {
 	now := l.clock.Now()
 	unchanged := now.Sub(l.seenAt)
 	term := time.Duration(l.doc.TermMS) * time.Millisecond
+	longest := max(term, l.term) + l.margin
 	switch {
+	case l.eras.newest > 0 && now.Sub(l.eras.since) < longest:
+		return false
+	case l.eras.isLater(l.doc.Era):
+		return unchanged >= longest
 	case l.isHeldBySelf(l.doc):
 		return true
 	case l.doc.Holder != "":
@@ -139,22 +146,30 @@
 // acquire writes this host as the holder, replacing only the version that was
 // found free; a newer version restarts the wait.
 func (l *Lease) acquire(ctx context.Context) error {
-	base := l.version
-	next := l.doc.Fencing + 1
-	err := l.write(ctx, func(d *document) error {
-		if l.isHeldBySelf(*d) && d.Fencing == next {
+	base, before, era := l.version, l.doc, l.eras.newest
+	next, err := l.nextToken(ctx)
+	if err != nil {
+		return l.fail("challenge", KindStore, err)
+	}
+	err = l.write(ctx, func(d *document) error {
+		if l.isHeldInEra(*d) && d.Fencing == next {
 			return nil // an earlier attempt took effect, but its answer was lost
 		}
-		if l.version != base {
+		if l.version != base || l.eras.newest != era {
 			return errNotHolder
 		}
-		d.Role, d.Fencing, d.Holder, d.Incarnation = l.role, next, l.host, l.incarnation
+		d.Role, d.Fencing, d.Holder, d.Incarnation, d.Era = l.role, next, l.host, l.incarnation, era
 		d.remove(l.isRemovable)
 		return nil
 	})
 	if err != nil {
 		return l.handleWriteError("challenge", err)
 	}
+	if next > before.Fencing+1 {
+		l.log.WithFields(logrus.Fields{
+			"era": era, "before": before.Era, "fencing-before": before.Fencing, "fencing": next, "revision": l.version,
+		}).Info("fencing token raised above those of earlier eras")
+	}
 	return nil
 }
 
@@ -213,7 +228,7 @@
 // nonces of earlier renewals whose answers were lost are discarded, so that
 // they cannot restart the term.
 func (l *Lease) clearHolder(ctx context.Context) error {
-	l.setTerm(time.Time{}, 0)
+	l.endTerm()
 	clear(l.sentAt)
 	return l.write(ctx, func(d *document) error {
 		if !l.isHeldBySelf(*d) {
@@ -229,6 +244,11 @@
 	return d.Holder == l.host && d.Incarnation == l.incarnation
 }
 
+// isHeldInEra reports whether d names this process as the holder in the newest era.
+func (l *Lease) isHeldInEra(d document) bool {
+	return l.isHeldBySelf(d) && d.Era == l.eras.newest
+}
+
 // write updates the object by conditional writes until one is known to have
 // taken effect. Each attempt applies change to the newest value that was read,
 // so change may be called more than once. An error of change ends the write;
@@ -257,10 +277,15 @@
 }
 
 // put makes one conditional write. If the answer is lost, it reads the object
-// again and looks for the nonce of the write.
+// again and looks for the nonce of the write. If the store came back from an
+// older copy meanwhile, the outcome is unknown, and the write gives no term.
 func (l *Lease) put(ctx context.Context, d document) error {
-	sentAt := l.clock.Now()
+	sentAt, era := l.clock.Now(), l.eras.newest
 	version, err := l.store.Put(ctx, l.key, d.encode(), l.version)
+	if l.observeEra(); l.eras.newest != era {
+		l.docKnown = false
+		return &quetzalhook.StoreError{Op: "put", Key: l.key, Kind: quetzalhook.StoreUnknown, Err: errors.Errorf("era %d ended", era)}
+	}
 	switch quetzalhook.StoreKind(err, quetzalhook.StoreUnknown) {
 	case "":
 		l.applyWrite(d, version, sentAt)
@@ -270,7 +295,7 @@
 	case quetzalhook.StoreUnknown:
 		l.docKnown = false
 		l.sentAt[d.Nonce] = sentAt
-		if l.read(ctx) == nil && l.doc.Nonce == d.Nonce {
+		if l.read(ctx) == nil && l.doc.Nonce == d.Nonce && l.eras.newest == era {
 			return nil
 		}
 	}
@@ -282,7 +307,8 @@
 func (l *Lease) applyWrite(d document, version quetzalhook.Version, sentAt time.Time) {
 	l.doc, l.version, l.docKnown, l.seenAt = d, version, true, l.clock.Now()
 	clear(l.sentAt)
-	if l.isHeldBySelf(d) {
+	l.topToken = max(l.topToken, d.Fencing)
+	if l.isHeldInEra(d) {
 		l.setTerm(sentAt.Add(l.term), d.Fencing)
 	}
 	l.pruneOwnIntents(d)
@@ -302,12 +328,15 @@
 // lost, that write took effect.
 func (l *Lease) read(ctx context.Context) error {
 	o, err := l.store.Get(ctx, l.key)
+	l.observeEra()
 	if err != nil && quetzalhook.StoreKind(err, quetzalhook.StoreUnknown) != quetzalhook.StoreNotFound {
 		return err
 	}
-	if o.Version < l.version {
+	l.eras.answered()
+	isLost := o.Version == 0 && l.version.Era() < l.eras.newest
+	if o.Version < l.version && !isLost {
 		l.log.WithField("revision", o.Version).WithField("known-revision", l.version).Warn("lease read is older than the one before")
-		return errors.Errorf("stale read of %s: version %d after %d", l.key, o.Version, l.version)
+		return errors.Errorf("stale read of %s: version %v after %v", l.key, o.Version, l.version)
 	}
 	var d document
 	l.odd = nil
@@ -321,6 +350,7 @@
 	}
 	if l.odd == nil {
 		l.checkSingleHolder(d)
+		l.topToken = max(l.topToken, d.Fencing)
 	}
 	if d.Holder != l.doc.Holder || d.Incarnation != l.doc.Incarnation || d.Fencing != l.doc.Fencing {
 		l.log.WithFields(logrus.Fields{
@@ -343,27 +373,35 @@
 
 // interpret decodes the object. If another program has overwritten it, interpret
 // returns an error and a document that keeps the role taken for a term, since the
-// holder may not know yet. The fencing token in it is the version: each token was
-// given by a write, so that none is larger.
+// holder may not know yet. The fencing token in it is the largest that was given.
 func (l *Lease) interpret(o quetzalhook.Object) (document, error) {
 	d, err := decode(o.Value)
-	if err == nil && d.Fencing > uint64(o.Version) {
-		err = errors.Errorf("fencing token %d at version %d", d.Fencing, o.Version)
+	if err == nil && (d.Era < 0 || d.Era > o.Version.Era()) {
+		err = errors.Errorf("era %d at version %v", d.Era, o.Version)
+	}
+	if err == nil && d.Fencing > maxToken(d.Era, o.Version) {
+		err = errors.Errorf("fencing token %d at version %v", d.Fencing, o.Version)
 	}
 	if most := maxStoredTerms * l.term.Milliseconds(); err == nil && (d.TermMS < 0 || d.TermMS > most) {
 		err = errors.Errorf("term of %d ms", d.TermMS)
 	}
 	if err != nil {
-		return document{Holder: unknownHolder, Fencing: uint64(o.Version), TermMS: l.term.Milliseconds()}, err
+		most := maxToken(0, o.Version)
+		if l.eras.hasEnded() {
+			most = maxToken(l.eras.newest, o.Version)
+		}
+		return document{Holder: unknownHolder, Fencing: most, TermMS: l.term.Milliseconds(), Era: l.eras.newest}, err
 	}
 	return d, nil
 }
 
 // checkSingleHolder checks the invariants that no other process holds the
-// role during this host's term and that fencing tokens never decrease.
+// role during this host's term and that fencing tokens never decrease, unless the
+// store has lost them or a write of an earlier era has replaced them.
 func (l *Lease) checkSingleHolder(d document) {
 	fencing, held := l.Fencing()
-	ok := d.Fencing >= l.doc.Fencing && (!held || l.isHeldBySelf(d) && d.Fencing >= fencing)
+	isOlder := l.version.Era() < l.eras.newest || l.eras.isLater(d.Era)
+	ok := isOlder || d.Fencing >= l.doc.Fencing && (!held || l.isHeldBySelf(d) && d.Fencing >= fencing)
 	l.inv.Check(invariant.SingleCommander, ok, "role", l.role, "host", l.host,
 		"held", held, "fencing", fencing, "seen-holder", d.Holder, "seen-fencing", d.Fencing)
 }
