lease: write open intents again that the store has lost

An order whose outcome is unknown blocks other holders from its target while its intent is open. When the store came back from a copy without the intent, the next holder sent its own order to the target, which the first one could still reach later.

Cause: the intent was only in the object, and the process that wrote it forgot it when a read did not show it.

A process keeps its intents of orders that were sent and whose outcome is unknown when the era rises, and writes them again on its next read. That is within the term + margin for which nobody takes the role. It does not create the object for them: one without a token hides that tokens are lost. A missing object gets the intents when its process takes the role or reads the object of the next holder.

--- a/internal/fleet/lease/era.go
+++ b/internal/fleet/lease/era.go
@@ -54,6 +54,11 @@
 	}
 	l.docKnown, l.seenAt = false, time.Time{}
 	clear(l.sentAt)
+	for _, i := range l.doc.Intents {
+		if l.mayTakeEffect(i) {
+			l.lostIntents = append(l.lostIntents, i)
+		}
+	}
 	if l.machine.State() == stateHolding {
 		l.fire(eventExpire)
 		l.log.WithFields(logrus.Fields{
@@ -62,6 +67,24 @@
 	}
 }
 
+// mayTakeEffect reports whether an intent is of an order of this process that was sent and
+// whose outcome is unknown.
+func (l *Lease) mayTakeEffect(i Intent) bool {
+	state := l.ownIntents[i.ID]
+	return l.IsOwn(i) && (state == sending || state == outcomeUnknown)
+}
+
+// restoreIntents adds the intents that the store has lost, and reports whether there were any.
+func (l *Lease) restoreIntents(d *document) bool {
+	n := len(d.Intents)
+	for _, i := range l.lostIntents {
+		if l.mayTakeEffect(i) && !d.hasIntent(i.ID) {
+			d.Intents = append(d.Intents, i)
+		}
+	}
+	return len(d.Intents) > n
+}
+
 // maxToken returns the largest fencing token that may be in an object: each was given by a
 // write of its own, and rises with the eras.
 func maxToken(era int64, version quetzalhook.Version) uint64 {
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -13,6 +13,7 @@
 // intent is missing. The role ends at once for a holder that hears of it, and
 // nobody takes the role until term + margin after first hearing of the store's
 // present era: by then the term of a holder that does not hear of it is over.
+// Each process writes its open intents again within that time.
 //
 // An order has three steps: its intent is written into the lease object, the
 // order is sent with the fencing token, and its outcome is written. A holder
@@ -90,7 +91,9 @@
 	seenAt     time.Time            // when this host first saw version
 	sentAt     map[string]time.Time // send times of writes whose answer was lost, by nonce
 	ownIntents map[string]sendState // intents of this incarnation, by order ID
-	sendCounts map[string]int       // number of sends of orders with unknown outcome, by order ID
+	// lostIntents holds open intents of this incarnation that the store has perhaps lost.
+	lostIntents []Intent
+	sendCounts  map[string]int // number of sends of orders with unknown outcome, by order ID
 
 	blockedSince time.Time // when orders became blocked; zero if they are not
 	yieldedAt    time.Time // when the role was last given up because orders were blocked
--- a/internal/fleet/lease/random_test.go
+++ b/internal/fleet/lease/random_test.go
@@ -72,3 +72,20 @@
 	}
 	return sends
 }
+
+// Guards against an object that is created for an intent alone, which hides that the store has
+// lost the fencing tokens.
+func TestRestoredIntentOfMissingObject(t *testing.T) {
+	f := newFleet(t, memory.WithEras())
+	empty := f.store.Copy()
+	for _, line := range []string{"a step", "a sleep 12s", "a step", "a copy", "a order-lost o", "a return"} {
+		f.run(strings.Fields(line))
+	}
+	f.copy = empty
+	for _, line := range []string{"a return-after-write 0s", "a step", "a step", "a sleep 12s", "b step", "b sleep 12s", "b step"} {
+		f.run(strings.Fields(line))
+	}
+	if got, want := f.run([]string{"b", "fencing"}), fmt.Sprint(3<<eraTokenBits+1); got != want {
+		t.Errorf("got token %s, want %s", got, want)
+	}
+}
--- a/internal/fleet/lease/step.go
+++ b/internal/fleet/lease/step.go
@@ -103,7 +103,7 @@
 			return l.fail("challenge", KindStore, l.odd)
 		}
 		l.pruneOwnIntents(l.doc)
-		return l.removeOwnIntents(ctx)
+		return l.updateOwnIntents(ctx)
 	}
 	l.fire(eventChallenge)
 	if err := l.acquire(ctx); err != nil {
@@ -160,6 +160,7 @@
 		}
 		d.Role, d.Fencing, d.Holder, d.Incarnation, d.Era = l.role, next, l.host, l.incarnation, era
 		d.remove(l.isRemovable)
+		l.restoreIntents(d)
 		return nil
 	})
 	if err != nil {
@@ -173,20 +174,24 @@
 	return nil
 }
 
-// removeOwnIntents removes this incarnation's removable intents from the
-// object while another host holds the role, so that they do not block it.
-func (l *Lease) removeOwnIntents(ctx context.Context) error {
-	d := l.doc.clone()
-	if !d.remove(l.isRemovable) {
-		return nil
-	}
-	err := l.write(ctx, func(d *document) error {
-		if !d.remove(l.isRemovable) {
+// updateOwnIntents removes this incarnation's removable intents from the
+// object while another host holds the role, so that they do not block it, and
+// writes those that the store has lost, so that they do.
+func (l *Lease) updateOwnIntents(ctx context.Context) error {
+	update := func(d *document) error {
+		removed := d.remove(l.isRemovable)
+		// An object that is created without a token would hide that tokens are lost.
+		restored := l.version > 0 && l.restoreIntents(d)
+		if !removed && !restored {
 			return errNoChange
 		}
 		return nil
-	})
-	if err != nil {
+	}
+	d := l.doc.clone()
+	if update(&d) != nil {
+		return nil
+	}
+	if err := l.write(ctx, update); err != nil {
 		return l.fail("withdraw", KindStore, err)
 	}
 	return nil
@@ -315,10 +320,12 @@
 }
 
 // pruneOwnIntents removes from ownIntents the orders that no longer have an intent
-// in the object, except those being sent.
+// in the object, except those being sent and those that the store has lost.
 func (l *Lease) pruneOwnIntents(d document) {
+	l.lostIntents = slices.DeleteFunc(l.lostIntents, func(i Intent) bool { return d.hasIntent(i.ID) || !l.mayTakeEffect(i) })
 	for id, state := range l.ownIntents {
-		if state != sending && !d.hasIntent(id) {
+		isLost := slices.ContainsFunc(l.lostIntents, func(i Intent) bool { return i.ID == id })
+		if state != sending && !isLost && !d.hasIntent(id) {
 			delete(l.ownIntents, id)
 		}
 	}
