routing: pass on the second removal of an upstream

A host could go on listing an upstream, ready or leaving, until its record changed again, although the hosts that it pulls from knew that it was gone.

A host that knew of an earlier removal, missed that the upstream returned and then pulled its second removal kept the version of the first. It announced and passed on the newer state, but not the second removal: for a host that knew the return, that was older than its own state.

The entry of a removed upstream now takes the version of a later removal.

Found with hosts in virtual time and random faults; TestSecondRemovalIsPassedOn plays it alone. Before the change:

position_test.go:101: upstreams: got [{u 0 s u [] ...}], want none

--- a/internal/record/routing/position_test.go
+++ b/internal/record/routing/position_test.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"quetzalhook"
+	"quetzalhook/internal/fleet/peer"
 	"quetzalhook/internal/platform/memory"
+	"quetzalhook/internal/state/invariant"
 )
 
 // pagedStore is a store in which an upstream of the first page of each list is changed, and then
@@ -67,3 +69,35 @@
 		})
 	}
 }
+
+// Guards against a removal that a host does not pass on, since it knew an earlier removal of the
+// upstream and missed its return.
+func TestSecondRemovalIsPassedOn(t *testing.T) {
+	clock := quetzalhook.ClockFunc(time.Now)
+	network := peer.NewNetwork(clock, 1)
+	hosts := make(map[string]*Follower)
+	for _, name := range []string{"a", "b", "c"} {
+		endpoint := network.Endpoint(quetzalhook.HostID(name))
+		hosts[name] = New(quetzalhook.HostID(name), memory.New(), endpoint, testSource, clock, discardLogger(), invariant.New(nil))
+		network.Join(endpoint, func() quetzalhook.Member { return quetzalhook.Member{} })
+	}
+	event := func(version quetzalhook.Version, value string, names ...string) {
+		for _, name := range names {
+			hosts[name].applyUpstreams(nil, &quetzalhook.Object{Key: "servers/u", Value: []byte(value), Version: version, Deleted: value == ""})
+		}
+	}
+	pull := func(to string, from quetzalhook.HostID) {
+		if err := hosts[to].pullLogged(t.Context(), from); err != nil {
+			t.Fatal(err)
+		}
+	}
+	event(1, "ready", "a", "b", "c")
+	event(2, "", "a", "b", "c")
+	event(3, "ready", "a", "c")
+	event(4, "", "a")
+	pull("b", "a")
+	pull("c", "b")
+	if list := hosts["c"].Upstreams(); len(list) != 0 {
+		t.Errorf("upstreams: got %v, want none", list)
+	}
+}
--- a/internal/record/routing/upstreams.go
+++ b/internal/record/routing/upstreams.go
@@ -126,8 +126,13 @@
 		e = &entry{upstream: quetzalhook.Upstream{ID: id, State: quetzalhook.UpstreamGone}}
 		f.entries[id] = e
 	}
-	if e.removed.IsZero() && version >= e.version {
+	switch {
+	case e.removed.IsZero() && version >= e.version:
 		f.remove(now, id, e, version, false)
+	case version > e.version:
+		// It may have returned in between, and other hosts may know that.
+		e.version, e.removed = version, now
+		f.latest = max(f.latest, version)
 	}
 }
 
