routing: a host that pulled a full list knows no removals before it

Right after many hosts had started, a host could go on sending requests to an upstream that had been removed, until its record changed again.

An answer to a pull names removals by themselves if the host that answers knows all of them since the version of the one that asks, and otherwise holds the full list. A host that had just received a full list did not know the removals before it, and yet answered others as if there had been none. Where the first lists of hosts, which may be some seconds old, differ, a host behind the removal never learned of it.

A host that takes a full list from another now answers with a full list itself where it is asked for older changes, as it does after a list from the store.

Before the change:

--- FAIL: TestRemovalBeforeFullListIsPassedOn (0.00s) position_test.go:119: upstreams: got [{u 0 s u [] ...}], want none

--- a/internal/record/routing/position_test.go
+++ b/internal/record/routing/position_test.go
@@ -70,9 +70,9 @@
 	}
 }
 
-// Guards against a removal that a host does not pass on, since it knew an earlier removal of the
-// upstream and missed its return.
-func TestSecondRemovalIsPassedOn(t *testing.T) {
+// newPullChain returns the followers of three hosts, and a function that makes one pull from
+// another.
+func newPullChain(t *testing.T) (map[string]*Follower, func(to string, from quetzalhook.HostID)) {
 	clock := quetzalhook.ClockFunc(time.Now)
 	network := peer.NewNetwork(clock, 1)
 	hosts := make(map[string]*Follower)
@@ -81,16 +81,22 @@
 		hosts[name] = New(quetzalhook.HostID(name), memory.New(), endpoint, testSource, clock, discardLogger(), invariant.New(nil))
 		network.Join(endpoint, func() quetzalhook.Member { return quetzalhook.Member{} })
 	}
+	return hosts, func(to string, from quetzalhook.HostID) {
+		if err := hosts[to].pullLogged(t.Context(), from); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against a removal that a host does not pass on, since it knew an earlier removal of the
+// upstream and missed its return.
+func TestSecondRemovalIsPassedOn(t *testing.T) {
+	hosts, pull := newPullChain(t)
 	event := func(version quetzalhook.Version, value string, names ...string) {
 		for _, name := range names {
 			hosts[name].applyUpstreams(nil, &quetzalhook.Object{Key: "servers/u", Value: []byte(value), Version: version, Deleted: value == ""})
 		}
 	}
-	pull := func(to string, from quetzalhook.HostID) {
-		if err := hosts[to].pullLogged(t.Context(), from); err != nil {
-			t.Fatal(err)
-		}
-	}
 	event(1, "ready", "a", "b", "c")
 	event(2, "", "a", "b", "c")
 	event(3, "ready", "a", "c")
@@ -101,3 +107,15 @@
 		t.Errorf("upstreams: got %v, want none", list)
 	}
 }
+
+// Guards against a removal that a host neither knows nor passes on, since it pulled a full list.
+func TestRemovalBeforeFullListIsPassedOn(t *testing.T) {
+	hosts, pull := newPullChain(t)
+	hosts["c"].applyUpstreams(nil, &quetzalhook.Object{Key: "servers/u", Value: []byte("ready"), Version: 5})
+	hosts["a"].applyUpstreams(&listing{Listing: quetzalhook.Listing{Version: 10}}, nil)
+	pull("b", "a")
+	pull("c", "b")
+	if list := hosts["c"].Upstreams(); len(list) != 0 {
+		t.Errorf("upstreams: got %v, want none", list)
+	}
+}
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -316,6 +316,7 @@
 		}
 	}
 	if answer.Full {
+		f.purged = max(f.purged, answer.Complete) // as with a list from the store
 		for id, e := range f.entries {
 			if !listed[id] && e.version <= answer.Complete && e.removed.IsZero() {
 				f.remove(now, id, e, answer.Complete, false)
