soak: a store that returns from a copy

The fault "restore" (only if named) copies the store, takes it away for 100 to 500 ms after 1 to 6 s, and makes it return from the copy. 0.2 to 1 s later the operator writes the newest configuration again, each living upstream its record, and a leaving one its announcement; the records of those that have left are deleted again. Its variants name the faults that overlap with it, beginning with the host that holds the duties: kill, pause, stop, rolling, configure, leave, crash, cut, again. Writers of the platform wait while the store is away. Only calls with a key and late duty calls are excused meanwhile, as with other faults of the store; hosts do not count as disturbed, and all bounds stay as they are.

--- a/internal/bench/soak/fault.go
+++ b/internal/bench/soak/fault.go
@@ -38,7 +38,9 @@
 	// third of the scripts consist of such faults only.
 	planned bool
 	// store marks faults of the store only.
-	store       bool
+	store bool
+	// records marks kinds whose function inject records the disturbance.
+	records     bool
 	weight      int
 	minDuration time.Duration
 	maxDuration time.Duration
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -68,11 +68,13 @@
 	c := s.config
 	s.mu.Unlock()
 	s.checker.ConfigurationSent(number)
-	if err := c.Put(s.memory); err != nil {
-		return &Error{Op: "configure", Kind: ErrorSetup, Err: err}
-	}
-	s.checker.ConfigurationConfirmed(time.Now(), number, withdrawn)
-	return nil
+	return s.write(func() error {
+		if err := c.Put(s.memory); err != nil {
+			return &Error{Op: "configure", Kind: ErrorSetup, Err: err}
+		}
+		s.checker.ConfigurationConfirmed(time.Now(), number, withdrawn)
+		return nil
+	})
 }
 
 // changeConfiguration is the fault that changes the configuration. Changes are
@@ -102,8 +104,11 @@
 // announceLeaving announces in the store that an upstream leaves, and stops it after
 // leavingServeTime.
 func (s *system) announceLeaving(u *upstream) {
+	u.mu.Lock()
 	u.entry.Leaving = true
-	if err := u.entry.Put(s.memory); err != nil {
+	err := s.write(func() error { return u.entry.Put(s.memory) })
+	u.mu.Unlock()
+	if err != nil {
 		s.checker.Fail(CheckProcess, "%v", err)
 		return
 	}
@@ -137,7 +142,7 @@
 	if over {
 		r.ID = u.entry.ID
 	}
-	if err := r.PutOdd(s.memory, f.variant); err != nil {
+	if err := s.write(func() error { return r.PutOdd(s.memory, f.variant) }); err != nil {
 		s.checker.Fail(CheckProcess, "%v", err)
 	}
 	var leave sync.WaitGroup
@@ -146,9 +151,9 @@
 	s.mu.Lock()
 	switch present := slices.Contains(s.upstreams, u); {
 	case !over:
-		err = r.Remove(s.memory)
+		err = s.deleteRecord(r)
 	case present:
-		err = u.entry.Put(s.memory)
+		err = s.write(func() error { return u.entry.Put(s.memory) })
 	}
 	s.mu.Unlock()
 	if err != nil {
@@ -161,6 +166,9 @@
 // without an announcement. The store keeps its entry for crashEntryTime.
 func (s *system) crashUpstream(f fault) {
 	u := s.replaceUpstream(f.target)
+	u.mu.Lock()
+	u.isCrashed = true
+	u.mu.Unlock()
 	s.checker.UpstreamStopped(u.entry.ID)
 	_ = u.server.Close()
 	u.proxy.Set(ModeReset)
@@ -190,7 +198,11 @@
 // removeUpstream stops an upstream that was replaced, and deletes its entry from
 // the store.
 func (s *system) removeUpstream(u *upstream) {
-	if err := u.entry.Remove(s.memory); err != nil {
+	u.mu.Lock()
+	u.isRemoved = true
+	err := s.deleteRecord(u.entry)
+	u.mu.Unlock()
+	if err != nil {
 		s.checker.Fail(CheckProcess, "%v", err)
 	}
 	_ = u.server.Close()
--- a/internal/bench/soak/system.go
+++ b/internal/bench/soak/system.go
@@ -60,6 +60,8 @@
 	coldS, coldPerS float64
 	// afterSplit starts the load and the script only once the parts of the builds are stored.
 	afterSplit bool
+	// script replaces the script that the seed determines. Its kinds are in Kinds, too.
+	script []fault
 }
 
 const (
@@ -88,6 +90,10 @@
 	handler *standin.Upstream
 	proxy   *Proxy
 	server  *http.Server
+
+	// mu serializes writes of the record, and protects the state of entry.
+	mu                   sync.Mutex
+	isCrashed, isRemoved bool
 }
 
 // system is the system under test of one run: the host processes, and the
@@ -109,6 +115,9 @@
 	groups         atomic.Int64 // number of groups of callers that faults have added
 	// configureMu serializes changes of the configuration.
 	configureMu sync.Mutex
+	// awayMu is locked while the store is away before it returns from a copy, and locked for
+	// reading by those that write to it.
+	awayMu sync.RWMutex
 	// buildMu serializes changes of the engines' builds.
 	buildMu     sync.Mutex
 	latestBuild int // number of the newest build
@@ -116,6 +125,7 @@
 	mu             sync.Mutex
 	random         *rand.Rand
 	upstreams      []*upstream
+	allUpstreams   []*upstream                      // also those that were replaced
 	claimed        map[*host]bool                   // hosts that a fault is stopping and starting
 	disturbedUntil time.Time                        // end of the last unplanned fault, other than of the store
 	storeUntil     time.Time                        // end of the last fault of the store
@@ -156,6 +166,9 @@
 		resumed: make(map[quetzalhook.HostID]time.Time),
 		network: networkOf(cfg.Seed),
 	}
+	if s.hasRestores() {
+		s.memory = memory.New(memory.WithEras())
+	}
 	s.checker = NewChecker(s.isHostUndisturbed, s.resumedAt)
 	s.checker.notices.hasReset = s.hasHostReset
 	s.onArrival = s.checker.RequestStarted
@@ -165,6 +178,10 @@
 		script = addBuilds(script, cfg.Seed, cfg.Length, cfg.Kinds)
 	}
 	script = addPartitions(script, cfg.Seed, cfg.Length, cfg.Kinds)
+	script = addRestores(script, cfg.Seed, cfg.Length, cfg.Kinds)
+	if cfg.script != nil {
+		script = cfg.script
+	}
 	if len(script) == 0 {
 		return Result{}, &Error{Op: "faults", Kind: ErrorScript, Err: fmt.Errorf("no fault of the kinds %q within %v", cfg.Kinds, cfg.Length)}
 	}
@@ -354,11 +371,11 @@
 	}
 	s.nextUpstream++
 	u.entry.Address = u.proxy.Address()
-	s.upstreams = append(s.upstreams, u)
+	s.upstreams, s.allUpstreams = append(s.upstreams, u), append(s.allUpstreams, u)
 	if err := s.addLinks(u); err != nil {
 		return err
 	}
-	return u.entry.Put(s.memory)
+	return s.register(u)
 }
 
 // awaitReady polls the readiness endpoint of each host until all are ready or
@@ -399,7 +416,7 @@
 	begin := time.Now()
 	var faults sync.WaitGroup
 	byName := make(map[string]faultKind)
-	for _, k := range slices.Concat(kinds(), noticeKinds(), hostileKinds(), buildKinds(), partitionKinds()) {
+	for _, k := range slices.Concat(kinds(), noticeKinds(), hostileKinds(), buildKinds(), partitionKinds(), restoreKinds()) {
 		byName[k.name] = k
 	}
 	for _, f := range script {
@@ -407,11 +424,7 @@
 			break
 		}
 		k := byName[f.kind]
-		s.disturb(k, time.Now().Add(f.duration))
-		faults.Go(func() {
-			k.inject(s, f)
-			s.disturb(k, time.Now())
-		})
+		faults.Go(func() { s.injectFault(k, f) })
 	}
 	faults.Wait()
 	timing.Sleep(ctx, recoverBound)
@@ -431,6 +444,17 @@
 	}
 }
 
+// injectFault injects a fault of kind k and records the disturbance.
+func (s *system) injectFault(k faultKind, f fault) {
+	if k.records {
+		k.inject(s, f)
+		return
+	}
+	s.disturb(k, time.Now().Add(f.duration))
+	k.inject(s, f)
+	s.disturb(k, time.Now())
+}
+
 // disturb records that a fault of kind k is active until the given time, unless it
 // is planned.
 func (s *system) disturb(k faultKind, until time.Time) {
