routing: test patches of another table and pulls beside earlier builds

A patch carries the digest of its result, so that it fails on another table unless the result is the same; the host then asks for the whole table.

--- a/internal/record/routing/patch_test.go
+++ b/internal/record/routing/patch_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"context"
 	"reflect"
 	"slices"
 	"testing"
@@ -52,6 +53,60 @@
 	})
 }
 
+// Guards against a patch that is applied to another table of the version it was made for.
+func TestPatchOfAnotherTable(t *testing.T) {
+	routes := wideTable(1, 8).Routes
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(version int64) *Table {
+			table := &Table{Version: version}
+			for _, i := range rapid.SliceOfN(rapid.IntRange(0, len(routes)-1), 0, 6).Draw(t, "routes") {
+				table.Routes = append(table.Routes, routes[i])
+			}
+			return table
+		}
+		base, other, want := draw(1), draw(1), draw(2)
+		p, err := newPatch(base, want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := p.apply(other); err == nil && !reflect.DeepEqual(got.Routes, want.Routes) {
+			t.Errorf("routes: got %v, want %v or an error", got.Routes, want.Routes)
+		}
+	})
+}
+
+// Guards against a pull between hosts of which one knows neither packed tables nor patches.
+func TestPullBesideEarlierBuild(t *testing.T) {
+	hosts, pull := newPullChain(t)
+	hosts["a"].install(wideTable(1, 3), 1, "test")
+	hosts["a"].install(wideTable(2, 4), 2, "test")
+	hosts["b"].install(wideTable(1, 3), 1, "test")
+	for _, have := range []int64{0, 1, 2} {
+		body, err := cbor.Marshal(map[int]any{1: have, 2: 0})
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := hosts["a"].handlePull(t.Context(), "earlier", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var answer pullAnswer
+		if err := cbor.Unmarshal(data, &answer); err != nil {
+			t.Fatal(err)
+		}
+		if got := answer.Table != nil; got != (have < 2) || answer.PackedTable != nil || answer.TablePatch != nil {
+			t.Errorf("answer to version %d: got a plain table: %v, packed %d, patch %d bytes", have, got, len(answer.PackedTable), len(answer.TablePatch))
+		}
+	}
+	hosts["c"].peers.Handle(pullKind, func(context.Context, quetzalhook.HostID, []byte) ([]byte, error) {
+		return cbor.Marshal(map[int]any{1: wideTable(2, 4), 2: 2, 4: 0, 8: map[string][]byte{}})
+	})
+	pull("b", "c")
+	if table, _ := hosts["b"].Table(); table.Version != 2 || len(table.Routes) != 4 {
+		t.Errorf("table: got version %d with %d routes, want version 2 with 4", table.Version, len(table.Routes))
+	}
+}
+
 // Guards against a host that stays at its version because no patch applies to its table.
 func TestFullTableAfterUselessPatch(t *testing.T) {
 	clock := quetzalhook.ClockFunc(time.Now)
