--- a/internal/record/journal/committer.go
+++ b/internal/record/journal/committer.go
@@ -333,7 +333,9 @@
 	if err != nil {
 		return err
 	}
-	if version < c.newestVersion {
+	// The store may have come back from a copy that is older than the shard.
+	isLost := version == 0 && c.j.store.Era() > c.newestVersion.Era()
+	if version < c.newestVersion && !isLost {
 		return errStale
 	}
 	c.cached, c.version, c.newestVersion = s, version, version
--- a/internal/record/journal/journal_test.go
+++ b/internal/record/journal/journal_test.go
@@ -100,6 +100,8 @@
 		s.store.SetFaults(memory.Faults{Outage: true})
 	case "outage-after-change":
 		s.outageNext = true
+	case "return": // the store comes back from an empty copy
+		s.store.Return(memory.New().Copy())
 	case "heal":
 		s.store.SetFaults(memory.Faults{})
 	case "cut":
@@ -123,6 +125,9 @@
 				store: memory.New(), net: memory.NewNetwork(), inv: invariant.New(nil),
 				hosts: make(map[string]*Journal), claims: make(map[string]Claim),
 			}
+			if d.Cmd == "play-eras" {
+				s.store = memory.New(memory.WithEras())
+			}
 			for _, h := range []string{"a", "b"} {
 				s.host(h)
 			}
