usage: write a window again that a returned store may lack

After a return of the store, a window whose final totals were lost was never marked final by its source: its usage was missing, and the reporter waited for a host that is in the list of hosts.

Cause: the meter remembers up to where the store has its totals. At the next flush it now writes a window again if one of its objects was written in an earlier era of the store: a read and a write for each object. Replicas of other hosts that were written for a silent source are not written again.

Evidence: TestReturnOfStore, before

stored: got <nil>, <nil>, want one final total

It passes after; usage and billing pass with -race.

--- a/internal/record/usage/flush.go
+++ b/internal/record/usage/flush.go
@@ -47,12 +47,14 @@
 
 // windowsToFlush returns the windows to write. It deletes a window at the
 // second flush after the window was stored as final; until then Replicate tells
-// the peers that they may delete their replicas of it.
+// the peers that they may delete their replicas of it. A window is written again if the
+// store may have lost it.
 func (m *Meter) windowsToFlush() []Window {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var list []Window
 	for w, l := range m.windows {
+		l.forgetStored(m.store.Era())
 		switch {
 		case !l.finalStored:
 			list = append(list, w)
--- a/internal/record/usage/ledger.go
+++ b/internal/record/usage/ledger.go
@@ -32,6 +32,18 @@
 	return &ledger{totals: make(map[Key]*total), versions: make(map[string]quetzalhook.Version)}
 }
 
+// forgetStored makes the ledger be written again if some of it was written in an era of the
+// store before the given one: the store may have come back from a copy that lacks it.
+func (l *ledger) forgetStored(era int64) {
+	for _, v := range l.versions {
+		if v.Era() < era {
+			clear(l.versions)
+			l.storedSeq, l.finalStored, l.flushedAfterFinal = 0, false, false
+			return
+		}
+	}
+}
+
 // total returns the total of a key and adds the key if necessary.
 func (l *ledger) total(k Key) *total {
 	t := l.totals[k]
--- a/internal/record/usage/usage_test.go
+++ b/internal/record/usage/usage_test.go
@@ -147,6 +147,34 @@
 	return f.added[source] - f.stored(t)[source]
 }
 
+// Guards against usage, and a final mark, that the store lost when it came back from an older
+// copy and that its source does not write again.
+func TestReturnOfStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(0)
+		f.store = memory.New(memory.WithEras())
+		f.hosts = append(f.hosts, nil)
+		f.startHost(0)
+		defer f.close()
+		time.Sleep(time.Minute)
+		f.add(0, "class")
+		copied := f.store.Copy()
+		end, err := schedule.End(schedule.At(time.Now()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Until(end) + time.Minute + time.Second)
+		f.store.Return(copied)
+		time.Sleep(2 * time.Minute)
+		for w := range f.windows {
+			all, err := Collect(t.Context(), f.store, w)
+			if totals := all[f.hosts[0].meter.self]; err != nil || totals == nil || !totals.Final || len(totals.Used) != 1 {
+				t.Errorf("stored: got %v, %v, want one final total", totals, err)
+			}
+		}
+	})
+}
+
 // Guards against replicas in the same zone as their source or as each other.
 func TestZonesOfPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
