credential: watch again after a return of the store

After a return of the store, the hosts that watch the keys got no event any more, and each made 8 calls a second for ever.

Cause: each watch began after a version of the earlier era, and failed with history-gone. A host that watches now lists the keys again if the store has named a later era, once for each return, and watches from the version of that list. That of the newest key, from which it watched before, may be older than the history that the store has.

Evidence: TestWatchAfterReturnOfStore, before

got 239 reads in a minute and 0 open watches, want at most 20 and 1

It passes after.

--- a/internal/record/credential/persist.go
+++ b/internal/record/credential/persist.go
@@ -212,7 +212,8 @@
 		// Jitter that depends on the host spreads the reads of all hosts after an
 		// outage.
 		delay = syncInterval/2 + time.Duration(rank(r.clock.Now().String(), r.self.Host)%uint64(syncInterval))
-		if !r.isLoaded() {
+		// Watches from a version of an earlier era fail.
+		if !r.isLoaded() || r.isWatcher() && after.Era() < r.store.Era() {
 			version, err := r.load(ctx)
 			if err != nil {
 				r.log.WithError(err).Debug("loading keys failed; retrying")
@@ -241,7 +242,7 @@
 }
 
 // load reads all shards from the store, or from peers if the store does not
-// answer. It returns the highest store version read, 0 from peers.
+// answer. It returns the store version of what it read, 0 from peers.
 func (r *Registry) load(ctx context.Context) (quetzalhook.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
@@ -254,13 +255,11 @@
 		r.recordLoad(time.Time{})
 		return 0, nil
 	}
-	var version quetzalhook.Version
 	for _, o := range list.Objects {
 		r.mergeObject(o)
-		version = max(version, o.Version)
 	}
 	r.recordLoad(begin)
-	return version, nil
+	return list.Version, nil
 }
 
 // recordLoad records that the keys are loaded or were compared with the index,
--- a/internal/record/credential/registry_test.go
+++ b/internal/record/credential/registry_test.go
@@ -269,6 +269,25 @@
 	}
 }
 
+// Guards against watches that fail for ever once the store has come back from an older copy.
+func TestWatchAfterReturnOfStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 0)
+		f.store = memory.New(memory.WithEras())
+		f.startHost("host-0")
+		time.Sleep(time.Minute)
+		f.store.Return(f.store.Copy())
+		time.Sleep(time.Minute)
+		before := f.store.Counts()
+		time.Sleep(time.Minute)
+		after := f.store.Counts()
+		if reads, most := after.Reads-before.Reads, int64(time.Minute/watchDuration); reads > most || after.Open != 1 {
+			t.Errorf("got %d reads in a minute and %d open watches, want at most %d and 1", reads, after.Open, most)
+		}
+		f.stopHost("host-0")
+	})
+}
+
 // Guards against hosts that are current and accept withdrawn keys, against
 // withdrawals that are lost or undone, and against issued keys that are refused,
 // under up to three faults at once.
