routing, member: compare tables by their own versions, keep eras out of old fields

What callers saw: after the store had come back from an older copy, a host that started read the older table from it and kept it, as its revision is of a later era than that of the newer table on the other hosts. Those pulled from it without end. Beside that, hosts put versions with an era into the integers of heartbeats and pulls: a host of a build without eras would store such a number as its newest revision, and ignore the store from then on.

Cause: the store's version decided which table is newer, and Version went over the wire as it is.

Change: the own version of a table alone decides. Heartbeats, summaries and pulls hold plain revisions in the old fields, and the own version of the table and the eras in new ones, which are omitted if they are 0. A version without an era counts as of the newest known era until the era has risen, and as the earliest one from then on. The metric table-version shows the own version of the table.

Evidence: testdata/returns/table failed before:

h0 h2 h3 h4: table 2, upstreams [] h1 h5: table 1, upstreams [] pulls in the next 10s: 157

where all hosts have table 2 and make no pulls now.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -197,6 +197,7 @@
 	h.meter.Publish("quarantine-refusals", func() any { return h.isolator.Refused() })
 	h.meter.Publish("engine-crashes", func() any { return h.isolator.Crashes() })
 	h.meter.Publish("table-revision", func() any { revision, _ := h.follower.Versions(); return revision })
+	h.meter.Publish("table-version", func() any { return h.follower.TableVersion() })
 	h.meter.Publish("split-epochs", func() any { return h.follower.SplitEpochs() })
 	h.meter.Publish("take-ups-known", func() any { known, _ := h.builds.TakeUps(); return known })
 	h.meter.Publish("take-ups-unknown", func() any { _, unknown := h.builds.TakeUps(); return unknown })
@@ -453,6 +454,7 @@
 	table, upstreams := h.follower.Versions()
 	return member.Report{
 		Draining: h.draining.Load(), Unready: !h.hasTable(), CutOff: h.reach.IsCutOff(), ConfigVersion: table, UpstreamVersion: upstreams,
+		TableVersion: h.follower.TableVersion(),
 		EvacuationVersion: h.follower.EvacuationVersion(), SplitVersion: h.follower.SplitVersion(),
 		StoreAge: h.follower.StoreAge(), Eligible: h.eligibleRoles(), Active: h.activeRoles(),
 	}
--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -47,15 +47,17 @@
 
 // Report is the state that a host reports to the others.
 type Report struct {
-	Draining        bool
-	Unready         bool
-	CutOff          bool // see quetzalhook.Member
-	FreeCapacity    float64
-	ConfigVersion   int64
-	UpstreamVersion int64
-	// EvacuationVersion is the version of the newest known change of the evacuated zones.
-	EvacuationVersion int64
-	SplitVersion      int64 // see quetzalhook.Member
+	Draining     bool
+	Unready      bool
+	CutOff       bool // see quetzalhook.Member
+	FreeCapacity float64
+	// ConfigVersion, TableVersion, UpstreamVersion, EvacuationVersion and SplitVersion
+	// are as in quetzalhook.Member.
+	ConfigVersion     int64
+	TableVersion      int64
+	UpstreamVersion   quetzalhook.Version
+	EvacuationVersion quetzalhook.Version
+	SplitVersion      int64
 	StoreAge          time.Duration
 	Eligible          quetzalhook.Roles
 	Active            quetzalhook.Roles
@@ -391,7 +393,9 @@
 		list = append(list, quetzalhook.Member{
 			Host: host, Incarnation: p.profile.Incarnation, Zone: p.profile.Zone, Region: p.profile.Region,
 			Address: p.profile.Address, PeerAddress: p.profile.Peer, Draining: state.Draining, Unready: state.Unready || !p.hasReported(g.cell), CutOff: state.CutOff, Silent: p.silence(now),
-			Distant: p.cell != g.cell, Lag: lag, FreeCapacity: float64(state.FreePercent) / 100, ConfigVersion: state.ConfigVersion, UpstreamVersion: state.UpstreamVersion, EvacuationVersion: state.EvacuationVersion, SplitVersion: state.SplitVersion, StoreAge: age, Eligible: state.Eligible, Active: state.Active,
+			Distant: p.cell != g.cell, Lag: lag, FreeCapacity: float64(state.FreePercent) / 100, SplitVersion: state.SplitVersion, StoreAge: age, Eligible: state.Eligible, Active: state.Active,
+			ConfigVersion: state.ConfigVersion, TableVersion: state.TableVersion,
+			UpstreamVersion: quetzalhook.NewVersion(state.UpstreamEra, state.UpstreamVersion), EvacuationVersion: quetzalhook.NewVersion(state.EvacuationEra, state.EvacuationVersion),
 			WithdrawnCount: state.WithdrawnCount, WithdrawnHash: state.WithdrawnHash, Demand: demand,
 			Processors: p.profile.Processors,
 		})
--- a/internal/fleet/member/message.go
+++ b/internal/fleet/member/message.go
@@ -78,9 +78,32 @@
 	Eligible        quetzalhook.Roles             `cbor:"12,keyasint,omitempty"`
 	Active          quetzalhook.Roles             `cbor:"13,keyasint,omitempty"`
 	// EvacuationVersion is the version of the newest known change of the evacuated zones.
+	// Like the other versions of the store, it is a plain revision here, for hosts that do
+	// not know of eras.
 	EvacuationVersion int64 `cbor:"14,keyasint,omitempty"`
 	SplitVersion      int64 `cbor:"15,keyasint,omitempty"` // see quetzalhook.Member
 	CutOff            bool  `cbor:"16,keyasint,omitempty"` // see quetzalhook.Member
+	// TableVersion is as in quetzalhook.Member; the eras are those of the versions.
+	TableVersion  int64 `cbor:"17,keyasint,omitempty"`
+	UpstreamEra   int64 `cbor:"18,keyasint,omitempty"`
+	EvacuationEra int64 `cbor:"19,keyasint,omitempty"`
+}
+
+// storeVersions holds what a host knows of the objects in the store.
+type storeVersions struct {
+	config, table, upstreams, upstreamEra, evacuations, evacuationEra int64
+}
+
+// versions returns the versions of the state.
+func (s *hostState) versions() storeVersions {
+	return storeVersions{s.ConfigVersion, s.TableVersion, s.UpstreamVersion, s.UpstreamEra, s.EvacuationVersion, s.EvacuationEra}
+}
+
+// setVersions replaces the versions of the state.
+func (s *hostState) setVersions(v storeVersions) {
+	s.ConfigVersion, s.TableVersion = v.config, v.table
+	s.UpstreamVersion, s.UpstreamEra = v.upstreams, v.upstreamEra
+	s.EvacuationVersion, s.EvacuationEra = v.evacuations, v.evacuationEra
 }
 
 // inFlight is the number of a host's requests on one upstream.
--- a/internal/fleet/member/send.go
+++ b/internal/fleet/member/send.go
@@ -217,8 +217,8 @@
 // must be sent before the next round. Small changes of the load wait for the
 // round, which halves the traffic of an idle fleet.
 func differs(state, sent hostState) bool {
-	if state.Draining != sent.Draining || state.Unready != sent.Unready || state.CutOff != sent.CutOff || state.ConfigVersion != sent.ConfigVersion ||
-		state.UpstreamVersion != sent.UpstreamVersion || state.EvacuationVersion != sent.EvacuationVersion || state.SplitVersion != sent.SplitVersion || state.WithdrawnHash != sent.WithdrawnHash ||
+	if state.Draining != sent.Draining || state.Unready != sent.Unready || state.CutOff != sent.CutOff || state.versions() != sent.versions() ||
+		state.SplitVersion != sent.SplitVersion || state.WithdrawnHash != sent.WithdrawnHash ||
 		state.Eligible != sent.Eligible || state.Active != sent.Active {
 		return true
 	}
@@ -237,7 +237,9 @@
 // toHostState returns the encoded form of a report.
 func toHostState(r Report) hostState {
 	state := hostState{
-		Draining: r.Draining, Unready: r.Unready, CutOff: r.CutOff, FreePercent: uint8(100 * min(max(r.FreeCapacity, 0), 1)), ConfigVersion: r.ConfigVersion, UpstreamVersion: r.UpstreamVersion, EvacuationVersion: r.EvacuationVersion, SplitVersion: r.SplitVersion,
+		Draining: r.Draining, Unready: r.Unready, CutOff: r.CutOff, FreePercent: uint8(100 * min(max(r.FreeCapacity, 0), 1)), SplitVersion: r.SplitVersion,
+		ConfigVersion: r.ConfigVersion, TableVersion: r.TableVersion, UpstreamVersion: r.UpstreamVersion.Revision(), UpstreamEra: r.UpstreamVersion.Era(),
+		EvacuationVersion: r.EvacuationVersion.Revision(), EvacuationEra: r.EvacuationVersion.Era(),
 		WithdrawnCount: r.WithdrawnCount, WithdrawnHash: r.WithdrawnHash, StoreAge: toMilliseconds(r.StoreAge), Eligible: r.Eligible, Active: r.Active,
 	}
 	for tier := range quetzalhook.TierCount {
--- a/internal/fleet/member/summary.go
+++ b/internal/fleet/member/summary.go
@@ -246,8 +246,8 @@
 		p.hostState.WithdrawnCount, p.hostState.WithdrawnHash = s.State.WithdrawnCount, s.State.WithdrawnHash
 		p.hostState.StoreAge = s.State.StoreAge
 		if p.profile.Host == s.Origin {
-			p.hostState.ConfigVersion, p.hostState.Draining, p.hostState.Unready = s.State.ConfigVersion, s.State.Draining, s.State.Unready
-			p.hostState.UpstreamVersion, p.hostState.EvacuationVersion = s.State.UpstreamVersion, s.State.EvacuationVersion
+			p.hostState.Draining, p.hostState.Unready = s.State.Draining, s.State.Unready
+			p.hostState.setVersions(s.State.versions())
 			p.hostState.SplitVersion = s.State.SplitVersion
 		}
 	}
--- a/internal/record/routing/evacuations.go
+++ b/internal/record/routing/evacuations.go
@@ -139,6 +139,7 @@
 		for _, o := range list.Objects {
 			changes = append(changes, f.zoneChange(o))
 		}
+		f.era.observe(list.Version)
 		changed = f.evacuations.applyList(list.Version, changes)
 	}
 	f.afterEvacuations(changed, wasKnown, "store")
--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -123,6 +123,7 @@
 	latest        quetzalhook.Version    // version of the newest known change of upstreams
 	complete      quetzalhook.Version    // all upstream changes up to it are known
 	evacuations   evacuations
+	era           knownEra
 	splits        splits
 	tableKnownAt  time.Time                // when the first table was known
 	purged        quetzalhook.Version      // some removals up to it may be unknown here
@@ -239,20 +240,31 @@
 	return !f.evacuations.isEvacuated(e.upstream.Zone) && e.removed.IsZero() && e.upstream.State == quetzalhook.UpstreamReady && e.upstream.Started == u.Started
 }
 
-// Versions returns the store versions of the table in force and of the newest
-// change of upstreams that this host knows. Heartbeats carry them.
-func (f *Follower) Versions() (table, upstreams int64) {
+// Versions returns the revision of the table in force in the store, and the version of the
+// newest change of upstreams that this host knows. Heartbeats carry them.
+func (f *Follower) Versions() (table int64, upstreams quetzalhook.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return int64(f.tableVersion), int64(f.latest)
+	return f.tableVersion.Revision(), f.latest
+}
+
+// TableVersion returns the own version of the table in force, or 0 if there is none.
+// Heartbeats carry it.
+func (f *Follower) TableVersion() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.table == nil {
+		return 0
+	}
+	return f.table.Version
 }
 
 // EvacuationVersion returns the store version of the newest change of the evacuated zones
 // that this host knows. Heartbeats carry it.
-func (f *Follower) EvacuationVersion() int64 {
+func (f *Follower) EvacuationVersion() quetzalhook.Version {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return int64(f.evacuations.latest)
+	return f.evacuations.latest
 }
 
 // IsEvacuated reports whether a zone is evacuated.
@@ -548,17 +560,15 @@
 	f.install(t, o.Version, "store")
 }
 
-// install puts a table in force if it is newer than the one in force.
+// install puts a table in force if its own version is newer than that of the one in force.
+// The store may have lost newer tables and give their revisions out again.
 func (f *Follower) install(t *Table, version quetzalhook.Version, from string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if version <= f.tableVersion {
-		f.logIgnoredTable(t, version, from)
-		return
-	}
+	f.era.observe(version)
 	if f.table != nil && t.Version <= f.table.Version {
 		if t.Version == f.table.Version {
-			f.tableVersion = version // stored again
+			f.tableVersion = max(f.tableVersion, version) // stored again
 		}
 		f.logIgnoredTable(t, version, from)
 		return
--- a/internal/record/routing/follower_test.go
+++ b/internal/record/routing/follower_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -43,7 +44,9 @@
 	hosts        map[string]*Follower
 	gates        map[string]*gate
 	showWatchers bool
+	showPulls    bool
 	killed       []string // hosts that "kill-watchers" has killed last
+	copied       memory.Copy
 }
 
 // gate holds the store that one host uses. While it is closed, the host's calls to
@@ -67,14 +70,20 @@
 	},
 	DecodeUpstream: func(id quetzalhook.UpstreamID, value []byte) (quetzalhook.Upstream, error) {
 		u := quetzalhook.Upstream{ID: id, Service: "s", Zone: quetzalhook.Zone(id[:1])}
-		switch string(value) {
+		state, started, _ := strings.Cut(string(value), "@")
+		switch state {
 		case "ready":
 		case "leaving":
 			u.State = quetzalhook.UpstreamLeaving
 		default:
 			return u, errors.New("unknown state")
 		}
-		return u, nil
+		if started == "" {
+			return u, nil
+		}
+		var err error
+		u.Started, err = strconv.ParseInt(started, 10, 64)
+		return u, err
 	},
 }
 
@@ -86,10 +95,10 @@
 
 func newFleet(t *testing.T) *testFleet { return newFleetOf(t, testSource) }
 
-func newFleetOf(t *testing.T, source Source) *testFleet {
+func newFleetOf(t *testing.T, source Source, opts ...memory.Option) *testFleet {
 	clock := quetzalhook.ClockFunc(time.Now)
 	f := &testFleet{
-		t: t, source: source, clock: clock, store: memory.New(), network: peer.NewNetwork(clock, 1), inv: invariant.New(nil),
+		t: t, source: source, clock: clock, store: memory.New(opts...), network: peer.NewNetwork(clock, 1), inv: invariant.New(nil),
 		hosts: make(map[string]*Follower), gates: make(map[string]*gate),
 	}
 	for i := range 5 {
@@ -106,7 +115,7 @@
 	f.network.Join(endpoint, func() quetzalhook.Member {
 		table, upstreams := follower.Versions()
 		m := quetzalhook.Member{
-			ConfigVersion: table, UpstreamVersion: upstreams, EvacuationVersion: follower.EvacuationVersion(), SplitVersion: follower.SplitVersion(), StoreAge: follower.StoreAge(),
+			ConfigVersion: table, TableVersion: follower.TableVersion(), UpstreamVersion: upstreams, EvacuationVersion: follower.EvacuationVersion(), SplitVersion: follower.SplitVersion(), StoreAge: follower.StoreAge(),
 		}
 		if follower.Eligible() {
 			m.Eligible = quetzalhook.RoleStoreWatcher
@@ -128,34 +137,43 @@
 	}
 }
 
+// stateOf describes what a host knows.
+func (f *testFleet) stateOf(h *Follower) string {
+	version := int64(0)
+	if t, _ := h.Table(); t != nil {
+		version = t.Version
+	}
+	var up []string
+	for _, u := range h.Upstreams() {
+		entry := string(u.ID)
+		if u.State == quetzalhook.UpstreamLeaving {
+			entry += "(leaving)"
+		}
+		if u.Started != 0 {
+			entry += fmt.Sprintf("@%d", u.Started)
+		}
+		if u.Evacuated {
+			entry += "(evacuated)"
+		}
+		if u.Evacuated == h.IsUsable(u) && u.State == quetzalhook.UpstreamReady {
+			f.t.Errorf("%s: usable: got %v, want %v", u.ID, u.Evacuated, !u.Evacuated)
+		}
+		up = append(up, entry)
+	}
+	summary := fmt.Sprintf("table %d, upstreams [%s]", version, strings.Join(up, " "))
+	if f.source.SplitPrefix != "" {
+		s := h.Split("s")
+		summary += fmt.Sprintf(", split %d of %v, superseded: %v", s.Epoch(), s.Newest(), s.HasSuperseded())
+	}
+	return summary
+}
+
 // state describes the table version and the upstreams that the hosts know, with
 // one line for all hosts that know the same.
 func (f *testFleet) state() string {
 	hostsByState := make(map[string][]string)
 	for name, h := range f.hosts {
-		version := int64(0)
-		if t, _ := h.Table(); t != nil {
-			version = t.Version
-		}
-		var up []string
-		for _, u := range h.Upstreams() {
-			entry := string(u.ID)
-			if u.State == quetzalhook.UpstreamLeaving {
-				entry += "(leaving)"
-			}
-			if u.Evacuated {
-				entry += "(evacuated)"
-			}
-			if u.Evacuated == h.IsUsable(u) && u.State == quetzalhook.UpstreamReady {
-				f.t.Errorf("%s: usable: got %v, want %v", u.ID, u.Evacuated, !u.Evacuated)
-			}
-			up = append(up, entry)
-		}
-		summary := fmt.Sprintf("table %d, upstreams [%s]", version, strings.Join(up, " "))
-		if f.source.SplitPrefix != "" {
-			s := h.Split("s")
-			summary += fmt.Sprintf(", split %d of %v, superseded: %v", s.Epoch(), s.Newest(), s.HasSuperseded())
-		}
+		summary := f.stateOf(h)
 		hostsByState[summary] = append(hostsByState[summary], name)
 	}
 	var lines []string
@@ -172,10 +190,24 @@
 		}
 		lines = append(lines, fmt.Sprintf("hosts that watch the store: %d", watching))
 	}
+	if f.showPulls {
+		before := f.answeredPulls()
+		time.Sleep(10 * time.Second) // virtual time
+		lines = append(lines, fmt.Sprintf("pulls in the next 10s: %d", f.answeredPulls()-before))
+	}
 	slices.Sort(lines)
 	return strings.Join(lines, "\n") + "\n"
 }
 
+// answeredPulls returns the number of pulls that all hosts have answered.
+func (f *testFleet) answeredPulls() (n int64) {
+	for _, h := range f.hosts {
+		_, answers, _ := h.PullCounts()
+		n += answers
+	}
+	return n
+}
+
 func (f *testFleet) runCommand(line string) {
 	w := strings.Fields(line)
 	switch w[0] {
@@ -187,9 +219,9 @@
 		f.put("evacuations/"+w[1], "{}")
 	case "split": // of the service s
 		f.put("splits/s", strings.Join(w[1:], " "))
-	case "lose-events": // yes or no, of all watches
-		for _, g := range f.gates {
-			g.lossy.Store(w[1] == "yes")
+	case "lose-events": // yes or no, of all watches, except those of the named hosts
+		for name, g := range f.gates {
+			g.lossy.Store(w[1] == "yes" && !slices.Contains(w[2:], name))
 		}
 	case "restart-host": // name, closed or open: whether the store answers it
 		name := w[1]
@@ -242,8 +274,14 @@
 		}
 	case "show-watchers":
 		f.showWatchers = true
+	case "show-pulls": // counts those that follow the state
+		f.showPulls = true
 	case "forget-history":
 		f.store.ForgetHistory()
+	case "copy": // of the store
+		f.copied = f.store.Copy()
+	case "restore": // brings the store back from the copy
+		f.store.Return(f.copied)
 	case "wait":
 		d, err := time.ParseDuration(w[1])
 		if err != nil {
@@ -289,7 +327,15 @@
 	runScripts(t, "testdata/splits", source)
 }
 
-func runScripts(t *testing.T, dir string, source Source) {
+// Guards against hosts that act on an older state, or do not act on a newer one, after the
+// store has come back from an older copy: of the table, the upstreams or the evacuated zones.
+func TestStoreReturnsOlder(t *testing.T) {
+	source := testSource
+	source.EvacuationPrefix = "evacuations/"
+	runScripts(t, "testdata/returns", source, memory.WithEras())
+}
+
+func runScripts(t *testing.T, dir string, source Source, opts ...memory.Option) {
 	datadriven.Walk(t, dir, func(t *testing.T, path string) {
 		// A synctest bubble cannot outlive the call for one step, so each step runs
 		// all steps before it again.
@@ -299,7 +345,7 @@
 			script = append(script, &copied)
 			var out string
 			synctest.Test(t, func(t *testing.T) {
-				f := newFleetOf(t, source)
+				f := newFleetOf(t, source, opts...)
 				defer f.close()
 				f.runCommand("wait 2s")
 				for _, step := range script {
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -36,11 +36,11 @@
 }
 
 // recordAnnouncement records since when another host has announced a newer table.
-func (f *Follower) recordAnnouncement(table int64) {
+func (f *Follower) recordAnnouncement(isNewer bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
-	case table <= int64(f.tableVersion):
+	case !isNewer:
 		f.announcedAt = time.Time{}
 	case f.announcedAt.IsZero():
 		f.announcedAt = f.clock.Now()
@@ -68,6 +68,10 @@
 	// understands TablePatch and knows the whole table of its version.
 	Packed  bool `cbor:"5,keyasint,omitempty"`
 	Patches bool `cbor:"6,keyasint,omitempty"`
+	// CompleteEra and EvacuationEra are the eras of Complete and Evacuations, which hold
+	// plain revisions in messages: hosts of older builds do not know of eras.
+	CompleteEra   int64 `cbor:"7,keyasint,omitempty"`
+	EvacuationEra int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // pullAnswer holds the table, if it is newer than the caller's, and the changes
@@ -89,6 +93,11 @@
 	// one of Table, PackedTable and TablePatch is set.
 	PackedTable []byte `cbor:"9,keyasint,omitempty"`
 	TablePatch  []byte `cbor:"10,keyasint,omitempty"`
+	// These are the eras of TableVersion, Complete and the versions in Evacuations, which
+	// are plain revisions in messages.
+	TableEra      int64 `cbor:"11,keyasint,omitempty"`
+	CompleteEra   int64 `cbor:"12,keyasint,omitempty"`
+	EvacuationEra int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // pulledUpstream is the record of an upstream as sent between hosts. It holds only
@@ -117,6 +126,10 @@
 	// than one that ends too early.
 	ColdFor time.Duration     `cbor:"16,keyasint,omitempty"`
 	Build   quetzalhook.Build `cbor:"17,keyasint,omitempty"`
+	// Era and RegisteredEra are those of Version and Registered, which are plain revisions
+	// in messages.
+	Era           int64 `cbor:"18,keyasint,omitempty"`
+	RegisteredEra int64 `cbor:"19,keyasint,omitempty"`
 }
 
 // newPulledUpstream converts an entry to its form in a pull answer.
@@ -152,6 +165,7 @@
 	}
 	now := f.clock.Now()
 	f.mu.Lock()
+	req.addEras(&f.era)
 	answer := pullAnswer{Complete: f.complete, Full: req.Complete < f.purged}
 	var table, base *Table
 	if f.table != nil && f.table.Version == req.Table {
@@ -188,6 +202,7 @@
 	case table != nil:
 		answer.Table = table
 	}
+	answer.splitEras()
 	encoded, err := cbor.Marshal(answer)
 	f.pulls.answers.Add(1)
 	f.pulls.answeredBytes.Add(int64(len(encoded)))
@@ -232,6 +247,7 @@
 		req.Splits = f.splits.version() + 1
 	}
 	f.mu.Unlock()
+	req.splitEras()
 	body, err := cbor.Marshal(req)
 	if err != nil {
 		return &Error{Op: "pull", Kind: ErrorCorrupt, Err: err}
@@ -246,6 +262,9 @@
 	if err := cbor.Unmarshal(reply, &answer); err != nil {
 		return &Error{Op: "pull", Kind: ErrorCorrupt, Err: err}
 	}
+	f.mu.Lock()
+	answer.addEras(&f.era)
+	f.mu.Unlock()
 	f.merge(answer)
 	f.mergeEvacuations(answer.Evacuations, host)
 	f.mergeSplits(answer.Splits, host)
--- a/internal/record/routing/pull_test.go
+++ b/internal/record/routing/pull_test.go
@@ -197,16 +197,9 @@
 				for _, command := range []string{"table 7", "wait 2s", test.command, "wait 1s", "start h9", "wait 1s"} {
 					f.runCommand(command)
 				}
-				answers := func() (n int64) {
-					for _, h := range f.hosts {
-						_, a, _ := h.PullCounts()
-						n += a
-					}
-					return n
-				}
-				before := answers()
+				before := f.answeredPulls()
 				time.Sleep(10 * time.Second)
-				if got := answers() - before; got > 0 {
+				if got := f.answeredPulls() - before; got > 0 {
 					t.Errorf("pulls in 10s without a change: got %d, want 0", got)
 				}
 			})
--- a/internal/record/routing/puller.go
+++ b/internal/record/routing/puller.go
@@ -223,22 +223,59 @@
 	})
 }
 
+// knownVersions is what a host compares the announcements of others with.
+type knownVersions struct {
+	era                    knownEra
+	table                  int64 // the own version of the table
+	stored                 quetzalhook.Version
+	upstreams, evacuations quetzalhook.Version
+	splits                 int64
+}
+
+// known returns the versions that this host knows.
+func (f *Follower) known() knownVersions {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := knownVersions{
+		era: f.era, stored: f.tableVersion, upstreams: f.latest, evacuations: f.evacuations.latest, splits: f.splits.version(),
+	}
+	if f.table != nil {
+		k.table = f.table.Version
+	}
+	return k
+}
+
+// hasNewerTable reports whether a host announces a newer table. One of an older build does not
+// tell the own version of its table.
+func (k *knownVersions) hasNewerTable(m quetzalhook.Member) bool {
+	if m.TableVersion > 0 {
+		return m.TableVersion > k.table
+	}
+	return k.era.versionOf(quetzalhook.NewVersion(0, m.ConfigVersion)) > k.stored
+}
+
+// hasNewerChanges reports whether a host announces changes that this host may not know.
+func (k *knownVersions) hasNewerChanges(m quetzalhook.Member) bool {
+	return k.era.versionOf(m.UpstreamVersion) > k.upstreams || k.era.versionOf(m.EvacuationVersion) > k.evacuations ||
+		mayBeNewer(m.SplitVersion, k.splits)
+}
+
 // pullSources returns the hosts that announce newer versions than this host knows, in the
 // order in which to ask them, and all other hosts. Hosts of other cells are only sources if
 // includeDistant is set, or if no host of this cell is.
 func (f *Follower) pullSources(includeDistant bool) ([]quetzalhook.HostID, map[quetzalhook.HostID]quetzalhook.Member) {
-	table, upstreams := f.Versions()
-	evacuated, divided := f.EvacuationVersion(), f.SplitVersion()
+	known := f.known()
 	members, newer := make(map[quetzalhook.HostID]quetzalhook.Member), make(map[quetzalhook.HostID]bool)
-	announced := table
+	isTableNewer := false
 	var local, distant []quetzalhook.HostID
 	for _, m := range f.peers.Members() {
 		members[m.Host] = m
 		if !m.IsAlive(maxWatcherSilence) {
 			continue
 		}
-		announced = max(announced, m.ConfigVersion)
-		newer[m.Host] = m.ConfigVersion > table || m.UpstreamVersion > upstreams || m.EvacuationVersion > evacuated || mayBeNewer(m.SplitVersion, divided)
+		hasTable := known.hasNewerTable(m)
+		isTableNewer = isTableNewer || hasTable
+		newer[m.Host] = hasTable || known.hasNewerChanges(m)
 		switch {
 		case !m.Distant:
 			local = append(local, m.Host)
@@ -246,7 +283,7 @@
 			distant = append(distant, m.Host)
 		}
 	}
-	f.recordAnnouncement(announced)
+	f.recordAnnouncement(isTableNewer)
 	// The order differs between hosts, which spreads the load.
 	local = rendezvous.Rank(string(f.host), local)
 	preferred := min(neighbors, len(local))
--- a/internal/record/routing/upstreams.go
+++ b/internal/record/routing/upstreams.go
@@ -22,6 +22,7 @@
 		f.markOutdated()
 		return
 	}
+	f.era.observe(list.Version)
 	listed := make(map[quetzalhook.UpstreamID]bool, len(list.Objects))
 	for _, o := range list.Objects {
 		listed[f.upstreamID(o)] = true
--- a/platform.go
+++ b/platform.go
@@ -188,14 +188,17 @@
 	Lag time.Duration
 	// FreeCapacity is the fraction of unused slots, from 0 to 1.
 	FreeCapacity float64
-	// ConfigVersion is the version of the configuration in force on the host.
+	// ConfigVersion is the version of the configuration in force on the host or, where
+	// TableVersion is its own version, the revision with which it is stored.
 	ConfigVersion int64
-	// UpstreamVersion is the version of the newest change of upstreams that the
-	// host knows.
-	UpstreamVersion int64
-	// EvacuationVersion is the version of the newest change of the evacuated zones that
-	// the host knows.
-	EvacuationVersion int64
+	// TableVersion is the own version of the routing table in force on the host; 0 if it
+	// has none or does not tell.
+	TableVersion int64
+	// UpstreamVersion is the version of the newest change of upstreams that the host
+	// knows. It has no era if the host does not tell one.
+	UpstreamVersion Version
+	// EvacuationVersion is the same for the evacuated zones.
+	EvacuationVersion Version
 	// SplitVersion grows with each split of a service among builds that the host knows.
 	SplitVersion int64
 	// StoreAge is the time since the host last reached the store.
