routing: keep later states of upstreams against an older copy

What callers saw: after the store had come back from an older copy, requests went to upstreams that had said that they leave or that were gone, since the copy shows them as ready. Upstreams that had registered after the copy was made were dropped at once.

Cause: a record of a later era replaced whatever was known, and a missing one counted as deleted.

Change: within one start, an upstream only goes from ready to leaving to removed. A record of a later era that shows an earlier state is the older copy: the known state is kept, until a new start, or, if the upstream was removed while it was ready, until it has been listed for 10 s, longer than a dead upstream's record lasts. A record that is missing in a later era counts as missing for 2.2 s, as after an outage. Lists and events of an earlier era are dropped. Kept states have no versions in the store: heartbeats carry a hash of them, and a host whose hash differs pulls them, also one that has started since. A host asks for missing upstreams by name, as all versions of other hosts may be of the later era. One line per list of a later era tells how many upstreams are missing, leaving and removed; the start and the end of each kept state is logged.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -454,7 +454,7 @@
 	table, upstreams := h.follower.Versions()
 	return member.Report{
 		Draining: h.draining.Load(), Unready: !h.hasTable(), CutOff: h.reach.IsCutOff(), ConfigVersion: table, UpstreamVersion: upstreams,
-		TableVersion: h.follower.TableVersion(),
+		TableVersion: h.follower.TableVersion(), Kept: h.follower.Kept(),
 		EvacuationVersion: h.follower.EvacuationVersion(), SplitVersion: h.follower.SplitVersion(),
 		StoreAge: h.follower.StoreAge(), Eligible: h.eligibleRoles(), Active: h.activeRoles(),
 	}
--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -51,13 +51,14 @@
 	Unready      bool
 	CutOff       bool // see quetzalhook.Member
 	FreeCapacity float64
-	// ConfigVersion, TableVersion, UpstreamVersion, EvacuationVersion and SplitVersion
+	// ConfigVersion, TableVersion, UpstreamVersion, EvacuationVersion, SplitVersion and Kept
 	// are as in quetzalhook.Member.
 	ConfigVersion     int64
 	TableVersion      int64
 	UpstreamVersion   quetzalhook.Version
 	EvacuationVersion quetzalhook.Version
 	SplitVersion      int64
+	Kept              uint32
 	StoreAge          time.Duration
 	Eligible          quetzalhook.Roles
 	Active            quetzalhook.Roles
@@ -394,7 +395,7 @@
 			Host: host, Incarnation: p.profile.Incarnation, Zone: p.profile.Zone, Region: p.profile.Region,
 			Address: p.profile.Address, PeerAddress: p.profile.Peer, Draining: state.Draining, Unready: state.Unready || !p.hasReported(g.cell), CutOff: state.CutOff, Silent: p.silence(now),
 			Distant: p.cell != g.cell, Lag: lag, FreeCapacity: float64(state.FreePercent) / 100, SplitVersion: state.SplitVersion, StoreAge: age, Eligible: state.Eligible, Active: state.Active,
-			ConfigVersion: state.ConfigVersion, TableVersion: state.TableVersion,
+			ConfigVersion: state.ConfigVersion, TableVersion: state.TableVersion, Kept: state.Kept,
 			UpstreamVersion: quetzalhook.NewVersion(state.UpstreamEra, state.UpstreamVersion), EvacuationVersion: quetzalhook.NewVersion(state.EvacuationEra, state.EvacuationVersion),
 			WithdrawnCount: state.WithdrawnCount, WithdrawnHash: state.WithdrawnHash, Demand: demand,
 			Processors: p.profile.Processors,
--- a/internal/fleet/member/message.go
+++ b/internal/fleet/member/message.go
@@ -83,25 +83,27 @@
 	EvacuationVersion int64 `cbor:"14,keyasint,omitempty"`
 	SplitVersion      int64 `cbor:"15,keyasint,omitempty"` // see quetzalhook.Member
 	CutOff            bool  `cbor:"16,keyasint,omitempty"` // see quetzalhook.Member
-	// TableVersion is as in quetzalhook.Member; the eras are those of the versions.
-	TableVersion  int64 `cbor:"17,keyasint,omitempty"`
-	UpstreamEra   int64 `cbor:"18,keyasint,omitempty"`
-	EvacuationEra int64 `cbor:"19,keyasint,omitempty"`
+	// TableVersion and Kept are as in quetzalhook.Member; the eras are those of the versions.
+	TableVersion  int64  `cbor:"17,keyasint,omitempty"`
+	UpstreamEra   int64  `cbor:"18,keyasint,omitempty"`
+	EvacuationEra int64  `cbor:"19,keyasint,omitempty"`
+	Kept          uint32 `cbor:"20,keyasint,omitempty"`
 }
 
 // storeVersions holds what a host knows of the objects in the store.
 type storeVersions struct {
 	config, table, upstreams, upstreamEra, evacuations, evacuationEra int64
+	kept                                                              uint32
 }
 
 // versions returns the versions of the state.
 func (s *hostState) versions() storeVersions {
-	return storeVersions{s.ConfigVersion, s.TableVersion, s.UpstreamVersion, s.UpstreamEra, s.EvacuationVersion, s.EvacuationEra}
+	return storeVersions{s.ConfigVersion, s.TableVersion, s.UpstreamVersion, s.UpstreamEra, s.EvacuationVersion, s.EvacuationEra, s.Kept}
 }
 
 // setVersions replaces the versions of the state.
 func (s *hostState) setVersions(v storeVersions) {
-	s.ConfigVersion, s.TableVersion = v.config, v.table
+	s.ConfigVersion, s.TableVersion, s.Kept = v.config, v.table, v.kept
 	s.UpstreamVersion, s.UpstreamEra = v.upstreams, v.upstreamEra
 	s.EvacuationVersion, s.EvacuationEra = v.evacuations, v.evacuationEra
 }
--- a/internal/fleet/member/send.go
+++ b/internal/fleet/member/send.go
@@ -239,7 +239,7 @@
 	state := hostState{
 		Draining: r.Draining, Unready: r.Unready, CutOff: r.CutOff, FreePercent: uint8(100 * min(max(r.FreeCapacity, 0), 1)), SplitVersion: r.SplitVersion,
 		ConfigVersion: r.ConfigVersion, TableVersion: r.TableVersion, UpstreamVersion: r.UpstreamVersion.Revision(), UpstreamEra: r.UpstreamVersion.Era(),
-		EvacuationVersion: r.EvacuationVersion.Revision(), EvacuationEra: r.EvacuationVersion.Era(),
+		EvacuationVersion: r.EvacuationVersion.Revision(), EvacuationEra: r.EvacuationVersion.Era(), Kept: r.Kept,
 		WithdrawnCount: r.WithdrawnCount, WithdrawnHash: r.WithdrawnHash, StoreAge: toMilliseconds(r.StoreAge), Eligible: r.Eligible, Active: r.Active,
 	}
 	for tier := range quetzalhook.TierCount {
--- a/internal/fleet/member/store_versions_test.go
+++ b/internal/fleet/member/store_versions_test.go
@@ -20,7 +20,7 @@
 func reportWithEra(era int64) Report {
 	return Report{
 		ConfigVersion: 1 << 40, TableVersion: 1 << 40, UpstreamVersion: quetzalhook.NewVersion(era, 1<<40), EvacuationVersion: quetzalhook.NewVersion(era, 7),
-		SplitVersion: 3 << 16,
+		SplitVersion: 3 << 16, Kept: 1 << 31,
 	}
 }
 
@@ -82,10 +82,10 @@
 			}
 			got := Report{
 				ConfigVersion: m.ConfigVersion, TableVersion: m.TableVersion, UpstreamVersion: m.UpstreamVersion, EvacuationVersion: m.EvacuationVersion,
-				SplitVersion: m.SplitVersion,
+				SplitVersion: m.SplitVersion, Kept: m.Kept,
 			}
 			if got.ConfigVersion != want.ConfigVersion || got.TableVersion != want.TableVersion || got.UpstreamVersion != want.UpstreamVersion ||
-				got.EvacuationVersion != want.EvacuationVersion {
+				got.EvacuationVersion != want.EvacuationVersion || got.Kept != want.Kept {
 				t.Errorf("%s: got %+v, want %+v", to.self.Host, got, want)
 			}
 		}
--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -81,6 +81,12 @@
 	// graceEnd is when an upstream whose record is missing after an outage counts
 	// as removed unless it registers again; zero if the record is not missing.
 	graceEnd time.Time
+	kept     keptState
+	// acceptedIn is the era in which the upstream was used again after it was kept as
+	// removed.
+	acceptedIn int64
+	// isUnread reports that the upstream is removed since its record cannot be decoded.
+	isUnread bool
 }
 
 // storeContact is the state of this host's calls to the store for one prefix.
@@ -124,6 +130,7 @@
 	complete      quetzalhook.Version    // all upstream changes up to it are known
 	evacuations   evacuations
 	era           knownEra
+	keptPulled    map[quetzalhook.HostID]uint32 // Kept of the hosts when this host pulled from them
 	splits        splits
 	tableKnownAt  time.Time                // when the first table was known
 	purged        quetzalhook.Version      // some removals up to it may be unknown here
@@ -158,7 +165,7 @@
 	f := &Follower{
 		host: host, store: store, peers: peers, source: source, clock: clock, log: log, inv: inv,
 		entries: make(map[quetzalhook.UpstreamID]*entry), rejected: make(map[quetzalhook.UpstreamID]quetzalhook.Version),
-		changed: make(chan struct{}), watched: make(map[string]bool),
+		changed: make(chan struct{}), watched: make(map[string]bool), keptPulled: make(map[quetzalhook.HostID]uint32),
 		settled:  func() bool { return true },
 		contacts: map[string]*storeContact{source.TableKey: {lastAnswer: clock.Now()}, source.UpstreamPrefix: {lastAnswer: clock.Now()}},
 	}
--- a/internal/record/routing/follower_test.go
+++ b/internal/record/routing/follower_test.go
@@ -115,7 +115,7 @@
 	f.network.Join(endpoint, func() quetzalhook.Member {
 		table, upstreams := follower.Versions()
 		m := quetzalhook.Member{
-			ConfigVersion: table, TableVersion: follower.TableVersion(), UpstreamVersion: upstreams, EvacuationVersion: follower.EvacuationVersion(), SplitVersion: follower.SplitVersion(), StoreAge: follower.StoreAge(),
+			ConfigVersion: table, TableVersion: follower.TableVersion(), Kept: follower.Kept(), UpstreamVersion: upstreams, EvacuationVersion: follower.EvacuationVersion(), SplitVersion: follower.SplitVersion(), StoreAge: follower.StoreAge(),
 		}
 		if follower.Eligible() {
 			m.Eligible = quetzalhook.RoleStoreWatcher
@@ -208,6 +208,13 @@
 	return n
 }
 
+// runCommands runs commands that are separated by "|".
+func (f *testFleet) runCommands(list string) {
+	for line := range strings.SplitSeq(list, "|") {
+		f.runCommand(line)
+	}
+}
+
 func (f *testFleet) runCommand(line string) {
 	w := strings.Fields(line)
 	switch w[0] {
--- a/internal/record/routing/link_test.go
+++ b/internal/record/routing/link_test.go
@@ -127,7 +127,7 @@
 			store, opts := configure(host)
 			follower := New(host, store, linkedPeers{endpoint, f, zone}, source, clock, discardLogger(), invariant.New(nil), opts...)
 			network.Join(endpoint, func() quetzalhook.Member {
-				m := quetzalhook.Member{StoreAge: follower.StoreAge(), TableVersion: follower.TableVersion()}
+				m := quetzalhook.Member{StoreAge: follower.StoreAge(), TableVersion: follower.TableVersion(), Kept: follower.Kept()}
 				m.ConfigVersion, m.UpstreamVersion = follower.Versions()
 				if follower.Eligible() {
 					m.Eligible = quetzalhook.RoleStoreWatcher
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -72,6 +72,9 @@
 	// plain revisions in messages: hosts of older builds do not know of eras.
 	CompleteEra   int64 `cbor:"7,keyasint,omitempty"`
 	EvacuationEra int64 `cbor:"8,keyasint,omitempty"`
+	// Missing holds upstreams of which the caller wants to know the state whatever its
+	// version.
+	Missing []quetzalhook.UpstreamID `cbor:"9,keyasint,omitempty"`
 }
 
 // pullAnswer holds the table, if it is newer than the caller's, and the changes
@@ -98,6 +101,10 @@
 	TableEra      int64 `cbor:"11,keyasint,omitempty"`
 	CompleteEra   int64 `cbor:"12,keyasint,omitempty"`
 	EvacuationEra int64 `cbor:"13,keyasint,omitempty"`
+	// Kept is the hash of the kept states, all of which are among Upstreams.
+	Kept uint32 `cbor:"15,keyasint,omitempty"`
+
+	from quetzalhook.HostID
 }
 
 // pulledUpstream is the record of an upstream as sent between hosts. It holds only
@@ -130,14 +137,25 @@
 	// in messages.
 	Era           int64 `cbor:"18,keyasint,omitempty"`
 	RegisteredEra int64 `cbor:"19,keyasint,omitempty"`
+	// Kept reports that the state is kept against the store. ReturnsIn is then the time
+	// until a removed upstream is used again if it remains listed; 0 if it is not.
+	Kept      bool          `cbor:"20,keyasint,omitempty"`
+	ReturnsIn time.Duration `cbor:"21,keyasint,omitempty"`
+	// Unread reports that the upstream is removed since its record cannot be decoded.
+	Unread bool `cbor:"22,keyasint,omitempty"`
 }
 
 // newPulledUpstream converts an entry to its form in a pull answer.
 func newPulledUpstream(e *entry, now time.Time) pulledUpstream {
 	u := e.upstream
-	p := pulledUpstream{ID: u.ID, Version: e.version, Removed: !e.removed.IsZero()}
-	if p.Removed {
+	p := pulledUpstream{ID: u.ID, Version: e.version, Removed: !e.removed.IsZero(), Kept: e.kept.isKept, Unread: e.isUnread}
+	switch {
+	case p.Removed && !p.Kept:
+		p.State, p.Started = u.State, u.Started
 		return p
+	case p.Removed && e.mayReturn():
+		p.ReturnsIn = max(keptRemoved-now.Sub(e.kept.shownSince), time.Millisecond)
+		u = e.kept.shown
 	}
 	if !e.graceEnd.IsZero() {
 		p.GraceLeft, p.Registered = max(e.graceEnd.Sub(now), time.Millisecond), e.registered
@@ -166,7 +184,7 @@
 	now := f.clock.Now()
 	f.mu.Lock()
 	req.addEras(&f.era)
-	answer := pullAnswer{Complete: f.complete, Full: req.Complete < f.purged}
+	answer := pullAnswer{Complete: f.complete, Full: req.Complete < f.purged, Kept: f.keptHash()}
 	var table, base *Table
 	if f.table != nil && f.table.Version == req.Table {
 		answer.TableVersion = f.tableVersion
@@ -180,9 +198,13 @@
 	if f.evacuations.latest+1 > req.Evacuations {
 		answer.Evacuations = f.evacuations.toWire()
 	}
+	missing := make(map[quetzalhook.UpstreamID]bool, len(req.Missing))
+	for _, id := range req.Missing {
+		missing[id] = true
+	}
 	for id, e := range f.entries {
 		switch {
-		case e.version > req.Complete:
+		case e.version > req.Complete, e.kept.isKept, missing[id]:
 			answer.Upstreams = append(answer.Upstreams, newPulledUpstream(e, now))
 		case answer.Full && e.removed.IsZero():
 			answer.Unchanged = append(answer.Unchanged, id)
@@ -231,11 +253,11 @@
 	return f.complete
 }
 
-// pull requests the changes of upstreams after a version, and a newer table, from
-// one host and applies them.
-func (f *Follower) pull(ctx context.Context, host quetzalhook.HostID, after quetzalhook.Version, timeout time.Duration) error {
+// pull requests the changes of upstreams after a version, the state of the missing ones, and a
+// newer table, from one host and applies them.
+func (f *Follower) pull(ctx context.Context, host quetzalhook.HostID, after quetzalhook.Version, timeout time.Duration, missing ...quetzalhook.UpstreamID) error {
 	f.mu.Lock()
-	req := pullRequest{Complete: after, Packed: true}
+	req := pullRequest{Complete: after, Packed: true, Missing: missing}
 	base := f.table
 	if base != nil {
 		req.Table, req.Patches = base.Version, !f.patchFailed
@@ -264,7 +286,9 @@
 	}
 	f.mu.Lock()
 	answer.addEras(&f.era)
+	f.keptPulled[host] = answer.Kept
 	f.mu.Unlock()
+	answer.from = host
 	f.merge(answer)
 	f.mergeEvacuations(answer.Evacuations, host)
 	f.mergeSplits(answer.Splits, host)
@@ -314,33 +338,60 @@
 	for _, id := range answer.Unchanged {
 		listed[id] = true
 	}
+	isReturn := f.isReturn(answer.Complete)
 	for _, p := range answer.Upstreams {
 		id := p.ID
 		listed[id] = true
-		e := f.entries[id]
-		switch {
-		case e != nil && !e.graceEnd.IsZero() && p.Removed && p.Version > e.registered:
-			f.remove(now, id, e, p.Version, false) // removed after it was registered
-		case e != nil && p.GraceLeft > 0 && !e.removed.IsZero() && e.version > p.Registered:
-			// The other host does not know yet that the upstream was removed.
-		case e != nil && p.Version <= e.version:
-		case !p.Removed:
-			f.setUpstream(p.upstream(), p.Version)
-			if p.GraceLeft > 0 {
-				f.entries[id].graceEnd, f.entries[id].registered = now.Add(p.GraceLeft), p.Registered
-			}
-		default:
-			f.removeByID(now, id, p.Version)
-		}
+		f.takePulled(now, p, answer.from)
 		f.latest = max(f.latest, p.Version)
 	}
 	if answer.Full {
 		for id, e := range f.entries {
-			if !listed[id] && e.version <= answer.Complete && e.removed.IsZero() {
-				f.remove(now, id, e, answer.Complete, false)
+			if !listed[id] && e.version <= answer.Complete {
+				f.takeMissing(now, id, e, answer.Complete, false)
 			}
 		}
 	}
 	f.complete, f.latest = max(f.complete, answer.Complete), max(f.latest, answer.Complete)
+	if isReturn {
+		f.logReturn(answer.Complete, string(answer.from))
+	}
 	f.markOutdated()
 }
+
+// takePulled takes the state of an upstream that another host sent. The caller holds f.mu.
+func (f *Follower) takePulled(now time.Time, p pulledUpstream, from quetzalhook.HostID) {
+	id, e := p.ID, f.entries[p.ID]
+	switch {
+	case f.takeKept(now, p, from):
+	case p.Kept && e != nil:
+		f.followKept(now, e, p)
+	case e == nil && p.Version.Era() < f.complete.Era():
+		// A removal in the era of the list may not be known.
+	case e != nil && p.endsGrace(e):
+		f.remove(now, id, e, p.Version, false)
+	case e != nil && p.GraceLeft > 0 && e.version > p.Registered && (!e.removed.IsZero() || e.progress().compare(p.progress()) > 0):
+		// The other host does not know yet that the upstream leaves or was removed.
+	case e != nil && p.Version <= e.version:
+	case p.Removed:
+		f.removeByID(now, id, p.Version)
+		if e == nil {
+			f.entries[id].upstream.Started = p.Started
+		}
+		f.entries[id].isUnread = p.Unread
+	case p.GraceLeft > 0:
+		f.setUpstream(p.upstream(), p.Version)
+		f.entries[id].graceEnd, f.entries[id].registered = now.Add(p.GraceLeft), p.Registered
+	default:
+		f.takeRecord(now, p.upstream(), p.Version)
+	}
+}
+
+// endsGrace reports whether another host knows that a missing upstream left or was removed
+// after it was registered.
+func (p pulledUpstream) endsGrace(e *entry) bool {
+	if e.graceEnd.IsZero() || p.Version <= e.registered {
+		return false
+	}
+	return p.Removed || p.GraceLeft == 0 && p.State != quetzalhook.UpstreamReady && p.Version <= e.version && p.Started == e.upstream.Started
+}
--- a/internal/record/routing/puller.go
+++ b/internal/record/routing/puller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -230,6 +231,8 @@
 	stored                 quetzalhook.Version
 	upstreams, evacuations quetzalhook.Version
 	splits                 int64
+	kept                   uint32
+	keptPulled             map[quetzalhook.HostID]uint32
 }
 
 // known returns the versions that this host knows.
@@ -238,6 +241,7 @@
 	defer f.mu.Unlock()
 	k := knownVersions{
 		era: f.era, stored: f.tableVersion, upstreams: f.latest, evacuations: f.evacuations.latest, splits: f.splits.version(),
+		kept: f.keptHash(), keptPulled: maps.Clone(f.keptPulled),
 	}
 	if f.table != nil {
 		k.table = f.table.Version
@@ -257,7 +261,7 @@
 // hasNewerChanges reports whether a host announces changes that this host may not know.
 func (k *knownVersions) hasNewerChanges(m quetzalhook.Member) bool {
 	return k.era.versionOf(m.UpstreamVersion) > k.upstreams || k.era.versionOf(m.EvacuationVersion) > k.evacuations ||
-		mayBeNewer(m.SplitVersion, k.splits)
+		mayBeNewer(m.SplitVersion, k.splits) || m.Kept != 0 && m.Kept != k.kept && m.Kept != k.keptPulled[m.Host]
 }
 
 // pullSources returns the hosts that announce newer versions than this host knows, in the
--- /dev/null
+++ b/internal/record/routing/returns_test.go
@@ -0,0 +1,98 @@
+package routing
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quetzalhook"
+	"quetzalhook/internal/platform/memory"
+)
+
+// Guards against an upstream that is used again, as it has been listed for long, and that a
+// host which has not waited as long takes away again.
+func TestEndedRemovalIsNotTakenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOf(t, testSource, memory.WithEras())
+		defer f.close()
+		f.runCommands("table 1|upstream a ready@1|wait 1s|copy|gone a|wait 1s|restore|wait 11s")
+		h := f.hosts["h0"]
+		h.mu.Lock()
+		h.takePulled(time.Now(), pulledUpstream{ID: "a", Version: h.entries["a"].version, Removed: true, Kept: true, Started: 1, ReturnsIn: time.Second}, "other")
+		h.markOutdated()
+		h.mu.Unlock()
+		if got, want := f.state(), "h0 h1 h2 h3 h4: table 1, upstreams [a@1]\n"; got != want {
+			t.Errorf("state: got %s, want %s", got, want)
+		}
+	})
+}
+
+// Guards against a fleet whose hosts all read the store when it has come back from an older
+// copy, or pull from each other without end.
+func TestReturnCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const zones, perZone = 6, 10
+		store := memory.New(memory.WithEras())
+		var lists, staleLists, watches atomic.Int64
+		counted := countingStore{store, &lists, &staleLists, &watches}
+		putTable(t, store, wideTable(1, 3))
+		for i := range 100 {
+			if _, err := store.Put(t.Context(), fmt.Sprintf("servers/u%d", i), []byte("ready@1"), 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		f := newLinkedFleet(t, zones, perZone, func(quetzalhook.HostID) (quetzalhook.Store, []Option) { return counted, nil })
+		time.Sleep(5 * time.Second)
+		early := store.Copy()
+		putTable(t, store, wideTable(2, 3))
+		for i := range 20 {
+			key := fmt.Sprintf("servers/u%d", i)
+			o, err := store.Get(t.Context(), key)
+			if err == nil {
+				_, err = store.Put(t.Context(), key, []byte("leaving@1"), o.Version)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, err := store.Put(t.Context(), "servers/new", []byte("ready@1"), 0); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		pulls := func() (n, size int64) {
+			for _, h := range f.hosts {
+				_, answers, bytes := h.PullCounts()
+				n, size = n+answers, size+bytes
+			}
+			return n, size
+		}
+		listsBefore := lists.Load()
+		pullsBefore, sizeBefore := pulls()
+		store.Return(early)
+		time.Sleep(10 * time.Second)
+		if got, want := lists.Load()-listsBefore, int64(2*2*zones); got > want {
+			t.Errorf("lists after the return: got %d, want at most %d", got, want)
+		}
+		count, size := pulls()
+		if got, want := count-pullsBefore, int64(30*zones*perZone); got > want {
+			t.Errorf("pulls after the return: got %d, want at most %d", got, want)
+		}
+		if got, want := (size-sizeBefore)/(zones*perZone), int64(30_000); got > want {
+			t.Errorf("answers to pulls after the return: got %d bytes of each host, want at most %d", got, want)
+		}
+		for name, h := range f.hosts {
+			leaving := 0
+			for _, u := range h.Upstreams() {
+				if u.State == quetzalhook.UpstreamLeaving {
+					leaving++
+				}
+			}
+			if h.TableVersion() != 2 || leaving != 20 {
+				t.Errorf("%s: got table %d and %d leaving upstreams, want 2 and 20", name, h.TableVersion(), leaving)
+			}
+		}
+		t.Logf("lists %d, pulls %d of %d bytes", lists.Load()-listsBefore, count-pullsBefore, size-sizeBefore)
+	})
+}
--- a/internal/record/routing/upstreams.go
+++ b/internal/record/routing/upstreams.go
@@ -18,20 +18,27 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	if event != nil {
-		f.applyUpstream(now, *event)
-		f.markOutdated()
+		if event.Version.Era() >= f.complete.Era() {
+			f.applyUpstream(now, *event)
+			f.markOutdated()
+		}
 		return
 	}
+	if list.Version.Era() < f.complete.Era() {
+		return // read before the store came back
+	}
 	f.era.observe(list.Version)
+	isReturn := f.isReturn(list.Version)
 	listed := make(map[quetzalhook.UpstreamID]bool, len(list.Objects))
 	for _, o := range list.Objects {
 		listed[f.upstreamID(o)] = true
 		f.applyUpstream(now, o)
 	}
 	for id, e := range f.entries {
-		if !listed[id] && e.version <= list.Version && e.removed.IsZero() {
-			f.remove(now, id, e, list.Version, list.afterOutage)
+		if listed[id] || e.version > list.Version {
+			continue
 		}
+		f.takeMissing(now, id, e, list.Version, list.afterOutage)
 	}
 	for id := range f.rejected {
 		if !listed[id] {
@@ -47,9 +54,31 @@
 		f.latest = max(f.latest, list.Version)
 		f.complete = list.Version
 	}
+	if isReturn {
+		f.logReturn(list.Version, "store")
+	}
 	f.markOutdated()
 }
 
+// takeMissing takes that a list lacks the record of an upstream. Its record may be lost, and
+// the upstream registers again, after an outage or if the list is of a later era. The caller
+// holds f.mu.
+func (f *Follower) takeMissing(now time.Time, id quetzalhook.UpstreamID, e *entry, version quetzalhook.Version, afterOutage bool) {
+	isLater := version.Era() > e.version.Era()
+	switch {
+	case !e.removed.IsZero():
+		if e.kept.isKept {
+			f.endKept(e, version)
+		}
+	case isLater && !e.graceEnd.IsZero():
+		e.version, e.graceEnd = version, now.Add(missingGrace)
+		f.latest = max(f.latest, version)
+	default:
+		e.kept = keptState{}
+		f.remove(now, id, e, version, afterOutage || isLater)
+	}
+}
+
 // upstreamID returns the ID of the upstream whose record is o.
 func (f *Follower) upstreamID(o quetzalhook.Object) quetzalhook.UpstreamID {
 	return quetzalhook.UpstreamID(strings.TrimPrefix(o.Key, f.source.UpstreamPrefix))
@@ -79,10 +108,11 @@
 		f.log.WithError(err).WithField("revision", o.Version).Warn("decoding upstream record failed; upstream not used")
 		f.rejected[id] = o.Version
 		f.removeByID(now, id, o.Version)
+		f.entries[id].isUnread = true
 		return
 	}
 	delete(f.rejected, id)
-	f.setUpstream(u, o.Version)
+	f.takeRecord(now, u, o.Version)
 }
 
 // logIgnoredUpstream logs that a record with a lower revision than the known one is ignored
@@ -105,7 +135,7 @@
 // f.mu.
 func (f *Follower) setUpstream(u quetzalhook.Upstream, version quetzalhook.Version) {
 	e := f.entries[u.ID]
-	if e == nil || !e.removed.IsZero() || e.upstream.State != u.State || e.upstream.Started != u.Started || e.upstream.Build != u.Build {
+	if e == nil || !e.removed.IsZero() || e.upstream.State != u.State || e.upstream.Started != u.Started || e.upstream.Build != u.Build || !e.graceEnd.IsZero() || e.kept.isKept {
 		f.log.WithFields(logrus.Fields{
 			"upstream": u.ID, "service": u.Service, "zone": u.Zone, "state": u.State, "cheap": u.Cheap, "build": u.Build, "revision": version,
 			"leaves-in-ms": u.LeavesIn.Milliseconds(),
@@ -125,8 +155,13 @@
 		e = &entry{upstream: quetzalhook.Upstream{ID: id, State: quetzalhook.UpstreamGone}}
 		f.entries[id] = e
 	}
-	if e.removed.IsZero() && version >= e.version {
+	switch {
+	case version < e.version:
+	case e.removed.IsZero():
+		e.kept = keptState{}
 		f.remove(now, id, e, version, false)
+	case e.kept.isKept:
+		f.endKept(e, version)
 	}
 }
 
@@ -157,18 +192,21 @@
 		now.Sub(f.tableKnownAt) < firstSetWait+2*checkInterval {
 		f.notifyChanged() // the table is in force without them
 	}
-	anyRemoved := false
+	hasChanged := false
 	for id, e := range f.entries {
 		switch {
-		case !e.removed.IsZero() && now.Sub(e.removed) > tombstoneRetention:
+		case e.endsRemoval(now):
+			f.endRemoval(e)
+			hasChanged = true
+		case !e.removed.IsZero() && now.Sub(e.removed) > tombstoneRetention && !e.kept.isKept:
 			f.purged = max(f.purged, e.version)
 			delete(f.entries, id)
 		case !e.graceEnd.IsZero() && now.After(e.graceEnd):
 			f.remove(now, id, e, e.version, false)
-			anyRemoved = true
+			hasChanged = true
 		}
 	}
-	if anyRemoved {
+	if hasChanged {
 		f.markOutdated()
 	}
 }
@@ -178,18 +216,23 @@
 // and other hosts then know of the removals.
 func (f *Follower) resolveMissing(ctx context.Context) {
 	f.mu.Lock()
-	oldest, missing := quetzalhook.Version(0), false
-	for _, e := range f.entries {
-		if !e.graceEnd.IsZero() && (!missing || e.registered < oldest) {
-			oldest, missing = e.registered, true
+	after := f.complete
+	var missing []quetzalhook.UpstreamID
+	for id, e := range f.entries {
+		if !e.graceEnd.IsZero() {
+			missing = append(missing, id)
+			// A host whose versions are of a later era would send everything.
+			if e.registered.Era() == f.complete.Era() {
+				after = min(after, e.registered)
+			}
 		}
 	}
 	f.mu.Unlock()
-	if !missing {
+	if len(missing) == 0 {
 		return
 	}
 	for _, host := range f.samplePeers() {
-		if err := f.pull(ctx, host, oldest, missingTimeout); err != nil && ctx.Err() == nil {
+		if err := f.pull(ctx, host, after, missingTimeout, missing...); err != nil && ctx.Err() == nil {
 			f.log.WithError(err).WithField("peer", host).Info("pulling removals failed")
 		}
 	}
--- a/platform.go
+++ b/platform.go
@@ -199,6 +199,9 @@
 	UpstreamVersion Version
 	// EvacuationVersion is the same for the evacuated zones.
 	EvacuationVersion Version
+	// Kept is a hash of the upstreams that the host knows to leave or to be gone although
+	// the store, which came back from an older copy, shows otherwise; 0 for none.
+	Kept uint32
 	// SplitVersion grows with each split of a service among builds that the host knows.
 	SplitVersion int64
 	// StoreAge is the time since the host last reached the store.
