routing: keep evacuated zones until the operator has had time to write again

What callers saw: after the store had come back from an older copy, requests went to a zone that had been evacuated since the copy was made, and none went to one whose evacuation had ended since.

Cause: a list of a later era replaced what was in force.

A change that was written in the era, that is after its first list, is in force at once. Pulls carry the revision of that first list, so that hosts which do not reach the store decide in the same way. Lists and events of an earlier era change nothing.

TestLateListOfEarlierEra fails without the checks of the era (trial): upstreams [a(leaving)@1 b@1 c@1] instead of [a(leaving)@1].

--- a/internal/record/routing/eras.go
+++ b/internal/record/routing/eras.go
@@ -21,6 +21,9 @@
 	// until it is used again. It is longer than a dead upstream's record lasts, three
 	// registration intervals.
 	keptRemoved = 10 * time.Second
+	// keptZones is how long the evacuated zones stay as they are when the era rises, unless
+	// the operator writes them again.
+	keptZones = missingGrace
 )
 
 // knownEra is the newest era of which a host has heard.
--- a/internal/record/routing/evacuations.go
+++ b/internal/record/routing/evacuations.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"quetzalhook"
 )
@@ -30,16 +31,34 @@
 	changes map[quetzalhook.Zone]zoneChange
 	// latest is the version of the newest change.
 	latest quetzalhook.Version
+	// start is the version of the first list of the newest era: later changes were written
+	// in that era.
+	start quetzalhook.Version
+	// kept holds whether a zone stays evacuated, or not, although the first list of the
+	// newest era shows otherwise. It ends at keptEnd, or with a change that was written in
+	// that era.
+	kept    map[quetzalhook.Zone]bool
+	keptEnd time.Time
 }
 
 // isEvacuated reports whether a zone is evacuated.
-func (e *evacuations) isEvacuated(z quetzalhook.Zone) bool { return e.changes[z].Evacuated }
+func (e *evacuations) isEvacuated(z quetzalhook.Zone) bool {
+	if evacuated, isKept := e.kept[z]; isKept {
+		return evacuated
+	}
+	return e.changes[z].Evacuated
+}
 
 // zones returns the evacuated zones, sorted.
 func (e *evacuations) zones() []quetzalhook.Zone {
 	var list []quetzalhook.Zone
-	for z, c := range e.changes {
-		if c.Evacuated {
+	for z := range e.changes {
+		if e.isEvacuated(z) {
+			list = append(list, z)
+		}
+	}
+	for z, evacuated := range e.kept {
+		if _, ok := e.changes[z]; !ok && evacuated {
 			list = append(list, z)
 		}
 	}
@@ -50,6 +69,16 @@
 // apply takes one change of a zone. It reports whether the zone is evacuated now and was
 // not before, or the other way round.
 func (e *evacuations) apply(c zoneChange) bool {
+	before := e.isEvacuated(c.Zone)
+	e.applyStored(c)
+	if c.Version > e.start {
+		delete(e.kept, c.Zone) // written in this era
+	}
+	return before != e.isEvacuated(c.Zone)
+}
+
+// applyStored takes one change of what the store holds. It reports whether that has changed.
+func (e *evacuations) applyStored(c zoneChange) bool {
 	old, ok := e.changes[c.Zone]
 	if c.Version < old.Version || ok && c.Version == old.Version && c.Evacuated || !ok && c.Version <= e.listed {
 		return false // a removal may have the version of the object that it removes
@@ -65,21 +94,59 @@
 // applyList takes the changes of all zones as of a version: a zone that is not among them
 // was not evacuated then. It reports whether the set of evacuated zones has changed.
 func (e *evacuations) applyList(version quetzalhook.Version, list []zoneChange) bool {
-	changed := false
+	return e.applyListFrom(version, version, list)
+}
+
+// applyListFrom is applyList if start is the version of the first list of the era.
+func (e *evacuations) applyListFrom(start, version quetzalhook.Version, list []zoneChange) bool {
+	before, isReturn := e.zones(), e.known && version.Era() > e.listed.Era()
+	if !e.known || isReturn {
+		e.start, e.kept = start, nil
+	}
 	listed := make(map[quetzalhook.Zone]bool, len(list))
 	for _, c := range list {
 		listed[c.Zone] = true
-		changed = e.apply(c) || changed
+		e.apply(c)
 	}
 	for z, c := range e.changes {
 		if !listed[z] && c.Evacuated {
-			changed = e.apply(zoneChange{Zone: z, Version: version}) || changed
+			e.applyStored(zoneChange{Zone: z, Version: version})
 		}
 	}
+	if isReturn {
+		e.keep(before)
+	}
 	e.known, e.listed = true, max(e.listed, version)
 	// Ends up to the newest list need not be kept.
 	maps.DeleteFunc(e.changes, func(_ quetzalhook.Zone, c zoneChange) bool { return !c.Evacuated && c.Version <= e.listed })
-	return changed
+	return !slices.Equal(before, e.zones())
+}
+
+// keep keeps in force which zones were evacuated before the first list of an era, except
+// where a change was written in this era.
+func (e *evacuations) keep(before []quetzalhook.Zone) {
+	e.kept, e.keptEnd = make(map[quetzalhook.Zone]bool), time.Time{}
+	for _, z := range before {
+		if !e.changes[z].Evacuated && e.changes[z].Version <= e.start {
+			e.kept[z] = true
+		}
+	}
+	for z, c := range e.changes {
+		if c.Evacuated && c.Version <= e.start && !slices.Contains(before, z) {
+			e.kept[z] = false
+		}
+	}
+}
+
+// expire ends what is kept once its time is over. It reports whether the set of evacuated
+// zones has changed.
+func (e *evacuations) expire(now time.Time) bool {
+	if len(e.kept) == 0 || now.Before(e.keptEnd) {
+		return false
+	}
+	before := e.zones()
+	e.kept = nil
+	return !slices.Equal(before, e.zones())
 }
 
 // wireEvacuations is the state of a host as sent to another.
@@ -88,6 +155,7 @@
 	Listed  quetzalhook.Version
 	Latest  quetzalhook.Version
 	Changes []zoneChange
+	start   quetzalhook.Version // not sent here, see pullAnswer
 }
 
 // toWire returns the state for another host, or nil if nothing is known.
@@ -95,13 +163,17 @@
 	if !e.known {
 		return nil
 	}
-	return &wireEvacuations{Listed: e.listed, Latest: e.latest, Changes: slices.Collect(maps.Values(e.changes))}
+	return &wireEvacuations{Listed: e.listed, Latest: e.latest, Changes: slices.Collect(maps.Values(e.changes)), start: e.start}
 }
 
 // merge takes the state of another host. It reports whether the set of evacuated zones
 // has changed.
 func (e *evacuations) merge(w *wireEvacuations) bool {
-	changed := e.applyList(w.Listed, w.Changes)
+	start := w.start
+	if start.Era() != w.Listed.Era() || start == 0 {
+		start = w.Listed
+	}
+	changed := e.applyListFrom(start, w.Listed, w.Changes)
 	e.latest = max(e.latest, w.Latest)
 	return changed
 }
@@ -164,6 +236,10 @@
 // afterEvacuations passes a change of the evacuated zones on, or the first knowledge of
 // them. The caller holds f.mu.
 func (f *Follower) afterEvacuations(changed, wasKnown bool, from string) {
+	if e := &f.evacuations; len(e.kept) > 0 && e.keptEnd.IsZero() {
+		e.keptEnd = f.clock.Now().Add(keptZones)
+		f.log.WithField("zones", e.zones()).WithField("kept", len(e.kept)).WithField("revision", e.start).WithField("from", from).Warn("evacuated zones of an older copy; those before it are kept")
+	}
 	if changed {
 		f.log.WithField("zones", f.evacuations.zones()).WithField("revision", f.evacuations.latest).WithField("from", from).Info("evacuated zones changed")
 		f.markOutdated()
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -97,10 +97,12 @@
 	PackedTable []byte `cbor:"9,keyasint,omitempty"`
 	TablePatch  []byte `cbor:"10,keyasint,omitempty"`
 	// These are the eras of TableVersion, Complete and the versions in Evacuations, which
-	// are plain revisions in messages.
-	TableEra      int64 `cbor:"11,keyasint,omitempty"`
-	CompleteEra   int64 `cbor:"12,keyasint,omitempty"`
-	EvacuationEra int64 `cbor:"13,keyasint,omitempty"`
+	// are plain revisions in messages. EvacuationStart is the revision of the first list of
+	// the era.
+	TableEra        int64 `cbor:"11,keyasint,omitempty"`
+	CompleteEra     int64 `cbor:"12,keyasint,omitempty"`
+	EvacuationEra   int64 `cbor:"13,keyasint,omitempty"`
+	EvacuationStart int64 `cbor:"14,keyasint,omitempty"`
 	// Kept is the hash of the kept states, all of which are among Upstreams.
 	Kept uint32 `cbor:"15,keyasint,omitempty"`
 
--- a/internal/record/routing/returns_test.go
+++ b/internal/record/routing/returns_test.go
@@ -11,6 +11,48 @@
 	"quetzalhook/internal/platform/memory"
 )
 
+// Guards against a list or an event that was read before the store came back from an older
+// copy, arrives afterwards and undoes what was known since.
+func TestLateListOfEarlierEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := testSource
+		source.EvacuationPrefix = "evacuations/"
+		f := newFleetOf(t, source, memory.WithEras())
+		defer f.close()
+		f.runCommands("table 1|upstream a ready@1|upstream b ready@1|evacuate z|wait 1s|copy|table 2|upstream c ready@1|evacuate y|wait 1s")
+		early := make(map[string]*listing)
+		for _, prefix := range []string{"config/", "servers/", "evacuations/"} {
+			list, err := f.store.List(t.Context(), prefix)
+			if err != nil {
+				t.Fatal(err)
+			}
+			early[prefix] = &listing{Listing: list}
+		}
+		f.runCommands("restore|wait 3s|table 3|upstream a leaving@1|gone b|return z|wait 70s")
+		before := f.state()
+		for _, h := range f.hosts {
+			h.applyTables(early["config/"], nil)
+			h.applyUpstreams(early["servers/"], nil)
+			h.applyEvacuations(early["evacuations/"], nil)
+			for i := range early["servers/"].Objects {
+				h.applyUpstreams(nil, &early["servers/"].Objects[i])
+			}
+			for i := range early["evacuations/"].Objects {
+				h.applyEvacuations(nil, &early["evacuations/"].Objects[i])
+			}
+			if zones := h.EvacuatedZones(); len(zones) > 0 {
+				t.Errorf("evacuated zones: got %v, want none", zones)
+			}
+		}
+		if got := f.state(); got != before {
+			t.Errorf("state: got %s, want %s", got, before)
+		}
+		if want := "h0 h1 h2 h3 h4: table 3, upstreams [a(leaving)@1]\n"; before != want {
+			t.Errorf("state before: got %s, want %s", before, want)
+		}
+	})
+}
+
 // Guards against an upstream that is used again, as it has been listed for long, and that a
 // host which has not waited as long takes away again.
 func TestEndedRemovalIsNotTakenBack(t *testing.T) {
--- a/internal/record/routing/upstreams.go
+++ b/internal/record/routing/upstreams.go
@@ -192,7 +192,10 @@
 		now.Sub(f.tableKnownAt) < firstSetWait+2*checkInterval {
 		f.notifyChanged() // the table is in force without them
 	}
-	hasChanged := false
+	hasChanged := f.evacuations.expire(now)
+	if hasChanged {
+		f.log.WithField("zones", f.evacuations.zones()).Info("evacuated zones no longer kept")
+	}
 	for id, e := range f.entries {
 		switch {
 		case e.endsRemoval(now):
--- a/internal/record/routing/wire.go
+++ b/internal/record/routing/wire.go
@@ -49,7 +49,7 @@
 	}
 	if w := a.Evacuations; w != nil {
 		era := max(w.Latest, w.Listed).Era()
-		a.EvacuationEra = era
+		a.EvacuationEra, a.EvacuationStart = era, inEra(w.start, era).Revision()
 		w.Listed, w.Latest = inEra(w.Listed, era), inEra(w.Latest, era)
 		for i := range w.Changes {
 			w.Changes[i].Version = inEra(w.Changes[i].Version, era)
@@ -66,6 +66,7 @@
 		p.Version, p.Registered = k.join(p.Version, p.Era), k.join(p.Registered, p.RegisteredEra)
 	}
 	if w := a.Evacuations; w != nil {
+		w.start = k.join(quetzalhook.Version(a.EvacuationStart), a.EvacuationEra)
 		w.Listed, w.Latest = k.join(w.Listed, a.EvacuationEra), k.join(w.Latest, a.EvacuationEra)
 		for i := range w.Changes {
 			w.Changes[i].Version = k.join(w.Changes[i].Version, a.EvacuationEra)
--- a/internal/record/routing/wire_test.go
+++ b/internal/record/routing/wire_test.go
@@ -14,7 +14,7 @@
 	newAnswer := func() *pullAnswer {
 		return &pullAnswer{
 			TableVersion: quetzalhook.NewVersion(2, 9), Complete: v(7), Upstreams: []pulledUpstream{{ID: "a", Version: v(5), Registered: quetzalhook.NewVersion(2, 8)}},
-			Evacuations: &wireEvacuations{Listed: v(6), Latest: v(6), Changes: []zoneChange{{Zone: "z", Version: v(4), Evacuated: true}}},
+			Evacuations: &wireEvacuations{Listed: v(6), Latest: v(6), Changes: []zoneChange{{Zone: "z", Version: v(4), Evacuated: true}}, start: v(3)},
 		}
 	}
 	got, want := newAnswer(), newAnswer()
@@ -32,7 +32,7 @@
 		got.Upstreams[0].Registered != want.Upstreams[0].Registered {
 		t.Errorf("answer: got %+v, want %+v", got, want)
 	}
-	if e, w := got.Evacuations, want.Evacuations; e.Listed != w.Listed || e.Latest != w.Latest || e.Changes[0] != w.Changes[0] {
+	if e, w := got.Evacuations, want.Evacuations; e.Listed != w.Listed || e.Latest != w.Latest || e.Changes[0] != w.Changes[0] || e.start != w.start {
 		t.Errorf("evacuations: got %+v, want %+v", e, w)
 	}
 }
