--- a/internal/record/routing/upstreams.go
+++ b/internal/record/routing/upstreams.go
@@ -18,11 +18,18 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	if event != nil {
-		f.applyUpstream(now, *event)
-		f.complete = max(f.complete, event.Version)
-		f.markOutdated()
+		if event.Version.Era() >= f.complete.Era() {
+			f.applyUpstream(now, *event)
+			f.complete = max(f.complete, event.Version)
+			f.markOutdated()
+		}
 		return
 	}
+	if list.Version.Era() < f.complete.Era() {
+		return // read before the store came back
+	}
+	f.era.observe(list.Version)
+	isReturn := f.isReturn(list.Version)
 	// Records of later pages may be newer than the list. Changes between the two are not
 	// known.
 	latest := max(f.latest, list.Version)
@@ -32,9 +39,10 @@
 		f.applyUpstream(now, o)
 	}
 	for id, e := range f.entries {
-		if !listed[id] && e.version <= list.Version && e.removed.IsZero() {
-			f.remove(now, id, e, list.Version, list.afterOutage)
+		if listed[id] || e.version > list.Version {
+			continue
 		}
+		f.takeMissing(now, id, e, list.Version, list.afterOutage)
 	}
 	for id := range f.rejected {
 		if !listed[id] {
@@ -50,9 +58,31 @@
 		f.complete = list.Version
 	}
 	f.latest = latest
+	if isReturn {
+		f.logReturn(list.Version, "store")
+	}
 	f.markOutdated()
 }
 
+// takeMissing takes that a list lacks the record of an upstream. Its record may be lost, and
+// the upstream registers again, after an outage or if the list is of a later era. The caller
+// holds f.mu.
+func (f *Follower) takeMissing(now time.Time, id quetzalhook.UpstreamID, e *entry, version quetzalhook.Version, afterOutage bool) {
+	isLater := version.Era() > e.version.Era()
+	switch {
+	case !e.removed.IsZero():
+		if e.kept.isKept {
+			f.endKept(e, version)
+		}
+	case isLater && !e.graceEnd.IsZero():
+		e.version, e.graceEnd = version, now.Add(missingGrace)
+		f.latest = max(f.latest, version)
+	default:
+		e.kept = keptState{}
+		f.remove(now, id, e, version, afterOutage || isLater)
+	}
+}
+
 // upstreamID returns the ID of the upstream whose record is o.
 func (f *Follower) upstreamID(o quetzalhook.Object) quetzalhook.UpstreamID {
 	return quetzalhook.UpstreamID(strings.TrimPrefix(o.Key, f.source.UpstreamPrefix))
@@ -80,10 +110,11 @@
 		f.log.WithError(err).WithField("revision", o.Version).Warn("decoding upstream record failed; upstream not used")
 		f.rejected[id] = o.Version
 		f.removeByID(now, id, o.Version)
+		f.entries[id].isUnread = true
 		return
 	}
 	delete(f.rejected, id)
-	f.setUpstream(u, o.Version)
+	f.takeRecord(now, u, o.Version)
 }
 
 // logIgnoredUpstream logs that a record with a lower revision than the known one is ignored
@@ -106,7 +137,7 @@
 // f.mu.
 func (f *Follower) setUpstream(u quetzalhook.Upstream, version quetzalhook.Version) {
 	e := f.entries[u.ID]
-	if e == nil || !e.removed.IsZero() || e.upstream.State != u.State || e.upstream.Started != u.Started || e.upstream.Build != u.Build {
+	if e == nil || !e.removed.IsZero() || e.upstream.State != u.State || e.upstream.Started != u.Started || e.upstream.Build != u.Build || !e.graceEnd.IsZero() || e.kept.isKept {
 		f.log.WithFields(logrus.Fields{
 			"upstream": u.ID, "service": u.Service, "zone": u.Zone, "state": u.State, "cheap": u.Cheap, "build": u.Build, "revision": version,
 			"leaves-in-ms": u.LeavesIn.Milliseconds(),
@@ -127,8 +158,12 @@
 		f.entries[id] = e
 	}
 	switch {
-	case e.removed.IsZero() && version >= e.version:
+	case version < e.version:
+	case e.removed.IsZero():
+		e.kept = keptState{}
 		f.remove(now, id, e, version, false)
+	case e.kept.isKept:
+		f.endKept(e, version)
 	case version > e.version:
 		// It may have returned in between, and other hosts may know that.
 		e.version, e.removed = version, now
@@ -163,18 +198,24 @@
 		now.Sub(f.tableKnownAt) < firstSetWait+2*checkInterval {
 		f.notifyChanged() // the table is in force without them
 	}
-	anyRemoved := false
+	hasChanged := f.evacuations.expire(now)
+	if hasChanged {
+		f.log.WithField("zones", f.evacuations.zones()).Info("evacuated zones no longer kept")
+	}
 	for id, e := range f.entries {
 		switch {
-		case !e.removed.IsZero() && now.Sub(e.removed) > tombstoneRetention:
+		case e.endsRemoval(now):
+			f.endRemoval(e)
+			hasChanged = true
+		case !e.removed.IsZero() && now.Sub(e.removed) > tombstoneRetention && !e.kept.isKept:
 			f.purged = max(f.purged, e.version)
 			delete(f.entries, id)
 		case !e.graceEnd.IsZero() && now.After(e.graceEnd):
 			f.remove(now, id, e, e.version, false)
-			anyRemoved = true
+			hasChanged = true
 		}
 	}
-	if anyRemoved {
+	if hasChanged {
 		f.markOutdated()
 	}
 }
@@ -184,18 +225,23 @@
 // and other hosts then know of the removals.
 func (f *Follower) resolveMissing(ctx context.Context) {
 	f.mu.Lock()
-	oldest, missing := f.complete, false
-	for _, e := range f.entries {
+	after := f.complete
+	var missing []quetzalhook.UpstreamID
+	for id, e := range f.entries {
 		if !e.graceEnd.IsZero() {
-			oldest, missing = min(oldest, e.registered), true
+			missing = append(missing, id)
+			// A host whose versions are of a later era would send everything.
+			if e.registered.Era() == f.complete.Era() {
+				after = min(after, e.registered)
+			}
 		}
 	}
 	f.mu.Unlock()
-	if !missing {
+	if len(missing) == 0 {
 		return
 	}
 	for _, host := range f.samplePeers() {
-		if err := f.pull(ctx, host, oldest, missingTimeout); err != nil && ctx.Err() == nil {
+		if err := f.pull(ctx, host, after, missingTimeout, missing...); err != nil && ctx.Err() == nil {
 			f.log.WithError(err).WithField("peer", host).Info("pulling removals failed")
 		}
 	}
