--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"quetzalhook"
 	"quetzalhook/internal/platform/memory"
@@ -47,12 +48,13 @@
 	copy     memory.Copy
 	starts   quetzalhook.Incarnation
 	onTheWay []func() // late writes
+	logs     map[string]*logtest.Hook
 }
 
 func newFleet(t *testing.T, opts ...memory.Option) *fleet {
 	return &fleet{
 		t: t, store: memory.New(opts...), now: time.Unix(1000, 0), inv: invariant.New(nil),
-		leases: make(map[string]*Lease), adapters: make(map[string]*adapter),
+		leases: make(map[string]*Lease), adapters: make(map[string]*adapter), logs: make(map[string]*logtest.Hook),
 	}
 }
 
@@ -61,11 +63,12 @@
 	f.starts++
 	clock := quetzalhook.ClockFunc(func() time.Time { return f.now })
 	a := &adapter{Store: f.store, onTheWay: &f.onTheWay}
-	l, err := New(RoleController, quetzalhook.HostID(host), f.starts, a, clock, f.inv)
+	log, hook := logtest.NewNullLogger()
+	l, err := New(RoleController, quetzalhook.HostID(host), f.starts, a, clock, f.inv, WithLog(log))
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	f.leases[host], f.adapters[host] = l, a
+	f.leases[host], f.adapters[host], f.logs[host] = l, a, hook
 }
 
 func (f *fleet) sleep(duration string) {
@@ -144,9 +147,19 @@
 		if bad != nil {
 			f.t.Fatal(bad)
 		}
+	case "other": // a change of another object
+		_, err = s.Put(ctx, words[2], nil, 0)
 	case "fencing":
 		token, _ := l.Fencing()
 		return fmt.Sprint(token)
+	case "log": // the last line with an era
+		last := ""
+		for _, e := range f.logs[words[0]].AllEntries() {
+			if e.Data["era"] != nil {
+				last = fmt.Sprint(e.Message, " ", e.Data)
+			}
+		}
+		return last
 	case "object":
 		o, _ := s.Get(ctx, "lease/"+RoleController)
 		d, _ := decode(o.Value)
