platform, routing: a stale list is as new as its objects, not its revision

A host that starts reads its first list of upstreams with stale_ok, which may return data that is seconds old. The code relied on the revision in that answer being as old. If it is the one that the store has at that moment, the host, and those that pull from it, missed each change made between the two: an upstream that leaves or is gone stayed ready, and a new one was not listed, until its record changed again.

If a page shows no object, the list is read again as a current one.

No record shows which of the two the platform's store does. The price is a current list for a host that watches, if the newest change of an upstream is older than the store's history.

--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -326,10 +326,7 @@
 	// other hosts deliver what has changed since. The table must be current, since
 	// all hosts may start right after a change; so must a list after a failure or a
 	// loss of history.
-	read := f.store.List
-	if prefix == f.source.UpstreamPrefix {
-		read = f.store.ListStale
-	}
+	isStale := prefix == f.source.UpstreamPrefix
 	for ctx.Err() == nil {
 		watches := f.isWatcher()
 		if after > 0 && !watches {
@@ -338,8 +335,13 @@
 		}
 		var err error
 		if after == 0 {
-			err = f.list(ctx, read, prefix, apply, &after)
-			read = f.store.List
+			if isStale {
+				err = f.list(ctx, f.store.ListStale, prefix, apply, &after)
+			}
+			if err == nil && after == 0 { // a stale list may show nothing to watch from
+				err = f.list(ctx, f.store.List, prefix, apply, &after)
+			}
+			isStale = false
 		}
 		if err == nil && !watches {
 			timing.Sleep(ctx, checkInterval)
