routing: a late list shows no upstream that was removed since

A host that started could go on listing an upstream that had left and was gone, until its record changed again.

The host had pulled a full list from another host when its own first list, read earlier, arrived. A full list does not name what was removed before, so that the host took the record in its own list for a new upstream. The same happened to an answer of another host that arrived after a newer one.

A record of an unknown upstream is now ignored if the list or answer that holds it is older than what the host knows, unless the record is newer.

Before the change:

upstreams after a late list from a store: got [{u 0 s u [] 1 ...}], want none upstreams after a late list from a host: got [{u 0 s u [] 1 ...}], want none

--- a/internal/record/routing/position_test.go
+++ b/internal/record/routing/position_test.go
@@ -119,3 +119,24 @@
 		t.Errorf("upstreams: got %v, want none", list)
 	}
 }
+
+// Guards against a removed upstream that a list of the store, or of another host, shows again,
+// since it arrives after a full list that was newer.
+func TestLateListShowsNoRemovedUpstream(t *testing.T) {
+	for _, from := range []string{"store", "host"} {
+		hosts, pull := newPullChain(t)
+		hosts["a"].applyUpstreams(&listing{Listing: quetzalhook.Listing{Version: 6}}, nil)
+		pull("b", "a")
+		if from == "store" {
+			objects := []quetzalhook.Object{{Key: "servers/u", Value: []byte("leaving"), Version: 3}}
+			hosts["b"].applyUpstreams(&listing{Listing: quetzalhook.Listing{Objects: objects, Version: 3}}, nil)
+		} else {
+			hosts["c"].applyUpstreams(nil, &quetzalhook.Object{Key: "servers/u", Value: []byte("leaving"), Version: 3})
+			late := pullAnswer{Complete: 3, Upstreams: []pulledUpstream{newPulledUpstream(hosts["c"].entries["u"], time.Now())}}
+			hosts["b"].merge(late)
+		}
+		if list := hosts["b"].Upstreams(); len(list) != 0 {
+			t.Errorf("upstreams after a late list from a %s: got %v, want none", from, list)
+		}
+	}
+}
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -301,6 +301,7 @@
 		listed[id] = true
 		e := f.entries[id]
 		switch {
+		case f.isPast(id, p.Version, answer.Complete):
 		case e != nil && !e.graceEnd.IsZero() && p.Removed && p.Version > e.registered:
 			f.remove(now, id, e, p.Version, false) // removed after it was registered
 		case e != nil && p.GraceLeft > 0 && !e.removed.IsZero() && e.version > p.Registered:
--- a/internal/record/routing/upstreams.go
+++ b/internal/record/routing/upstreams.go
@@ -28,7 +28,11 @@
 	latest := max(f.latest, list.Version)
 	listed := make(map[quetzalhook.UpstreamID]bool, len(list.Objects))
 	for _, o := range list.Objects {
-		listed[f.upstreamID(o)] = true
+		id := f.upstreamID(o)
+		listed[id] = true
+		if f.isPast(id, o.Version, list.Version) {
+			continue
+		}
 		f.applyUpstream(now, o)
 	}
 	for id, e := range f.entries {
@@ -53,6 +57,13 @@
 	f.markOutdated()
 }
 
+// isPast reports whether a record in a list, or an answer, of the given version is of an
+// upstream that was removed later: this host knows a newer state without it. The caller holds
+// f.mu.
+func (f *Follower) isPast(id quetzalhook.UpstreamID, record, list quetzalhook.Version) bool {
+	return f.entries[id] == nil && list < f.complete && record <= f.complete
+}
+
 // upstreamID returns the ID of the upstream whose record is o.
 func (f *Follower) upstreamID(o quetzalhook.Object) quetzalhook.UpstreamID {
 	return quetzalhook.UpstreamID(strings.TrimPrefix(o.Key, f.source.UpstreamPrefix))
