--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -345,6 +345,9 @@
 	for _, p := range answer.Upstreams {
 		id := p.ID
 		listed[id] = true
+		if !p.Kept && f.isPast(id, p.Version, answer.Complete) {
+			continue
+		}
 		f.takePulled(now, p, answer.from)
 	}
 	if answer.Full {
