--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -196,7 +196,7 @@
 	h.meter.Publish("quarantines", func() any { return h.isolator.Quarantines() })
 	h.meter.Publish("quarantine-refusals", func() any { return h.isolator.Refused() })
 	h.meter.Publish("engine-crashes", func() any { return h.isolator.Crashes() })
-	h.meter.Publish("table-revision", func() any { revision, _ := h.follower.Versions(); return revision })
+	h.meter.Publish("table-revision", func() any { table, _ := h.follower.Versions(); return quetzalhook.Version(table).Revision() })
 	h.meter.Publish("table-version", func() any { return h.follower.TableVersion() })
 	h.meter.Publish("split-epochs", func() any { return h.follower.SplitEpochs() })
 	h.meter.Publish("take-ups-known", func() any { known, _ := h.builds.TakeUps(); return known })
