routing: test pulls between builds with and without eras

A host that knows the old form of requests, answers and heartbeats is in one fleet with five others: tables, upstreams and evacuated zones pass both ways, also if one side does not reach the store, no answer to it holds a version with an era, and after a return nothing that it says overrules the newer versions.

--- a/internal/record/routing/follower_test.go
+++ b/internal/record/routing/follower_test.go
@@ -47,6 +47,9 @@
 	showPulls    bool
 	killed       []string // hosts that "kill-watchers" has killed last
 	copied       memory.Copy
+	// wrap, if not nil, wraps the peers of the hosts that start from now on, which then do
+	// not tell what a build without eras does not know.
+	wrap func(quetzalhook.Peers) quetzalhook.Peers
 }
 
 // gate holds the store that one host uses. While it is closed, the host's calls to
@@ -111,7 +114,11 @@
 	g := &gate{Store: f.store}
 	f.gates[name] = g
 	endpoint := f.network.Endpoint(quetzalhook.HostID(name))
-	follower := New(quetzalhook.HostID(name), gatedStore{g}, endpoint, f.source, f.clock, log, f.inv, opts...)
+	peers, isOld := quetzalhook.Peers(endpoint), f.wrap != nil
+	if isOld {
+		peers = f.wrap(endpoint)
+	}
+	follower := New(quetzalhook.HostID(name), gatedStore{g}, peers, f.source, f.clock, log, f.inv, opts...)
 	f.network.Join(endpoint, func() quetzalhook.Member {
 		table, upstreams := follower.Versions()
 		m := quetzalhook.Member{
@@ -123,6 +130,9 @@
 		if follower.Watches() {
 			m.Active = quetzalhook.RoleStoreWatcher
 		}
+		if isOld {
+			return oldMember(m)
+		}
 		return m
 	})
 	f.hosts[name] = follower
