routing: pause between lists if the store does not have the watch position

What the platform would see: a host that lists without pause.

Change: after history-gone, the watch begins at the version of the new list, and not at a later one that other hosts have told. If the store does not have that position either, there is a pause as after failures.

Evidence: TestVersionAheadOfStore failed before, with a store that rejects more than 50 lists:

lists: got 59, want at most 5 upstreams: got 0, want 1

--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -341,6 +341,7 @@
 func (f *Follower) follow(ctx context.Context, prefix string, apply func(list *listing, event *quetzalhook.Object)) {
 	var after quetzalhook.Version
 	pause := minRetryPause
+	isGone := false // the last watch ended since the store does not have its position
 	// The first list of upstreams may be some seconds old: watches and pulls from
 	// other hosts deliver what has changed since. The table must be current, since
 	// all hosts may start right after a change; so must a list after a failure or a
@@ -364,11 +365,15 @@
 			timing.Sleep(ctx, checkInterval)
 			continue
 		}
+		began := f.clock.Now()
 		if err == nil {
-			err = f.watch(ctx, prefix, apply, &after)
+			err = f.watch(ctx, prefix, apply, &after, isGone)
+		}
+		if isGone && f.clock.Now().Sub(began) >= maxRetryPause {
+			pause, isGone = minRetryPause, false // the position was there
 		}
 		if err == nil {
-			pause = minRetryPause
+			pause, isGone = minRetryPause, false
 			continue
 		}
 		if ctx.Err() != nil {
@@ -377,8 +382,14 @@
 		if quetzalhook.StoreKind(err, "") == quetzalhook.StoreHistoryGone {
 			f.log.WithField("prefix", prefix).WithField("position", after).Info("store history no longer covers the watch position; listing again")
 			after = 0
+			if isGone {
+				timing.Sleep(ctx, pause)
+				pause = min(2*pause, maxRetryPause)
+			}
+			isGone = true
 			continue
 		}
+		isGone = false
 		f.recordFailure(prefix, err)
 		// Start again with a list, which shows the current state at once. The
 		// first events of a watch do not show whether they are outdated.
@@ -431,12 +442,17 @@
 }
 
 // watch passes the events of one watch to apply and advances after, until the
-// watch ends or this host is no longer a watcher.
-func (f *Follower) watch(ctx context.Context, prefix string, apply func(*listing, *quetzalhook.Object), after *quetzalhook.Version) error {
+// watch ends or this host is no longer a watcher. With fromList, it starts at after even if
+// other hosts have told later changes: the store may not have reached them.
+func (f *Follower) watch(ctx context.Context, prefix string, apply func(*listing, *quetzalhook.Object), after *quetzalhook.Version, fromList bool) error {
 	if err := f.confirmContact(ctx, prefix); err != nil {
 		return err
 	}
-	w, err := f.store.Watch(ctx, prefix, f.watchPosition(prefix, *after))
+	position := *after
+	if !fromList {
+		position = f.watchPosition(prefix, position)
+	}
+	w, err := f.store.Watch(ctx, prefix, position)
 	if err != nil {
 		return err
 	}
--- a/internal/record/routing/returns_test.go
+++ b/internal/record/routing/returns_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -8,7 +9,9 @@
 	"time"
 
 	"quetzalhook"
+	"quetzalhook/internal/fleet/peer"
 	"quetzalhook/internal/platform/memory"
+	"quetzalhook/internal/state/invariant"
 )
 
 // Guards against a list or an event that was read before the store came back from an older
@@ -138,3 +141,43 @@
 		t.Logf("lists %d, pulls %d of %d bytes", lists.Load()-listsBefore, count-pullsBefore, size-sizeBefore)
 	})
 }
+
+// boundedStore counts lists and rejects those above a limit.
+type boundedStore struct {
+	quetzalhook.Store
+	lists atomic.Int64
+	limit int64
+}
+
+func (s *boundedStore) List(ctx context.Context, prefix string) (quetzalhook.Listing, error) {
+	if s.lists.Add(1) > s.limit {
+		return quetzalhook.Listing{}, &quetzalhook.StoreError{Op: "list", Kind: quetzalhook.StoreRateLimited}
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+// Guards against a host that lists without pause, as another host has told it a version that
+// the store has not reached.
+func TestVersionAheadOfStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &boundedStore{Store: memory.New(memory.WithEras()), limit: 50}
+		clock := quetzalhook.ClockFunc(time.Now)
+		f := New("h", store, peer.NewNetwork(clock, 1).Endpoint("h"), testSource, clock, discardLogger(), invariant.New(nil))
+		f.merge(pullAnswer{Complete: quetzalhook.NewVersion(1, 1000)})
+		f.Start()
+		time.Sleep(5 * time.Second)
+		if _, err := store.Put(t.Context(), "servers/a", []byte("ready"), 0); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if got, want := store.lists.Load(), int64(5); got > want {
+			t.Errorf("lists: got %d, want at most %d", got, want)
+		}
+		if got := len(f.Upstreams()); got != 1 {
+			t.Errorf("upstreams: got %d, want 1", got)
+		}
+		if err := f.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
