routing: announce a change that a list had before its event

What callers saw: nothing measured yet; a host that pulls would go on sending to an upstream that leaves, until the next change of any upstream.

It needs a list of several pages, a change between two of them, and no other host that watches and saw the event alone.

Change: an event raises the announced version also if its record is known.

Evidence: without the change, TestChangeOnLaterPageIsAnnounced fails: position_test.go:130: announced version: got 10, want 11

Measured: go test ./internal/record/routing passes (21 s).

--- a/internal/record/routing/position_test.go
+++ b/internal/record/routing/position_test.go
@@ -119,3 +119,14 @@
 		t.Errorf("upstreams: got %v, want none", list)
 	}
 }
+
+// Guards against a change that no heartbeat announces, since it was on a later page of a list.
+func TestChangeOnLaterPageIsAnnounced(t *testing.T) {
+	hosts, _ := newPullChain(t)
+	changed := quetzalhook.Object{Key: "servers/u", Value: []byte("leaving"), Version: 11}
+	hosts["a"].applyUpstreams(&listing{Listing: quetzalhook.Listing{Version: 10, Objects: []quetzalhook.Object{changed}}}, nil)
+	hosts["a"].applyUpstreams(nil, &changed)
+	if _, got := hosts["a"].Versions(); got != changed.Version {
+		t.Errorf("announced version: got %v, want %v", got, changed.Version)
+	}
+}
--- a/internal/record/routing/upstreams.go
+++ b/internal/record/routing/upstreams.go
@@ -21,6 +21,7 @@
 		if event.Version.Era() >= f.complete.Era() {
 			f.applyUpstream(now, *event)
 			f.complete = max(f.complete, event.Version)
+			f.latest = max(f.latest, f.complete) // a list may have had the record before
 			f.markOutdated()
 		}
 		return
