routing: watch from the list if the store lacks the position

What callers saw: nothing measured on processes. The host lists the upstreams without a pause, and learns of none that leaves by an event, until the store's revision passes the lost one.

Cause: upstreams are watched from the newest position that any host has told. A host of a build that does not know of eras keeps the lost revision after a return of the store, and a host that started since counts it as of the present era. The store answers that this history is gone, the host lists, and watches from the same position again, without a pause.

Change: after such an answer, the next watch begins at the version of the list.

Evidence: without the change, TestPositionAboveStore fails: returns_test.go:177: lists: got 592, want at most 4

Not repaired: records of upstreams that were pulled with lost revisions hide changes below them.

Measured: go test ./internal/record/routing passes (11 s).

--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -340,6 +340,7 @@
 // position of the watch.
 func (f *Follower) follow(ctx context.Context, prefix string, apply func(list *listing, event *quetzalhook.Object)) {
 	var after quetzalhook.Version
+	isGone := false // whether the store lacked the position of the last watch
 	pause := minRetryPause
 	// The first list of upstreams may be some seconds old: watches and pulls from
 	// other hosts deliver what has changed since. The table must be current, since
@@ -365,8 +366,13 @@
 			continue
 		}
 		if err == nil {
-			err = f.watch(ctx, prefix, apply, &after)
+			position := after
+			if !isGone {
+				position = f.watchPosition(prefix, after)
+			}
+			err = f.watch(ctx, prefix, apply, position, &after)
 		}
+		isGone = quetzalhook.StoreKind(err, "") == quetzalhook.StoreHistoryGone
 		if err == nil {
 			pause = minRetryPause
 			continue
@@ -374,7 +380,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if quetzalhook.StoreKind(err, "") == quetzalhook.StoreHistoryGone {
+		if isGone {
 			f.log.WithField("prefix", prefix).WithField("position", after).Info("store history no longer covers the watch position; listing again")
 			after = 0
 			continue
@@ -430,13 +436,13 @@
 	return nil
 }
 
-// watch passes the events of one watch to apply and advances after, until the
-// watch ends or this host is no longer a watcher.
-func (f *Follower) watch(ctx context.Context, prefix string, apply func(*listing, *quetzalhook.Object), after *quetzalhook.Version) error {
+// watch passes the events of one watch from a position to apply and advances after, until
+// the watch ends or this host is no longer a watcher.
+func (f *Follower) watch(ctx context.Context, prefix string, apply func(*listing, *quetzalhook.Object), position quetzalhook.Version, after *quetzalhook.Version) error {
 	if err := f.confirmContact(ctx, prefix); err != nil {
 		return err
 	}
-	w, err := f.store.Watch(ctx, prefix, f.watchPosition(prefix, *after))
+	w, err := f.store.Watch(ctx, prefix, position)
 	if err != nil {
 		return err
 	}
@@ -465,7 +471,8 @@
 }
 
 // watchPosition returns the version after which to watch. For upstreams, this may
-// be later than after, because changes were pulled from other hosts.
+// be later than after, because changes were pulled from other hosts. If the store lacks that
+// version, as the other host has not seen it return, the watch must begin at after.
 func (f *Follower) watchPosition(prefix string, after quetzalhook.Version) quetzalhook.Version {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/record/routing/returns_test.go
+++ b/internal/record/routing/returns_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -138,3 +139,45 @@
 		t.Logf("lists %d, pulls %d of %d bytes", lists.Load()-listsBefore, count-pullsBefore, size-sizeBefore)
 	})
 }
+
+// slowStore is a store whose lists take some time.
+type slowStore struct {
+	*memory.Store
+	lists *atomic.Int64
+}
+
+// List implements quetzalhook.Store.
+func (s slowStore) List(ctx context.Context, prefix string) (quetzalhook.Listing, error) {
+	s.lists.Add(1)
+	time.Sleep(10 * time.Millisecond)
+	return s.Store.List(ctx, prefix)
+}
+
+// Guards against a host that lists without end and sees no event, since a host of an older build
+// has told it a revision that the store has lost.
+func TestPositionAboveStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOf(t, testSource, memory.WithEras())
+		defer f.close()
+		for _, h := range f.hosts {
+			f.network.Leave(h.host) // the host under test is the only one
+		}
+		f.runCommands("table 1|upstream a ready@1|copy|restore")
+		var lists atomic.Int64
+		f.startHost("new", discardLogger(), func(h *Follower) { h.store = slowStore{f.store, &lists} })
+		f.runCommands("wait 1s")
+		h := f.hosts["new"]
+		answer := pullAnswer{Complete: 900}
+		answer.addEras(&h.era)
+		h.merge(answer)
+		f.store.EndWatches()
+		before := lists.Load()
+		f.runCommands("wait 5s|upstream a leaving@1|wait 1s")
+		if got, want := lists.Load()-before, int64(4); got > want {
+			t.Errorf("lists: got %d, want at most %d", got, want)
+		}
+		if got, want := f.stateOf(h), "table 1, upstreams [a(leaving)@1]"; got != want {
+			t.Errorf("state: got %s, want %s", got, want)
+		}
+	})
+}
