routing: hosts of an older build do not replace a watcher after a return

Beside hosts of a build that does not know of eras, a host that has seen the store return learns of no new configuration and of no upstream that leaves, unless it watches the store itself or another host of its build announces them.

Cause: versions without an era count as the earliest ones once the era has risen, so that the host pulls nothing from hosts that announce such versions. It still counted them among those that watch the store for all.

Change: once the era has risen, only hosts whose versions have an era count as watchers.

Evidence: without the change, TestWatchersOfOlderBuild fails: earlier_build_test.go:36: era 2: got watcher false and 0 sources, want true and 0

--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -492,12 +492,18 @@
 		return false
 	}
 	watches := f.Watches()
+	f.mu.Lock()
+	hasRisen := f.era.hasRisen
+	f.mu.Unlock()
 	hosts, count := []quetzalhook.HostID{f.host}, maxWatchers
 	for _, m := range f.peers.Members() {
 		if m.Distant {
 			count = maxCellWatchers
 			continue
 		}
+		if hasRisen && m.UpstreamVersion.Era() == 0 {
+			continue // of an older build
+		}
 		takesPart := m.Eligible.Has(quetzalhook.RoleStoreWatcher)
 		if watches {
 			takesPart = m.Active.Has(quetzalhook.RoleStoreWatcher)
