routing: a started host does not list upstreams from before a return

What callers saw: nothing measured on processes. Requests go to upstreams that have said that they leave, from all hosts, until the store's revision passes the lost ones.

Cause: a host that starts lists the upstreams with a call whose answer may be some seconds old. Right after a return, it may hold the state from before, with revisions that the store has lost, under the header of the new era. They then count as changes of this era. The host announces the position, all others pull it, and ignore the records that the store gives lower revisions to. Whether the platform answers so is not known; its pages allow it.

Change: if the era of the answer is above 1, the host makes a current list. It costs one such list for each start of a host after a return, and for each start if a store begins with a larger era.

Evidence: without the change, TestStaleListOfBeforeReturn fails on all six hosts: got h0 h1 h2 h3 h4 new: table 1, upstreams [a@1 b@1], want h0 h1 h2 h3 h4 new: table 1, upstreams [a(leaving)@1 b@1]

Measured: go test ./internal/record/routing passes (14 s).

--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -348,7 +348,7 @@
 	// loss of history.
 	read := f.store.List
 	if prefix == f.source.UpstreamPrefix {
-		read = f.store.ListStale
+		read = f.listStale
 	}
 	for ctx.Err() == nil {
 		watches := f.isWatcher()
@@ -396,6 +396,17 @@
 	}
 }
 
+// listStale reads a list that may be some seconds old. If the store may have come back from a
+// copy, it reads a current one: an older list could hold revisions that are lost, and count as
+// one of this era. The first era of a store is at most 1.
+func (f *Follower) listStale(ctx context.Context, prefix string) (quetzalhook.Listing, error) {
+	list, err := f.store.ListStale(ctx, prefix)
+	if err == nil && list.Version.Era() > 1 {
+		return f.store.List(ctx, prefix)
+	}
+	return list, err
+}
+
 // list reads all records of one kind, passes them to apply and sets after to the
 // version of the list.
 func (f *Follower) list(ctx context.Context, read func(context.Context, string) (quetzalhook.Listing, error), prefix string,
