platform: the first era of a store may be 0

The platform could get a fencing token twice, or a lower one, from a host that started after the return of a store whose first era is 0: a version could not tell that era from a store that names none.

An era is now one more than the number that the store names. Log lines, metrics and REVISION@ERA show the store's number. A store that begins with a larger one counts as one that may have come back: a token of a missing lease is raised then, and a started host reads one more list.

Evidence: TestTokenAfterFirstEraZero failed before: token after the return: got 3, want above 4 (object in the copy), got 1 (object lost). It now uses the adapter and the HTTP stand-in, which begins with 0, in place of a store whose eras were shifted by the test.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -213,7 +213,7 @@
 		return map[string]int64{"tables": tables, "upstreams": upstreams}
 	})
 	if store, ok := h.adapter.Store.(eraCounter); ok {
-		h.meter.Publish("store-era", func() any { era, _ := store.Eras(); return era })
+		h.meter.Publish("store-era", func() any { era, _ := store.Eras(); return quetzalhook.EraNumber(era) })
 		h.meter.Publish("store-returns", func() any { _, returns := store.Eras(); return returns })
 	}
 	h.meter.Publish("store-age-ms", func() any { return h.follower.StoreAge().Milliseconds() })
--- a/internal/fleet/lease/era.go
+++ b/internal/fleet/lease/era.go
@@ -27,7 +27,7 @@
 func (e *eraView) answered() { e.known = true }
 
 // hasEnded reports whether the store has come back from a copy, as far as this process can
-// know. The first era of a store is 1.
+// know. A store whose first era has a number above 0 counts as one that has come back.
 func (e *eraView) hasEnded() bool { return e.newest > e.first || e.newest > 1 }
 
 // isLater reports whether the newest era is later than the one that an object names. An
@@ -62,7 +62,7 @@
 	if l.machine.State() == stateHolding {
 		l.fire(eventExpire)
 		l.log.WithFields(logrus.Fields{
-			"era": era, "before": before, "fencing": l.doc.Fencing, "revision": l.version,
+			"era": quetzalhook.EraNumber(era), "before": quetzalhook.EraNumber(before), "fencing": l.doc.Fencing, "revision": l.version,
 		}).Warn("lease ended with the era of the store")
 	}
 }
--- a/internal/fleet/lease/first_era_test.go
+++ b/internal/fleet/lease/first_era_test.go
@@ -1,53 +1,33 @@
 package lease
 
 import (
-	"context"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
 	"quetzalhook"
 	"quetzalhook/internal/platform/memory"
 	"quetzalhook/internal/state/invariant"
+	"quetzalhook/platform"
+	"quetzalhook/platform/standin"
 )
 
-// fromZero is a store whose first era is 0.
-type fromZero struct{ *memory.Store }
-
-func shift(v quetzalhook.Version, by int64) quetzalhook.Version {
-	if v == 0 {
-		return 0
-	}
-	return quetzalhook.NewVersion(v.Era()+by, v.Revision())
-}
-
-func (s fromZero) Era() int64 { return s.Store.Era() - 1 }
-
-func (s fromZero) Get(ctx context.Context, key string) (quetzalhook.Object, error) {
-	o, err := s.Store.Get(ctx, key)
-	o.Version = shift(o.Version, -1)
-	return o, err
-}
-
-func (s fromZero) List(ctx context.Context, prefix string) (quetzalhook.Listing, error) {
-	list, err := s.Store.List(ctx, prefix)
-	list.Version = shift(list.Version, -1)
-	return list, err
-}
-
-func (s fromZero) Put(ctx context.Context, key string, value []byte, base quetzalhook.Version) (quetzalhook.Version, error) {
-	version, err := s.Store.Put(ctx, key, value, shift(base, 1))
-	return shift(version, -1), err
-}
-
 // Guards against a process that starts after the return of a store whose first era is 0, and
 // uses a token that the store has lost.
 func TestTokenAfterFirstEraZero(t *testing.T) {
 	for name, isCopyEmpty := range map[string]bool{"object in the copy": false, "object lost": true} {
 		t.Run(name, func(t *testing.T) {
-			s := fromZero{memory.New(memory.WithEras())}
+			m := memory.New(memory.WithEras()) // begins with number 0
+			server := httptest.NewServer(standin.NewStore(m))
+			defer server.Close()
 			now := time.Unix(1000, 0)
 			clock := quetzalhook.ClockFunc(func() time.Time { return now })
 			take := func(host quetzalhook.HostID) (*Lease, uint64) {
+				log, _ := logtest.NewNullLogger()
+				s := platform.NewStore(server.Listener.Addr().String(), log)
+				t.Cleanup(s.Close)
 				l, err := New(RoleController, host, 1, s, clock, invariant.New(nil))
 				if err != nil {
 					t.Fatal(err)
@@ -65,16 +45,16 @@
 				}
 				return l, token
 			}
-			copied := s.Copy()
+			copied := m.Copy()
 			a, _ := take("a")
 			if !isCopyEmpty {
-				copied = s.Copy()
+				copied = m.Copy()
 			}
 			if err := a.Close(); err != nil {
 				t.Fatal(err)
 			}
 			_, lost := take("b")
-			s.Return(copied)
+			m.Return(copied)
 			if _, got := take("c"); got <= lost {
 				t.Errorf("token after the return: got %d, want above %d", got, lost)
 			}
--- a/internal/fleet/lease/step.go
+++ b/internal/fleet/lease/step.go
@@ -168,7 +168,7 @@
 	}
 	if next > before.Fencing+1 {
 		l.log.WithFields(logrus.Fields{
-			"era": era, "before": before.Era, "fencing-before": before.Fencing, "fencing": next, "revision": l.version,
+			"era": quetzalhook.EraNumber(era), "before": quetzalhook.EraNumber(before.Era), "fencing-before": before.Fencing, "fencing": next, "revision": l.version,
 		}).Info("fencing token raised above those of earlier eras")
 	}
 	return nil
--- a/internal/record/invoice/reporter.go
+++ b/internal/record/invoice/reporter.go
@@ -193,7 +193,7 @@
 // skip makes a window need no report: it may have been reported with other counts.
 func (r *Reporter) skip(w tally.Window, reason string) {
 	r.reported[w] = true
-	r.log.WithField("window", w).WithField("era", r.era).WithField("reason", reason).Warn("usage skipped")
+	r.log.WithField("window", w).WithField("era", quetzalhook.EraNumber(r.era)).WithField("reason", reason).Warn("usage skipped")
 }
 
 func equalCounts(a, b tally.Counts) bool {
--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -405,7 +405,7 @@
 
 // listStale reads a list that may be some seconds old. If the store may have come back from a
 // copy, it reads a current one: an older list could hold revisions that are lost, and count as
-// one of this era. The first era of a store is at most 1.
+// one of this era.
 func (f *Follower) listStale(ctx context.Context, prefix string) (quetzalhook.Listing, error) {
 	list, err := f.store.ListStale(ctx, prefix)
 	if err == nil && list.Version.Era() > 1 {
--- a/platform.go
+++ b/platform.go
@@ -104,7 +104,7 @@
 	// StoreHistoryGone if the store has come back from an older copy since after.
 	Watch(ctx context.Context, prefix string, after Version) (Watch, error)
 	// Era returns the newest era that an answer of the store has named, or 0 if it names
-	// none. It makes no call.
+	// none; see NewVersion. It makes no call.
 	Era() int64
 }
 
--- a/version_test.go
+++ b/version_test.go
@@ -11,9 +11,9 @@
 	}{
 		{0, 0, 0, 0, "0"},
 		{0, 7, 0, 7, "7"},
-		{3, 7, 3, 7, "7@3"},
+		{3, 7, 3, 7, "7@2"},
 		{-1, -5, 0, 0, "0"},
-		{1 << 60, 1 << 60, maxEra, maxRevision, "17592186044415@524287"},
+		{1 << 60, 1 << 60, maxEra, maxRevision, "17592186044415@524286"},
 	} {
 		v := NewVersion(c.era, c.revision)
 		if v.Era() != c.wantEra || v.Revision() != c.wantRevision || v.String() != c.text {
