routing: end kept states whose record is gone, test random returns

What callers could see after several returns: an upstream that is gone was used again ten seconds later, and one that leaves was missing on some hosts for as long as it ran.

Causes: a kept state outlived the deletion of its record where the host learned of it from another host, during the grace period, or from a list before another host told the state; a leaving upstream whose record was lost counted as removed for good; and the state of a listed upstream was taken for that of a removed one.

Change: each of these paths ends the kept state. A host ignores a kept state if its own list is newer and lacks the record. A leaving upstream that is removed only since its record is lost is presumed to run, as one whose record cannot be decoded.

Evidence: TestRandomReturns plays changes, returns and restarts of hosts and checks the promises.

--- a/internal/record/routing/eras.go
+++ b/internal/record/routing/eras.go
@@ -77,23 +77,31 @@
 func progressOf(u quetzalhook.Upstream) progress { return progress{u.Started, int(u.State)} }
 
 func (e *entry) progress() progress {
-	if !e.removed.IsZero() {
+	if !e.removed.IsZero() && !e.isPresumed {
 		return progress{e.upstream.Started, stageRemoved}
 	}
 	return progressOf(e.upstream)
 }
 
 func (p pulledUpstream) progress() progress {
-	if p.Removed {
+	if p.Removed && !p.Presumed {
 		return progress{p.Started, stageRemoved}
 	}
 	return progressOf(p.upstream())
 }
 
+// presumeRemoved records that a removed upstream may still run.
+func (e *entry) presumeRemoved() {
+	e.isPresumed = true
+	if e.upstream.State == quetzalhook.UpstreamGone {
+		e.upstream.State = quetzalhook.UpstreamReady // not known
+	}
+}
+
 // keepsAgainst reports whether the entry stays in force although the store has a newer record
-// of the upstream. A record that could not be decoded tells no state to keep.
+// of the upstream.
 func (e *entry) keepsAgainst(u quetzalhook.Upstream, version quetzalhook.Version) bool {
-	return (e.kept.isKept || version.Era() > e.version.Era()) && !e.isUnread && e.progress().compare(progressOf(u)) > 0
+	return (e.kept.isKept || version.Era() > e.version.Era()) && e.progress().compare(progressOf(u)) > 0
 }
 
 // mayReturn reports whether a removed upstream is used again once it was listed for
@@ -160,6 +168,9 @@
 	if !p.Kept || e != nil && !e.isBehind(p) {
 		return false
 	}
+	if e == nil && p.Version <= f.complete {
+		return false // the record is gone
+	}
 	known := &entry{upstream: p.upstream(), version: p.Version, registered: p.Version}
 	known.kept = keptState{isKept: true, shown: p.upstream(), shownSince: now}
 	if e != nil {
@@ -169,11 +180,11 @@
 		known.graceEnd, known.registered = now.Add(p.GraceLeft), p.Registered
 	}
 	if p.Removed {
-		known.removed = now
+		known.removed, known.isPresumed = now, p.Presumed
 		known.kept.shownSince = now.Add(p.ReturnsIn - keptRemoved)
 		known.upstream.State = quetzalhook.UpstreamReady
 	}
-	if p.Removed && (p.ReturnsIn == 0 || e != nil && !e.mayReturn()) {
+	if p.Removed && (p.ReturnsIn == 0 || e != nil && !e.removed.IsZero() && !e.mayReturn()) {
 		known.upstream.State = quetzalhook.UpstreamLeaving
 	}
 	f.entries[p.ID] = known
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -143,14 +143,15 @@
 	// until a removed upstream is used again if it remains listed; 0 if it is not.
 	Kept      bool          `cbor:"20,keyasint,omitempty"`
 	ReturnsIn time.Duration `cbor:"21,keyasint,omitempty"`
-	// Unread reports that the upstream is removed since its record cannot be decoded.
-	Unread bool `cbor:"22,keyasint,omitempty"`
+	// Presumed reports that the upstream is removed only since its record is lost or cannot
+	// be decoded.
+	Presumed bool `cbor:"22,keyasint,omitempty"`
 }
 
 // newPulledUpstream converts an entry to its form in a pull answer.
 func newPulledUpstream(e *entry, now time.Time) pulledUpstream {
 	u := e.upstream
-	p := pulledUpstream{ID: u.ID, Version: e.version, Removed: !e.removed.IsZero(), Kept: e.kept.isKept, Unread: e.isUnread}
+	p := pulledUpstream{ID: u.ID, Version: e.version, Removed: !e.removed.IsZero(), Kept: e.kept.isKept, Presumed: e.isPresumed}
 	switch {
 	case p.Removed && !p.Kept:
 		p.State, p.Started = u.State, u.Started
@@ -364,6 +365,7 @@
 // takePulled takes the state of an upstream that another host sent. The caller holds f.mu.
 func (f *Follower) takePulled(now time.Time, p pulledUpstream, from quetzalhook.HostID) {
 	id, e := p.ID, f.entries[p.ID]
+	wasListed := e != nil && e.removed.IsZero()
 	switch {
 	case f.takeKept(now, p, from):
 	case p.Kept && e != nil:
@@ -371,6 +373,7 @@
 	case e == nil && p.Version.Era() < f.complete.Era():
 		// A removal in the era of the list may not be known.
 	case e != nil && p.endsGrace(e):
+		e.kept, e.isPresumed = keptState{}, p.Presumed
 		f.remove(now, id, e, p.Version, false)
 	case e != nil && p.GraceLeft > 0 && e.version > p.Registered && (!e.removed.IsZero() || e.progress().compare(p.progress()) > 0):
 		// The other host does not know yet that the upstream leaves or was removed.
@@ -380,7 +383,9 @@
 		if e == nil {
 			f.entries[id].upstream.Started = p.Started
 		}
-		f.entries[id].isUnread = p.Unread
+		if p.Presumed && (e == nil || wasListed) {
+			f.entries[id].presumeRemoved()
+		}
 	case p.GraceLeft > 0:
 		f.setUpstream(p.upstream(), p.Version)
 		f.entries[id].graceEnd, f.entries[id].registered = now.Add(p.GraceLeft), p.Registered
--- a/internal/record/routing/upstreams.go
+++ b/internal/record/routing/upstreams.go
@@ -71,7 +71,7 @@
 			f.endKept(e, version)
 		}
 	case isLater && !e.graceEnd.IsZero():
-		e.version, e.graceEnd = version, now.Add(missingGrace)
+		e.version, e.graceEnd, e.kept = version, now.Add(missingGrace), keptState{}
 		f.latest = max(f.latest, version)
 	default:
 		e.kept = keptState{}
@@ -103,12 +103,15 @@
 	if o.Version <= f.rejected[id] {
 		return
 	}
+	wasListed := e != nil && e.removed.IsZero()
 	u, err := f.source.DecodeUpstream(id, o.Value)
 	if err != nil {
 		f.log.WithError(err).WithField("revision", o.Version).Warn("decoding upstream record failed; upstream not used")
 		f.rejected[id] = o.Version
 		f.removeByID(now, id, o.Version)
-		f.entries[id].isUnread = true
+		if e == nil || wasListed {
+			f.entries[id].presumeRemoved()
+		}
 		return
 	}
 	delete(f.rejected, id)
@@ -179,6 +182,9 @@
 		return
 	}
 	e.removed, e.graceEnd = now, time.Time{}
+	if mayReturn {
+		e.presumeRemoved()
+	}
 	f.log.WithField("upstream", id).WithField("revision", version).Info("upstream removed")
 }
 
