routing: reset the pause between calls after a watch that has worked

What callers saw: after a few watches that ended with an error, each further one delayed the next list by up to one second, however long it had worked, as only a watch that this host ended itself reset the pause. A list that late also counted as one after an outage, so that an upstream that was removed meanwhile stayed in use for the grace period.

Change: a watch that lasted for at least the longest pause resets it.

--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -85,8 +85,9 @@
 	// acceptedIn is the era in which the upstream was used again after it was kept as
 	// removed.
 	acceptedIn int64
-	// isUnread reports that the upstream is removed since its record cannot be decoded.
-	isUnread bool
+	// isPresumed reports that the upstream is removed only since its record cannot be
+	// decoded, or was lost while it was leaving. It may still run.
+	isPresumed bool
 }
 
 // storeContact is the state of this host's calls to the store for one prefix.
@@ -365,12 +366,12 @@
 			timing.Sleep(ctx, checkInterval)
 			continue
 		}
-		began := f.clock.Now()
 		if err == nil {
+			began := f.clock.Now()
 			err = f.watch(ctx, prefix, apply, &after, isGone)
-		}
-		if isGone && f.clock.Now().Sub(began) >= maxRetryPause {
-			pause, isGone = minRetryPause, false // the position was there
+			if f.clock.Now().Sub(began) >= maxRetryPause {
+				pause, isGone = minRetryPause, false
+			}
 		}
 		if err == nil {
 			pause, isGone = minRetryPause, false
