routing: heartbeats ask for kept states only where there are some

Without a return since its start a host now does not look at them at all; after one, it stops as soon as no state is kept.

--- a/internal/record/routing/eras.go
+++ b/internal/record/routing/eras.go
@@ -122,7 +122,7 @@
 // f.mu.
 func (f *Follower) keep(now time.Time, e *entry, u quetzalhook.Upstream, version quetzalhook.Version) {
 	isNew := !e.kept.isKept || version.Era() > e.version.Era()
-	e.version, e.kept.isKept, e.kept.shown = version, true, u
+	e.version, e.kept.isKept, e.kept.shown, f.mayKeep = version, true, u, true
 	f.latest = max(f.latest, version)
 	if !isNew {
 		return
@@ -187,7 +187,7 @@
 	if p.Removed && (p.ReturnsIn == 0 || e != nil && !e.removed.IsZero() && !e.mayReturn()) {
 		known.upstream.State = quetzalhook.UpstreamLeaving
 	}
-	f.entries[p.ID] = known
+	f.entries[p.ID], f.mayKeep = known, true
 	f.latest = max(f.latest, known.version)
 	f.logKept(known, p.Version, string(from))
 	return true
@@ -220,13 +220,18 @@
 
 // keptHash is Kept for a caller that holds f.mu.
 func (f *Follower) keptHash() uint32 {
-	sum := uint32(0)
+	if !f.mayKeep {
+		return 0 // each heartbeat asks
+	}
+	sum, isAnyKept := uint32(0), false
 	for id, e := range f.entries {
 		if e.kept.isKept {
+			isAnyKept = true
 			text := string(id) + "\x00" + string(rune(e.progress().stage))
 			sum ^= uint32(xxhash.Sum64String(text))
 		}
 	}
+	f.mayKeep = isAnyKept
 	return sum
 }
 
--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -121,6 +121,7 @@
 	bases        []*Table // some earlier tables, the newest first
 	patchFailed  bool     // a patch of the table in force could not be applied
 	entries      map[quetzalhook.UpstreamID]*entry
+	mayKeep      bool // whether the state of an entry may be kept against the store
 	// rejected holds the versions of the stored records that cannot be decoded, and
 	// rejectedTable that of the table, so that each is logged once.
 	rejected      map[quetzalhook.UpstreamID]quetzalhook.Version
