soak: space out returns of the store from copies

config-forward: host-0 serves configuration 4 2.538123865s after the next one was confirmed

The variant "again" had made the store return four times within 1.6 s, with no time in between in which it was not away. Configuration 5 was confirmed between the first two returns and lost by each of the later ones. The operator writes it again up to 1 s after the last return, which is 2.5 s after it was confirmed: no host could have it in time. The check was right, the script impossible.

The store now goes away no sooner than configBound after its last return. All bounds and checks are as before. A change that is confirmed just before the store goes away is written again 1.5 s later at the latest, and the next return may lose it only 3 s after it was confirmed.

--- a/internal/bench/soak/restore.go
+++ b/internal/bench/soak/restore.go
@@ -90,7 +90,8 @@
 func (s *system) hasRestores() bool { return len(selectKinds(restoreKinds(), s.settings.Kinds)) > 0 }
 
 // restore copies the store, and makes it return from the copy after the duration of the
-// fault. Other faults, as the variant says, begin between the copy and maxAfterReturn.
+// fault, but goes away no sooner than configBound after the last return: a change that several
+// returns lose before it is written again could not be in force in time. Other faults, as the variant says, begin between the copy and maxAfterReturn.
 func (s *system) restore(f fault) {
 	random := rand.New(rand.NewPCG(uint64(f.target), restoreSequence))
 	away := draw(random, minAway, maxAway)
@@ -99,6 +100,8 @@
 	end := time.Now().Add(f.duration)
 	companions := s.startCompanions(f, random)
 	time.Sleep(time.Until(end))
+	s.restoreMu.Lock()
+	time.Sleep(time.Until(s.returnedAt.Add(configBound)))
 	s.disturb(faultKind{store: true}, time.Now().Add(away))
 	s.awayMu.Lock()
 	s.store.SetFaults(unavailable)
@@ -107,6 +110,8 @@
 	s.memory.Return(saved)
 	s.store.SetFaults(standin.StoreFaults{})
 	s.awayMu.Unlock()
+	s.returnedAt = time.Now()
+	s.restoreMu.Unlock()
 	s.disturb(faultKind{store: true}, time.Now())
 	s.rewrite(random)
 	companions.Wait()
--- a/internal/bench/soak/system.go
+++ b/internal/bench/soak/system.go
@@ -118,6 +118,9 @@
 	// awayMu is locked while the store is away before it returns from a copy, and locked for
 	// reading by those that write to it.
 	awayMu sync.RWMutex
+	// restoreMu serializes returns of the store from copies; returnedAt is the last one.
+	restoreMu  sync.Mutex
+	returnedAt time.Time
 	// buildMu serializes changes of the engines' builds.
 	buildMu     sync.Mutex
 	latestBuild int // number of the newest build
