--- a/internal/bench/soak/restore.go
+++ b/internal/bench/soak/restore.go
@@ -90,8 +90,9 @@
 func (s *system) hasRestores() bool { return len(selectKinds(restoreKinds(), s.settings.Kinds)) > 0 }
 
 // restore copies the store, and makes it return from the copy after the duration of the
-// fault, but goes away no sooner than configBound after the last return: a change that several
-// returns lose before it is written again could not be in force in time. Other faults, as the variant says, begin between the copy and maxAfterReturn.
+// fault, but no sooner than configBound after the last return: a change that several returns
+// lose before it is written again could not be in force in time. Other faults, as the variant
+// says, begin between the copy and maxAfterReturn.
 func (s *system) restore(f fault) {
 	random := rand.New(rand.NewPCG(uint64(f.target), restoreSequence))
 	away := draw(random, minAway, maxAway)
