routing: remember only the kept states of hosts that have some

A host remembered an entry for each host that it had ever pulled from, also for hosts that are gone. An entry is now removed when its host keeps no more states against the store. The tests of the package pass.

--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -289,7 +289,11 @@
 	}
 	f.mu.Lock()
 	answer.addEras(&f.era)
-	f.keptPulled[host] = answer.Kept
+	if answer.Kept == 0 {
+		delete(f.keptPulled, host)
+	} else {
+		f.keptPulled[host] = answer.Kept
+	}
 	f.mu.Unlock()
 	answer.from = host
 	f.merge(answer)
