caller, lease, routing, invoice: reasons in comments

Comments only: why the limit of headers is subtracted from, why a role that was taken in the present era needs no wait, and what stands for a removed upstream that must not be used again.

--- a/internal/entry/caller/limit.go
+++ b/internal/entry/caller/limit.go
@@ -208,7 +208,7 @@
 		}
 		c.conns.mu.Unlock()
 	}
-	counted := h.bytes - headSlop
+	counted := h.bytes - headSlop // the limit may be the largest number
 	if c.tls != nil {
 		counted -= handshakeBytes
 	}
--- a/internal/fleet/lease/step.go
+++ b/internal/fleet/lease/step.go
@@ -128,7 +128,8 @@
 	longest := max(term, l.term) + l.margin
 	switch {
 	case l.eras.newest > 0 && l.doc.Era != l.eras.newest && now.Sub(l.eras.since) < longest:
-		return false // whoever has taken the role in this era has waited for the others
+		// Otherwise whoever took the role in this era has waited for the holders of others.
+		return false
 	case l.eras.isLater(l.doc.Era):
 		return unchanged >= longest
 	case l.isHeldBySelf(l.doc):
--- a/internal/record/invoice/invoice_test.go
+++ b/internal/record/invoice/invoice_test.go
@@ -297,9 +297,9 @@
 
 // Guards against a window that is not reported, or is reported twice with different
 // counts by two hosts that both act as holder of the duty. The faults are a holder
-// that is killed, stopped or paused, lost answers, and outages of the store or the
-// platform, a store that comes back from an older copy, and objects of another program. Also guards against lost counts of a
-// killed host.
+// that is killed, stopped or paused, lost answers, outages of the store or the platform, a
+// store that comes back from an older copy, and objects of another program. Also guards
+// against lost counts of a killed host.
 func TestReports(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
--- a/internal/record/routing/eras.go
+++ b/internal/record/routing/eras.go
@@ -162,7 +162,8 @@
 }
 
 // takeKept takes the kept state of an upstream from another host that knows more of the
-// earlier era. It returns false if this host knows as much. The caller holds f.mu.
+// earlier era. It returns false if this host knows as much. As in the entries of this host, a
+// removed upstream counts as leaving if it must not be used again. The caller holds f.mu.
 func (f *Follower) takeKept(now time.Time, p pulledUpstream, from quetzalhook.HostID) bool {
 	e := f.entries[p.ID]
 	if !p.Kept || e != nil && !e.isBehind(p) {
