soak: hosts of two builds side by side

A fleet is upgraded one host after the other, so that an older build may run when the store returns from a copy. The soak could only run one build.

--older names the program of the older one. Hosts of an older build cannot be partitioned, since these runs build a program of their own.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -37,6 +37,8 @@
 		Usage: "inject faults into hosts that run as processes, and check what callers and upstreams observe",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "program", Value: "target/quetzalhook", Usage: "`PATH` of the quetzalhook program", Sources: cli.EnvVars("SOAK_PROGRAM")},
+			&cli.StringFlag{Name: "older", Usage: "`PATH` of the quetzalhook program of an older build", Sources: cli.EnvVars("SOAK_OLDER")},
+			&cli.StringFlag{Name: "older-hosts", Value: string(soak.OlderHalf), Usage: "`WHICH` hosts run it: half (every second one), first (each in its first start)", Sources: cli.EnvVars("SOAK_OLDER_HOSTS")},
 			&cli.Uint64Flag{Name: "seed", Usage: "first seed; 0 uses the current Unix time", Sources: cli.EnvVars("SOAK_SEED")},
 			&cli.IntFlag{Name: "runs", Value: 1, Usage: "number of consecutive seeds, run one after another", Sources: cli.EnvVars("SOAK_RUNS")},
 			&cli.IntFlag{Name: "hosts", Value: 6, Usage: "number of hosts in a run", Sources: cli.EnvVars("SOAK_HOSTS")},
@@ -85,6 +87,12 @@
 	if base.Hosts < 1 || base.Callers < 1 || base.Length <= 0 {
 		return nil, errors.Errorf("--hosts %d, --callers %d and --length %v must be positive", base.Hosts, base.Callers, base.Length)
 	}
+	if base.Older = cmd.String("older"); base.Older != "" {
+		var err error
+		if base.OlderHosts, err = soak.ParseOlderHosts(cmd.String("older-hosts")); err != nil {
+			return nil, err
+		}
+	}
 	var list []soak.Settings
 	if path := cmd.String("regressions"); path != "" {
 		data, err := os.ReadFile(path)
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -34,6 +34,7 @@
 	ip       string
 	zone     quetzalhook.Zone
 	program  string
+	older    string // program of an older build, which runs in the first olderStarts starts
 	settings string // path
 	log      string // path
 	// callers proxies connections from callers to the host, store and duties those
@@ -47,7 +48,8 @@
 	command      *exec.Cmd
 	exited       chan struct{} // closed when the process has ended
 	boot         int           // number of starts so far
-	exitExpected bool          // a signal that ends the process was sent
+	olderStarts  int
+	exitExpected bool // a signal that ends the process was sent
 	// disturbedUntil is the end of the last disturbance; it may lie in the future.
 	disturbedUntil time.Time
 	// stopped is when SIGTERM was last sent, and reloaded when SIGHUP was.
@@ -99,7 +101,11 @@
 	if err != nil {
 		return &Error{Op: "start", Kind: ErrorSetup, Err: err}
 	}
-	c := exec.Command(h.program, "host", "--settings", h.settings, "--peer-secret", peerSecret)
+	program := h.program
+	if h.boot < h.olderStarts {
+		program = h.older
+	}
+	c := exec.Command(program, "host", "--settings", h.settings, "--peer-secret", peerSecret)
 	c.Stdout, c.Stderr, c.Env = out, out, append(os.Environ(), h.env...)
 	if err := c.Start(); err != nil {
 		_ = out.Close()
--- a/internal/bench/soak/system.go
+++ b/internal/bench/soak/system.go
@@ -13,6 +13,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -35,6 +36,9 @@
 	Seed uint64
 	// Program is the path of the quetzalhook program. Runs with partitions build their own.
 	Program string
+	// Older is the path of the program of an older build, which the hosts of OlderHosts run.
+	Older      string
+	OlderHosts OlderHosts
 	// Directory receives the settings files and the logs of the hosts.
 	Directory string
 	Hosts     int
@@ -192,6 +196,9 @@
 	for _, f := range script {
 		result.Script = append(result.Script, f.String())
 	}
+	if s.hasPartitions() && cfg.Older != "" {
+		return result, &Error{Op: "build", Kind: ErrorScript, Err: errors.New("hosts of an older build cannot be partitioned")}
+	}
 	if s.hasPartitions() {
 		directory, err := os.MkdirTemp("", "soak-build-")
 		if err != nil {
@@ -319,6 +326,7 @@
 func (s *system) addHost(i int, store, duties string) error {
 	h := &host{
 		name: quetzalhook.HostID(fmt.Sprintf("host-%d", i)), ip: s.network + strconv.Itoa(1+i), zone: s.zoneOf(i), program: s.settings.Program,
+		older: s.settings.Older, olderStarts: s.settings.OlderHosts.starts(i),
 	}
 	h.env = []string{redirectFrom + "=" + s.network + upstreamNumber, redirectTo + "=" + h.ip}
 	h.settings = s.settings.Directory + "/" + string(h.name) + ".yaml"
