lease: raise the token over an object of an older build after a return

Objects of older builds name no era. A process took such an object for one of the first era that it had seen itself; if it started after the return, that is the present one, and no token counted as lost. Now an object without an era may be from before any return. A process cannot know more: the object alone does not tell when it was written. Without a return, nothing changes.

--- a/internal/fleet/lease/era.go
+++ b/internal/fleet/lease/era.go
@@ -16,8 +16,7 @@
 
 // eraView is what a process has seen of the eras of the store.
 type eraView struct {
-	known  bool  // whether an answer has told the era
-	first  int64 // the first era seen
+	known  bool // whether an answer has told the era
 	newest int64
 	since  time.Time // when this process first heard of newest
 }
@@ -26,19 +25,14 @@
 // store names none.
 func (e *eraView) answered() { e.known = true }
 
-// hasEnded reports whether the store has come back from a copy, as far as this process can
-// know. A store whose first era has a number above 0 counts as one that has come back.
-func (e *eraView) hasEnded() bool { return e.newest > e.first || e.newest > 1 }
+// hasEnded reports whether the store has come back from a copy. A store whose number was above 0
+// from the start counts as one that has.
+func (e *eraView) hasEnded() bool { return e.newest > 1 }
 
 // isLater reports whether the newest era is later than the one that an object names. An
-// object that names none was written by a host of an older build, in the first era that this
-// process saw or in a later one.
-func (e *eraView) isLater(era int64) bool {
-	if era == 0 {
-		era = e.first
-	}
-	return e.newest > era
-}
+// object that names none was written by a host of an older build, perhaps before the store
+// came back.
+func (e *eraView) isLater(era int64) bool { return e.newest > max(era, 1) }
 
 // observeEra takes note of the newest era of the store. When it rises, the role ends, and the
 // answers to earlier writes have no meaning any more.
@@ -49,7 +43,7 @@
 	}
 	l.eras.newest, l.eras.since = era, l.clock.Now()
 	if !l.eras.known {
-		l.eras.known, l.eras.first = true, era
+		l.eras.known = true
 		return
 	}
 	l.docKnown, l.seenAt = false, time.Time{}
