lease: take a role that nobody holds at once if the store has never come back

The wait is for holders that a return of the store may have hidden. It was made whenever the object does not name the present era, also where the object was never written and the number of the era is 0, so that no return can have happened. Now it is made only once an era has ended. A process that finds a number above 0 when it starts still waits.

--- a/internal/fleet/lease/step.go
+++ b/internal/fleet/lease/step.go
@@ -127,7 +127,7 @@
 	term := time.Duration(l.doc.TermMS) * time.Millisecond
 	longest := max(term, l.term) + l.margin
 	switch {
-	case l.eras.newest > 0 && l.doc.Era != l.eras.newest && now.Sub(l.eras.since) < longest:
+	case l.eras.hasEnded() && l.doc.Era != l.eras.newest && now.Sub(l.eras.since) < longest:
 		// Otherwise whoever took the role in this era has waited for the holders of others.
 		return false
 	case l.eras.isLater(l.doc.Era):
