lease: the holder takes its role again at once when the store returns

After each return of the store from a copy nobody was in charge of the duties for term and margin: no order of upstreams and no report of usage, though the holder was there all the while. Meanwhile a host of an older build that reads the copy may take the role with a token that is lost.

The holder at the time of the return knows more than the store: nobody else can take the role while its term lasts, and it has the highest token. Within its term it now writes the object again, with the next token, and only that write gives a new term. Others wait as before. A holder looks at the store's era ten times a second, without a call, rather than at its next renewal.

--- a/internal/fleet/lease/era.go
+++ b/internal/fleet/lease/era.go
@@ -85,6 +85,14 @@
 	return uint64(era)<<eraTokenBits + uint64(version.Revision())
 }
 
+// heldUntilReturn reports whether this process held the role when the store came back, and its
+// term has not passed: nobody else can have taken the role since, nor been given a higher token.
+func (l *Lease) heldUntilReturn(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.termEra < l.eras.newest && now.Before(l.termEnd)
+}
+
 // nextToken returns the token for a holder that replaces the object as it was last read. If
 // the store may have lost tokens since, or a write of an earlier era may have replaced them,
 // it is above all that could be given so far. Without eras that have ended, tokens stay in
@@ -92,6 +100,9 @@
 func (l *Lease) nextToken(ctx context.Context) (uint64, error) {
 	next := max(l.doc.Fencing, l.topToken) + 1
 	isMissing := l.version == 0
+	if l.heldUntilReturn(l.clock.Now()) {
+		return next, nil
+	}
 	if !l.eras.isLater(l.doc.Era) && !(isMissing && l.eras.hasEnded()) {
 		return next, nil
 	}
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -33,6 +33,7 @@
 
 	"quetzalhook"
 	"quetzalhook/internal/state/chart"
+	"quetzalhook/internal/state/timing"
 )
 
 // Names of the roles.
@@ -50,6 +51,8 @@
 	// pollsPerTerm is the number of reads that a candidate makes in a term. Reads are
 	// billed; fewer of them delay a takeover by up to half a term.
 	pollsPerTerm = 2
+	// eraInterval is the time between two looks at the era of the store, which make no call.
+	eraInterval = 100 * time.Millisecond
 	// maxOwnIntents limits a holder's orders with unknown outcome per target.
 	maxOwnIntents = 64
 	// maxBlockedTerms is the number of terms after which a holder whose orders
@@ -218,12 +221,21 @@
 		if l.machine.State() == stateHolding || !l.candidate() {
 			pause = l.term / renewalsPerTerm // without a call, unless the role is held
 		}
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
+		l.sleep(ctx, pause)
+	}
+}
+
+// sleep waits for d, or as a holder until the role has ended with the era of the store.
+func (l *Lease) sleep(ctx context.Context, d time.Duration) {
+	if l.machine.State() != stateHolding {
+		timing.Sleep(ctx, d)
+		return
+	}
+	for end := time.Now().Add(d); l.Held(); {
+		left := time.Until(end)
+		if left <= 0 || !timing.Sleep(ctx, min(left, eraInterval)) {
+			return
 		}
-		timer.Stop()
 	}
 }
 
--- a/internal/fleet/lease/step.go
+++ b/internal/fleet/lease/step.go
@@ -85,7 +85,9 @@
 	if !errors.Is(err, errNotHolder) {
 		return l.fail(op, KindStore, err)
 	}
-	l.endTerm()
+	if !l.heldUntilReturn(l.clock.Now()) {
+		l.endTerm()
+	}
 	if l.machine.State() == stateHolding {
 		l.log.WithField("holder", l.doc.Holder).WithField("fencing", l.doc.Fencing).WithField("revision", l.version).Info("lease lost")
 		l.fire(eventLose)
@@ -120,13 +122,16 @@
 // released role with open intents is left to the process that wrote them for
 // term + margin, and for twice as long by a host that has recently yielded it
 // because of them. An object of an earlier era must have been unchanged for term +
-// margin, whatever it says: a late write may have put it in place of a holder's.
+// margin, whatever it says: a late write may have put it in place of a holder's. Only
+// the holder at the time of the return takes the role again at once.
 func (l *Lease) isFree() bool {
 	now := l.clock.Now()
 	unchanged := now.Sub(l.seenAt)
 	term := time.Duration(l.doc.TermMS) * time.Millisecond
 	longest := max(term, l.term) + l.margin
 	switch {
+	case l.doc.Era != l.eras.newest && l.heldUntilReturn(now):
+		return true
 	case l.eras.hasEnded() && l.doc.Era != l.eras.newest && now.Sub(l.eras.since) < longest:
 		// Otherwise whoever took the role in this era has waited for the holders of others.
 		return false
