routing: a host that starts after a return puts older builds behind the store

A host that had just started, beside hosts of a build that knows no eras, went on sending to an upstream that had said that it leaves (in a test; on processes not seen apart from the next fault).

Versions without an era counted as of the newest era until the host itself had seen an era end. A host that starts after a return sees one era only, so that the revisions that older hosts know from before the return counted as later than what the store shows now, and the store was ignored until its revisions had passed them. Versions without an era now count as the earliest once the number of the era is above 0, and such a host watches beside watchers of older builds. The table is still read from them: its own version decides.

TestOlderBuildBesideFirstEra: got a ready, want a leaving, before; passes now. TestVersionWithoutEra expected the fault where the first era known is above the lowest; it now takes the steps from the lowest one on, and passes through the same three cases.

--- a/internal/record/routing/earlier_build_test.go
+++ b/internal/record/routing/earlier_build_test.go
@@ -37,3 +37,22 @@
 		}
 	}
 }
+
+// Guards against a host that starts after a return of the store, takes what one of an older build
+// knows from before for the newest state, and ignores the store.
+func TestOlderBuildBesideFirstEra(t *testing.T) {
+	clock := quetzalhook.ClockFunc(time.Now)
+	network := peer.NewNetwork(clock, 1)
+	f := New("new", memory.New(), network.Endpoint("new"), testSource, clock, discardLogger(), invariant.New(nil))
+	at := func(revision int64) quetzalhook.Version { return quetzalhook.NewVersion(2, revision) }
+	record := quetzalhook.Object{Key: "servers/a", Value: []byte("ready@1"), Version: at(800)}
+	f.applyUpstreams(&listing{Listing: quetzalhook.Listing{Version: at(900), Objects: []quetzalhook.Object{record}}}, nil)
+	answer := pullAnswer{Complete: 1000, Upstreams: []pulledUpstream{{ID: "a", Version: 1000, Service: "s", Started: 1}}}
+	answer.addEras(&f.era)
+	f.merge(answer)
+	record.Value, record.Version = []byte("leaving@1"), at(950)
+	f.applyUpstreams(nil, &record)
+	if got := f.Upstreams(); len(got) != 1 || got[0].State != quetzalhook.UpstreamLeaving {
+		t.Errorf("got %+v, want a leaving", got)
+	}
+}
--- a/internal/record/routing/eras.go
+++ b/internal/record/routing/eras.go
@@ -41,10 +41,14 @@
 	}
 }
 
+// mayHaveReturned reports whether the store has come back from a copy, perhaps before this host
+// started.
+func (k *knownEra) mayHaveReturned() bool { return k.newest > 1 }
+
 // versionOf returns the version that another host tells. Hosts of older builds do not tell an
-// era: theirs counts as the newest, and as the earliest once eras have changed.
+// era: theirs counts as the newest, and as the earliest once the store may have come back.
 func (k *knownEra) versionOf(v quetzalhook.Version) quetzalhook.Version {
-	if v > 0 && v.Era() == 0 && !k.hasRisen {
+	if v > 0 && v.Era() == 0 && !k.mayHaveReturned() {
 		return quetzalhook.NewVersion(k.newest, v.Revision())
 	}
 	return v
--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -518,7 +518,7 @@
 	}
 	watches := f.Watches()
 	f.mu.Lock()
-	hasRisen := f.era.hasRisen
+	mayHaveReturned := f.era.mayHaveReturned()
 	f.mu.Unlock()
 	hosts, count := []quetzalhook.HostID{f.host}, maxWatchers
 	for _, m := range f.peers.Members() {
@@ -526,7 +526,7 @@
 			count = maxCellWatchers
 			continue
 		}
-		if hasRisen && m.UpstreamVersion.Era() == 0 {
+		if mayHaveReturned && m.UpstreamVersion.Era() == 0 {
 			continue // of an older build
 		}
 		takesPart := m.Eligible.Has(quetzalhook.RoleStoreWatcher)
--- a/internal/record/routing/puller.go
+++ b/internal/record/routing/puller.go
@@ -255,7 +255,7 @@
 	if m.TableVersion > 0 {
 		return m.TableVersion > k.table
 	}
-	return k.era.versionOf(quetzalhook.NewVersion(0, m.ConfigVersion)) > k.stored
+	return !k.era.hasRisen && m.ConfigVersion > k.stored.Revision()
 }
 
 // hasNewerChanges reports whether a host announces changes that this host may not know.
--- a/internal/record/routing/wire_test.go
+++ b/internal/record/routing/wire_test.go
@@ -204,7 +204,7 @@
 	var k knownEra
 	for _, step := range []struct {
 		seen, want quetzalhook.Version
-	}{{0, 9}, {quetzalhook.NewVersion(4, 1), quetzalhook.NewVersion(4, 9)}, {quetzalhook.NewVersion(5, 1), 9}} {
+	}{{0, 9}, {quetzalhook.NewVersion(1, 1), quetzalhook.NewVersion(1, 9)}, {quetzalhook.NewVersion(2, 1), 9}} {
 		k.observe(step.seen)
 		if got := k.versionOf(9); got != step.want {
 			t.Errorf("after %v: got %v, want %v", step.seen, got, step.want)
