configuration: do not give out numbers of versions again that the store lost

After a return of the store from an older copy, a change that an operator of quetzalhook serve confirmed was not in force on hosts that knew the lost version of the same number, and hosts that started later had one or the other.

Confirm numbered a version one above the one in the store, which no longer shows the lost ones. The first version in an era above 0 now begins at the number of the era times 2^20 plus 1, above all numbers that an earlier era can have lost, so that hosts of any build order it right. The number is taken when the head is written, since the era may rise after the plan.

--- a/internal/record/configuration/planner.go
+++ b/internal/record/configuration/planner.go
@@ -122,14 +122,10 @@
 	if err := cbor.Unmarshal(o.Value, &plan); err != nil {
 		return 0, &Error{Op: "confirm", Kind: ErrorCorrupt, Err: err}
 	}
-	next := Head{Number: plan.Base + 1, Plan: id, Manifest: plan.Manifest}
-	value, err := cbor.Marshal(next)
-	if err != nil {
-		return 0, &Error{Op: "confirm", Kind: ErrorInvalid, Err: err}
-	}
+	next := Head{Plan: id, Manifest: plan.Manifest}
 	for range maxStoreAttempts {
-		done, err := p.advanceHead(ctx, next, value)
-		if err != nil {
+		var done bool
+		if next.Number, done, err = p.advanceHead(ctx, plan.Base, next); err != nil {
 			return 0, err
 		}
 		if done {
@@ -148,35 +144,55 @@
 	return 0, &Error{Op: "confirm", Kind: ErrorUnavailable, Err: errors.New("could not determine whether the plan was confirmed; repeat the confirm")}
 }
 
-// advanceHead tries once to store next as the head, and reports whether next is
-// or was in force. If it returns false without an error, the outcome is unknown
-// and Confirm has to try again.
-func (p *Planner) advanceHead(ctx context.Context, next Head, value []byte) (bool, error) {
+// advanceHead tries once to store next, which follows the version base, as the head, and
+// reports whether it is or was in force, and under which number. If it returns false without
+// an error, the outcome is unknown and Confirm has to try again.
+func (p *Planner) advanceHead(ctx context.Context, base int64, next Head) (int64, bool, error) {
 	head, version, err := readHead(ctx, p.store)
+	next.Number = numberAfter(base, p.store.Era())
 	switch {
 	case err != nil:
-		return false, err
+		return 0, false, err
 	case head.Plan == next.Plan:
-		return true, nil
-	case head.Number >= next.Number:
-		return p.wasConfirmed(ctx, next, head)
-	case head.Number < next.Number-1:
-		return false, nil // a stale read: the plan is based on a later version than the one read
+		return head.Number, true, nil
+	case head.Number > base:
+		number, err := p.wasConfirmed(ctx, base, next, head)
+		return number, err == nil, err
+	case head.Number < base:
+		return 0, false, nil // a stale read: the plan is based on a later version than the one read
 	}
 	if err := p.writeVersionRecord(ctx, head); err != nil {
-		return false, err
+		return 0, false, err
+	}
+	value, err := cbor.Marshal(next)
+	if err != nil {
+		return 0, false, &Error{Op: "confirm", Kind: ErrorInvalid, Err: err}
 	}
 	_, err = p.store.Put(ctx, headKey, value, version)
 	switch quetzalhook.StoreKind(err, quetzalhook.StoreUnavailable) {
 	case "", quetzalhook.StoreUnknown, quetzalhook.StoreConflict:
 		// On an error, the plan ID in the head that the next attempt reads shows
 		// whether this write or another one took effect.
-		return err == nil, nil
+		return next.Number, err == nil, nil
 	default:
-		return false, storeError("confirm", err)
+		return 0, false, storeError("confirm", err)
 	}
 }
 
+// eraNumberBits is the width of the part of a version number that grows within an era of the
+// store.
+const eraNumberBits = 20
+
+// numberAfter returns the number of the version after base. Numbers of versions that the store
+// has lost must not be given out again: hosts that know such a version would not read another
+// one with its number. The store loses fewer versions in an era than that era has numbers.
+func numberAfter(base, era int64) int64 {
+	if era > 1 {
+		base = max(base, quetzalhook.EraNumber(era)<<eraNumberBits)
+	}
+	return base + 1
+}
+
 // writeVersionRecord stores the version record of a head. Confirm writes the
 // record of a version before it replaces the head by the next version, so that
 // the records show which plan became which version.
@@ -191,26 +207,30 @@
 	return p.create(ctx, versionKey(head.Number), value)
 }
 
-// wasConfirmed reports whether next was in force before the later version in head
-// replaced it. It returns ErrorConflict if another plan has the number of next.
-func (p *Planner) wasConfirmed(ctx context.Context, next, head Head) (bool, error) {
+// wasConfirmed returns the number under which next was in force before the later version in
+// head replaced it. It returns ErrorConflict if another plan has that number.
+func (p *Planner) wasConfirmed(ctx context.Context, base int64, next, head Head) (int64, error) {
 	conflict := &Error{Op: "confirm", Kind: ErrorConflict, Err: errors.Errorf(
-		"the plan was made from version %d, version %d is in force; make a new plan", next.Number-1, head.Number)}
-	if head.Number == next.Number {
-		return false, conflict
+		"the plan was made from version %d, version %d is in force; make a new plan", base, head.Number)}
+	number := next.Number
+	if head.Number < number { // of an earlier era
+		number = numberAfter(base, 0)
 	}
-	o, err := p.store.Get(ctx, versionKey(next.Number))
+	if head.Number == number {
+		return 0, conflict
+	}
+	o, err := p.store.Get(ctx, versionKey(number))
 	if err != nil {
-		return false, storeError("confirm", err)
+		return 0, storeError("confirm", err)
 	}
 	var recorded Head
 	if err := cbor.Unmarshal(o.Value, &recorded); err != nil {
-		return false, &Error{Op: "confirm", Kind: ErrorCorrupt, Err: err}
+		return 0, &Error{Op: "confirm", Kind: ErrorCorrupt, Err: err}
 	}
 	if recorded.Plan != next.Plan {
-		return false, conflict
+		return 0, conflict
 	}
-	return true, nil
+	return number, nil
 }
 
 // Current returns the number of the version in force and its document. Before
