routing: bring hosts of an older build past a return of the store

When the store returned from a copy during an upgrade, hosts of the older build went on with the configuration and the upstreams of before: on processes beside, probes were refused or run "as only configuration 8 or older allows" for up to 6.4 s after the next one was confirmed, and a leaving upstream got requests.

These hosts compare revisions, which go back at a return, and ignore all that has a lower one than they know, from the store and from other hosts, until the revisions have caught up. They cannot be changed. Hosts of this build now raise the revisions of the store above those that older hosts announce, by changes of an object of their own (50 a second and watcher, at most 1,000, once a return), read the table and the upstreams again, and tell older builds the revision of that read for all that is not newer. It is a revision that the store has given out, so that older hosts can go on without newer ones.

Tried first: raising whenever an older host announces more than this host knows.

--- a/internal/record/routing/follower.go
+++ b/internal/record/routing/follower.go
@@ -132,14 +132,18 @@
 	complete      quetzalhook.Version    // all upstream changes up to it are known
 	evacuations   evacuations
 	era           knownEra
-	keptPulled    map[quetzalhook.HostID]uint32 // Kept of the hosts when this host pulled from them
-	splits        splits
-	tableKnownAt  time.Time                // when the first table was known
-	purged        quetzalhook.Version      // some removals up to it may be unknown here
-	contacts      map[string]*storeContact // by prefix
-	changed       chan struct{}            // closed and replaced at each change
-	watched       map[string]bool          // prefixes that this host watches
-	announcedAt   time.Time                // when another host first announced a newer table; zero if none does
+	// currentAsOf is the version as of which this host has read the table and the upstreams for
+	// hosts of older builds, and broughtForward is when it last began to.
+	currentAsOf    quetzalhook.Version
+	broughtForward time.Time                     // used by one goroutine, without mu
+	keptPulled     map[quetzalhook.HostID]uint32 // Kept of the hosts when this host pulled from them
+	splits         splits
+	tableKnownAt   time.Time                // when the first table was known
+	purged         quetzalhook.Version      // some removals up to it may be unknown here
+	contacts       map[string]*storeContact // by prefix
+	changed        chan struct{}            // closed and replaced at each change
+	watched        map[string]bool          // prefixes that this host watches
+	announcedAt    time.Time                // when another host first announced a newer table; zero if none does
 
 	pulls   pullCounters
 	encoder tableEncoder
@@ -199,6 +203,7 @@
 	f.wg.Go(func() { newPuller(f).run(ctx) })
 	f.wg.Go(func() { timing.Every(ctx, checkInterval, f.expire) })
 	f.wg.Go(func() { timing.Every(ctx, checkInterval, func() { f.resolveMissing(ctx) }) })
+	f.wg.Go(func() { timing.Every(ctx, checkInterval, func() { f.bringOlderForward(ctx) }) })
 	if f.source.SplitPrefix != "" {
 		f.wg.Go(func() { f.followFreshness(ctx) })
 	}
@@ -249,12 +254,12 @@
 	return !f.evacuations.isEvacuated(e.upstream.Zone) && e.removed.IsZero() && e.upstream.State == quetzalhook.UpstreamReady && e.upstream.Started == u.Started
 }
 
-// Versions returns the revision of the table in force in the store, and the version of the
-// newest change of upstreams that this host knows. Heartbeats carry them.
+// Versions returns the revision of the table in force, as hosts of older builds are told it, and
+// the version of the newest change of upstreams that this host knows. Heartbeats carry them.
 func (f *Follower) Versions() (table int64, upstreams quetzalhook.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.tableVersion.Revision(), f.latest
+	return f.toldVersion(f.tableVersion).Revision(), f.latest
 }
 
 // TableVersion returns the own version of the table in force, or 0 if there is none.
--- a/internal/record/routing/pull.go
+++ b/internal/record/routing/pull.go
@@ -213,6 +213,9 @@
 			answer.Unchanged = append(answer.Unchanged, id)
 		}
 	}
+	if req.CompleteEra == 0 {
+		answer.toldToOlder(f)
+	}
 	var err error
 	answer.Splits, err = f.encodeSplits(req.Splits)
 	f.mu.Unlock()
