lease: tokens beside an older build stay within its bound

After a return the token was raised by the number of the era in its upper bits. Hosts that know no eras reject a token above the revision of the object, take the object for one of another program, and give the revision as the next token. Beside such hosts the token is now one above the store's revision. It is above the lost tokens once the revisions have passed theirs, which hosts of this build see to in the time that a candidate waits; that a lost write was more than 64 revisions above what any host had told is not covered.

--- a/internal/entry/host/duty.go
+++ b/internal/entry/host/duty.go
@@ -38,7 +38,8 @@
 	h.usageCounter = tally.New(source, s.Zone, h.peers, h.calendar, setting.Seconds(s.UsageWindowS), h.log)
 	var err error
 	h.dutyLease, err = lease.New(lease.RoleController, s.Host, h.incarnation, h.adapter.Store, h.clock, h.inv,
-		lease.WithTerm(time.Duration(s.LeaseMS)*time.Millisecond, dutyMargin), lease.WithCandidate(h.isCandidate), lease.WithLog(h.log))
+		lease.WithTerm(time.Duration(s.LeaseMS)*time.Millisecond, dutyMargin), lease.WithCandidate(h.isCandidate), lease.WithLog(h.log),
+		lease.WithOlderBuilds(h.follower.HasOlderBuilds))
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/lease/era.go
+++ b/internal/fleet/lease/era.go
@@ -95,8 +95,9 @@
 
 // nextToken returns the token for a holder that replaces the object as it was last read. If
 // the store may have lost tokens since, or a write of an earlier era may have replaced them,
-// it is above all that could be given so far. Without eras that have ended, tokens stay in
-// the bound that hosts of older builds check, which is the revision.
+// it is above all that could be given so far. Hosts of older builds reject a token above the
+// revision of the object: without eras that have ended tokens stay in that bound, and beside
+// such hosts too, once the revisions have passed those of the lost tokens.
 func (l *Lease) nextToken(ctx context.Context) (uint64, error) {
 	next := max(l.doc.Fencing, l.topToken) + 1
 	isMissing := l.version == 0
@@ -106,13 +107,16 @@
 	if !l.eras.isLater(l.doc.Era) && !(isMissing && l.eras.hasEnded()) {
 		return next, nil
 	}
-	version := l.version
-	if isMissing {
+	version, hasOlder := l.version, l.hasOlder()
+	if isMissing || hasOlder {
 		list, err := l.store.List(ctx, l.key)
 		if err != nil {
 			return 0, errors.Wrap(err, "reading the revision of the store")
 		}
 		version = list.Version
 	}
+	if hasOlder {
+		return max(next, maxToken(0, version)+1), nil
+	}
 	return max(next, maxToken(l.eras.newest, version)+1), nil
 }
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -77,6 +77,7 @@
 	term        time.Duration
 	margin      time.Duration
 	candidate   func() bool
+	hasOlder    func() bool // whether there are hosts that do not know eras
 	nonce       func() string
 	log         logrus.FieldLogger
 
@@ -128,6 +129,12 @@
 	return func(l *Lease) { l.candidate = f }
 }
 
+// WithOlderBuilds tells whether hosts are present that do not know eras of the store. They
+// reject fencing tokens above the revision of the object.
+func WithOlderBuilds(f func() bool) Option {
+	return func(l *Lease) { l.hasOlder = f }
+}
+
 // WithNonce replaces the source of nonces, which must never repeat.
 func WithNonce(f func() string) Option {
 	return func(l *Lease) { l.nonce = f }
@@ -155,7 +162,7 @@
 		store: store, clock: clock, inv: inv, machine: c.NewMachine(role, inv),
 		opLock: make(chan struct{}, 1), role: role, key: "lease/" + role, host: host, incarnation: incarnation,
 		term: defaultTerm, margin: defaultMargin,
-		candidate: func() bool { return true }, nonce: rand.Text, log: discard,
+		candidate: func() bool { return true }, hasOlder: func() bool { return false }, nonce: rand.Text, log: discard,
 		sentAt: make(map[string]time.Time), ownIntents: make(map[string]sendState),
 		sendCounts: make(map[string]int),
 	}
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -49,6 +49,7 @@
 	starts   quetzalhook.Incarnation
 	onTheWay []func() // late writes
 	logs     map[string]*logtest.Hook
+	hasOlder bool // whether hosts of an older build are present
 }
 
 func newFleet(t *testing.T, opts ...memory.Option) *fleet {
@@ -64,7 +65,7 @@
 	clock := quetzalhook.ClockFunc(func() time.Time { return f.now })
 	a := &adapter{Store: f.store, onTheWay: &f.onTheWay}
 	log, hook := logtest.NewNullLogger()
-	l, err := New(RoleController, quetzalhook.HostID(host), f.starts, a, clock, f.inv, WithLog(log))
+	l, err := New(RoleController, quetzalhook.HostID(host), f.starts, a, clock, f.inv, WithLog(log), WithOlderBuilds(func() bool { return f.hasOlder }))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -139,6 +140,8 @@
 		}
 	case "sleep":
 		f.sleep(words[2])
+	case "older":
+		f.hasOlder = true
 	case "overwrite": // by another program
 		o, bad := s.Get(ctx, "lease/"+RoleController)
 		if bad == nil {
