soak: test a return of the store beside hosts of earlier builds

No test said whether an upgrade is safe if the store returns from a copy while both builds run. TestStoreReturnsBesideOlderBuild builds (eras) and (none) from the history, runs one of them on every second host, and plays the script of TestStoreReturnsFromCopy, whose bounds it keeps. It is skipped where the history does not reach back so far.

--- a/internal/bench/soak/restore_test.go
+++ b/internal/bench/soak/restore_test.go
@@ -31,6 +31,22 @@
 // Guards against hosts that keep an older configuration, or send to an upstream that leaves,
 // because the store has returned from a copy and gives out its revisions again.
 func TestStoreReturnsFromCopy(t *testing.T) {
+	runReturn(t, Settings{Seed: 7201})
+}
+
+// Guards against hosts of an older build that do so after the others have been upgraded.
+func TestStoreReturnsBesideOlderBuild(t *testing.T) {
+	for _, build := range []string{firstBuildWithEras, lastBuildWithoutEras} {
+		t.Run(build, func(t *testing.T) {
+			runReturn(t, Settings{Seed: 7201, Older: buildOlder(t, build), OlderHosts: OlderHalf})
+		})
+	}
+}
+
+// runReturn makes the store return from a copy from before changes of the configuration and of
+// an upstream, and makes further changes whose revisions the store has given out before.
+func runReturn(t *testing.T, cfg Settings) {
+	t.Helper()
 	const age = time.Second
 	script := []fault{{kind: "restore", duration: age, variant: "alone"}}
 	for at := 50 * time.Millisecond; at < age; at += 100 * time.Millisecond {
@@ -40,7 +56,7 @@
 		fault{at: age - 50*time.Millisecond, kind: "leave", target: minEngines},
 		fault{at: age + maxAway + minRewrite, kind: "configure"},
 		fault{at: age + maxAway + minRewrite, kind: "leave", target: minEngines})
-	runSoak(t, Settings{
-		Seed: 7201, Hosts: 6, Callers: 24, Length: age, Routes: 20, Kinds: []string{"restore", "configure", "leave"}, script: script,
-	}, CheckConfiguration, CheckRoute, CheckWithdrawnKey)
+	cfg.Hosts, cfg.Callers, cfg.Length, cfg.Routes = 6, 24, age, 20
+	cfg.Kinds, cfg.script = []string{"restore", "configure", "leave"}, script
+	runSoak(t, cfg, CheckConfiguration, CheckRoute, CheckWithdrawnKey)
 }
