routing: share the rate of raised revisions among watchers

Each watcher made up to 50 changes a second beside hosts of an older build. A fleet of several cells has a watcher in each: 175 with 2,800 hosts, 8,750 changes a second of the 400 that the store takes, beside which renewals of the lease and registrations would be refused.

All watchers together now make 150 a second.

--- a/internal/record/routing/older.go
+++ b/internal/record/routing/older.go
@@ -22,8 +22,11 @@
 const (
 	// raisePrefix is the prefix of the objects that are changed to raise the revisions.
 	raisePrefix = "revisions/"
-	// raisesPerSecond leaves most of the store's rate to others: each watcher raises.
-	raisesPerSecond = 50
+	// raisesPerSecond is the rate of all watchers together, and leaves most of the store's rate
+	// to others. hostsPerWatcher is the number of hosts for each of them in a fleet of several
+	// cells.
+	raisesPerSecond = 150
+	hostsPerWatcher = 16
 	// maxRaises limits the changes for one return. A fleet that makes more in the seconds that
 	// the store may lose also makes up for them as fast.
 	maxRaises = 1000
@@ -135,7 +138,8 @@
 			version = o.Version
 		}
 	}
-	limiter, writes := rate.NewLimiter(raisesPerSecond, 1), 0
+	watchers := max(maxWatchers, (len(f.peers.Members())+1)/hostsPerWatcher)
+	limiter, writes := rate.NewLimiter(rate.Limit(raisesPerSecond)/rate.Limit(watchers), 1), 0
 	for version.Revision() <= above && writes < maxRaises {
 		if err := limiter.Wait(ctx); err != nil {
 			return writes, err
