--- a/internal/record/routing/older.go
+++ b/internal/record/routing/older.go
@@ -32,7 +32,7 @@
 	maxRaises = 1000
 	// raiseMargin is above the changes that no host has told when the store goes back.
 	raiseMargin = 64
-	// olderInterval is the least time between two reads for hosts of older builds.
+	// olderInterval is the least time between two attempts.
 	olderInterval = time.Second
 )
 
@@ -103,11 +103,11 @@
 	if len(hosts) == 0 || !f.isWatcher() {
 		return
 	}
-	if now := f.clock.Now(); now.Sub(f.broughtForward) >= olderInterval {
-		f.broughtForward = now
-	} else {
+	now := f.clock.Now()
+	if now.Sub(f.broughtForward) < olderInterval {
 		return
 	}
+	f.broughtForward = now
 	log := f.log.WithFields(logrus.Fields{"hosts": hosts, "known-revision": highest})
 	writes, err := f.raiseRevision(ctx, highest+raiseMargin)
 	if err == nil {
