routing: less to raise after a series of returns

Each time the revisions had been raised by 64 more than needed, so that the gap grew to 286 changes, which took until the next return (host-2: "not brought past the return").

The margin is now 16 changes, and the rate of all watchers 240 a second, of the 400 that the store takes.

--- a/internal/record/routing/older.go
+++ b/internal/record/routing/older.go
@@ -25,13 +25,13 @@
 	// raisesPerSecond is the rate of all watchers together, and leaves most of the store's rate
 	// to others. hostsPerWatcher is the number of hosts for each of them in a fleet of several
 	// cells.
-	raisesPerSecond = 150
+	raisesPerSecond = 240
 	hostsPerWatcher = 16
 	// maxRaises limits the changes for one return. A fleet that makes more in the seconds that
 	// the store may lose also makes up for them as fast.
 	maxRaises = 1000
 	// raiseMargin is above the changes that no host has told when the store goes back.
-	raiseMargin = 64
+	raiseMargin = 16
 	// olderInterval is the least time between two attempts.
 	olderInterval = time.Second
 )
